--- /dev/null
+++ b/cmd/trefoild/main.go
@@ -0,0 +1,4 @@
+// Command trefoild is the entry process.
+package main
+
+func main() {}
