engine: declare the types of the endpoints' protocol

Cause: placement, routing and the stand-ins start at the same time and must agree on orders, fencing tokens and reports.

--- /dev/null
+++ b/internal/engine/types.go
@@ -0,0 +1,121 @@
+// Package engine talks to endpoints: completions and streams, orders that
+// change what is resident, and the reports that endpoints give.
+package engine
+
+import (
+	"fmt"
+	"time"
+)
+
+// Fence is a fencing token. Endpoints that check it refuse orders with a token
+// lower than the highest they have seen.
+type Fence struct {
+	Counter int64  `json:"counter" cbor:"1,keyasint"`
+	Node    uint64 `json:"node" cbor:"2,keyasint"`
+}
+
+// Less reports whether f is older than o.
+func (f Fence) Less(o Fence) bool {
+	if f.Counter != o.Counter {
+		return f.Counter < o.Counter
+	}
+	return f.Node < o.Node
+}
+
+// String implements fmt.Stringer.
+func (f Fence) String() string {
+	return fmt.Sprintf("%d.%d", f.Counter, f.Node)
+}
+
+// OrderKind is what an order changes.
+type OrderKind string
+
+// The kinds of order.
+const (
+	OrderLoad          OrderKind = "load"
+	OrderUnload        OrderKind = "unload"
+	OrderLoadAdapter   OrderKind = "load-adapter"
+	OrderUnloadAdapter OrderKind = "unload-adapter"
+	OrderRole          OrderKind = "role"
+)
+
+// Role is the part of the work that an engine does.
+type Role string
+
+// The roles of an engine.
+const (
+	RoleMixed   Role = "mixed"
+	RolePrefill Role = "prefill"
+	RoleDecode  Role = "decode"
+)
+
+// Order tells an engine to change what is resident or its role.
+type Order struct {
+	ID        string    `json:"id"`
+	Fence     Fence     `json:"fence"`
+	Kind      OrderKind `json:"kind"`
+	Model     string    `json:"model,omitempty"`
+	Version   string    `json:"version,omitempty"`
+	Adapter   string    `json:"adapter,omitempty"`
+	Role      Role      `json:"role,omitempty"`
+	MemoryMiB int64     `json:"memory-mib,omitempty"`
+	// Deadline is when an engine that honours deadlines refuses the order.
+	Deadline time.Time `json:"deadline"`
+}
+
+// OrderPhase tells how far an order has come.
+type OrderPhase string
+
+// The phases of an order.
+const (
+	OrderRunning OrderPhase = "running"
+	OrderDone    OrderPhase = "done"
+	OrderFailed  OrderPhase = "failed"
+	// OrderUnseen is the engine's word that it has not received the order.
+	OrderUnseen OrderPhase = "unseen"
+)
+
+// OrderStatus is an engine's answer about one order.
+type OrderStatus struct {
+	ID     string     `json:"id"`
+	Phase  OrderPhase `json:"phase"`
+	Reason string     `json:"reason,omitempty"`
+}
+
+// Resident is a model or adapter in an engine's memory.
+type Resident struct {
+	Model     string `json:"model"`
+	Version   string `json:"version"`
+	Adapter   string `json:"adapter,omitempty"`
+	MemoryMiB int64  `json:"memory-mib"`
+}
+
+// State is an engine's answer to GET /state.
+type State struct {
+	// Incarnation changes when the engine restarts with empty memory.
+	Incarnation string     `json:"incarnation"`
+	MemoryMiB   int64      `json:"memory-mib"`
+	Resident    []Resident `json:"resident"`
+	Running     []Order    `json:"running"`
+	Fence       Fence      `json:"fence"`
+	Role        Role       `json:"role"`
+	Leaving     bool       `json:"leaving"`
+}
+
+// Load is an engine's load report. It lags.
+type Load struct {
+	Running         int       `json:"running"`
+	Queued          int       `json:"queued"`
+	TokensPerSecond float64   `json:"tokens-per-second"`
+	Sampled         time.Time `json:"sampled"`
+	Leaving         bool      `json:"leaving"`
+}
+
+// CacheEvent tells that a prompt prefix entered or left an engine's cache.
+// Events arrive late and with gaps in Seq.
+type CacheEvent struct {
+	Seq     int64  `json:"seq"`
+	Model   string `json:"model"`
+	Prefix  string `json:"prefix"`
+	Evicted bool   `json:"evicted"`
+}
