--- /dev/null
+++ b/internal/wire/server.go
@@ -0,0 +1,50 @@
+package wire
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/rotisserie/eris"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/keepalive"
+)
+
+// serviceName is the gRPC service of entry processes.
+const serviceName = "trefoildale.Peer"
+
+// method describes one unary method of the service.
+func method[Q, R any](name string, call func(Handler, context.Context, *Q) (*R, error)) grpc.MethodDesc {
+	return grpc.MethodDesc{
+		MethodName: name,
+		Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
+			req := new(Q)
+			if err := dec(req); err != nil {
+				return nil, err
+			}
+			return call(srv.(Handler), ctx, req)
+		},
+	}
+}
+
+// Serve answers peers on the listener until the returned function is called,
+// which waits for running calls.
+func Serve(l net.Listener, h Handler, meter *Meter) (stop func()) {
+	srv := grpc.NewServer(
+		grpc.StatsHandler(meter),
+		grpc.MaxRecvMsgSize(maxMessageBytes),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{
+			MinTime:             time.Second,
+			PermitWithoutStream: true,
+		}),
+	)
+	srv.RegisterService(&serviceDesc, h)
+	done := make(chan error, 1)
+	go func() {
+		done <- eris.Wrapf(srv.Serve(l), "serve peers on %s", l.Addr())
+	}()
+	return func() {
+		srv.GracefulStop()
+		<-done
+	}
+}
