stand: thin version complete

Cause: the tests, the load generator and trefoil dev need outside systems to talk to, and the entry process needs clients for them.

Both clients use one transport that never repeats a request of which a byte may have been written: net/http repeats any method that carries an Idempotency-Key header.

--- /dev/null
+++ b/cmd/trefstand/main.go
@@ -0,0 +1,13 @@
+// Command trefstand runs the stand-ins for outside systems as processes.
+package main
+
+import (
+	"context"
+	"os"
+
+	"trefoildale.example/trefoildale/internal/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Run(context.Background(), "trefstand", os.Args, os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/cmds/stand_platform.go
@@ -0,0 +1,31 @@
+package cmds
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoildale.example/trefoildale/internal/fake/plat"
+)
+
+func standPlatform() *cli.Command {
+	return &cli.Command{
+		Name:  "platform",
+		Usage: "table, objects and list of VMs",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.FloatFlag{Name: "reads", Usage: "reads per second", Value: 2000},
+			&cli.FloatFlag{Name: "writes", Usage: "writes per second", Value: 300},
+			&cli.DurationFlag{Name: "lag", Usage: "how late the list of VMs is"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			p, release := plat.New(plat.Options{
+				ReadsPerSecond:  c.Float("reads"),
+				WritesPerSecond: c.Float("writes"),
+				Lag:             c.Duration("lag"),
+			})
+			defer release()
+			return serveStand(ctx, c, p.Handler())
+		},
+	}
+}
--- /dev/null
+++ b/internal/cmds/stand_weights.go
@@ -0,0 +1,31 @@
+package cmds
+
+import (
+	"context"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoildale.example/trefoildale/internal/fake/weight"
+)
+
+func standWeights() *cli.Command {
+	return &cli.Command{
+		Name:  "weights",
+		Usage: "weight store",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.FloatFlag{Name: "loads", Usage: "loads per second", Value: 2},
+			&cli.IntFlag{Name: "parallel", Usage: "loads at once", Value: 4},
+			&cli.FloatFlag{Name: "mib-per-second", Usage: "speed of one load", Value: 8192},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			s, release := weight.New(weight.Options{
+				LoadsPerSecond: c.Float("loads"),
+				Parallel:       c.Int("parallel"),
+				MiBPerSecond:   c.Float("mib-per-second"),
+			})
+			defer release()
+			return serveStand(ctx, c, s.Handler())
+		},
+	}
+}
--- /dev/null
+++ b/internal/fake/weight/weight.go
@@ -0,0 +1,185 @@
+// Package weight is a stand-in for the weight store, from which engines fetch
+// models. It limits loads per second and in parallel.
+package weight
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"trefoildale.example/trefoildale/internal/fake/fault"
+	"trefoildale.example/trefoildale/internal/fake/reply"
+)
+
+// Options are the settings of a Store. Zero values mean the defaults.
+type Options struct {
+	// LoadsPerSecond defaults to 2, Parallel to 4.
+	LoadsPerSecond float64
+	Parallel       int
+	// MiBPerSecond is the speed of one load; the default is 8,192.
+	MiBPerSecond float64
+	// MaxQueued bounds the loads that wait; further ones are refused. The
+	// default is 1,000.
+	MaxQueued int
+}
+
+// Stats are the counters of a Store.
+type Stats struct {
+	Loads   int64 `json:"loads"`
+	Running int   `json:"running"`
+	Queued  int   `json:"queued"`
+	// Waited is how many loads found a limit exhausted.
+	Waited  int64 `json:"waited"`
+	Refused int64 `json:"refused"`
+}
+
+// Store is the stand-in.
+type Store struct {
+	opts   Options
+	faults *fault.Set
+	rate   *rate.Limiter
+	slots  chan struct{}
+
+	mu    sync.Mutex
+	stats Stats
+}
+
+// New returns a Store and a function that releases it.
+func New(opts Options) (*Store, func()) {
+	if opts.LoadsPerSecond == 0 {
+		opts.LoadsPerSecond = 2
+	}
+	if opts.Parallel == 0 {
+		opts.Parallel = 4
+	}
+	if opts.MiBPerSecond == 0 {
+		opts.MiBPerSecond = 8192
+	}
+	if opts.MaxQueued == 0 {
+		opts.MaxQueued = 1000
+	}
+	faults, release := fault.NewSet()
+	return &Store{
+		opts:   opts,
+		faults: faults,
+		rate:   rate.NewLimiter(rate.Limit(opts.LoadsPerSecond), max(1, int(opts.LoadsPerSecond))),
+		slots:  make(chan struct{}, opts.Parallel),
+	}, release
+}
+
+// Faults returns the faults of the stand-in.
+func (s *Store) Faults() *fault.Set { return s.faults }
+
+// Stats returns the counters.
+func (s *Store) Stats() Stats {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stats
+}
+
+// Handler returns the HTTP handler of the store.
+func (s *Store) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /weights/{model}/{version}", s.load)
+	mux.HandleFunc("GET /stats", func(w http.ResponseWriter, _ *http.Request) {
+		reply.JSON(w, http.StatusOK, s.Stats())
+	})
+	return s.faults.Wrap(mux)
+}
+
+// Loaded is the answer to a load. The weights themselves are not sent; the
+// answer arrives when a transfer of their size would be complete.
+type Loaded struct {
+	Model     string `json:"model"`
+	Version   string `json:"version"`
+	MemoryMiB int64  `json:"memory-mib"`
+}
+
+func (s *Store) load(w http.ResponseWriter, r *http.Request) {
+	mib, err := strconv.ParseInt(r.URL.Query().Get("mib"), 10, 64)
+	if err != nil || mib < 1 {
+		reply.Refuse(w, http.StatusBadRequest, "bad-request", "mib must be a number above 0")
+		return
+	}
+	if !s.enter() {
+		w.Header().Set("Retry-After", "1")
+		reply.Refuse(w, http.StatusTooManyRequests, "rate-limited", "too many loads are waiting")
+		return
+	}
+	if !s.start(r.Context()) {
+		s.leave()
+		return
+	}
+	defer func() { <-s.slots }()
+	s.mu.Lock()
+	s.stats.Queued--
+	s.stats.Running++
+	s.stats.Loads++
+	s.mu.Unlock()
+	defer func() {
+		s.mu.Lock()
+		s.stats.Running--
+		s.mu.Unlock()
+	}()
+	if !sleep(r.Context(), time.Duration(float64(mib)/s.opts.MiBPerSecond*float64(time.Second))) {
+		return
+	}
+	reply.JSON(w, http.StatusOK, Loaded{
+		Model:     r.PathValue("model"),
+		Version:   r.PathValue("version"),
+		MemoryMiB: mib,
+	})
+}
+
+func (s *Store) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stats.Queued >= s.opts.MaxQueued {
+		s.stats.Refused++
+		return false
+	}
+	s.stats.Queued++
+	return true
+}
+
+func (s *Store) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stats.Queued--
+}
+
+// start waits until both limits allow a load.
+func (s *Store) start(ctx context.Context) bool {
+	begin := time.Now()
+	select {
+	case s.slots <- struct{}{}:
+	case <-ctx.Done():
+		return false
+	}
+	if err := s.rate.Wait(ctx); err != nil {
+		<-s.slots
+		return false
+	}
+	// Scheduling alone takes less than a millisecond.
+	if time.Since(begin) > time.Millisecond {
+		s.mu.Lock()
+		s.stats.Waited++
+		s.mu.Unlock()
+	}
+	return true
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/store/client.go
@@ -0,0 +1,296 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"trefoildale.example/trefoildale/internal/conn"
+)
+
+// MaxAnswer bounds the size of an answer. A snapshot object at the design size
+// is below 4 MiB.
+const MaxAnswer = 64 << 20
+
+// WriteRequest is the body of a write to the table.
+type WriteRequest struct {
+	Key     string `json:"key"`
+	Value   []byte `json:"value"`
+	Version int64  `json:"version,omitempty"`
+}
+
+// Failure is the body of an answer that is no success.
+type Failure struct {
+	Error struct {
+		Code    string `json:"code"`
+		Message string `json:"message"`
+		// NotRun states that the request had no effect.
+		NotRun bool `json:"not-run"`
+	} `json:"error"`
+}
+
+// The codes of a Failure that the client tells apart.
+const (
+	CodeAbsent   = "absent"
+	CodeConflict = "conflict"
+)
+
+// Client speaks to the platform over HTTP. It implements Table and VMs, and
+// Objects through the method of that name.
+type Client struct {
+	base      string
+	transport *conn.Transport
+	seq       atomic.Uint64
+}
+
+var (
+	_ Table   = (*Client)(nil)
+	_ VMs     = (*Client)(nil)
+	_ Objects = objects{}
+)
+
+// NewClient returns a Client of the platform at baseURL, for example
+// "http://10.0.0.1:7000", and a function that releases its connections.
+func NewClient(baseURL string) (*Client, func()) {
+	t, release := conn.NewTransport(conn.Options{})
+	return &Client{
+		base:      strings.TrimSuffix(baseURL, "/"),
+		transport: t,
+	}, release
+}
+
+// Get implements Table.
+func (c *Client) Get(ctx context.Context, key string) (Row, error) {
+	body, err := c.read(ctx, "get row", "/table/row?"+url.Values{"key": {key}}.Encode())
+	if err != nil {
+		return Row{}, err
+	}
+	row, err := decodeRow(body, key)
+	if err != nil {
+		return Row{}, fmt.Errorf("get row: %w: %w", ErrUnavailable, err)
+	}
+	return row, nil
+}
+
+// Insert implements Table.
+func (c *Client) Insert(ctx context.Context, key string, value []byte) (Row, error) {
+	return c.write(ctx, "insert row", "/table/insert", WriteRequest{
+		Key:   key,
+		Value: value,
+	})
+}
+
+// Update implements Table.
+func (c *Client) Update(ctx context.Context, key string, value []byte, version int64) (Row, error) {
+	return c.write(ctx, "update row", "/table/update", WriteRequest{
+		Key:     key,
+		Value:   value,
+		Version: version,
+	})
+}
+
+// Delete implements Table.
+func (c *Client) Delete(ctx context.Context, key string, version int64) error {
+	_, err := c.write(ctx, "delete row", "/table/delete", WriteRequest{
+		Key:     key,
+		Version: version,
+	})
+	return err
+}
+
+// Scan implements Table.
+func (c *Client) Scan(ctx context.Context, prefix, after string, limit int) ([]Row, error) {
+	q := url.Values{
+		"prefix": {prefix},
+		"after":  {after},
+		"limit":  {strconv.Itoa(limit)},
+	}
+	body, err := c.read(ctx, "scan rows", "/table/scan?"+q.Encode())
+	if err != nil {
+		return nil, err
+	}
+	rows, err := decodeRows(body, prefix, after, limit)
+	if err != nil {
+		return nil, fmt.Errorf("scan rows: %w: %w", ErrUnavailable, err)
+	}
+	return rows, nil
+}
+
+// List implements VMs.
+func (c *Client) List(ctx context.Context) ([]VM, error) {
+	body, err := c.read(ctx, "list VMs", "/vms")
+	if err != nil {
+		return nil, err
+	}
+	vms, err := decodeVMs(body)
+	if err != nil {
+		return nil, fmt.Errorf("list VMs: %w: %w", ErrUnavailable, err)
+	}
+	return vms, nil
+}
+
+// Objects returns the object store of the same platform.
+func (c *Client) Objects() Objects {
+	return objects{c: c}
+}
+
+type objects struct {
+	c *Client
+}
+
+// Put implements Objects.
+func (o objects) Put(ctx context.Context, key string, value []byte) error {
+	_, err := o.c.call(ctx, "put object", http.MethodPut, objectPath(key), value)
+	return err
+}
+
+// Get implements Objects.
+func (o objects) Get(ctx context.Context, key string) ([]byte, error) {
+	return o.c.read(ctx, "get object", objectPath(key))
+}
+
+func objectPath(key string) string {
+	return "/objects?" + url.Values{"key": {key}}.Encode()
+}
+
+// read sends a request without effect, so that any failure means unavailable.
+func (c *Client) read(ctx context.Context, op, path string) ([]byte, error) {
+	return c.call(ctx, op, http.MethodGet, path, nil)
+}
+
+func (c *Client) write(ctx context.Context, op, path string, w WriteRequest) (Row, error) {
+	sent, err := json.Marshal(w)
+	if err != nil {
+		return Row{}, fmt.Errorf("%s: %w: %w", op, ErrUnavailable, err)
+	}
+	body, err := c.call(ctx, op, http.MethodPost, path, sent)
+	if err != nil {
+		return Row{}, err
+	}
+	row, err := decodeRow(body, w.Key)
+	if err != nil {
+		return Row{}, fmt.Errorf("%s: %w: %w", op, ErrUnknown, err)
+	}
+	row.Value = w.Value
+	return row, nil
+}
+
+// call sends one request and returns the body of a success. A failure is
+// ErrUnavailable only where the request had no effect: it is a read, no byte
+// of it was written, or the platform said so.
+func (c *Client) call(ctx context.Context, op, method, path string, body []byte) ([]byte, error) {
+	unsure := ErrUnknown
+	if method == http.MethodGet {
+		unsure = ErrUnavailable
+	}
+	req, err := http.NewRequestWithContext(ctx, method, c.base+path, nil)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w: %w", op, ErrUnavailable, err)
+	}
+	id := strconv.FormatUint(c.seq.Add(1), 36)
+	req.Header.Set("X-Request-Id", id)
+	req.Header.Set("Content-Type", "application/json")
+	res, err := c.transport.Send(req, body)
+	if err != nil {
+		var notSent *conn.NotSentError
+		if errors.As(err, &notSent) {
+			unsure = ErrUnavailable
+		}
+		return nil, fmt.Errorf("%s: %w: %w", op, unsure, err)
+	}
+	defer res.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(res.Body, MaxAnswer+1))
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w: read answer: %w", op, unsure, err)
+	}
+	if len(answer) > MaxAnswer {
+		return nil, fmt.Errorf("%s: %w: answer above %d bytes", op, unsure, MaxAnswer)
+	}
+	if got := res.Header.Get("X-Request-Id"); got != id {
+		return nil, fmt.Errorf("%s: %w: answer for request %q instead of %q", op, unsure, got, id)
+	}
+	if res.StatusCode == http.StatusOK {
+		return answer, nil
+	}
+	return nil, fmt.Errorf("%s: %w", op, failure(res.StatusCode, answer, unsure))
+}
+
+// failure maps an answer that is no success to an error of this package.
+func failure(status int, answer []byte, unsure error) error {
+	var f Failure
+	if err := json.Unmarshal(answer, &f); err != nil {
+		return fmt.Errorf("%w: status %d: %w", unsure, status, err)
+	}
+	switch {
+	case status == http.StatusNotFound && f.Error.Code == CodeAbsent:
+		return ErrAbsent
+	case status == http.StatusConflict && f.Error.Code == CodeConflict:
+		return ErrConflict
+	case f.Error.NotRun:
+		return fmt.Errorf("%w: status %d: %s", ErrUnavailable, status, f.Error.Message)
+	default:
+		return fmt.Errorf("%w: status %d: %s", unsure, status, f.Error.Message)
+	}
+}
+
+func decodeRow(body []byte, key string) (Row, error) {
+	var row Row
+	if err := decodeStrict(body, &row); err != nil {
+		return Row{}, err
+	}
+	if row.Key != key {
+		return Row{}, fmt.Errorf("answer has row %q instead of %q", row.Key, key)
+	}
+	if row.Version < 1 {
+		return Row{}, fmt.Errorf("row %q has version %d", row.Key, row.Version)
+	}
+	return row, nil
+}
+
+func decodeRows(body []byte, prefix, after string, limit int) ([]Row, error) {
+	var rows []Row
+	if err := decodeStrict(body, &rows); err != nil {
+		return nil, err
+	}
+	if len(rows) > limit {
+		return nil, fmt.Errorf("%d rows instead of at most %d", len(rows), limit)
+	}
+	last := after
+	for _, r := range rows {
+		if !strings.HasPrefix(r.Key, prefix) || r.Key <= last || r.Version < 1 {
+			return nil, fmt.Errorf("row %q at version %d does not follow %q", r.Key, r.Version, last)
+		}
+		last = r.Key
+	}
+	return rows, nil
+}
+
+func decodeVMs(body []byte) ([]VM, error) {
+	var vms []VM
+	if err := decodeStrict(body, &vms); err != nil {
+		return nil, err
+	}
+	for _, v := range vms {
+		if v.Name == "" {
+			return nil, errors.New("VM without a name")
+		}
+	}
+	return vms, nil
+}
+
+// decodeStrict refuses trailing bytes and a missing value, which a garbled
+// answer can contain.
+func decodeStrict(body []byte, v any) error {
+	if bytes.Equal(bytes.TrimSpace(body), []byte("null")) {
+		return errors.New("answer is null")
+	}
+	return json.Unmarshal(body, v)
+}
