--- /dev/null
+++ b/internal/strict/strict.go
@@ -0,0 +1,252 @@
+// Package strict decodes YAML into plain structs and reports every deviation
+// with its place: unknown and repeated fields, wrong types, values that do not
+// parse. It does not stop at the first finding.
+package strict
+
+import (
+	"encoding"
+	"errors"
+	"fmt"
+	"io"
+	"reflect"
+	"regexp"
+	"slices"
+	"strconv"
+	"strings"
+
+	"go.yaml.in/yaml/v3"
+)
+
+// Place is a position in a file, both counted from 1.
+type Place struct {
+	Line   int
+	Column int
+}
+
+// Finding is a deviation at a place. Path names the value, for example
+// "models[3].memory-mib".
+type Finding struct {
+	Place
+	Path string
+	Text string
+}
+
+// Places tells where each value of a decoded document stands, by path.
+type Places map[string]Place
+
+// Of returns the place of path or of the nearest value around it.
+func (p Places) Of(path string) Place {
+	for {
+		if at, ok := p[path]; ok {
+			return at
+		}
+		cut := strings.LastIndexAny(path, ".[")
+		if cut < 0 {
+			return p[""]
+		}
+		path = path[:cut]
+	}
+}
+
+// maxDepth is well above the depth of any schema here. The parser's own limit
+// on nesting is 10,000.
+const maxDepth = 32
+
+// Decode fills out, a pointer to a struct, from data.
+func Decode(data []byte, out any) (Places, []Finding) {
+	d := decoder{places: Places{"": {Line: 1, Column: 1}}}
+	var doc yaml.Node
+	in := yaml.NewDecoder(strings.NewReader(string(data)))
+	if err := in.Decode(&doc); err != nil {
+		if errors.Is(err, io.EOF) {
+			d.add(Place{Line: 1, Column: 1}, "", "the file is empty")
+			return d.places, d.findings
+		}
+		d.syntax(err)
+		return d.places, d.findings
+	}
+	if doc.Kind == yaml.DocumentNode && len(doc.Content) == 1 {
+		d.value(doc.Content[0], "", reflect.ValueOf(out).Elem(), 0)
+	}
+	var more yaml.Node
+	if err := in.Decode(&more); err == nil {
+		d.add(Place{Line: max(more.Line, 1), Column: max(more.Column, 1)}, "", "more than one document")
+	} else if !errors.Is(err, io.EOF) {
+		d.syntax(err)
+	}
+	return d.places, d.findings
+}
+
+type decoder struct {
+	places   Places
+	findings []Finding
+}
+
+func (d *decoder) add(at Place, path, text string) {
+	d.findings = append(d.findings, Finding{Place: at, Path: path, Text: text})
+}
+
+var lineOf = regexp.MustCompile(`line (\d+): `)
+
+// syntax reports an error of the parser, which gives a line but no column.
+func (d *decoder) syntax(err error) {
+	text := strings.TrimPrefix(err.Error(), "yaml: ")
+	at := Place{Line: 1, Column: 1}
+	if m := lineOf.FindStringSubmatch(text); m != nil {
+		if n, err := strconv.Atoi(m[1]); err == nil {
+			at.Line = n
+		}
+		text = strings.Replace(text, m[0], "", 1)
+	}
+	d.add(at, "", text)
+}
+
+var textType = reflect.TypeFor[encoding.TextUnmarshaler]()
+
+func (d *decoder) value(n *yaml.Node, path string, out reflect.Value, depth int) {
+	at := Place{Line: n.Line, Column: n.Column}
+	d.places[path] = at
+	if depth > maxDepth {
+		d.add(at, path, "nested too deeply")
+		return
+	}
+	if n.Kind == yaml.AliasNode {
+		// A few bytes of nested aliases can stand for gigabytes.
+		d.add(at, path, "aliases are not supported")
+		return
+	}
+	if reflect.PointerTo(out.Type()).Implements(textType) {
+		if !d.scalar(n, path, "text") {
+			return
+		}
+		if err := out.Addr().Interface().(encoding.TextUnmarshaler).UnmarshalText([]byte(n.Value)); err != nil {
+			d.add(at, path, err.Error())
+		}
+		return
+	}
+	switch out.Kind() {
+	case reflect.Struct:
+		d.mapping(n, path, out, depth)
+	case reflect.Slice:
+		d.sequence(n, path, out, depth)
+	case reflect.String:
+		if d.scalar(n, path, "text") {
+			out.SetString(n.Value)
+		}
+	case reflect.Bool, reflect.Int, reflect.Int64, reflect.Float64:
+		want := map[reflect.Kind]string{
+			reflect.Bool:    "true or false",
+			reflect.Int:     "a whole number",
+			reflect.Int64:   "a whole number",
+			reflect.Float64: "a number",
+		}[out.Kind()]
+		if !d.scalar(n, path, want) {
+			return
+		}
+		tag := n.ShortTag()
+		ok := tag == "!!int" || tag == "!!float" && out.Kind() == reflect.Float64
+		if out.Kind() == reflect.Bool {
+			ok = tag == "!!bool"
+		}
+		if !ok || n.Decode(out.Addr().Interface()) != nil {
+			d.add(at, path, fmt.Sprintf("want %s, got %q", want, n.Value))
+		}
+	default:
+		panic("strict: type " + out.Type().String() + " is not supported")
+	}
+}
+
+func (d *decoder) scalar(n *yaml.Node, path, want string) bool {
+	if n.Kind == yaml.ScalarNode && n.ShortTag() != "!!null" {
+		return true
+	}
+	d.add(Place{Line: n.Line, Column: n.Column}, path, "want "+want+", got "+kindOf(n))
+	return false
+}
+
+func kindOf(n *yaml.Node) string {
+	switch {
+	case n.Kind == yaml.MappingNode:
+		return "a mapping"
+	case n.Kind == yaml.SequenceNode:
+		return "a list"
+	case n.ShortTag() == "!!null":
+		return "nothing"
+	}
+	return strconv.Quote(n.Value)
+}
+
+func (d *decoder) mapping(n *yaml.Node, path string, out reflect.Value, depth int) {
+	if n.Kind != yaml.MappingNode {
+		if n.ShortTag() != "!!null" {
+			d.add(Place{Line: n.Line, Column: n.Column}, path, "want a mapping, got "+kindOf(n))
+		}
+		return
+	}
+	fields := fieldsOf(out.Type())
+	seen := map[string]bool{}
+	for i := 0; i+1 < len(n.Content); i += 2 {
+		key, val := n.Content[i], n.Content[i+1]
+		at := Place{Line: key.Line, Column: key.Column}
+		if key.Kind != yaml.ScalarNode {
+			d.add(at, path, "want the name of a field, got "+kindOf(key))
+			continue
+		}
+		name := key.Value
+		sub := name
+		if path != "" {
+			sub = path + "." + name
+		}
+		pos, known := fields[name]
+		switch {
+		case !known:
+			d.add(at, path, fmt.Sprintf("unknown field %q%s", name, suggest(name, fields)))
+		case seen[name]:
+			d.add(at, path, fmt.Sprintf("field %q is given twice", name))
+		default:
+			d.value(val, sub, out.Field(pos), depth+1)
+		}
+		seen[name] = true
+	}
+}
+
+func (d *decoder) sequence(n *yaml.Node, path string, out reflect.Value, depth int) {
+	if n.Kind != yaml.SequenceNode {
+		if n.ShortTag() != "!!null" {
+			d.add(Place{Line: n.Line, Column: n.Column}, path, "want a list, got "+kindOf(n))
+		}
+		return
+	}
+	// An empty list is not nil: some schemas tell it from an absent one.
+	out.Set(reflect.MakeSlice(out.Type(), len(n.Content), len(n.Content)))
+	for i, item := range n.Content {
+		d.value(item, path+"["+strconv.Itoa(i)+"]", out.Index(i), depth+1)
+	}
+}
+
+func fieldsOf(t reflect.Type) map[string]int {
+	fields := make(map[string]int, t.NumField())
+	for i := range t.NumField() {
+		name, _, _ := strings.Cut(t.Field(i).Tag.Get("yaml"), ",")
+		if name != "" && name != "-" {
+			fields[name] = i
+		}
+	}
+	return fields
+}
+
+// suggest names the known fields when there are few, so that a typing error is
+// corrected without the manual.
+func suggest(name string, fields map[string]int) string {
+	var near []string
+	for f := range fields {
+		if strings.HasPrefix(f, name) || strings.HasPrefix(name, f) || strings.ReplaceAll(f, "-", "") == strings.NewReplacer("-", "", "_", "").Replace(strings.ToLower(name)) {
+			near = append(near, f)
+		}
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	slices.Sort(near)
+	return ", did you mean " + strings.Join(near, " or ") + "?"
+}
--- /dev/null
+++ b/pkg/spec/decode.go
@@ -0,0 +1,54 @@
+package spec
+
+import (
+	"bytes"
+
+	"go.yaml.in/yaml/v3"
+
+	"trefoildale.example/trefoildale/internal/strict"
+)
+
+// Decode reads a configuration from YAML, fills in the defaults and checks it.
+// All findings are reported together, each with its place; name stands for the
+// file in them. The configuration is nil when there is any.
+func Decode(name string, data []byte) (*Config, Findings) {
+	c := new(Config)
+	places, raw := strict.Decode(data, c)
+	var findings Findings
+	for _, r := range raw {
+		findings = append(findings, Finding{File: name, Line: r.Line, Column: r.Column, Path: r.Path, Text: r.Text})
+	}
+	broken := map[strict.Place]bool{}
+	for _, r := range raw {
+		broken[r.Place] = true
+	}
+	for _, f := range c.Check() {
+		at := places.Of(f.Path)
+		if broken[at] {
+			// The value did not parse; that it is also empty says nothing new.
+			continue
+		}
+		f.File, f.Line, f.Column = name, at.Line, at.Column
+		findings = append(findings, f)
+	}
+	if len(findings) > 0 {
+		findings.sort()
+		return nil, findings
+	}
+	c.fill()
+	return c, nil
+}
+
+// Encode writes the configuration as YAML that Decode accepts.
+func (c *Config) Encode() ([]byte, error) {
+	var b bytes.Buffer
+	e := yaml.NewEncoder(&b)
+	e.SetIndent(2)
+	if err := e.Encode(c); err != nil {
+		return nil, err
+	}
+	if err := e.Close(); err != nil {
+		return nil, err
+	}
+	return b.Bytes(), nil
+}
--- /dev/null
+++ b/pkg/spec/limits.go
@@ -0,0 +1,56 @@
+package spec
+
+import "time"
+
+// Defaults of the limits.
+const (
+	// DefaultMinShareTokens is about one typical request.
+	DefaultMinShareTokens       = 4096
+	DefaultWeightLoadsPerSecond = 1.0
+	DefaultWeightLoadsParallel  = 2
+	DefaultWhenIsolated         = IsolationRefuse
+	DefaultSlotTerm             = Duration(time.Hour)
+)
+
+// minSlotTerm keeps the renewals, one each quarter of the term, below what the
+// table can take.
+const minSlotTerm = Duration(time.Second)
+
+func (l *Limits) fill() {
+	if l.MinShareTokens == 0 {
+		l.MinShareTokens = DefaultMinShareTokens
+	}
+	if l.WeightLoadsPerSecond == 0 {
+		l.WeightLoadsPerSecond = DefaultWeightLoadsPerSecond
+	}
+	if l.WeightLoadsParallel == 0 {
+		l.WeightLoadsParallel = DefaultWeightLoadsParallel
+	}
+	if l.WhenIsolated == "" {
+		l.WhenIsolated = DefaultWhenIsolated
+	}
+	if l.SlotTerm == 0 {
+		l.SlotTerm = DefaultSlotTerm
+	}
+}
+
+func (k *checker) limits() {
+	l := k.c.Limits
+	l.fill()
+	s := scope{all: &k.findings, path: "limits", item: string(KindOfLimits)}
+	if l.MinShareTokens < 0 {
+		s.add("min-share-tokens", "is below zero")
+	}
+	if !finite(l.WeightLoadsPerSecond) || l.WeightLoadsPerSecond < 0 {
+		s.add("weight-loads-per-second", "is not above zero")
+	}
+	if l.WeightLoadsParallel < 0 {
+		s.add("weight-loads-parallel", "is below zero")
+	}
+	if l.WhenIsolated != IsolationRefuse && l.WhenIsolated != IsolationServe {
+		s.add("when-isolated", "%q is neither refuse nor serve", string(l.WhenIsolated))
+	}
+	if l.SlotTerm < minSlotTerm {
+		s.add("slot-term", "is below %s", time.Duration(minSlotTerm))
+	}
+}
