--- /dev/null
+++ b/internal/conf/log.go
@@ -0,0 +1,15 @@
+package conf
+
+// Log sets what is logged.
+type Log struct {
+	// Verbosity is the level of klog: 0 logs changes of state, higher levels more.
+	Verbosity int `yaml:"verbosity"`
+}
+
+const maxVerbosity = 10
+
+func (l *Log) check(c *checker) {
+	if l.Verbosity < 0 || l.Verbosity > maxVerbosity {
+		c.add("verbosity", "%d is not between 0 and %d", l.Verbosity, maxVerbosity)
+	}
+}
