cmds: use one runner and one set of exit codes

Cause: two command sets were written at the same time, each with its own runner, so the merged package did not build.

Result: both programs build.

--- a/cmd/trefstand/main.go
+++ b/cmd/trefstand/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(cmds.Run(context.Background(), "trefstand", os.Args, os.Stdout, os.Stderr))
+	os.Exit(cmds.Run(context.Background(), cmds.Trefstand(), os.Args, os.Stdout, os.Stderr))
 }
--- a/internal/cmds/stand.go
+++ b/internal/cmds/stand.go
@@ -28,7 +28,7 @@
 // line of the output is the address.
 func serveStand(ctx context.Context, c *cli.Command, handler http.Handler) error {
 	if c.Args().Present() {
-		return usageError(fmt.Errorf("unexpected argument %q", c.Args().First()))
+		return Usagef("%s: unexpected argument %q", c.FullName(), c.Args().First())
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
--- a/internal/cmds/stand_engine.go
+++ b/internal/cmds/stand_engine.go
@@ -50,7 +50,7 @@
 	for _, text := range c.StringSlice("resident") {
 		r, err := parseResident(text)
 		if err != nil {
-			return usageError(err)
+			return Usagef("%s: %w", c.FullName(), err)
 		}
 		resident = append(resident, r)
 	}
--- /dev/null
+++ b/internal/cmds/trefstand.go
@@ -0,0 +1,23 @@
+package cmds
+
+import "github.com/urfave/cli/v3"
+
+// trefstandCommands are the commands of trefstand, in the order of the help text.
+var trefstandCommands = []func() *cli.Command{
+	standPlatform,
+	standWeights,
+	standEngine,
+	standService,
+}
+
+// Trefstand returns the program that runs stand-ins as processes.
+func Trefstand() *cli.Command {
+	root := &cli.Command{
+		Name:  "trefstand",
+		Usage: "run the stand-ins for outside systems as processes",
+	}
+	for _, c := range trefstandCommands {
+		root.Commands = append(root.Commands, c())
+	}
+	return root
+}
