--- /dev/null
+++ b/internal/quota/node.go
@@ -0,0 +1,1043 @@
+package quota
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/rank"
+	"trefoildale.example/trefoildale/internal/store"
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+// Effects is what a Node wants done. The runner takes it after every call.
+type Effects struct {
+	Deposits []Send[DepositRequest]
+	Draws    []Send[DrawRequest]
+	Returns  []Send[ReturnRequest]
+	Table    []TableOp
+	// Replies answer draws that HandleDraw left open.
+	Replies []DrawReply
+	Grants  []Loan
+	Denials []Denial
+}
+
+// Send is a message to a node.
+type Send[T any] struct {
+	To  string
+	Msg T
+}
+
+// Denial answers a Need that can't be met now.
+type Denial struct {
+	Workspace string
+	Reason    Reason
+	Available int64
+	// Retry is when the need may be met.
+	Retry time.Time
+}
+
+// Intervals of a Node.
+const (
+	// TickEvery is how often Tick should be called.
+	TickEvery = 100 * time.Millisecond
+	// askAgain is how long the answer of a domain without tokens counts.
+	askAgain = 50 * time.Millisecond
+	// askLost is how long a domain that didn't answer is left alone.
+	askLost = 500 * time.Millisecond
+	// borrowPatience bounds the wait for other domains; a wait to another
+	// region and back fits into it.
+	borrowPatience = 200 * time.Millisecond
+)
+
+// Node is the quota state of one entry process. It is not safe for concurrent
+// use: one goroutine owns it.
+type Node struct {
+	self    ownerID
+	domain  string
+	slots   *Slots
+	shares  *Shares
+	members []string            // live nodes of the own domain, with this one
+	pools   map[string][]string // nodes of other domains
+	spaces  map[string]*space
+	seq     uint64
+	replies replies
+	credits credits
+	epochs  map[string]uint64    // of other nodes, for refunds
+	lost    map[string]time.Time // pools that did not answer, until when they are left alone
+	peers   map[string]*peer     // depositors, as a pool sees them
+	askers  map[string]*asker    // pools, as a depositor sees them
+	set     []string             // workspaces whose pool this node is
+	setID   uint64
+	draws   map[uint64]*draw
+	refunds map[string]map[string]int64 // by pool and workspace, until the next tick
+	unused  map[lender][]ReturnItem     // until the next tick
+	fx      Effects
+	faults  *faults
+	credit  func(workspace string, tokens float64) // of refunds, for tests
+}
+
+// space is the state of one workspace.
+type space struct {
+	name      string
+	bucket    bucket
+	borrowed  Wallet
+	borrowing meter
+	home      string // pool node in the own domain
+	lentTo    ownerID
+	lentUntil time.Time
+	waiting   []*wish
+	asked     int // borrow requests that are out
+	wave      int
+	lost      bool // a domain did not answer
+	retry     map[string]time.Time
+	spare     map[string]int64 // what other domains said to have left
+}
+
+// wish is an item of a draw that waits for other domains.
+type wish struct {
+	item  DrawItem
+	reply *pastReply // nil for this node itself
+	left  *int       // open items of the same draw
+	whole bool       // another domain asks, which counts what it needs itself
+	since time.Time
+}
+
+// lender is a pool in one of its epochs.
+type lender struct {
+	node  string
+	epoch uint64
+}
+
+// peer is a depositor as its pool sees it.
+type peer struct {
+	next  time.Time
+	acked uint64 // set that the depositor knows
+	out   []asked
+}
+
+type asked struct {
+	seq uint64
+	at  time.Time
+	set uint64
+	of  []string
+}
+
+// asker is a pool as a depositor sees it.
+type asker struct {
+	incarnation uint64
+	set         uint64
+	names       []string
+	reply       DepositReply
+}
+
+// draw is a request of this node that is out.
+type draw struct {
+	at    time.Time
+	to    string
+	items []DrawItem
+	// borrower is the workspace for which a pool asks another domain.
+	borrower *space
+	domain   string
+	// passed is set when this node passes a draw on to its pool.
+	passed *pastReply
+}
+
+// NewNode returns the state of a process that starts now. The incarnation
+// differs from that of every earlier process of the node.
+func NewNode(now time.Time, node string, incarnation uint64, domain string) *Node {
+	n := &Node{
+		self: ownerID{
+			node:        node,
+			incarnation: incarnation,
+		},
+		domain:  domain,
+		slots:   NewSlots(now, node, incarnation, domain),
+		shares:  NewShares(domain),
+		members: []string{node},
+		pools:   make(map[string][]string),
+		spaces:  make(map[string]*space),
+		epochs:  make(map[string]uint64),
+		lost:    make(map[string]time.Time),
+		peers:   make(map[string]*peer),
+		askers:  make(map[string]*asker),
+		draws:   make(map[uint64]*draw),
+		refunds: make(map[string]map[string]int64),
+		unused:  make(map[lender][]ReturnItem),
+		credit:  func(string, float64) {},
+	}
+	n.credits.epoch = incarnation << 16
+	n.setFaults(&faults{})
+	return n
+}
+
+func (n *Node) setFaults(f *faults) {
+	n.faults, n.slots.faults, n.shares.faults = f, f, f
+}
+
+// Take returns and clears the collected effects.
+func (n *Node) Take() Effects {
+	fx := n.fx
+	n.fx = Effects{}
+	return fx
+}
+
+// SetConfig applies a revision; see Shares.SetConfig for confirmed.
+func (n *Node) SetConfig(now time.Time, cfg *spec.Config, confirmed int64) {
+	changed := n.shares.SetConfig(now, cfg, confirmed)
+	n.slots.SetTerm(time.Duration(cfg.Limits.SlotTerm))
+	for _, name := range changed {
+		if sp := n.spaces[name]; sp != nil {
+			sp.bucket.settle(now)
+			sp.bucket.level = 0
+		}
+	}
+	n.refresh(now)
+}
+
+// SetMembers sets the live nodes of the own domain and, for each other domain,
+// nodes that may be asked for tokens.
+func (n *Node) SetMembers(now time.Time, local []string, pools map[string][]string) {
+	members := slices.Clone(local)
+	if !slices.Contains(members, n.self.node) {
+		members = append(members, n.self.node)
+	}
+	slices.Sort(members)
+	n.members = slices.Compact(members)
+	n.pools = make(map[string][]string, len(pools))
+	for d, nodes := range pools {
+		if d != n.domain && len(nodes) > 0 {
+			n.pools[d] = slices.Clone(nodes)
+		}
+	}
+	n.refresh(now)
+}
+
+// ProvedDead notes that the process of a node up to an incarnation has ended.
+func (n *Node) ProvedDead(now time.Time, node string, incarnation uint64) {
+	n.slots.ProvedDead(now, node, incarnation)
+}
+
+// refresh brings the workspaces in line with configuration and membership.
+func (n *Node) refresh(now time.Time) {
+	for name := range n.shares.items {
+		sp := n.spaces[name]
+		if sp == nil {
+			sp = &space{
+				name:  name,
+				retry: make(map[string]time.Time),
+				spare: make(map[string]int64),
+			}
+			sp.bucket.faults = n.faults
+			n.spaces[name] = sp
+		}
+		sp.home = rank.First(name, n.members)
+	}
+	n.applyShares(now)
+}
+
+// applyShares sets rates and caps, and the set of workspaces to pool.
+func (n *Node) applyShares(now time.Time) {
+	var set []string
+	for name, sp := range n.spaces {
+		sh := n.shares.items[name]
+		if sh == nil {
+			sp.bucket.setShare(now, 0, 0)
+			if len(sp.bucket.loans) == 0 && len(sp.waiting) == 0 && sp.asked == 0 && now.After(sp.lentUntil) {
+				delete(n.spaces, name)
+			}
+			continue
+		}
+		if rate, limit := sh.perSlot(); rate != sp.bucket.slotRate || limit != sp.bucket.slotCap {
+			sp.bucket.setShare(now, rate, limit)
+		}
+		if sp.home == n.self.node && sh.fraction > 0 {
+			set = append(set, name)
+		}
+	}
+	slices.Sort(set)
+	if !slices.Equal(set, n.set) {
+		n.set = set
+		n.setID++
+	}
+	n.updateOwn(now)
+}
+
+func (n *Node) updateOwn(now time.Time) {
+	count, until := n.slots.Usable(now)
+	for _, sp := range n.spaces {
+		if sp.bucket.ownSlots != count || !sp.bucket.ownUntil.Equal(until) {
+			sp.bucket.setOwn(now, count, until)
+		}
+	}
+}
+
+// TableDone takes the outcome of a table operation.
+func (n *Node) TableDone(now time.Time, op TableOp, row store.Row, err error) error {
+	err = n.slots.Done(now, op, row, err)
+	n.updateOwn(now)
+	n.stepSlots(now)
+	return err
+}
+
+// Leave starts giving the slots back; Left reports that it is done.
+func (n *Node) Leave(now time.Time) {
+	n.slots.Leave(now)
+	n.updateOwn(now)
+	n.stepSlots(now)
+}
+
+// Left reports whether the table shows that all slots were given back.
+func (n *Node) Left() bool {
+	return n.slots.Left()
+}
+
+func (n *Node) stepSlots(now time.Time) {
+	if op, ok := n.slots.Step(now, n.members); ok {
+		n.fx.Table = append(n.fx.Table, op)
+	}
+	n.updateOwn(now)
+}
+
+// Tick does what is due. It should be called every TickEvery.
+func (n *Node) Tick(now time.Time) {
+	n.stepSlots(now)
+	n.shares.Step(now)
+	n.applyShares(now)
+	n.askDeposits(now)
+	for _, sp := range n.spaces {
+		if len(sp.waiting) > 0 && now.Sub(sp.waiting[0].since) >= borrowPatience {
+			sp.lost = true
+			n.finishBorrow(now, sp)
+		}
+		for _, l := range sp.borrowed.Surplus(now) {
+			n.GiveBack(now, l)
+		}
+	}
+	n.flushReturns()
+	for seq, d := range n.draws {
+		if now.Sub(d.at) > DepositTerm {
+			delete(n.draws, seq)
+			if d.borrower != nil {
+				d.borrower.asked--
+			}
+		}
+	}
+}
+
+func (n *Node) id() ID {
+	n.seq++
+	return ID{
+		Node:        n.self.node,
+		Incarnation: n.self.incarnation,
+		Seq:         n.seq,
+	}
+}
+
+// askDeposits asks the other nodes of the domain for their fractions.
+func (n *Node) askDeposits(now time.Time) {
+	for name := range n.peers {
+		if !slices.Contains(n.members, name) {
+			delete(n.peers, name)
+		}
+	}
+	if len(n.set) == 0 || n.slots.leaving {
+		return
+	}
+	for _, name := range n.members {
+		if name == n.self.node {
+			continue
+		}
+		p := n.peers[name]
+		if p == nil {
+			p = &peer{}
+			n.peers[name] = p
+		}
+		if now.Before(p.next) {
+			continue
+		}
+		p.next = now.Add(DepositEvery)
+		p.out = slices.DeleteFunc(p.out, func(a asked) bool {
+			return now.Sub(a.at) >= DepositTerm
+		})
+		req := DepositRequest{
+			ID:    n.id(),
+			Set:   n.setID,
+			Epoch: n.credits.epoch,
+		}
+		if p.acked != n.setID {
+			req.Workspaces = n.set
+		}
+		p.out = append(p.out, asked{
+			seq: req.ID.Seq,
+			at:  now,
+			set: n.setID,
+			of:  n.set,
+		})
+		n.fx.Deposits = append(n.fx.Deposits, Send[DepositRequest]{
+			To:  name,
+			Msg: req,
+		})
+	}
+}
+
+// HandleDeposit hands fractions over to a pool.
+func (n *Node) HandleDeposit(now time.Time, req DepositRequest) DepositReply {
+	none := DepositReply{
+		Seq: req.ID.Seq,
+	}
+	n.epochs[req.ID.Node] = req.Epoch
+	a := n.askers[req.ID.Node]
+	if a == nil || a.incarnation != req.ID.Incarnation {
+		a = &asker{
+			incarnation: req.ID.Incarnation,
+		}
+		n.askers[req.ID.Node] = a
+	}
+	switch {
+	case req.ID.Seq == a.reply.Seq:
+		return a.reply
+	case req.ID.Seq < a.reply.Seq:
+		// A late duplicate: the pool no longer waits for it.
+		return none
+	case len(req.Workspaces) > 0:
+		a.names, a.set = slices.Clone(req.Workspaces), req.Set
+	case a.set != req.Set || a.names == nil:
+		none.UnknownSet = true
+		return none
+	}
+	count, until := n.slots.Usable(now)
+	if until.Before(now.Add(ResumeAfter)) {
+		count = 0
+	}
+	reply := none
+	reply.Slots = count
+	pool := ownerID{
+		node:        req.ID.Node,
+		incarnation: req.ID.Incarnation,
+	}
+	resume := now.Add(ResumeAfter)
+	if n.faults.resumeEarly {
+		resume = now.Add(DepositTerm / 3)
+	}
+	for _, name := range a.names {
+		sp := n.spaces[name]
+		if sp == nil || sp.lentTo != pool && now.Before(sp.lentUntil) {
+			reply.Except = append(reply.Except, name)
+			continue
+		}
+		sp.bucket.settle(now)
+		if len(sp.bucket.sources) > 0 {
+			// This node is a pool for the workspace until these deposits end.
+			reply.Except = append(reply.Except, name)
+			continue
+		}
+		level, debt := sp.bucket.handOver(now, resume)
+		sp.lentTo, sp.lentUntil = pool, resume
+		if level > 0 || debt > 0 {
+			reply.Levels = append(reply.Levels, DepositLevel{
+				Workspace: name,
+				Tokens:    level,
+				Debt:      debt,
+			})
+		}
+	}
+	a.reply = reply
+	return reply
+}
+
+// DepositDone takes the reply to a deposit request, or its failure.
+func (n *Node) DepositDone(now time.Time, to string, reply DepositReply, err error) {
+	p := n.peers[to]
+	if p == nil || err != nil {
+		return
+	}
+	i := slices.IndexFunc(p.out, func(a asked) bool {
+		return a.seq == reply.Seq
+	})
+	if i < 0 {
+		return
+	}
+	a := p.out[i]
+	// Older requests are answered no more: their term is shorter.
+	p.out = slices.Delete(p.out, 0, i+1)
+	if reply.UnknownSet {
+		p.acked, p.next = 0, now
+		return
+	}
+	p.acked = a.set
+	until := a.at.Add(DepositTerm)
+	if !now.Before(until) {
+		return
+	}
+	levels := make(map[string]DepositLevel, len(reply.Levels))
+	for _, l := range reply.Levels {
+		levels[l.Workspace] = l
+	}
+	for _, name := range a.of {
+		sp := n.spaces[name]
+		if sp == nil || sp.home != n.self.node || slices.Contains(reply.Except, name) {
+			continue
+		}
+		sp.bucket.deposit(now, source{
+			from:  to,
+			slots: reply.Slots,
+			debt:  float64(levels[name].Debt),
+			until: until,
+		}, float64(levels[name].Tokens))
+	}
+}
+
+// Need asks for tokens for this node: at least need, and up to want. The answer
+// comes as a grant or a denial in the effects; a need of 0 may get neither.
+func (n *Node) Need(now time.Time, items ...DrawItem) {
+	remote := make(map[string][]DrawItem)
+	for _, it := range items {
+		sp := n.spaces[it.Workspace]
+		switch {
+		case sp == nil:
+			n.deny(now, it.Workspace, ReasonUnknown, 0, time.Hour)
+		case sp.home == n.self.node || now.Before(n.lost[sp.home]):
+			n.serveSelf(now, sp, it)
+		default:
+			remote[sp.home] = append(remote[sp.home], it)
+		}
+	}
+	for to, list := range remote {
+		n.sendDraw(now, &draw{
+			to:    to,
+			items: list,
+		}, 0)
+	}
+}
+
+func (n *Node) sendDraw(now time.Time, d *draw, hops int) {
+	id := n.id()
+	d.at = now
+	n.draws[id.Seq] = d
+	n.fx.Draws = append(n.fx.Draws, Send[DrawRequest]{
+		To: d.to,
+		Msg: DrawRequest{
+			ID:    id,
+			Hops:  hops,
+			Items: d.items,
+		},
+	})
+}
+
+func (n *Node) serveSelf(now time.Time, sp *space, it DrawItem) {
+	left := 1
+	n.serve(now, sp, &wish{
+		item:  it,
+		left:  &left,
+		since: now,
+	}, true)
+}
+
+// HandleDraw lends tokens. If done is false, the reply follows in the effects.
+func (n *Node) HandleDraw(now time.Time, req DrawRequest) (reply DrawReply, done bool) {
+	past, first := n.replies.start(now, req.ID)
+	if !first {
+		if past.done {
+			return past.reply, true
+		}
+		// The first copy still waits; its reply answers the caller.
+		return DrawReply{
+			ID:    req.ID,
+			Epoch: n.credits.epoch,
+		}, true
+	}
+	past.reply = DrawReply{
+		ID:    req.ID,
+		Epoch: n.credits.epoch,
+	}
+	if req.Hops == 1 && n.pass(now, req, past) {
+		return DrawReply{}, false
+	}
+	left := len(req.Items)
+	for _, it := range req.Items {
+		w := &wish{
+			item:  it,
+			reply: past,
+			left:  &left,
+			whole: req.Hops > 0,
+			since: now,
+		}
+		sp := n.spaces[it.Workspace]
+		if sp == nil {
+			n.answer(now, w, nil, ReasonUnknown, 0, time.Hour)
+			continue
+		}
+		n.serve(now, sp, w, req.Hops == 0)
+	}
+	if !past.done {
+		return DrawReply{}, false
+	}
+	n.fx.Replies = slices.DeleteFunc(n.fx.Replies, func(r DrawReply) bool {
+		return r.ID == req.ID
+	})
+	return past.reply, true
+}
+
+// pass hands a draw of another domain on to the pool of this one.
+func (n *Node) pass(now time.Time, req DrawRequest, past *pastReply) bool {
+	sp := n.spaces[req.Items[0].Workspace]
+	if sp == nil || sp.home == n.self.node || len(req.Items) != 1 {
+		return false
+	}
+	n.sendDraw(now, &draw{
+		to:     sp.home,
+		items:  req.Items,
+		passed: past,
+	}, 2)
+	return true
+}
+
+// serve meets a wish from what is here, or queues it while other domains are asked.
+func (n *Node) serve(now time.Time, sp *space, w *wish, mayBorrow bool) {
+	if len(sp.waiting) == 0 || w.item.Need == 0 {
+		if n.fill(now, sp, w) {
+			return
+		}
+	}
+	if !mayBorrow || w.item.Need == 0 {
+		n.short(now, sp, w)
+		return
+	}
+	sp.waiting = append(sp.waiting, w)
+	if sp.asked == 0 {
+		sp.wave, sp.lost = 0, false
+		n.borrow(now, sp)
+	}
+}
+
+// available is what the node can lend for the workspace now.
+func (n *Node) available(now time.Time, sp *space) int64 {
+	sp.bucket.settle(now)
+	return int64(sp.bucket.level) + sp.borrowed.Tokens(now)
+}
+
+// fill grants a wish if its need can be met.
+func (n *Node) fill(now time.Time, sp *space, w *wish) bool {
+	have := n.available(now, sp)
+	if have < w.item.Need || have <= 0 {
+		return false
+	}
+	amount := min(w.item.Want, have)
+	if !w.whole {
+		// What goes beyond the need leaves most of the rest to the other nodes.
+		amount = min(w.item.Want, w.item.Need+(have-w.item.Need)/4)
+	}
+	if amount <= 0 {
+		return false
+	}
+	var grants []Loan
+	got := int64(0)
+	// Borrowed tokens go first: they expire, the level does not.
+	for _, l := range sp.borrowed.Split(now, amount) {
+		got += l.Tokens
+		grants = append(grants, l)
+	}
+	if got < amount {
+		n.seq++
+		x, by := sp.bucket.lend(now, n.seq, amount-got)
+		if x > 0 {
+			got += x
+			grants = append(grants, Loan{
+				Workspace: sp.name,
+				Lender:    n.self.node,
+				Epoch:     n.credits.epoch,
+				ID:        n.seq,
+				Tokens:    x,
+				SpendBy:   by,
+			})
+		}
+	}
+	if got < w.item.Need {
+		// The deposits behind the level end too soon; take the loans back.
+		for _, g := range grants {
+			if g.Lender == n.self.node {
+				sp.bucket.giveBack(now, g.ID, g.Tokens)
+			} else {
+				sp.borrowed.Add(g)
+			}
+		}
+		return false
+	}
+	n.answer(now, w, grants, ReasonNone, n.available(now, sp), 0)
+	return true
+}
+
+// short answers a wish that can't be met.
+func (n *Node) short(now time.Time, sp *space, w *wish) {
+	have := n.available(now, sp)
+	reason, after := ReasonRate, askAgain
+	sh := n.shares.items[sp.name]
+	switch {
+	case sh == nil || len(sh.domains) == 0:
+		reason, after = ReasonUnknown, time.Hour
+	case float64(w.item.Need) > sh.burst:
+		reason, after = ReasonBurst, time.Hour
+	default:
+		after = max(sh.wait(float64(max(1, w.item.Need-have))), 10*time.Millisecond)
+		switch {
+		case sp.lost:
+			reason = ReasonDomains
+		case sh.fraction == 0 && len(sh.domains) == 1 && sh.domains[0] == n.domain, sh.fraction > 0 && sp.bucket.rate() == 0:
+			reason = ReasonSlots
+		}
+	}
+	n.answer(now, w, nil, reason, have, after)
+}
+
+func (n *Node) answer(now time.Time, w *wish, grants []Loan, reason Reason, available int64, after time.Duration) {
+	*w.left--
+	if w.reply == nil {
+		n.fx.Grants = append(n.fx.Grants, grants...)
+		if len(grants) == 0 && w.item.Need > 0 {
+			n.deny(now, w.item.Workspace, reason, available, after)
+		}
+		return
+	}
+	r := &w.reply.reply
+	for _, g := range grants {
+		grant := DrawGrant{
+			Workspace:  w.item.Workspace,
+			Tokens:     g.Tokens,
+			TermMillis: millis(g.SpendBy.Sub(now)),
+			Loan:       g.ID,
+		}
+		if g.Lender != n.self.node {
+			grant.Lender, grant.Epoch = g.Lender, g.Epoch
+		}
+		r.Grants = append(r.Grants, grant)
+	}
+	if len(grants) == 0 || available > 0 {
+		r.Short = append(r.Short, DrawShort{
+			Workspace:   w.item.Workspace,
+			Available:   available,
+			AfterMillis: millis(after),
+			Reason:      reason,
+		})
+	}
+	if *w.left == 0 {
+		w.reply.done = true
+		n.fx.Replies = append(n.fx.Replies, *r)
+	}
+}
+
+func (n *Node) deny(now time.Time, workspace string, reason Reason, available int64, after time.Duration) {
+	n.fx.Denials = append(n.fx.Denials, Denial{
+		Workspace: workspace,
+		Reason:    reason,
+		Available: available,
+		Retry:     now.Add(after),
+	})
+}
+
+// borrow asks other domains for what the waiting wishes lack: all of them for
+// an equal part at first, then those that had more.
+func (n *Node) borrow(now time.Time, sp *space) {
+	missing := -n.available(now, sp)
+	for _, w := range sp.waiting {
+		missing += w.item.Need
+	}
+	if missing > 0 && sp.wave < 2 {
+		sp.wave++
+		n.askDomains(now, sp, missing)
+	}
+	if sp.asked == 0 {
+		n.finishBorrow(now, sp)
+	}
+}
+
+func (n *Node) askDomains(now time.Time, sp *space, missing int64) {
+	sh := n.shares.items[sp.name]
+	if sh == nil {
+		return
+	}
+	var targets []string
+	for _, d := range sh.domains {
+		if d == n.domain || len(n.pools[d]) == 0 || now.Before(sp.retry[d]) {
+			continue
+		}
+		if sp.wave == 2 && sp.spare[d] == 0 {
+			continue
+		}
+		targets = append(targets, d)
+	}
+	if len(targets) == 0 {
+		return
+	}
+	// The addition keeps a busy domain from asking for every single request.
+	want := missing + int64(sp.borrowing.value(now)*prefetchHigh.Seconds()/2)
+	sp.borrowing.add(now, missing)
+	each := (want + int64(len(targets)) - 1) / int64(len(targets))
+	for _, d := range targets {
+		ask := each
+		if sp.wave == 2 {
+			ask = min(missing, sp.spare[d])
+		}
+		delete(sp.spare, d)
+		sp.asked++
+		n.sendDraw(now, &draw{
+			to: rank.First(sp.name, n.pools[d]),
+			items: []DrawItem{{
+				Workspace: sp.name,
+				Want:      ask,
+			}},
+			borrower: sp,
+			domain:   d,
+		}, 1)
+	}
+}
+
+// finishBorrow answers the waiting wishes in the order of their arrival.
+func (n *Node) finishBorrow(now time.Time, sp *space) {
+	waiting := sp.waiting
+	sp.waiting = nil
+	for _, w := range waiting {
+		if !n.fill(now, sp, w) {
+			n.short(now, sp, w)
+		}
+	}
+}
+
+// DrawDone takes the reply to a draw of this node, or its failure.
+func (n *Node) DrawDone(now time.Time, to string, seq uint64, reply DrawReply, err error) {
+	d := n.draws[seq]
+	if d == nil || d.to != to || err == nil && reply.ID.Seq != seq {
+		return
+	}
+	delete(n.draws, seq)
+	if err == nil {
+		n.epochs[to] = reply.Epoch
+	}
+	switch {
+	case d.passed != nil:
+		n.passedDone(d, reply)
+	case d.borrower != nil:
+		n.borrowDone(now, d, reply, err)
+	case err != nil:
+		n.lost[to] = now.Add(askLost)
+		// The pool can't be reached: use what is here and ask the other domains.
+		for _, it := range d.items {
+			if sp := n.spaces[it.Workspace]; sp != nil {
+				n.serveSelf(now, sp, it)
+			} else {
+				n.deny(now, it.Workspace, ReasonUnknown, 0, time.Hour)
+			}
+		}
+	default:
+		n.drawDone(now, d, reply)
+	}
+}
+
+func (d *draw) loan(g DrawGrant, epoch uint64) Loan {
+	l := Loan{
+		Workspace: g.Workspace,
+		Lender:    d.to,
+		Epoch:     epoch,
+		ID:        g.Loan,
+		Tokens:    g.Tokens,
+		SpendBy:   d.at.Add(time.Duration(g.TermMillis) * time.Millisecond),
+	}
+	if g.Lender != "" {
+		l.Lender, l.Epoch = g.Lender, g.Epoch
+	}
+	return l
+}
+
+func (n *Node) drawDone(now time.Time, d *draw, reply DrawReply) {
+	for _, g := range reply.Grants {
+		n.fx.Grants = append(n.fx.Grants, d.loan(g, reply.Epoch))
+	}
+	for _, it := range d.items {
+		granted := slices.ContainsFunc(reply.Grants, func(g DrawGrant) bool {
+			return g.Workspace == it.Workspace
+		})
+		if granted || it.Need == 0 {
+			continue
+		}
+		s := DrawShort{
+			Reason: ReasonTimeout,
+		}
+		if i := slices.IndexFunc(reply.Short, func(s DrawShort) bool {
+			return s.Workspace == it.Workspace
+		}); i >= 0 {
+			s = reply.Short[i]
+		}
+		n.deny(now, it.Workspace, s.Reason, s.Available, time.Duration(s.AfterMillis)*time.Millisecond)
+	}
+}
+
+func (n *Node) passedDone(d *draw, reply DrawReply) {
+	p := d.passed
+	for _, g := range reply.Grants {
+		// The borrower counts the term from before it asked this node, which is
+		// earlier than this node's own request.
+		if g.Lender == "" && g.Loan != 0 {
+			g.Lender, g.Epoch = d.to, reply.Epoch
+		}
+		p.reply.Grants = append(p.reply.Grants, g)
+	}
+	p.reply.Short = append(p.reply.Short, reply.Short...)
+	p.done = true
+	n.fx.Replies = append(n.fx.Replies, p.reply)
+}
+
+func (n *Node) borrowDone(now time.Time, d *draw, reply DrawReply, err error) {
+	sp := d.borrower
+	sp.asked--
+	got := int64(0)
+	for _, g := range reply.Grants {
+		got += g.Tokens
+		sp.borrowed.Add(d.loan(g, reply.Epoch))
+	}
+	for _, s := range reply.Short {
+		sp.spare[d.domain] = s.Available
+	}
+	switch {
+	case err != nil:
+		sp.lost = true
+		sp.retry[d.domain] = now.Add(askLost)
+	case got == 0:
+		sp.retry[d.domain] = now.Add(askAgain)
+	}
+	if sp.asked > 0 {
+		return
+	}
+	n.borrow(now, sp)
+}
+
+// Refund gives back what a charge did not use.
+func (n *Node) Refund(now time.Time, workspace string, tokens int64) {
+	sp := n.spaces[workspace]
+	if sp == nil || tokens <= 0 {
+		return
+	}
+	if sp.home == n.self.node {
+		n.creditHere(now, sp, tokens, true)
+		return
+	}
+	n.queueRefund(sp.home, workspace, tokens)
+}
+
+func (n *Node) queueRefund(to, workspace string, tokens int64) {
+	m := n.refunds[to]
+	if m == nil {
+		m = make(map[string]int64)
+		n.refunds[to] = m
+	}
+	m[workspace] += tokens
+}
+
+// GiveBack returns an unused loan. The caller has taken it out of its wallet.
+func (n *Node) GiveBack(now time.Time, l Loan) {
+	switch sp := n.spaces[l.Workspace]; {
+	case sp == nil || l.ID == 0 || l.Tokens <= 0:
+	case l.Lender == n.self.node:
+		sp.bucket.giveBack(now, l.ID, l.Tokens)
+	default:
+		by := lender{
+			node:  l.Lender,
+			epoch: l.Epoch,
+		}
+		n.unused[by] = append(n.unused[by], ReturnItem{
+			Workspace: l.Workspace,
+			Tokens:    l.Tokens,
+			Loan:      l.ID,
+		})
+	}
+}
+
+// creditHere credits a refund; what finds no room goes to a domain that has a
+// share, once, since a domain without one would lose every refund.
+func (n *Node) creditHere(now time.Time, sp *space, tokens int64, pass bool) {
+	got := sp.bucket.credit(now, float64(tokens))
+	if got > 0 {
+		n.credit(sp.name, got)
+	}
+	sh := n.shares.items[sp.name]
+	rest := tokens - int64(got)
+	if !pass || rest <= 0 || sh == nil || sh.fraction > 0 {
+		return
+	}
+	for _, d := range sh.domains {
+		if d != n.domain && len(n.pools[d]) > 0 {
+			n.queueRefund(rank.First(sp.name, n.pools[d]), sp.name, rest)
+			return
+		}
+	}
+}
+
+// flushReturns sends what was collected since the last tick, one message a pool.
+func (n *Node) flushReturns() {
+	for to, m := range n.refunds {
+		epoch, known := n.epochs[to]
+		if !known {
+			continue
+		}
+		by := lender{
+			node:  to,
+			epoch: epoch,
+		}
+		for w, tokens := range m {
+			n.unused[by] = append(n.unused[by], ReturnItem{
+				Workspace: w,
+				Tokens:    tokens,
+			})
+		}
+	}
+	for by, items := range n.unused {
+		slices.SortStableFunc(items, func(a, b ReturnItem) int {
+			return strings.Compare(a.Workspace, b.Workspace)
+		})
+		n.fx.Returns = append(n.fx.Returns, Send[ReturnRequest]{
+			To: by.node,
+			Msg: ReturnRequest{
+				ID:     n.id(),
+				Epoch:  by.epoch,
+				Items:  items,
+				Passed: !slices.Contains(n.members, by.node),
+			},
+		})
+	}
+	slices.SortFunc(n.fx.Returns, func(a, b Send[ReturnRequest]) int {
+		return strings.Compare(a.To, b.To)
+	})
+	clear(n.refunds)
+	clear(n.unused)
+}
+
+// HandleReturn credits returned tokens, each return once.
+func (n *Node) HandleReturn(now time.Time, req ReturnRequest) ReturnReply {
+	reply := ReturnReply{
+		Seq:   req.ID.Seq,
+		Epoch: n.credits.epoch,
+	}
+	if req.Epoch != n.credits.epoch || !n.credits.first(req.ID) && !n.faults.creditTwice {
+		return reply
+	}
+	for _, it := range req.Items {
+		sp := n.spaces[it.Workspace]
+		switch {
+		case sp == nil:
+		case it.Loan != 0:
+			sp.bucket.giveBack(now, it.Loan, it.Tokens)
+		case sp.home != n.self.node && req.Passed:
+			// A relay was addressed; its domain's pool has the room.
+			n.queueRefund(sp.home, it.Workspace, it.Tokens)
+		default:
+			n.creditHere(now, sp, it.Tokens, !req.Passed)
+		}
+	}
+	return reply
+}
+
+// ReturnDone takes the reply to a return.
+func (n *Node) ReturnDone(to string, reply ReturnReply, err error) {
+	if err == nil {
+		n.epochs[to] = reply.Epoch
+	}
+}
--- /dev/null
+++ b/internal/quota/wire.go
@@ -0,0 +1,300 @@
+package quota
+
+import (
+	"errors"
+	"fmt"
+	"time"
+)
+
+// Limits of decoded messages.
+const (
+	maxItems  = 4096
+	maxName   = 253
+	maxTokens = int64(1) << 50
+)
+
+// ID names a transfer: the process that started it and its sequence number there.
+type ID struct {
+	Node        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Seq         uint64 `cbor:"3,keyasint"`
+}
+
+func (i ID) validate() error {
+	if i.Node == "" || len(i.Node) > maxName || i.Seq == 0 {
+		return errors.New("transfer without node or sequence number")
+	}
+	return nil
+}
+
+// DepositRequest asks a node for its fractions of all workspaces that hash to
+// the pool. ID names the pool.
+type DepositRequest struct {
+	ID ID `cbor:"1,keyasint"`
+	// Set numbers the list of workspaces within the pool's incarnation.
+	Set uint64 `cbor:"2,keyasint"`
+	// Workspaces is left out once the depositor has answered for the same Set.
+	Workspaces []string `cbor:"3,keyasint,omitempty"`
+	// Epoch is what returns to this pool have to name.
+	Epoch uint64 `cbor:"4,keyasint"`
+}
+
+// Validate checks a decoded message.
+func (r DepositRequest) Validate() error {
+	if err := r.ID.validate(); err != nil {
+		return fmt.Errorf("deposit request: %w", err)
+	}
+	return wrap("deposit request", names(r.Workspaces))
+}
+
+// DepositReply hands over the depositor's slots for every workspace of the set
+// but those in Except. Rate and cap follow from the number of slots and the
+// configuration, so the message stays small at many workspaces.
+type DepositReply struct {
+	Seq uint64 `cbor:"1,keyasint"`
+	// UnknownSet asks the pool to send its list of workspaces again.
+	UnknownSet bool `cbor:"2,keyasint,omitempty"`
+	Slots      int  `cbor:"3,keyasint,omitempty"`
+	// Except lists workspaces that are not handed over.
+	Except []string `cbor:"4,keyasint,omitempty"`
+	// Levels lists the workspaces with a level or a debt.
+	Levels []DepositLevel `cbor:"5,keyasint,omitempty"`
+}
+
+// DepositLevel is what comes with a fraction besides its slots.
+type DepositLevel struct {
+	Workspace string `cbor:"1,keyasint"`
+	Tokens    int64  `cbor:"2,keyasint,omitempty"`
+	// Debt lowers the cap: the depositor lent these tokens to itself before.
+	Debt int64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Validate checks a decoded message.
+func (r DepositReply) Validate() error {
+	if r.Seq == 0 || r.Slots < 0 || r.Slots > SlotCount {
+		return fmt.Errorf("deposit reply: sequence %d, %d slots", r.Seq, r.Slots)
+	}
+	if len(r.Levels) > maxItems {
+		return fmt.Errorf("deposit reply: %d levels", len(r.Levels))
+	}
+	for _, l := range r.Levels {
+		if err := item(l.Workspace, l.Tokens, l.Debt); err != nil {
+			return fmt.Errorf("deposit reply: %w", err)
+		}
+	}
+	return wrap("deposit reply", names(r.Except))
+}
+
+// DrawRequest asks a pool for tokens.
+type DrawRequest struct {
+	ID ID `cbor:"1,keyasint"`
+	// Hops is 0 from a node to its pool, 1 from a pool to another domain, and 2
+	// when a node of that domain passes it on to its pool.
+	Hops  int        `cbor:"2,keyasint,omitempty"`
+	Items []DrawItem `cbor:"3,keyasint"`
+}
+
+// DrawItem is the wish for one workspace.
+type DrawItem struct {
+	Workspace string `cbor:"1,keyasint"`
+	// Need is the least that is useful; 0 accepts any part of Want.
+	Need int64 `cbor:"2,keyasint,omitempty"`
+	// Want includes what the node expects to use soon.
+	Want int64 `cbor:"3,keyasint"`
+}
+
+// Validate checks a decoded message.
+func (r DrawRequest) Validate() error {
+	if err := r.ID.validate(); err != nil {
+		return fmt.Errorf("draw request: %w", err)
+	}
+	if r.Hops < 0 || r.Hops > 2 || len(r.Items) == 0 || len(r.Items) > maxItems {
+		return fmt.Errorf("draw request: %d hops, %d items", r.Hops, len(r.Items))
+	}
+	for _, i := range r.Items {
+		if err := item(i.Workspace, i.Need, i.Want); err != nil {
+			return fmt.Errorf("draw request: %w", err)
+		}
+		if i.Need > i.Want {
+			return fmt.Errorf("draw request: need %d above want %d", i.Need, i.Want)
+		}
+	}
+	return nil
+}
+
+// DrawReply answers a DrawRequest.
+type DrawReply struct {
+	ID ID `cbor:"1,keyasint"`
+	// Epoch is what returns to this pool have to name.
+	Epoch  uint64      `cbor:"2,keyasint"`
+	Grants []DrawGrant `cbor:"3,keyasint,omitempty"`
+	Short  []DrawShort `cbor:"4,keyasint,omitempty"`
+}
+
+// DrawGrant is a loan. The borrower counts TermMillis from before it sent the
+// request.
+type DrawGrant struct {
+	Workspace  string `cbor:"1,keyasint"`
+	Tokens     int64  `cbor:"2,keyasint"`
+	TermMillis int64  `cbor:"3,keyasint"`
+	// Loan names the loan in a return of unused tokens; 0 if it has none.
+	Loan uint64 `cbor:"4,keyasint,omitempty"`
+	// Lender and Epoch are set when the pool passes a borrowed loan on.
+	Lender string `cbor:"5,keyasint,omitempty"`
+	Epoch  uint64 `cbor:"6,keyasint,omitempty"`
+}
+
+// DrawShort says what the pool had left, and for a wish that it could not meet
+// when it expects to be able to.
+type DrawShort struct {
+	Workspace   string `cbor:"1,keyasint"`
+	Available   int64  `cbor:"2,keyasint,omitempty"`
+	AfterMillis int64  `cbor:"3,keyasint,omitempty"`
+	Reason      Reason `cbor:"4,keyasint,omitempty"`
+}
+
+// Validate checks a decoded message.
+func (r DrawReply) Validate() error {
+	if err := r.ID.validate(); err != nil {
+		return fmt.Errorf("draw reply: %w", err)
+	}
+	if len(r.Grants) > maxItems || len(r.Short) > maxItems {
+		return fmt.Errorf("draw reply: %d grants, %d short", len(r.Grants), len(r.Short))
+	}
+	for _, g := range r.Grants {
+		if err := item(g.Workspace, g.Tokens, 0); err != nil {
+			return fmt.Errorf("draw reply: %w", err)
+		}
+		if g.TermMillis < 0 || g.TermMillis > DepositTerm.Milliseconds() {
+			return fmt.Errorf("draw reply: term of %d ms", g.TermMillis)
+		}
+		if len(g.Lender) > maxName {
+			return errors.New("draw reply: lender name too long")
+		}
+	}
+	for _, s := range r.Short {
+		if err := item(s.Workspace, s.Available, s.AfterMillis); err != nil {
+			return fmt.Errorf("draw reply: %w", err)
+		}
+		if s.Reason < ReasonNone || s.Reason > reasonLast {
+			return fmt.Errorf("draw reply: reason %d", s.Reason)
+		}
+	}
+	return nil
+}
+
+// ReturnRequest gives tokens back to a pool.
+type ReturnRequest struct {
+	ID ID `cbor:"1,keyasint"`
+	// Epoch is the pool's; a pool ignores returns to an earlier one, because it
+	// no longer knows which of them it has credited.
+	Epoch uint64       `cbor:"2,keyasint"`
+	Items []ReturnItem `cbor:"3,keyasint"`
+	// Passed is set when a pool without room passes refunds on to another domain.
+	Passed bool `cbor:"4,keyasint,omitempty"`
+}
+
+// ReturnItem is an unused part of a loan, or a refund when Loan is 0.
+type ReturnItem struct {
+	Workspace string `cbor:"1,keyasint"`
+	Tokens    int64  `cbor:"2,keyasint"`
+	Loan      uint64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Validate checks a decoded message.
+func (r ReturnRequest) Validate() error {
+	if err := r.ID.validate(); err != nil {
+		return fmt.Errorf("return request: %w", err)
+	}
+	if len(r.Items) == 0 || len(r.Items) > maxItems {
+		return fmt.Errorf("return request: %d items", len(r.Items))
+	}
+	for _, i := range r.Items {
+		if err := item(i.Workspace, i.Tokens, 0); err != nil {
+			return fmt.Errorf("return request: %w", err)
+		}
+	}
+	return nil
+}
+
+// ReturnReply answers a ReturnRequest.
+type ReturnReply struct {
+	Seq uint64 `cbor:"1,keyasint"`
+	// Epoch is the pool's present one.
+	Epoch uint64 `cbor:"2,keyasint"`
+}
+
+// Validate checks a decoded message.
+func (r ReturnReply) Validate() error {
+	if r.Seq == 0 {
+		return errors.New("return reply: no sequence number")
+	}
+	return nil
+}
+
+// Reason is why tokens were not granted.
+type Reason int
+
+// The reasons.
+const (
+	ReasonNone Reason = iota
+	// ReasonRate means that the workspace has used up its rate and burst.
+	ReasonRate
+	// ReasonBurst means that the request is larger than the workspace's burst.
+	ReasonBurst
+	// ReasonUnknown means that the configuration has no such workspace.
+	ReasonUnknown
+	// ReasonDomains means that the domain had too few tokens and another domain
+	// that holds a share didn't answer.
+	ReasonDomains
+	// ReasonSlots means that no usable share is known to the domain.
+	ReasonSlots
+	// ReasonExpired means that the deadline of the tokens passed before the first byte.
+	ReasonExpired
+	// ReasonTimeout means that the pool didn't answer in time.
+	ReasonTimeout
+	reasonLast = ReasonTimeout
+)
+
+var reasonNames = [...]string{"none", "rate", "burst", "unknown workspace", "domain unreachable", "no slots", "expired", "no answer"}
+
+// String implements fmt.Stringer.
+func (r Reason) String() string {
+	if r < 0 || int(r) >= len(reasonNames) {
+		return fmt.Sprintf("Reason(%d)", int(r))
+	}
+	return reasonNames[r]
+}
+
+func names(list []string) error {
+	if len(list) > maxItems {
+		return fmt.Errorf("%d workspaces", len(list))
+	}
+	for _, w := range list {
+		if err := item(w, 0, 0); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func item(workspace string, a, b int64) error {
+	if workspace == "" || len(workspace) > maxName {
+		return fmt.Errorf("workspace name of %d bytes", len(workspace))
+	}
+	if a < 0 || a > maxTokens || b < 0 || b > maxTokens {
+		return fmt.Errorf("workspace %s: amount out of range", workspace)
+	}
+	return nil
+}
+
+func wrap(what string, err error) error {
+	if err != nil {
+		return fmt.Errorf("%s: %w", what, err)
+	}
+	return nil
+}
+
+func millis(d time.Duration) int64 {
+	return max(0, d.Milliseconds())
+}
