--- /dev/null
+++ b/internal/place/wire.go
@@ -0,0 +1,227 @@
+package place
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+
+	"trefoildale.example/trefoildale/internal/engine"
+)
+
+// maxNames bounds the lists of a message, so that a damaged one cannot take
+// all memory.
+const maxNames = 100_000
+
+// ErrGap means that a delta does not continue the layout that is held. The
+// holder asks for a full layout.
+var ErrGap = errors.New("place: layout delta does not continue the held layout")
+
+// ModelLayout is a version of a model at an endpoint.
+type ModelLayout struct {
+	Model   string `cbor:"1,keyasint"`
+	Version string `cbor:"2,keyasint,omitempty"`
+	// Ready is false while the model is about to be unloaded; it gets no new work.
+	Ready    bool     `cbor:"3,keyasint,omitempty"`
+	Adapters []string `cbor:"4,keyasint,omitempty"`
+}
+
+// EndpointLayout is what is resident at one endpoint.
+type EndpointLayout struct {
+	Endpoint string        `cbor:"1,keyasint"`
+	Role     engine.Role   `cbor:"2,keyasint,omitempty"`
+	Leaving  bool          `cbor:"3,keyasint,omitempty"`
+	Models   []ModelLayout `cbor:"4,keyasint,omitempty"`
+	// Seq is the number of the layout that changed this endpoint last.
+	Seq int64 `cbor:"5,keyasint"`
+}
+
+// Layout is what is resident in one failure domain, as its planner knows it.
+type Layout struct {
+	Domain string `cbor:"1,keyasint"`
+	// Term orders the planners of the domain; Seq the layouts of one planner.
+	Term      engine.Fence     `cbor:"2,keyasint"`
+	Seq       int64            `cbor:"3,keyasint"`
+	Endpoints []EndpointLayout `cbor:"4,keyasint,omitempty"`
+}
+
+// LayoutReply carries a layout, or what changed since one that its receiver holds.
+type LayoutReply struct {
+	Domain  string           `cbor:"1,keyasint"`
+	Term    engine.Fence     `cbor:"2,keyasint"`
+	Seq     int64            `cbor:"3,keyasint"`
+	Base    int64            `cbor:"4,keyasint,omitempty"`
+	Full    bool             `cbor:"5,keyasint,omitempty"`
+	Changed []EndpointLayout `cbor:"6,keyasint,omitempty"`
+	Removed []string         `cbor:"7,keyasint,omitempty"`
+}
+
+// DemandEntry is what one node saw for one model and workspace since its last report.
+type DemandEntry struct {
+	Model     string `cbor:"1,keyasint"`
+	Workspace string `cbor:"2,keyasint,omitempty"`
+	Adapter   string `cbor:"3,keyasint,omitempty"`
+	Requests  int64  `cbor:"4,keyasint"`
+	Tokens    int64  `cbor:"5,keyasint,omitempty"`
+	// OnTarget counts the requests that met their class's latency target.
+	OnTarget int64 `cbor:"6,keyasint,omitempty"`
+}
+
+// Want is a model or adapter that requests wait for because it is not resident.
+type Want struct {
+	Model    string `cbor:"1,keyasint"`
+	Adapter  string `cbor:"2,keyasint,omitempty"`
+	Requests int64  `cbor:"3,keyasint"`
+}
+
+// Use is an adapter with running requests.
+type Use struct {
+	Endpoint string `cbor:"1,keyasint"`
+	Model    string `cbor:"2,keyasint"`
+	Adapter  string `cbor:"3,keyasint"`
+	Running  int64  `cbor:"4,keyasint"`
+}
+
+// DemandReport is what a node tells the planner of its domain. It is sparse:
+// models without requests are left out.
+type DemandReport struct {
+	Node        string        `cbor:"1,keyasint"`
+	Incarnation string        `cbor:"2,keyasint"`
+	Seq         int64         `cbor:"3,keyasint"`
+	Entries     []DemandEntry `cbor:"4,keyasint,omitempty"`
+	Waiting     []Want        `cbor:"5,keyasint,omitempty"`
+	InUse       []Use         `cbor:"6,keyasint,omitempty"`
+	// Suspects are endpoints whose answers contradict the layout.
+	Suspects []string `cbor:"7,keyasint,omitempty"`
+	// LayoutTerm and LayoutSeq tell which layout the node holds.
+	LayoutTerm engine.Fence `cbor:"8,keyasint"`
+	LayoutSeq  int64        `cbor:"9,keyasint,omitempty"`
+}
+
+func validateEndpoints(list []EndpointLayout) error {
+	if len(list) > maxNames {
+		return fmt.Errorf("place: layout lists %d endpoints", len(list))
+	}
+	for i, e := range list {
+		if e.Endpoint == "" {
+			return errors.New("place: layout names an endpoint without a name")
+		}
+		if i > 0 && list[i-1].Endpoint >= e.Endpoint {
+			return fmt.Errorf("place: layout is not in order at %s", e.Endpoint)
+		}
+		switch e.Role {
+		case "", engine.RoleMixed, engine.RolePrefill, engine.RoleDecode:
+		default:
+			return fmt.Errorf("place: endpoint %s has unknown role %q", e.Endpoint, e.Role)
+		}
+		if len(e.Models) > maxNames {
+			return fmt.Errorf("place: endpoint %s lists %d models", e.Endpoint, len(e.Models))
+		}
+		for _, m := range e.Models {
+			if m.Model == "" {
+				return fmt.Errorf("place: endpoint %s lists a model without a name", e.Endpoint)
+			}
+			if len(m.Adapters) > maxNames {
+				return fmt.Errorf("place: model %s at %s lists %d adapters", m.Model, e.Endpoint, len(m.Adapters))
+			}
+			if slices.Contains(m.Adapters, "") {
+				return fmt.Errorf("place: model %s at %s lists an adapter without a name", m.Model, e.Endpoint)
+			}
+		}
+	}
+	return nil
+}
+
+// Validate reports what is wrong with a layout.
+func (l Layout) Validate() error {
+	if l.Domain == "" {
+		return errors.New("place: layout without a domain")
+	}
+	if l.Seq < 0 {
+		return fmt.Errorf("place: layout has number %d", l.Seq)
+	}
+	return validateEndpoints(l.Endpoints)
+}
+
+// Validate reports what is wrong with a reply.
+func (r LayoutReply) Validate() error {
+	if r.Domain == "" {
+		return errors.New("place: layout reply without a domain")
+	}
+	if r.Seq < r.Base || r.Base < 0 {
+		return fmt.Errorf("place: layout reply leads from %d to %d", r.Base, r.Seq)
+	}
+	if len(r.Removed) > maxNames || slices.Contains(r.Removed, "") {
+		return errors.New("place: layout reply has a bad list of removed endpoints")
+	}
+	return validateEndpoints(r.Changed)
+}
+
+// Validate reports what is wrong with a report.
+func (d DemandReport) Validate() error {
+	if d.Node == "" || d.Incarnation == "" {
+		return errors.New("place: demand report without a node")
+	}
+	if len(d.Entries) > maxNames || len(d.Waiting) > maxNames || len(d.InUse) > maxNames || len(d.Suspects) > maxNames {
+		return fmt.Errorf("place: demand report of %s is too long", d.Node)
+	}
+	for _, e := range d.Entries {
+		if e.Model == "" || e.Requests < 0 || e.Tokens < 0 || e.OnTarget < 0 || e.OnTarget > e.Requests {
+			return fmt.Errorf("place: demand report of %s has a bad entry for model %q", d.Node, e.Model)
+		}
+	}
+	for _, w := range d.Waiting {
+		if w.Model == "" || w.Requests < 0 {
+			return fmt.Errorf("place: demand report of %s has a bad want for model %q", d.Node, w.Model)
+		}
+	}
+	for _, u := range d.InUse {
+		if u.Endpoint == "" || u.Model == "" || u.Adapter == "" || u.Running < 0 {
+			return fmt.Errorf("place: demand report of %s has a bad use of adapter %q", d.Node, u.Adapter)
+		}
+	}
+	return nil
+}
+
+// Apply brings a held layout to the one of the reply. A reply of an older
+// planner or with an older number changes nothing.
+func (l *Layout) Apply(r LayoutReply) error {
+	if l.Domain != "" && l.Domain != r.Domain {
+		return fmt.Errorf("place: layout of %s does not apply to %s", r.Domain, l.Domain)
+	}
+	if r.Term.Less(l.Term) || r.Term == l.Term && r.Seq <= l.Seq && l.Domain != "" {
+		return nil
+	}
+	if r.Full {
+		*l = Layout{
+			Domain:    r.Domain,
+			Term:      r.Term,
+			Seq:       r.Seq,
+			Endpoints: r.Changed,
+		}
+		return nil
+	}
+	if r.Term != l.Term || r.Base > l.Seq {
+		return fmt.Errorf("%w: held %v/%d, delta from %v/%d", ErrGap, l.Term, l.Seq, r.Term, r.Base)
+	}
+	// The list is replaced, not changed in place: readers may hold the old one.
+	merged := make([]EndpointLayout, 0, len(l.Endpoints)+len(r.Changed))
+	for _, e := range l.Endpoints {
+		if slices.Contains(r.Removed, e.Endpoint) {
+			continue
+		}
+		if _, ok := slices.BinarySearchFunc(r.Changed, e.Endpoint, compareEndpoint); !ok {
+			merged = append(merged, e)
+		}
+	}
+	merged = append(merged, r.Changed...)
+	slices.SortFunc(merged, func(a, b EndpointLayout) int {
+		return strings.Compare(a.Endpoint, b.Endpoint)
+	})
+	l.Seq, l.Endpoints = r.Seq, merged
+	return nil
+}
+
+func compareEndpoint(e EndpointLayout, name string) int {
+	return strings.Compare(e.Endpoint, name)
+}
--- /dev/null
+++ b/internal/route/pick.go
@@ -0,0 +1,488 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strconv"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/rank"
+)
+
+// Errors of Pick.
+var (
+	// ErrUnknown means that the configuration has no such model or service.
+	ErrUnknown = errors.New("route: unknown model or service")
+	// ErrNotResident means that no endpoint has the model. The caller reports
+	// it as wanted and waits within the model's on-demand bound.
+	ErrNotResident = errors.New("route: model is not resident")
+	// ErrNoEndpoint means that every endpoint that could serve is leaving or excluded.
+	ErrNoEndpoint = errors.New("route: no endpoint takes new work")
+)
+
+// Request is what a choice depends on.
+type Request struct {
+	Now time.Time
+	// Service is set for a plain service, Model for a model.
+	Service string
+	Model   string
+	Adapter string
+	// Prefixes are digests of growing prefixes of the prompt, the longest last.
+	// The first one gives affinity.
+	Prefixes     []string
+	PromptTokens int64
+	// Role is the part of the work; empty means all of it.
+	Role engine.Role
+	// Exclude names endpoints that failed this request already.
+	Exclude []string
+}
+
+// Reason is why an endpoint was chosen.
+type Reason string
+
+// The reasons of a choice.
+const (
+	ReasonOnly     Reason = "only"
+	ReasonCached   Reason = "cached"
+	ReasonAffinity Reason = "affinity"
+	ReasonLoad     Reason = "load"
+	ReasonFallback Reason = "fallback"
+	ReasonRandom   Reason = "random"
+)
+
+// Choice is a chosen endpoint with what led to it.
+type Choice struct {
+	Endpoint string
+	Address  string
+	Domain   string
+	Version  string
+	// AdapterReady is false when the adapter has to be loaded first.
+	AdapterReady bool
+	Reason       Reason
+	// Wait, Hit, Distance and Outstanding are the estimates that the choice was
+	// made with. Hit is the part of the prompt expected in the cache.
+	Wait        time.Duration
+	Hit         float64
+	Distance    time.Duration
+	Outstanding int
+	// Candidates had the model; the others tell why some of them were not
+	// considered.
+	Candidates int
+	Leaving    int
+	Ejected    int
+	Excluded   int
+	Unhealthy  int
+
+	end   *end
+	speed float64
+}
+
+// Sentence explains the choice to someone without a technical background.
+func (c Choice) Sentence() string {
+	why := ""
+	switch c.Reason {
+	case ReasonOnly:
+		why = "it was the only one that could take the request"
+	case ReasonCached:
+		why = "it still remembers " + strconv.Itoa(int(c.Hit*100)) + "% of the text from an earlier request"
+	case ReasonAffinity:
+		why = "similar requests go there and it was not too busy"
+	case ReasonLoad:
+		why = "it was expected to answer first"
+	case ReasonFallback:
+		why = "all others had failed lately"
+	case ReasonRandom:
+		why = "it was drawn at random"
+	}
+	return fmt.Sprintf("%s was chosen out of %d because %s.", c.Endpoint, c.Candidates, why)
+}
+
+const (
+	// oldVersionCost and roleCost make a choice unlikely without excluding it.
+	oldVersionCost = 0.05
+	roleCost       = 0.5
+	// adapterCost is the time to load an adapter, with the wait for the order.
+	adapterCost = 0.1
+	// unhealthyCost keeps work out of a domain in trouble while others can do it.
+	unhealthyCost = 2.0
+)
+
+// scored is a candidate under consideration.
+type scored struct {
+	c    *candidate
+	load float64 // outstanding requests for each unit of speed
+	hash uint64
+	hit  float64
+	cost float64
+}
+
+// Pick chooses the endpoint for a request. The caller calls Start on the choice
+// when it sends the request and Finish when it is over.
+func (t *Table) Pick(r Request) (Choice, error) {
+	list, err := t.candidates(&r)
+	if err != nil {
+		return Choice{}, err
+	}
+	var buf [64]scored
+	out := Choice{
+		Candidates: len(list),
+	}
+	open := t.filter(&r, list, buf[:0], &out)
+	if len(open) == 0 {
+		return t.fallback(&r, list, out)
+	}
+	unit := t.unit.get()
+	t.hits(&r, open)
+
+	var key string
+	if len(r.Prefixes) > 0 {
+		key = r.Prefixes[0]
+	}
+	random := uint64(0)
+	if key == "" {
+		random = rand.Uint64()
+	}
+	var sum float64
+	for i := range open {
+		x := &open[i]
+		sum += x.load
+		if key != "" {
+			x.hash = rank.Score(key, x.c.end.spec.Name)
+		} else {
+			// Without a prefix the offered endpoints are drawn at random, so that
+			// nodes with the same lagging reports do not all choose the same one.
+			x.hash = mix(random ^ uint64(x.c.end.id)*0x9e3779b97f4a7c15)
+		}
+		x.cost += x.load*unit + (1-x.hit)*t.prefill(&r, x.c.end) + x.c.end.dom.Load().distance.Seconds()
+	}
+	bound := t.set.Bound*sum/float64(len(open)) + 1
+	best, reason := t.offer(open, bound)
+	if best == nil {
+		best, reason = cheapest(open), ReasonLoad
+	}
+	if len(open) == 1 {
+		reason = ReasonOnly
+	}
+	t.fill(&out, &r, best, unit, reason)
+	return out, nil
+}
+
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// candidates finds what could serve a request.
+func (t *Table) candidates(r *Request) ([]candidate, error) {
+	idx := t.idx.Load()
+	var x *target
+	if r.Model != "" {
+		x = idx.models[r.Model]
+	} else {
+		x = idx.services[r.Service]
+	}
+	if x == nil {
+		return nil, fmt.Errorf("%w: %s%s", ErrUnknown, r.Model, r.Service)
+	}
+	p := x.cands.Load()
+	if p == nil || len(*p) == 0 {
+		return nil, fmt.Errorf("%w: %s%s", ErrNotResident, r.Model, r.Service)
+	}
+	return *p, nil
+}
+
+// filter keeps the candidates that take new work and counts the others.
+func (t *Table) filter(r *Request, list []candidate, open []scored, out *Choice) []scored {
+	var last *end
+	for i := range list {
+		c := &list[i]
+		e := c.end
+		switch {
+		case e.leaving():
+			out.Leaving++
+			continue
+		case len(r.Exclude) > 0 && slices.Contains(r.Exclude, e.spec.Name):
+			out.Excluded++
+			continue
+		case e.isEjected(r.Now):
+			out.Ejected++
+			continue
+		case e == last:
+			// The version of the configuration comes first at an endpoint.
+			continue
+		}
+		last = e
+		x := scored{
+			c: c,
+		}
+		// An endpoint in slow start counts as busier than it is.
+		x.load = (e.outstanding() + 1) / e.speed / e.slow(r.Now, t.set.SlowStart)
+		if !c.current {
+			x.cost += oldVersionCost
+		}
+		if c.role != "" && c.role != engine.RoleMixed && c.role != r.Role && !(r.Role == "" && c.role == engine.RoleDecode) {
+			x.cost += roleCost
+		}
+		if r.Adapter != "" && !slices.Contains(c.adapters, r.Adapter) {
+			x.cost += adapterCost
+		}
+		if e.dom.Load().unhealthy() {
+			out.Unhealthy++
+			x.cost += unhealthyCost
+		}
+		open = append(open, x)
+	}
+	return open
+}
+
+// fallback chooses among ejected endpoints when nothing else is left, so that
+// a wrong ejection does not make a model unreachable.
+func (t *Table) fallback(r *Request, list []candidate, out Choice) (Choice, error) {
+	var best *candidate
+	for i := range list {
+		c := &list[i]
+		if c.end.leaving() || slices.Contains(r.Exclude, c.end.spec.Name) {
+			continue
+		}
+		if best == nil || c.end.ejected.Load() < best.end.ejected.Load() {
+			best = c
+		}
+	}
+	if best == nil {
+		return Choice{}, fmt.Errorf("%w: %s%s has %d endpoints, %d leaving, %d excluded", ErrNoEndpoint, r.Model, r.Service, len(list), out.Leaving, out.Excluded)
+	}
+	x := scored{
+		c:    best,
+		load: best.end.outstanding() / best.end.speed,
+	}
+	t.fill(&out, r, &x, t.unit.get(), ReasonFallback)
+	return out, nil
+}
+
+// hits notes which part of the prompt each candidate is expected to have cached.
+func (t *Table) hits(r *Request, open []scored) {
+	n := len(r.Prefixes)
+	for i := n - 1; i >= 0; i-- {
+		holders, count := t.prefix.find(prefixHash(r.Model, r.Prefixes[i]))
+		part := float64(i+1) / float64(n)
+		for _, h := range holders[:count] {
+			if r.Now.UnixNano()-h.at > int64(t.set.PrefixAge) {
+				continue
+			}
+			for k := range open {
+				e := open[k].c.end
+				if e.id != h.end {
+					continue
+				}
+				behind := e.generation.Load() - h.generation
+				if behind >= forgetGenerations {
+					break
+				}
+				open[k].hit = max(open[k].hit, part/float64(uint32(1)<<min(behind, 8)))
+				break
+			}
+		}
+	}
+}
+
+// prefill is the time for a prompt of which nothing is cached, in seconds.
+func (t *Table) prefill(r *Request, e *end) float64 {
+	return float64(r.PromptTokens) * t.set.PrefillPerToken.Seconds() / e.speed
+}
+
+// offer chooses the cheapest of the endpoints that cache the prefix and of the
+// first ones by rendezvous hash, as far as they are within the bound.
+func (t *Table) offer(open []scored, bound float64) (*scored, Reason) {
+	var best *scored
+	reason := ReasonAffinity
+	consider := func(x *scored, why Reason) {
+		if x.load > bound {
+			return
+		}
+		if best == nil || x.cost < best.cost {
+			best, reason = x, why
+		}
+	}
+	for i := range open {
+		if open[i].hit > 0 {
+			consider(&open[i], ReasonCached)
+		}
+	}
+	var top [4]*scored
+	k := min(t.set.Choices, len(top))
+	n := 0
+	for i := range open {
+		x := &open[i]
+		if x.load > bound {
+			// The next one in the order takes the place of a loaded one.
+			continue
+		}
+		at := n
+		for at > 0 && top[at-1].hash < x.hash {
+			at--
+		}
+		if at >= k {
+			continue
+		}
+		if n < k {
+			n++
+		}
+		copy(top[at+1:n], top[at:n-1])
+		top[at] = x
+	}
+	for _, x := range top[:n] {
+		why := ReasonAffinity
+		if x.hit > 0 {
+			why = ReasonCached
+		}
+		consider(x, why)
+	}
+	// A choice that is clearly worse than the cheapest is not kept for its hash.
+	if best != nil {
+		if c := cheapest(open); c.cost < best.cost-offerTolerance {
+			return c, ReasonLoad
+		}
+	}
+	return best, reason
+}
+
+// offerTolerance is how many seconds affinity may cost against the cheapest
+// endpoint.
+const offerTolerance = 0.5
+
+func cheapest(open []scored) *scored {
+	best := &open[0]
+	for i := range open[1:] {
+		if x := &open[i+1]; x.cost < best.cost {
+			best = x
+		}
+	}
+	return best
+}
+
+func (t *Table) fill(out *Choice, r *Request, x *scored, unit float64, reason Reason) {
+	e := x.c.end
+	out.Endpoint, out.Address, out.Domain = e.spec.Name, e.spec.Address, e.spec.Domain
+	out.Version = x.c.version
+	out.AdapterReady = r.Adapter == "" || slices.Contains(x.c.adapters, r.Adapter)
+	out.Reason = reason
+	out.Wait = time.Duration(x.load * unit * float64(time.Second))
+	out.Hit = x.hit
+	out.Distance = e.dom.Load().distance
+	out.Outstanding = int(e.outstanding())
+	out.end, out.speed = e, e.speed
+}
+
+// Start notes that a request goes to the chosen endpoint. The prefixes are
+// expected in its cache from now on, since its own events come late.
+func (t *Table) Start(c Choice, r Request) {
+	t.budget.first()
+	t.start(c, r)
+}
+
+func (t *Table) start(c Choice, r Request) {
+	c.end.start(r.Now)
+	for _, p := range r.Prefixes {
+		t.prefix.add(prefixHash(r.Model, p), c.end.id, c.end.generation.Load(), r.Now)
+	}
+}
+
+// Retry asks whether a request may be tried again. It takes one from the budget.
+func (t *Table) Retry() bool { return t.budget.retry() }
+
+// StartRetry is Start for an attempt that Retry allowed. It adds nothing to
+// the budget.
+func (t *Table) StartRetry(c Choice, r Request) { t.start(c, r) }
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Now time.Time
+	// Failed is true when the endpoint is to blame: no connection, a broken
+	// response, an error of its own.
+	Failed bool
+	// FirstToken is the time to the first token, zero when unknown.
+	FirstToken time.Duration
+}
+
+// Finish notes that an attempt is over. It reports whether the endpoint was
+// ejected because of it.
+func (t *Table) Finish(c Choice, o Outcome) bool {
+	c.end.finish(o.Now)
+	if o.Failed {
+		return c.end.fail(o.Now, &t.set)
+	}
+	c.end.succeed()
+	if o.FirstToken > 0 {
+		t.unit.learn(o.FirstToken.Seconds() * c.speed / float64(c.Outstanding+1))
+	}
+	return false
+}
+
+// Picker chooses endpoints: the table itself or a comparator.
+type Picker interface {
+	Pick(r Request) (Choice, error)
+}
+
+// Random is the comparator that draws among the endpoints that take new work.
+type Random struct {
+	Table *Table
+}
+
+// Pick implements Picker.
+func (p Random) Pick(r Request) (Choice, error) {
+	return p.Table.compare(r, ReasonRandom, func(open []scored) *scored {
+		return &open[rand.IntN(len(open))]
+	})
+}
+
+// LeastConnections is the comparator that chooses the endpoint with the fewest
+// requests of this process under way.
+type LeastConnections struct {
+	Table *Table
+}
+
+// Pick implements Picker.
+func (p LeastConnections) Pick(r Request) (Choice, error) {
+	return p.Table.compare(r, ReasonLoad, func(open []scored) *scored {
+		var best *scored
+		ties := 0
+		for i := range open {
+			x := &open[i]
+			n := x.c.end.running.Load()
+			switch {
+			case best == nil || n < best.c.end.running.Load():
+				best, ties = x, 1
+			case n == best.c.end.running.Load():
+				// Each of the tied endpoints is equally likely.
+				ties++
+				if rand.IntN(ties) == 0 {
+					best = x
+				}
+			}
+		}
+		return best
+	})
+}
+
+func (t *Table) compare(r Request, reason Reason, choose func([]scored) *scored) (Choice, error) {
+	list, err := t.candidates(&r)
+	if err != nil {
+		return Choice{}, err
+	}
+	out := Choice{
+		Candidates: len(list),
+	}
+	open := t.filter(&r, list, nil, &out)
+	if len(open) == 0 {
+		return t.fallback(&r, list, out)
+	}
+	x := choose(open)
+	t.fill(&out, &r, x, t.unit.get(), reason)
+	return out, nil
+}
