--- /dev/null
+++ b/internal/peers/wire.go
@@ -0,0 +1,228 @@
+package peers
+
+import (
+	"cmp"
+	"encoding/binary"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+
+	"github.com/cespare/xxhash/v2"
+
+	"trefoildale.example/trefoildale/internal/rank"
+)
+
+// Process is one run of a node. A restarted node is another process.
+type Process struct {
+	Name        string
+	Incarnation uint64
+}
+
+// id identifies the process in a few bytes.
+func (p Process) id() uint64 {
+	return rank.Score(p.Name, strconv.FormatUint(p.Incarnation, 36))
+}
+
+// State is the condition of a process as its reporter knows it.
+type State uint8
+
+// The states.
+const (
+	// Gone means that the reporter no longer hears the process. It may be alive.
+	Gone State = iota + 1
+	Live
+	// Leaving means that the process is shutting down.
+	Leaving
+	// Dead means that the process is proved to have ended, or to have given
+	// back everything it held.
+	Dead
+)
+
+// Member is a process and where it answers.
+type Member struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	Address     string `cbor:"3,keyasint,omitempty"`
+	State       State  `cbor:"4,keyasint"`
+}
+
+// Process returns the member's identity.
+func (m Member) Process() Process {
+	return Process{
+		Name:        m.Name,
+		Incarnation: m.Incarnation,
+	}
+}
+
+// Head identifies a version of a domain's member list.
+type Head struct {
+	Domain  string `cbor:"1,keyasint"`
+	Version uint64 `cbor:"2,keyasint"`
+	Digest  uint32 `cbor:"3,keyasint"`
+}
+
+// newer reports whether h replaces o. Of two lists with the same version,
+// every node keeps the same one.
+func (h Head) newer(o Head) bool {
+	return cmp.Or(cmp.Compare(h.Version, o.Version), cmp.Compare(h.Digest, o.Digest)) > 0
+}
+
+// List is a domain's member list, as its first relay publishes it.
+type List struct {
+	Domain  string   `cbor:"1,keyasint"`
+	Version uint64   `cbor:"2,keyasint"`
+	Members []Member `cbor:"3,keyasint,omitempty"`
+}
+
+// Head returns what identifies the list.
+func (l List) Head() Head {
+	return Head{
+		Domain:  l.Domain,
+		Version: l.Version,
+		Digest:  digest(l.Members),
+	}
+}
+
+func digest(members []Member) uint32 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, m := range members {
+		// Writes to a Digest do not fail.
+		_, _ = d.WriteString(m.Name)
+		_, _ = d.WriteString("\x00" + m.Address)
+		var b [9]byte
+		binary.LittleEndian.PutUint64(b[:], m.Incarnation)
+		b[8] = byte(m.State)
+		_, _ = d.Write(b[:])
+	}
+	return uint32(d.Sum64())
+}
+
+// Hello is the membership part of a Sync request.
+type Hello struct {
+	Name        string `cbor:"1,keyasint"`
+	Incarnation uint64 `cbor:"2,keyasint"`
+	// Domain and Address introduce the sender to a process that it has not met.
+	Domain  string `cbor:"3,keyasint,omitempty"`
+	Address string `cbor:"4,keyasint,omitempty"`
+	Leaving bool   `cbor:"5,keyasint,omitempty"`
+	// Seen identifies the process that the sender knows at the receiver's
+	// address, and SeenVersion the view of it that the sender holds.
+	Seen        uint64 `cbor:"6,keyasint,omitempty"`
+	SeenVersion uint64 `cbor:"7,keyasint,omitempty"`
+	// Fleet is the digest of the member lists that the sender holds.
+	Fleet uint32 `cbor:"8,keyasint,omitempty"`
+	// Want names the domains whose lists the sender asks for.
+	Want []string `cbor:"9,keyasint,omitempty"`
+	// Dead are processes of the receiver's domain that were recently proved dead.
+	Dead []Member `cbor:"10,keyasint,omitempty"`
+}
+
+// Welcome is the membership part of a Sync response. Between processes that
+// have nothing new for each other it is empty.
+type Welcome struct {
+	// Name, Incarnation, Domain and Address are set unless the request's Seen
+	// identifies the responder.
+	Name        string `cbor:"1,keyasint,omitempty"`
+	Incarnation uint64 `cbor:"2,keyasint,omitempty"`
+	Domain      string `cbor:"3,keyasint,omitempty"`
+	Address     string `cbor:"4,keyasint,omitempty"`
+	Leaving     bool   `cbor:"5,keyasint,omitempty"`
+	// Unknown asks the sender to introduce itself.
+	Unknown bool `cbor:"6,keyasint,omitempty"`
+	// Version is the responder's view after Changes; 0 means unchanged. With
+	// Full, Changes is the whole view, otherwise what follows SeenVersion.
+	Version uint64   `cbor:"7,keyasint,omitempty"`
+	Full    bool     `cbor:"8,keyasint,omitempty"`
+	Changes []Member `cbor:"9,keyasint,omitempty"`
+	// Heads are set when the sender's digest of the lists differs.
+	Heads []Head `cbor:"10,keyasint,omitempty"`
+	// Lists are the ones asked for.
+	Lists []List `cbor:"11,keyasint,omitempty"`
+}
+
+const (
+	maxName    = 128
+	maxMembers = 4096
+	maxDomains = 256
+	// maxLists bounds the lists in one response. Eight lists of 14 members take
+	// 5 KB, and a starting node learns 30 domains in four exchanges.
+	maxLists = 8
+)
+
+func checkName(what, s string, required bool) error {
+	if required && s == "" {
+		return fmt.Errorf("peers: %s is missing", what)
+	}
+	if len(s) > maxName {
+		return fmt.Errorf("peers: %s has %d bytes, at most %d are allowed", what, len(s), maxName)
+	}
+	return nil
+}
+
+func checkMembers(members []Member) error {
+	if len(members) > maxMembers {
+		return fmt.Errorf("peers: %d members, at most %d are allowed", len(members), maxMembers)
+	}
+	for _, m := range members {
+		if err := cmp.Or(checkName("a member's name", m.Name, true), checkName("a member's address", m.Address, false)); err != nil {
+			return err
+		}
+		if m.Incarnation == 0 || m.State < Gone || m.State > Dead {
+			return fmt.Errorf("peers: member %s has incarnation %d and state %d", m.Name, m.Incarnation, m.State)
+		}
+	}
+	return nil
+}
+
+// Validate checks a request that came from another process.
+func (h Hello) Validate() error {
+	if err := cmp.Or(
+		checkName("the sender's name", h.Name, true),
+		checkName("the sender's domain", h.Domain, false),
+		checkName("the sender's address", h.Address, h.Domain != ""),
+		checkMembers(h.Dead),
+	); err != nil {
+		return err
+	}
+	if h.Incarnation == 0 {
+		return fmt.Errorf("peers: %s has no incarnation", h.Name)
+	}
+	if len(h.Want) > maxDomains {
+		return fmt.Errorf("peers: %s asks for %d lists, at most %d are allowed", h.Name, len(h.Want), maxDomains)
+	}
+	return nil
+}
+
+// Validate checks a response that came from another process.
+func (w Welcome) Validate() error {
+	if err := cmp.Or(
+		checkName("the responder's name", w.Name, w.Incarnation != 0),
+		checkName("the responder's domain", w.Domain, w.Incarnation != 0),
+		checkName("the responder's address", w.Address, false),
+		checkMembers(w.Changes),
+	); err != nil {
+		return err
+	}
+	if len(w.Heads) > maxDomains || len(w.Lists) > maxLists {
+		return fmt.Errorf("peers: the response holds %d heads and %d lists, which is too many", len(w.Heads), len(w.Lists))
+	}
+	for _, h := range w.Heads {
+		if err := checkName("a domain", h.Domain, true); err != nil {
+			return err
+		}
+	}
+	for _, l := range w.Lists {
+		if err := cmp.Or(checkName("a domain", l.Domain, true), checkMembers(l.Members)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func sortMembers(members []Member) {
+	slices.SortFunc(members, func(a, b Member) int {
+		return cmp.Or(strings.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+}
--- /dev/null
+++ b/internal/stats/counter.go
@@ -0,0 +1,210 @@
+// Package stats counts what a process does and records how long callers wait.
+package stats
+
+import (
+	"expvar"
+	"fmt"
+	"sync/atomic"
+)
+
+// Counter names one counter of the fixed list.
+type Counter int
+
+// The counters, grouped by subject.
+const (
+	RequestsStarted Counter = iota
+	RequestsServed
+	RequestsRefused
+	RequestsFailed
+	RequestsCancelled
+	RequestsInterrupted
+	TokensCharged
+	TokensRefunded
+	TokensGenerated
+	StreamsResumed
+	StreamsSlow
+	ResponsesMismatched
+	RetriesDone
+	RetriesOverBudget
+	OnceRun
+	OnceReplayed
+	OnceInProgress
+	OnceUnknown
+	OnceDifferentBody
+	OnceNotProvable
+	OnceStoreFailed
+	QuotaDraws
+	QuotaDrawsShort
+	QuotaLoansExpired
+	QuotaSlotsTaken
+	QuotaSlotsLost
+	KeysUnknown
+	KeysStale
+	KeysWithdrawn
+	FeedPolls
+	FeedPollsFailed
+	FeedChangesApplied
+	PeersSyncs
+	PeersSyncsFailed
+	PeersProvedDead
+	PlaceOrders
+	PlaceOrdersFailed
+	PlaceMoves
+	RouteEjections
+	RouteReturns
+	StoreReads
+	StoreWrites
+	StoreOutcomesUnknown
+	numCounters
+)
+
+type label struct {
+	subject string
+	name    string
+}
+
+// labels holds the published name of each counter; a test checks that none is missing.
+var labels = [numCounters]label{
+	RequestsStarted:      {"requests", "started"},
+	RequestsServed:       {"requests", "served"},
+	RequestsRefused:      {"requests", "refused"},
+	RequestsFailed:       {"requests", "failed"},
+	RequestsCancelled:    {"requests", "cancelled"},
+	RequestsInterrupted:  {"requests", "interrupted"},
+	TokensCharged:        {"tokens", "charged"},
+	TokensRefunded:       {"tokens", "refunded"},
+	TokensGenerated:      {"tokens", "generated"},
+	StreamsResumed:       {"streams", "resumed"},
+	StreamsSlow:          {"streams", "slow-client"},
+	ResponsesMismatched:  {"responses", "mismatched"},
+	RetriesDone:          {"retries", "done"},
+	RetriesOverBudget:    {"retries", "over-budget"},
+	OnceRun:              {"once", "run"},
+	OnceReplayed:         {"once", "replayed"},
+	OnceInProgress:       {"once", "in-progress"},
+	OnceUnknown:          {"once", "unknown"},
+	OnceDifferentBody:    {"once", "different-body"},
+	OnceNotProvable:      {"once", "not-provable"},
+	OnceStoreFailed:      {"once", "store-failed"},
+	QuotaDraws:           {"quota", "draws"},
+	QuotaDrawsShort:      {"quota", "draws-short"},
+	QuotaLoansExpired:    {"quota", "loans-expired"},
+	QuotaSlotsTaken:      {"quota", "slots-taken"},
+	QuotaSlotsLost:       {"quota", "slots-lost"},
+	KeysUnknown:          {"keys", "unknown"},
+	KeysStale:            {"keys", "stale"},
+	KeysWithdrawn:        {"keys", "withdrawn"},
+	FeedPolls:            {"feed", "polls"},
+	FeedPollsFailed:      {"feed", "polls-failed"},
+	FeedChangesApplied:   {"feed", "changes-applied"},
+	PeersSyncs:           {"peers", "syncs"},
+	PeersSyncsFailed:     {"peers", "syncs-failed"},
+	PeersProvedDead:      {"peers", "proved-dead"},
+	PlaceOrders:          {"place", "orders"},
+	PlaceOrdersFailed:    {"place", "orders-failed"},
+	PlaceMoves:           {"place", "moves"},
+	RouteEjections:       {"route", "ejections"},
+	RouteReturns:         {"route", "returns"},
+	StoreReads:           {"store", "reads"},
+	StoreWrites:          {"store", "writes"},
+	StoreOutcomesUnknown: {"store", "outcomes-unknown"},
+}
+
+// String gives the published name, "subject.name".
+func (c Counter) String() string {
+	if c < 0 || c >= numCounters {
+		return fmt.Sprintf("counter(%d)", int(c))
+	}
+	return labels[c].subject + "." + labels[c].name
+}
+
+// Set holds the counters and histograms of one process. It is safe for
+// concurrent use.
+type Set struct {
+	counters [numCounters]paddedInt
+	latency  latency
+}
+
+// paddedInt fills a cache line, so that cores do not contend on neighbours.
+type paddedInt struct {
+	atomic.Int64
+	_ [56]byte
+}
+
+// New returns an empty Set.
+func New() *Set {
+	return &Set{}
+}
+
+// Inc adds one to a counter.
+func (s *Set) Inc(c Counter) {
+	s.counters[c].Add(1)
+}
+
+// Add adds n to a counter.
+func (s *Set) Add(c Counter, n int64) {
+	s.counters[c].Add(n)
+}
+
+// Value returns a counter's current value.
+func (s *Set) Value(c Counter) int64 {
+	return s.counters[c].Load()
+}
+
+// Publish makes the set visible in expvar as one variable for each subject,
+// and "latency" for the histograms. Names in expvar are global to the process,
+// so that a process publishes one Set, once.
+func (s *Set) Publish() {
+	subjects := map[string]*expvar.Map{}
+	for c := range numCounters {
+		l := labels[c]
+		m, ok := subjects[l.subject]
+		if !ok {
+			m = expvar.NewMap(l.subject)
+			subjects[l.subject] = m
+		}
+		m.Set(l.name, expvar.Func(func() any { return s.Value(c) }))
+	}
+	expvar.Publish("latency", s.Latency())
+}
+
+// Labels counts by a label from a fixed list, such as the reason of a refusal.
+// Labels outside the list are counted as "other", so that the number of
+// counters does not depend on traffic. It implements expvar.Var.
+type Labels struct {
+	expvar.Map
+	known map[string]*expvar.Int
+	other *expvar.Int
+}
+
+// NewLabels returns counters for the given labels.
+func NewLabels(labels ...string) *Labels {
+	l := &Labels{
+		known: make(map[string]*expvar.Int, len(labels)),
+		other: new(expvar.Int),
+	}
+	for _, name := range labels {
+		v := new(expvar.Int)
+		l.known[name] = v
+		l.Set(name, v)
+	}
+	l.Set("other", l.other)
+	return l
+}
+
+// Inc adds one to the counter of a label.
+func (l *Labels) Inc(name string) {
+	if v, ok := l.known[name]; ok {
+		v.Add(1)
+		return
+	}
+	l.other.Add(1)
+}
+
+// Value returns the count of a label, or the count of "other".
+func (l *Labels) Value(name string) int64 {
+	if v, ok := l.known[name]; ok {
+		return v.Value()
+	}
+	return l.other.Value()
+}
--- /dev/null
+++ b/internal/stats/latency.go
@@ -0,0 +1,184 @@
+package stats
+
+import (
+	"expvar"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+const (
+	// unit is the resolution of the histograms.
+	unit = 10 * time.Microsecond
+	// longest is the largest value told apart; longer ones are recorded as it.
+	longest = 10 * time.Minute
+	// figures is the number of significant decimal digits of a recorded value.
+	// Two keep a histogram near 20 KB; three would need 150 KB.
+	figures = 2
+	// maxWorkspaces bounds the memory of the histograms: 32 workspaces of three
+	// classes with two histograms each take 4 MB when all are in use.
+	maxWorkspaces = 32
+	// Other is the workspace under which the ones above the bound are recorded.
+	Other = "other"
+)
+
+// Summary describes a histogram, in milliseconds.
+type Summary struct {
+	Count int64   `json:"count"`
+	P50   float64 `json:"p50-ms"`
+	P95   float64 `json:"p95-ms"`
+	P99   float64 `json:"p99-ms"`
+	Max   float64 `json:"max-ms"`
+}
+
+// Report holds the summaries of one workspace and class.
+type Report struct {
+	Workspace  string     `json:"workspace"`
+	Class      spec.Class `json:"class"`
+	FirstToken Summary    `json:"first-token"`
+	TokenGap   Summary    `json:"token-gap"`
+}
+
+type seriesKey struct {
+	workspace string
+	class     spec.Class
+}
+
+// latency finds the Series of a workspace and class without a lock once it exists.
+type latency struct {
+	series     sync.Map // of seriesKey to *Series
+	mu         sync.Mutex
+	workspaces map[string]bool
+	order      []seriesKey
+	overflow   atomic.Int64
+}
+
+// Series records the waiting times of one workspace and class. A handler looks
+// it up once for each request.
+type Series struct {
+	firstToken histogram
+	tokenGap   histogram
+}
+
+// Series returns the series of a workspace and class. An unknown class counts
+// as normal; a workspace above the bound is recorded under Other.
+func (s *Set) Series(workspace string, class spec.Class) *Series {
+	switch class {
+	case spec.ClassInteractive, spec.ClassDeferrable:
+	default:
+		class = spec.ClassNormal
+	}
+	key := seriesKey{workspace, class}
+	if v, ok := s.latency.series.Load(key); ok {
+		return v.(*Series)
+	}
+	return s.latency.add(key)
+}
+
+func (l *latency) add(key seriesKey) *Series {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.workspaces == nil {
+		l.workspaces = map[string]bool{}
+	}
+	if !l.workspaces[key.workspace] && key.workspace != Other {
+		if len(l.workspaces) >= maxWorkspaces {
+			l.overflow.Add(1)
+			key.workspace = Other
+		} else {
+			l.workspaces[key.workspace] = true
+		}
+	}
+	v, loaded := l.series.LoadOrStore(key, &Series{})
+	if !loaded {
+		l.order = append(l.order, key)
+	}
+	return v.(*Series)
+}
+
+// FirstToken records the time from the request's arrival to the first token.
+func (s *Series) FirstToken(d time.Duration) {
+	s.firstToken.record(d)
+}
+
+// TokenGap records the time between two tokens.
+func (s *Series) TokenGap(d time.Duration) {
+	s.tokenGap.record(d)
+}
+
+// histogram is an HDR histogram behind a lock that is held for one addition.
+type histogram struct {
+	mu sync.Mutex
+	h  *hdrhistogram.Histogram
+}
+
+func (h *histogram) record(d time.Duration) {
+	v := min(max(int64(d/unit), 0), int64(longest/unit))
+	h.mu.Lock()
+	if h.h == nil {
+		h.h = hdrhistogram.New(1, int64(longest/unit), figures)
+	}
+	// v is within the range of the histogram, which is the only error.
+	_ = h.h.RecordValue(v)
+	h.mu.Unlock()
+}
+
+func (h *histogram) summary() Summary {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.h == nil {
+		return Summary{}
+	}
+	ms := func(v int64) float64 {
+		return float64(time.Duration(v)*unit) / float64(time.Millisecond)
+	}
+	q := h.h.ValueAtPercentiles([]float64{50, 95, 99})
+	return Summary{
+		Count: h.h.TotalCount(),
+		P50:   ms(q[50]),
+		P95:   ms(q[95]),
+		P99:   ms(q[99]),
+		Max:   ms(h.h.Max()),
+	}
+}
+
+// Reports returns the summaries of all workspaces and classes seen, in the
+// order of their first request.
+func (s *Set) Reports() []Report {
+	s.latency.mu.Lock()
+	keys := append([]seriesKey(nil), s.latency.order...)
+	s.latency.mu.Unlock()
+	out := make([]Report, 0, len(keys))
+	for _, key := range keys {
+		v, ok := s.latency.series.Load(key)
+		if !ok {
+			continue
+		}
+		series := v.(*Series)
+		out = append(out, Report{
+			Workspace:  key.workspace,
+			Class:      key.class,
+			FirstToken: series.firstToken.summary(),
+			TokenGap:   series.tokenGap.summary(),
+		})
+	}
+	return out
+}
+
+// Latency publishes the reports under workspace and class.
+func (s *Set) Latency() expvar.Func {
+	return func() any {
+		out := map[string]map[spec.Class]Report{}
+		for _, r := range s.Reports() {
+			if out[r.Workspace] == nil {
+				out[r.Workspace] = map[spec.Class]Report{}
+			}
+			out[r.Workspace][r.Class] = r
+		}
+		return out
+	}
+}
--- /dev/null
+++ b/internal/stats/stats_test.go
@@ -0,0 +1,104 @@
+package stats
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+// Guards against a counter without a published name and against two counters
+// that publish under the same one.
+func TestEveryCounterHasItsOwnName(t *testing.T) {
+	seen := map[string]bool{}
+	for c := range numCounters {
+		name := c.String()
+		if labels[c].subject == "" || labels[c].name == "" || seen[name] {
+			t.Errorf("counter %d is published as %q", int(c), name)
+		}
+		seen[name] = true
+	}
+}
+
+// Guards against counts lost between goroutines, quantiles outside the stated
+// precision of one part in a hundred, and memory that grows with workspaces.
+func TestSeriesUnderConcurrentUse(t *testing.T) {
+	s := New()
+	var wg sync.WaitGroup
+	for range 8 {
+		wg.Go(func() {
+			for i := 1; i <= 1000; i++ {
+				s.Inc(RequestsStarted)
+				series := s.Series("reykjavik", spec.ClassInteractive)
+				series.FirstToken(time.Duration(i) * time.Millisecond)
+				series.TokenGap(time.Hour)
+				s.Series(fmt.Sprintf("w-%d", i), "").TokenGap(-time.Second)
+			}
+		})
+	}
+	wg.Wait()
+	if got := s.Value(RequestsStarted); got != 8000 {
+		t.Errorf("started = %d, want 8000", got)
+	}
+	text, err := json.Marshal(s.Latency()())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out map[string]map[string]Report
+	if err := json.Unmarshal(text, &out); err != nil {
+		t.Fatal(err)
+	}
+	if len(out) != maxWorkspaces+1 {
+		t.Errorf("%d workspaces are reported, want %d and %q", len(out), maxWorkspaces, Other)
+	}
+	r := out["reykjavik"]["interactive"]
+	for _, q := range []struct{ got, want float64 }{
+		{r.FirstToken.P50, 500},
+		{r.FirstToken.P95, 950},
+		{r.FirstToken.P99, 990},
+		{r.FirstToken.Max, 1000},
+		{r.TokenGap.Max, 600_000},
+	} {
+		if math.Abs(q.got-q.want) > q.want/100 {
+			t.Errorf("got %v ms, want %v within 1%%", q.got, q.want)
+		}
+	}
+	if r.FirstToken.Count != 8000 {
+		t.Errorf("count = %d, want 8000", r.FirstToken.Count)
+	}
+}
+
+// Guards against counters that a caller's text can add without bound.
+func TestLabelsAreBounded(t *testing.T) {
+	l := NewLabels("rate", "key")
+	l.Inc("rate")
+	l.Inc("made-up-1")
+	l.Inc("made-up-2")
+	if l.Value("rate") != 1 || l.Value("anything") != 2 || strings.Contains(l.String(), "made-up") {
+		t.Errorf("labels are %s", l.String())
+	}
+}
+
+func BenchmarkTokenGap(b *testing.B) {
+	series := New().Series("reykjavik", spec.ClassInteractive)
+	b.ReportAllocs()
+	b.RunParallel(func(pb *testing.PB) {
+		for pb.Next() {
+			series.TokenGap(20 * time.Millisecond)
+		}
+	})
+}
+
+func BenchmarkSeries(b *testing.B) {
+	s := New()
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Inc(RequestsStarted)
+		s.Series("reykjavik", spec.ClassInteractive).FirstToken(time.Second)
+	}
+}
