node: assemble the entry process

Cause: the decision packages need an owner of control state, workers, and servers for callers, peers and operators.

--- /dev/null
+++ b/internal/entry/auth.go
@@ -0,0 +1,162 @@
+package entry
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/keys"
+	"trefoildale.example/trefoildale/internal/stats"
+)
+
+// Ends of a request that are not the caller's own doing.
+var (
+	errCancelled = errors.New("entry: cancelled")
+	errWithdrawn = errors.New("entry: key withdrawn")
+	errLapsed    = errors.New("entry: keys cannot be checked")
+)
+
+// keyRetry is when a caller may try again after keys could not be checked.
+const keyRetry = 5 * time.Second
+
+// authenticate reads the key of the request and reports whether it gives access
+// to a workspace. Otherwise the request has been answered.
+func (q *request) authenticate() bool {
+	secret, ok := strings.CutPrefix(q.r.Header.Get("Authorization"), "Bearer ")
+	if !ok || secret == "" {
+		q.refuse(problem{
+			Status:  http.StatusUnauthorized,
+			Reason:  audit.NoKey,
+			Message: `the request has no key; send it as "Authorization: Bearer KEY"`,
+			NotRun:  true,
+		}, audit.Event{})
+		return false
+	}
+	q.secret = secret
+	q.verdict = q.opts.Gate.Check(secret)
+	if p, bad := keyProblem(q.verdict.Result); bad {
+		q.countKey(q.verdict.Result)
+		q.refuse(p, audit.Event{})
+		return false
+	}
+	q.workspace = q.view.index.Workspaces[q.verdict.Workspace]
+	if q.workspace == nil {
+		// The key table may be one revision ahead of this request's view.
+		q.view = q.config.Load()
+		q.workspace = q.view.index.Workspaces[q.verdict.Workspace]
+	}
+	if q.workspace == nil {
+		p, _ := keyProblem(keys.Unknown)
+		q.refuse(p, audit.Event{})
+		return false
+	}
+	return true
+}
+
+func (q *request) countKey(r keys.Result) {
+	switch r {
+	case keys.Withdrawn:
+		q.opts.Stats.Inc(stats.KeysWithdrawn)
+	case keys.NotFresh:
+		q.opts.Stats.Inc(stats.KeysStale)
+	default:
+		q.opts.Stats.Inc(stats.KeysUnknown)
+	}
+}
+
+// keyProblem returns the refusal for a result of the gate.
+func keyProblem(r keys.Result) (problem, bool) {
+	switch r {
+	case keys.OK:
+		return problem{}, false
+	case keys.Withdrawn:
+		return problem{
+			Status:  http.StatusUnauthorized,
+			Reason:  audit.KeyWithdrawn,
+			Message: "the key was withdrawn",
+			NotRun:  true,
+		}, true
+	case keys.NotFresh:
+		return problem{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     audit.KeyUnverifiable,
+			Message:    "this node cannot check at present whether the key was withdrawn",
+			NotRun:     true,
+			RetryAfter: keyRetry,
+		}, true
+	}
+	return problem{
+		Status:  http.StatusUnauthorized,
+		Reason:  audit.KeyUnknown,
+		Message: "the key is not known",
+		NotRun:  true,
+	}, true
+}
+
+// readBody reads the body within its limit. A body, path or query that contains
+// the key is refused, since an endpoint would see it.
+func (q *request) readBody() ([]byte, bool) {
+	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, q.opts.Limits.MaxBodyBytes))
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		q.refuse(problem{
+			Status:  http.StatusRequestEntityTooLarge,
+			Reason:  audit.BodyTooLarge,
+			Message: "the body is larger than this service accepts",
+			NotRun:  true,
+		}, audit.Event{
+			Limit: tooLarge.Limit,
+		})
+		return nil, false
+	}
+	if err != nil {
+		q.badRequest("the body could not be read: " + err.Error())
+		return nil, false
+	}
+	if q.leaksKey(body) {
+		q.badRequest("the key must be sent in the Authorization header only")
+		return nil, false
+	}
+	return body, true
+}
+
+func (q *request) leaksKey(body []byte) bool {
+	if q.secret == "" {
+		return false
+	}
+	if bytes.Contains(body, []byte(q.secret)) {
+		return true
+	}
+	target := q.r.URL.RequestURI()
+	if decoded, err := url.QueryUnescape(target); err == nil {
+		target += decoded
+	}
+	if strings.Contains(target, q.secret) {
+		return true
+	}
+	for name, values := range q.r.Header {
+		if name == "Authorization" {
+			continue
+		}
+		for _, v := range values {
+			if strings.Contains(v, q.secret) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (q *request) badRequest(message string) {
+	q.refuse(problem{
+		Status:  http.StatusBadRequest,
+		Reason:  audit.BadRequest,
+		Message: message,
+		NotRun:  true,
+	}, audit.Event{})
+}
--- /dev/null
+++ b/internal/entry/plain.go
@@ -0,0 +1,395 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/once"
+	"trefoildale.example/trefoildale/internal/route"
+	"trefoildale.example/trefoildale/internal/stats"
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+const (
+	// plainDeadline bounds a call of a plain service with its retries.
+	plainDeadline = 30 * time.Second
+	// storeTimeout bounds the storing of an outcome after the caller may be gone.
+	storeTimeout = 5 * time.Second
+)
+
+// plainCall is a call of a plain service.
+type plainCall struct {
+	*request
+	ctx     context.Context
+	service *spec.Service
+	method  spec.Method
+	body    []byte
+	ticket  *once.Ticket
+
+	attempts  int
+	provedAll bool
+	exclude   []string
+}
+
+func (s *Server) plain(q *request) {
+	svc := q.findService()
+	if svc == nil {
+		q.refuse(problem{
+			Status:  http.StatusNotFound,
+			Reason:  audit.ServiceUnknown,
+			Message: "no service answers under this path",
+			NotRun:  true,
+		}, audit.Event{})
+		return
+	}
+	if !svc.Open && !q.authenticate() {
+		return
+	}
+	m, ok := findMethod(svc, q.r)
+	if !ok {
+		q.refuse(problem{
+			Status:  http.StatusMethodNotAllowed,
+			Reason:  audit.MethodUnknown,
+			Message: "service " + svc.Name + " does not offer " + q.r.Method + " " + q.r.URL.Path,
+			NotRun:  true,
+		}, audit.Event{
+			Other: svc.Name,
+		})
+		return
+	}
+	body, ok := q.readBody()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(q.r.Context()), time.Now().Add(plainDeadline))
+	defer cancel()
+	if m.Repeatable {
+		// A call that may not be repeated goes on when its caller leaves, so
+		// that its outcome is known.
+		defer context.AfterFunc(q.r.Context(), cancel)()
+	}
+	c := &plainCall{
+		request:   q,
+		ctx:       ctx,
+		service:   svc,
+		method:    m,
+		body:      body,
+		provedAll: true,
+	}
+	if !m.Repeatable && !c.claim() {
+		return
+	}
+	c.serve()
+}
+
+// findService returns the service with the longest prefix of the path.
+func (q *request) findService() *spec.Service {
+	var best *spec.Service
+	for _, svc := range q.view.services {
+		if strings.HasPrefix(q.r.URL.Path, svc.Prefix) && (best == nil || len(svc.Prefix) > len(best.Prefix)) {
+			best = svc
+		}
+	}
+	return best
+}
+
+func findMethod(svc *spec.Service, r *http.Request) (spec.Method, bool) {
+	rest := strings.TrimPrefix(r.URL.Path, svc.Prefix)
+	for _, m := range svc.Methods {
+		path := strings.TrimPrefix(m.Path, "/")
+		prefix, wild := strings.CutSuffix(path, "*")
+		if m.Method == r.Method && (rest == path || wild && strings.HasPrefix(rest, prefix)) {
+			return m, true
+		}
+	}
+	return spec.Method{}, false
+}
+
+// claim makes sure that a call with an idempotency key is new. It reports
+// whether the call may run; otherwise the request has been answered.
+func (c *plainCall) claim() bool {
+	key := c.r.Header.Get("Idempotency-Key")
+	if key == "" {
+		return true
+	}
+	workspace := openWorkspace + "/" + c.service.Name
+	if c.workspace != nil {
+		workspace = c.workspace.Name
+	}
+	fingerprint := once.Fingerprint(c.r.Method, c.r.URL.RequestURI(), c.body)
+	d, err := c.opts.Once.Begin(c.ctx, workspace, key, fingerprint, c.id)
+	if err != nil {
+		c.badRequest(err.Error())
+		return false
+	}
+	switch d.Kind {
+	case once.Run:
+		c.ticket = d.Ticket
+		c.opts.Stats.Inc(stats.OnceRun)
+		return true
+	case once.Replay:
+		c.opts.Stats.Inc(stats.OnceReplayed)
+		c.replay(d.Response)
+		return false
+	}
+	p := repeatProblem(d.Kind)
+	c.countRepeat(d.Kind)
+	c.refuse(p, audit.Event{
+		Other: d.Holder,
+	})
+	return false
+}
+
+func (c *plainCall) countRepeat(k once.Kind) {
+	switch k {
+	case once.InProgress:
+		c.opts.Stats.Inc(stats.OnceInProgress)
+	case once.Unknown:
+		c.opts.Stats.Inc(stats.OnceUnknown)
+	case once.DifferentBody:
+		c.opts.Stats.Inc(stats.OnceDifferentBody)
+	case once.NotProvable:
+		c.opts.Stats.Inc(stats.OnceNotProvable)
+	}
+}
+
+func repeatProblem(k once.Kind) problem {
+	switch k {
+	case once.InProgress:
+		return problem{
+			Status:     http.StatusConflict,
+			Reason:     audit.RepeatInProgress,
+			Message:    "a call with this idempotency key is being carried out",
+			RetryAfter: time.Second,
+		}
+	case once.DifferentBody:
+		return problem{
+			Status:  http.StatusUnprocessableEntity,
+			Reason:  audit.RepeatDifferent,
+			Message: "this idempotency key belongs to another call",
+			NotRun:  true,
+		}
+	case once.NotProvable:
+		return problem{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     audit.RepeatUnprovable,
+			Message:    "it cannot be checked at present whether this call was made before; this arrival was not run",
+			NotRun:     true,
+			RetryAfter: 5 * time.Second,
+		}
+	}
+	return problem{
+		Status:  http.StatusConflict,
+		Reason:  audit.RepeatUnknown,
+		Message: "a call with this idempotency key may have run; it will not be run again",
+	}
+}
+
+func (c *plainCall) replay(r once.Response) {
+	h := c.w.Header()
+	for name, v := range r.Header {
+		h.Set(name, v)
+	}
+	h.Set("X-Request-Id", c.id)
+	h.Set("Idempotent-Replay", "true")
+	if r.Omitted {
+		h.Set("Idempotent-Body-Omitted", "true")
+	}
+	c.w.WriteHeader(r.Status)
+	// The caller may be gone; the response stays stored.
+	_, _ = c.w.Write(r.Body)
+	c.opts.Stats.Inc(stats.RequestsServed)
+	c.opts.Audit.Served(c.name(), false)
+}
+
+func (c *plainCall) name() string {
+	if c.workspace == nil {
+		return openWorkspace
+	}
+	return c.workspace.Name
+}
+
+func (c *plainCall) serve() {
+	c.retries.Budget.Request()
+	for {
+		answer, p, again := c.attempt()
+		switch {
+		case again:
+		case p != nil:
+			c.fail(p)
+			return
+		default:
+			c.deliver(answer)
+			return
+		}
+	}
+}
+
+func (c *plainCall) attempt() (answer *engine.Answer, p *problem, again bool) {
+	req := route.Request{
+		Now:     c.opts.Clock.Now(),
+		Service: c.service.Name,
+		Exclude: c.exclude,
+	}
+	choice, err := c.opts.Picker.Pick(req)
+	if errors.Is(err, route.ErrNoEndpoint) && len(c.exclude) > 0 {
+		c.exclude = nil
+		req.Exclude = nil
+		choice, err = c.opts.Picker.Pick(req)
+	}
+	if err != nil {
+		return nil, &problem{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     audit.NoEndpoint,
+			Message:    "no endpoint of service " + c.service.Name + " takes calls at present",
+			NotRun:     c.provedAll,
+			RetryAfter: 2 * time.Second,
+		}, false
+	}
+	if p := c.begin(); p != nil {
+		return nil, p, false
+	}
+	if c.attempts == 0 {
+		c.opts.Routes.Start(choice, req)
+	} else {
+		c.opts.Routes.StartRetry(choice, req)
+	}
+	c.attempts++
+	answer, err = c.opts.Engines.Plain(c.ctx, engine.Call{
+		Address:   choice.Address,
+		Method:    c.r.Method,
+		Path:      c.r.URL.RequestURI(),
+		Header:    c.r.Header,
+		Body:      c.body,
+		RequestID: c.id,
+	})
+	outcome := outcomeOf(err)
+	if err == nil && answer.Status >= http.StatusInternalServerError {
+		outcome = once.Faulted
+	}
+	c.opts.Routes.Finish(choice, route.Outcome{
+		Now:    c.opts.Clock.Now(),
+		Failed: outcome != once.Answered && c.ctx.Err() == nil,
+	})
+	return c.judge(answer, outcome, choice)
+}
+
+// begin checks directly before the first byte whether the call may still be sent.
+func (c *plainCall) begin() *problem {
+	if c.ticket != nil && !c.ticket.MaySend(c.opts.Clock.Now()) {
+		p := repeatProblem(once.NotProvable)
+		p.NotRun = c.provedAll
+		return &p
+	}
+	if c.workspace == nil {
+		return nil
+	}
+	if p, bad := keyProblem(c.opts.Gate.Begins(c.verdict)); bad {
+		p.NotRun = c.provedAll
+		return &p
+	}
+	return nil
+}
+
+func (c *plainCall) judge(answer *engine.Answer, outcome once.Outcome, choice route.Choice) (*engine.Answer, *problem, bool) {
+	if outcome == once.Mismatched {
+		c.opts.Stats.Inc(stats.ResponsesMismatched)
+	}
+	v := c.retries.Next(once.Call{
+		Repeatable: c.method.Repeatable,
+		Deadline:   c.arrived.Add(plainDeadline),
+	}, outcome, c.attempts, c.provedAll, c.opts.Clock.Now())
+	c.provedAll = c.provedAll && outcome.ProvedNotRun()
+	switch {
+	case v.Action == once.Retry && c.r.Context().Err() == nil:
+		c.exclude = append(slices.Clone(c.exclude), choice.Endpoint)
+		c.opts.Stats.Inc(stats.RetriesDone)
+		c.opts.Audit.Record(audit.Event{
+			Reason:    retryReason(outcome),
+			Request:   c.id,
+			Workspace: c.name(),
+			Endpoint:  choice.Endpoint,
+			Other:     c.service.Name,
+		})
+		time.Sleep(v.Wait)
+		return nil, nil, true
+	case answer != nil:
+		return answer, nil, false
+	}
+	p := problem{
+		Status:     http.StatusBadGateway,
+		Reason:     audit.EndpointFailed,
+		Message:    "endpoint " + choice.Endpoint + " did not answer",
+		NotRun:     v.NotRun,
+		RetryAfter: time.Second,
+	}
+	if !c.method.Repeatable && !v.NotRun {
+		p.Reason = audit.OutcomeUnknown
+		p.Status = http.StatusGatewayTimeout
+		p.Message = "the call may have run; endpoint " + choice.Endpoint + " gave no answer that belongs to it"
+		p.RetryAfter = 0
+	}
+	return nil, &p, false
+}
+
+// fail ends the call with a problem and stores what is known of its outcome.
+func (c *plainCall) fail(p *problem) {
+	if c.ticket != nil {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), storeTimeout)
+		defer cancel()
+		store := c.opts.Once.FinishUnknown
+		if p.NotRun {
+			store = c.opts.Once.NotRun
+		}
+		if err := store(ctx, c.ticket); err != nil {
+			c.opts.Stats.Inc(stats.OnceStoreFailed)
+		}
+	}
+	c.refuse(*p, audit.Event{
+		Other: c.service.Name,
+	})
+}
+
+// notReturned are headers of an answer that belong to the endpoint's connection.
+var notReturned = map[string]bool{
+	"Connection":        true,
+	"Content-Length":    true,
+	"Keep-Alive":        true,
+	"Transfer-Encoding": true,
+	"X-Request-Id":      true,
+}
+
+func (c *plainCall) deliver(a *engine.Answer) {
+	if c.ticket != nil {
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), storeTimeout)
+		err := c.opts.Once.Finish(ctx, c.ticket, once.Response{
+			Status: a.Status,
+			Header: map[string]string{
+				"Content-Type": a.Header.Get("Content-Type"),
+			},
+			Body: a.Body,
+		})
+		cancel()
+		if err != nil {
+			c.opts.Stats.Inc(stats.OnceStoreFailed)
+		}
+	}
+	h := c.w.Header()
+	for name, values := range a.Header {
+		if !notReturned[name] {
+			h[name] = values
+		}
+	}
+	h.Set("X-Request-Id", c.id)
+	c.w.WriteHeader(a.Status)
+	// The caller may be gone; the call has ended either way.
+	_, _ = c.w.Write(a.Body)
+	c.opts.Stats.Inc(stats.RequestsServed)
+	c.opts.Audit.Served(c.name(), false)
+}
--- /dev/null
+++ b/internal/entry/problem.go
@@ -0,0 +1,67 @@
+package entry
+
+import (
+	"encoding/json"
+	"math"
+	"net/http"
+	"strconv"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/audit"
+)
+
+// problem is an error that goes to a caller. Code is the name of the audit
+// reason, so that the response, the counters and the record agree.
+type problem struct {
+	Status     int
+	Reason     audit.Reason
+	Message    string
+	NotRun     bool
+	RetryAfter time.Duration
+}
+
+// errorBody is the shape of every error response.
+type errorBody struct {
+	Error errorDetail `json:"error"`
+}
+
+type errorDetail struct {
+	Code      string `json:"code"`
+	Message   string `json:"message"`
+	RequestID string `json:"request-id"`
+	// NotRun is set only where it is proved that nothing was carried out.
+	NotRun bool `json:"not-run,omitempty"`
+}
+
+func (p problem) body(requestID string) []byte {
+	data, err := json.Marshal(errorBody{
+		Error: errorDetail{
+			Code:      p.Reason.String(),
+			Message:   p.Message,
+			RequestID: requestID,
+			NotRun:    p.NotRun,
+		},
+	})
+	if err != nil {
+		return []byte(`{"error":{"code":"internal","message":"the error cannot be encoded"}}`)
+	}
+	return append(data, '\n')
+}
+
+func (p problem) write(w http.ResponseWriter, requestID string) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", requestID)
+	if p.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.FormatInt(int64(math.Ceil(p.RetryAfter.Seconds())), 10))
+	}
+	w.WriteHeader(p.Status)
+	// The caller may be gone; there is nobody left to tell.
+	_, _ = w.Write(p.body(requestID))
+}
+
+// event writes the problem as the last event of a stream.
+func (p problem) event(w http.ResponseWriter, requestID string) {
+	data := append([]byte("event: error\ndata: "), p.body(requestID)...)
+	_, _ = w.Write(append(data, '\n'))
+}
--- /dev/null
+++ b/internal/entry/server.go
@@ -0,0 +1,337 @@
+// Package entry answers callers over HTTP: completions of models, calls of
+// plain services, and the checks of a load balancer.
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"maps"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/fair"
+	"trefoildale.example/trefoildale/internal/keys"
+	"trefoildale.example/trefoildale/internal/limit"
+	"trefoildale.example/trefoildale/internal/once"
+	"trefoildale.example/trefoildale/internal/route"
+	"trefoildale.example/trefoildale/internal/stats"
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+// Admitter charges the tokens of a request to its workspace.
+type Admitter interface {
+	Admit(ctx context.Context, workspace string, tokens int64) (limit.Charge, error)
+}
+
+// Demand learns what callers ask for, so that the planner can place models.
+type Demand interface {
+	// Served counts a request that ended, with the tokens it used.
+	Served(s Usage)
+	// Wait reports a request that needs a model or adapter that is not
+	// resident, until done is called.
+	Wait(model, adapter string) (done func())
+	// Changed is closed when the layout changes next.
+	Changed() <-chan struct{}
+	// Use counts an adapter as in use at an endpoint until done is called.
+	Use(endpoint, model, adapter string) (done func())
+	// Suspect reports an endpoint whose answer contradicts the layout.
+	Suspect(endpoint string)
+}
+
+// Usage is what one request used.
+type Usage struct {
+	Model     string
+	Adapter   string
+	Workspace string
+	Tokens    int64
+	// OnTarget tells that the request met the latency target of its class.
+	OnTarget bool
+}
+
+// Options are what a Server works with. All fields but Limits are required.
+type Options struct {
+	// Node and Incarnation make request ids unique and lead back to this process.
+	Node        string
+	Incarnation uint64
+	Clock       clock.Clock
+	Gate        *keys.Gate
+	Admitter    Admitter
+	Routes      *route.Table
+	Picker      route.Picker
+	Engines     *engine.Client
+	Once        *once.Guard
+	Audit       *audit.Log
+	Stats       *stats.Set
+	Demand      Demand
+	Limits      Limits
+	// EndpointLimit is how many requests this process has at one endpoint.
+	EndpointLimit int
+}
+
+// Limits protect the process from single callers. Zero values mean the defaults.
+type Limits struct {
+	MaxBodyBytes int64
+	// StreamIdle ends a response whose caller takes nothing for this long.
+	StreamIdle time.Duration
+}
+
+// Server answers callers.
+type Server struct {
+	opts    Options
+	retries once.Policy
+	seq     atomic.Uint64
+	config  atomic.Pointer[view]
+	ready   atomic.Bool
+
+	mu      sync.Mutex
+	running map[string]context.CancelCauseFunc
+	queues  map[string]*fair.Gate
+}
+
+// view is a configuration with what handlers look up in it.
+type view struct {
+	index    *spec.Index
+	models   []string
+	services []*spec.Service
+}
+
+// New returns a Server that is not ready and has no configuration.
+func New(opts Options) *Server {
+	if opts.Limits.MaxBodyBytes == 0 {
+		opts.Limits.MaxBodyBytes = 8 << 20
+	}
+	if opts.Limits.StreamIdle == 0 {
+		opts.Limits.StreamIdle = 30 * time.Second
+	}
+	if opts.Picker == nil {
+		opts.Picker = opts.Routes
+	}
+	s := &Server{
+		opts:    opts,
+		retries: once.DefaultPolicy(),
+		running: make(map[string]context.CancelCauseFunc),
+		queues:  make(map[string]*fair.Gate),
+	}
+	s.SetConfig(spec.New())
+	return s
+}
+
+// SetConfig takes over a configuration.
+func (s *Server) SetConfig(c *spec.Config) {
+	v := &view{
+		index: c.Index(),
+	}
+	for i := range c.Services {
+		if c.Services[i].Kind == spec.KindPlain {
+			v.services = append(v.services, &c.Services[i])
+		}
+	}
+	for _, m := range c.Models {
+		v.models = append(v.models, m.Name)
+	}
+	slices.Sort(v.models)
+	s.config.Store(v)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	maps.DeleteFunc(s.queues, func(name string, _ *fair.Gate) bool {
+		return v.index.Endpoints[name] == nil
+	})
+}
+
+// SetReady tells the load balancer whether to send requests here.
+func (s *Server) SetReady(ready bool) {
+	s.ready.Store(ready)
+}
+
+// Ready reports what SetReady was last given.
+func (s *Server) Ready() bool {
+	return s.ready.Load()
+}
+
+// Running lists the ids of the requests that are being served.
+func (s *Server) Running() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.running))
+}
+
+// Cancel ends a request of this process and reports whether there was one.
+func (s *Server) Cancel(requestID string) bool {
+	s.mu.Lock()
+	cancel := s.running[requestID]
+	s.mu.Unlock()
+	if cancel == nil {
+		return false
+	}
+	cancel(errCancelled)
+	return true
+}
+
+// Handler returns the handler of the callers' address.
+func (s *Server) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/chat/completions", s.track(s.complete))
+	mux.HandleFunc("POST /v1/completions", s.track(s.complete))
+	mux.HandleFunc("GET /v1/models", s.track(s.listModels))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok\n"))
+	})
+	mux.HandleFunc("GET /readyz", s.readyz)
+	mux.HandleFunc("/", s.track(s.plain))
+	return mux
+}
+
+func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
+	if !s.ready.Load() {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// request is what the handlers of one request share.
+type request struct {
+	*Server
+	w       http.ResponseWriter
+	r       *http.Request
+	id      string
+	arrived time.Time
+	view    *view
+
+	verdict   keys.Verdict
+	workspace *spec.Workspace
+	secret    string
+	model     string
+}
+
+// track gives a request its id and keeps it in the list of running ones.
+func (s *Server) track(handle func(*request)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		ctx, cancel := context.WithCancelCause(r.Context())
+		defer cancel(nil)
+		q := &request{
+			Server:  s,
+			w:       w,
+			r:       r.WithContext(ctx),
+			id:      s.newID(),
+			arrived: s.opts.Clock.Now(),
+			view:    s.config.Load(),
+		}
+		s.mu.Lock()
+		s.running[q.id] = cancel
+		s.mu.Unlock()
+		defer func() {
+			s.mu.Lock()
+			delete(s.running, q.id)
+			s.mu.Unlock()
+		}()
+		s.opts.Stats.Inc(stats.RequestsStarted)
+		handle(q)
+	}
+}
+
+// newID returns an id that names this process, so that a cancel or a question
+// about the request finds its way from any node.
+func (s *Server) newID() string {
+	var b strings.Builder
+	b.WriteString(s.opts.Node)
+	b.WriteByte('.')
+	b.WriteString(strconv.FormatUint(s.opts.Incarnation, 32))
+	b.WriteByte('.')
+	b.WriteString(strconv.FormatUint(s.seq.Add(1), 32))
+	return b.String()
+}
+
+// OwnerOf returns the node and incarnation that an id of newID names.
+func OwnerOf(requestID string) (node string, incarnation uint64, ok bool) {
+	// A node's name may contain dots.
+	rest, _, ok1 := cutLast(requestID)
+	node, number, ok2 := cutLast(rest)
+	n, err := strconv.ParseUint(number, 32, 64)
+	return node, n, ok1 && ok2 && err == nil && node != ""
+}
+
+func cutLast(s string) (before, after string, ok bool) {
+	i := strings.LastIndexByte(s, '.')
+	if i < 0 {
+		return s, "", false
+	}
+	return s[:i], s[i+1:], true
+}
+
+// refuse answers with a problem before anything was delivered, and records it.
+func (q *request) refuse(p problem, e audit.Event) {
+	q.note(p, e)
+	p.write(q.w, q.id)
+}
+
+// note records a problem.
+func (q *request) note(p problem, e audit.Event) {
+	e.Reason = p.Reason
+	e.Request = q.id
+	e.NotRun = p.NotRun
+	e.RetryAfter = p.RetryAfter
+	if q.workspace != nil {
+		e.Workspace = q.workspace.Name
+	}
+	if e.Model == "" {
+		e.Model = q.model
+	}
+	q.opts.Audit.Record(e)
+	switch p.Reason.Kind() {
+	case audit.KindRefusal:
+		q.opts.Stats.Inc(stats.RequestsRefused)
+	default:
+		q.opts.Stats.Inc(stats.RequestsFailed)
+	}
+}
+
+// queue returns the fair queue in front of an endpoint.
+func (s *Server) queue(endpoint string) *fair.Gate {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	g := s.queues[endpoint]
+	if g == nil {
+		g = fair.NewGate(s.opts.Clock, fair.Options{
+			Limit: s.opts.EndpointLimit,
+		})
+		s.queues[endpoint] = g
+	}
+	return g
+}
+
+func (s *Server) listModels(q *request) {
+	if !q.authenticate() {
+		return
+	}
+	type item struct {
+		ID     string `json:"id"`
+		Object string `json:"object"`
+	}
+	out := struct {
+		Object string `json:"object"`
+		Data   []item `json:"data"`
+	}{
+		Object: "list",
+		Data:   make([]item, 0, len(q.view.models)),
+	}
+	for _, name := range q.view.models {
+		out.Data = append(out.Data, item{
+			ID:     name,
+			Object: "model",
+		})
+	}
+	q.w.Header().Set("Content-Type", "application/json")
+	q.w.Header().Set("X-Request-Id", q.id)
+	// The caller may be gone; there is nobody left to tell.
+	_ = json.NewEncoder(q.w).Encode(out)
+	s.opts.Stats.Inc(stats.RequestsServed)
+}
--- /dev/null
+++ b/internal/entry/stream.go
@@ -0,0 +1,207 @@
+package entry
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/keys"
+	"trefoildale.example/trefoildale/internal/route"
+	"trefoildale.example/trefoildale/internal/stats"
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+// The latency targets: 95 in 100 requests get the first token within
+// firstTokenTarget, and 95 in 100 tokens follow within tokenGapTarget.
+const (
+	firstTokenTarget = 1500 * time.Millisecond
+	tokenGapTarget   = 48 * time.Millisecond
+	slowShare        = 0.05
+)
+
+// maxResumes bounds how often one stream is resumed, so that an endpoint that
+// breaks every connection does not hold a request for ever.
+const maxResumes = 3
+
+// timing follows the tokens of one request.
+type timing struct {
+	series     *stats.Series
+	firstToken time.Duration
+	last       time.Time
+	gaps       int64
+	slow       int64
+}
+
+func (t *timing) token(arrived, now time.Time) {
+	if t.last.IsZero() {
+		t.firstToken = now.Sub(arrived)
+		t.series.FirstToken(t.firstToken)
+	} else {
+		gap := now.Sub(t.last)
+		t.series.TokenGap(gap)
+		t.gaps++
+		if gap > tokenGapTarget {
+			t.slow++
+		}
+	}
+	t.last = now
+}
+
+// onTarget reports whether the request met the target of its class. Deferrable
+// requests have none.
+func (t *timing) onTarget(class spec.Class) bool {
+	if class == spec.ClassDeferrable {
+		return true
+	}
+	return t.firstToken <= firstTokenTarget && float64(t.slow) <= slowShare*float64(t.gaps)
+}
+
+// errSlowClient means that the caller did not take the response in time.
+var errSlowClient = errors.New("entry: caller takes too long")
+
+// send sends the request to the chosen endpoint and delivers the answer.
+func (c *completion) send(choice route.Choice) error {
+	c.timing.series = c.opts.Stats.Series(c.workspaceName(), c.class)
+	header := http.Header{}
+	header.Set("Content-Type", "application/json")
+	header.Set("X-Priority", string(c.class))
+	if c.adapter != "" {
+		header.Set("X-Adapter", c.adapter)
+	}
+	call := engine.Call{
+		Address:   choice.Address,
+		Method:    http.MethodPost,
+		Path:      c.r.URL.Path,
+		Header:    header,
+		Body:      c.body,
+		RequestID: c.id,
+	}
+	if c.in.Stream {
+		return c.sendStream(call)
+	}
+	return c.sendWhole(call)
+}
+
+func (c *completion) sendWhole(call engine.Call) error {
+	answer, err := c.opts.Engines.Complete(c.ctx, call)
+	if err != nil {
+		return err
+	}
+	c.timing.token(c.arrived, c.opts.Clock.Now())
+	c.settleUsage(answer.Usage)
+	h := c.w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("X-Request-Id", c.id)
+	c.delivered = true
+	// A caller that is gone has nobody to tell; the answer was complete.
+	_, _ = c.w.Write(answer.Body)
+	return nil
+}
+
+// settleUsage notes what the answer used. Without a report all that was charged
+// counts as used.
+func (c *completion) settleUsage(u *engine.Usage) {
+	c.used = c.tokens
+	if u != nil {
+		c.used = min(c.tokens, u.PromptTokens+u.CompletionTokens)
+		c.opts.Stats.Add(stats.TokensGenerated, u.CompletionTokens)
+	}
+}
+
+func (c *completion) sendStream(call engine.Call) error {
+	// Until the end is reported, what was delivered counts as used.
+	stream, err := c.opts.Engines.Stream(c.ctx, call)
+	if err != nil {
+		return err
+	}
+	out := http.NewResponseController(c.w)
+	for resumes := 0; ; resumes++ {
+		err = c.forward(stream, out)
+		last := stream.Last()
+		stream.Close()
+		var broken *engine.BrokenError
+		if err == nil || !errors.As(err, &broken) || !c.delivered || c.ctx.Err() != nil || resumes == maxResumes {
+			return err
+		}
+		stream, err = c.opts.Engines.Resume(c.ctx, call.Address, c.id, last)
+		if err != nil {
+			return err
+		}
+		c.opts.Stats.Inc(stats.StreamsResumed)
+		c.opts.Audit.Record(audit.Event{
+			Reason:    audit.StreamResumed,
+			Request:   c.id,
+			Workspace: c.workspaceName(),
+			Model:     c.model,
+			Count:     last,
+		})
+	}
+}
+
+// forward delivers events until the end of the stream.
+func (c *completion) forward(stream *engine.Stream, out *http.ResponseController) error {
+	for {
+		ev, err := stream.Next()
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+		if c.workspace != nil {
+			switch c.opts.Gate.Still(c.verdict) {
+			case keys.Withdrawn:
+				c.cancel(errWithdrawn)
+				return errWithdrawn
+			case keys.NotFresh:
+				c.cancel(errLapsed)
+				return errLapsed
+			}
+		}
+		if err := c.deliver(ev, out, !stream.Buffered()); err != nil {
+			return err
+		}
+	}
+}
+
+func (c *completion) deliver(ev engine.Event, out *http.ResponseController, flush bool) error {
+	now := c.opts.Clock.Now()
+	if !c.delivered {
+		h := c.w.Header()
+		h.Set("Content-Type", "text/event-stream")
+		h.Set("Cache-Control", "no-store")
+		h.Set("X-Request-Id", c.id)
+		c.w.WriteHeader(http.StatusOK)
+		c.delivered = true
+		c.used = c.in.PromptTokens()
+	}
+	if ev.Token > 0 {
+		c.timing.token(c.arrived, now)
+		c.used = min(c.tokens, c.used+1)
+	}
+	if ev.Usage != nil {
+		c.settleUsage(ev.Usage)
+	}
+	if err := out.SetWriteDeadline(time.Now().Add(c.opts.Limits.StreamIdle)); err != nil && !errors.Is(err, http.ErrNotSupported) {
+		return err
+	}
+	_, err := c.w.Write(ev.Raw)
+	if err == nil && flush {
+		err = out.Flush()
+	}
+	if err == nil {
+		return nil
+	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.opts.Stats.Inc(stats.StreamsSlow)
+		c.cancel(errSlowClient)
+		return errSlowClient
+	}
+	// The write failed because the caller went away.
+	c.cancel(err)
+	return err
+}
--- a/internal/stats/counter.go
+++ b/internal/stats/counter.go
@@ -151,21 +151,29 @@
 	return s.counters[c].Load()
 }
 
-// Publish makes the set visible in expvar as one variable for each subject,
-// and "latency" for the histograms. Names in expvar are global to the process,
-// so that a process publishes one Set, once.
+// Publish makes the set visible in expvar as one variable for each subject, and
+// "latency" for the histograms. Names in expvar are global to the process, so
+// that a process publishes one Set, once.
 func (s *Set) Publish() {
+	for subject, m := range s.Groups() {
+		expvar.Publish(subject, m)
+	}
+	expvar.Publish("latency", s.Latency())
+}
+
+// Groups returns the counters as one variable for each subject.
+func (s *Set) Groups() map[string]*expvar.Map {
 	subjects := map[string]*expvar.Map{}
 	for c := range numCounters {
 		l := labels[c]
 		m, ok := subjects[l.subject]
 		if !ok {
-			m = expvar.NewMap(l.subject)
+			m = new(expvar.Map)
 			subjects[l.subject] = m
 		}
 		m.Set(l.name, expvar.Func(func() any { return s.Value(c) }))
 	}
-	expvar.Publish("latency", s.Latency())
+	return subjects
 }
 
 // Labels counts by a label from a fixed list, such as the reason of a refusal.
