--- a/internal/strict/strict.go
+++ b/internal/strict/strict.go
@@ -97,6 +97,10 @@
 			at.Line = n
 		}
 		text = strings.Replace(text, m[0], "", 1)
+		if strings.HasPrefix(text, "did not find expected") {
+			// The library counts the lines of these errors from 0.
+			at.Line++
+		}
 	}
 	d.add(at, "", text)
 }
--- a/pkg/spec/check.go
+++ b/pkg/spec/check.go
@@ -1,9 +1,6 @@
 package spec
 
-import (
-	"math"
-	"regexp"
-)
+import "math"
 
 // Check returns everything that is wrong with the configuration. Fields with
 // their zero value count as having their default.
@@ -43,7 +40,16 @@
 
 // Names are kebab case; dots are allowed because the names of models have
 // version numbers in them.
-var nameForm = regexp.MustCompile(`^[a-z0-9]([a-z0-9.-]*[a-z0-9])?$`)
+func isName(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		inner := (c == '.' || c == '-') && i > 0 && i < len(s)-1
+		if !inner && (c < 'a' || c > 'z') && (c < '0' || c > '9') {
+			return false
+		}
+	}
+	return true
+}
 
 const maxName = 64
 
@@ -53,7 +59,7 @@
 		s.add(field, "is missing")
 	case len(name) > maxName:
 		s.add(field, "is longer than %d characters", maxName)
-	case !nameForm.MatchString(name):
+	case !isName(name):
 		s.add(field, "%q is not in kebab case (a-z, 0-9, dots and hyphens)", name)
 	}
 }
--- a/pkg/spec/finding.go
+++ b/pkg/spec/finding.go
@@ -66,21 +66,30 @@
 	})
 }
 
-// scope adds findings about one item.
+// scope adds findings about one item. Its texts are made only when there is a
+// finding: a check looks at thousands of items.
 type scope struct {
-	all  *Findings
-	path string
-	item string
+	all     *Findings
+	section string
+	// i is the place of the item in its section, -1 where the section is no list.
+	i    int
+	item Ref
+	// sub is the path within the item, for lists in items.
+	sub string
 }
 
-func (c *checker) scope(section string, i int, kind Kind, name string) scope {
-	return scope{all: &c.findings, path: section + "[" + strconv.Itoa(i) + "]", item: string(kind) + " " + name}
+func (k *checker) scope(section string, i int, kind Kind, name string) scope {
+	return scope{all: &k.findings, section: section, i: i, item: Ref{Kind: kind, Name: name}}
 }
 
 func (s scope) add(field, format string, args ...any) {
-	path := s.path
+	path := s.section
+	if s.i >= 0 {
+		path += "[" + strconv.Itoa(s.i) + "]"
+	}
+	path += s.sub
 	if field != "" {
 		path += "." + field
 	}
-	*s.all = append(*s.all, Finding{Path: path, Item: s.item, Text: fmt.Sprintf(format, args...)})
+	*s.all = append(*s.all, Finding{Path: path, Item: s.item.String(), Text: fmt.Sprintf(format, args...)})
 }
--- a/pkg/spec/limits.go
+++ b/pkg/spec/limits.go
@@ -37,7 +37,7 @@
 func (k *checker) limits() {
 	l := k.c.Limits
 	l.fill()
-	s := scope{all: &k.findings, path: "limits", item: string(KindOfLimits)}
+	s := k.scope("limits", -1, KindOfLimits, "")
 	if l.MinShareTokens < 0 {
 		s.add("min-share-tokens", "is below zero")
 	}
--- a/pkg/spec/services.go
+++ b/pkg/spec/services.go
@@ -75,7 +75,7 @@
 	seen := make(map[[2]string]bool, len(methods))
 	for j, m := range methods {
 		at := s
-		at.path = s.path + ".methods" + "[" + itoa(j) + "]"
+		at.sub = ".methods[" + itoa(j) + "]"
 		if !methodForm.MatchString(m.Method) {
 			at.add("method", "%q is not an HTTP method", m.Method)
 		}
