feed: test the log with racing operators and lost answers

Cause: nothing showed that the log is one sequence, that an operation takes effect at most once and that each operator is told the truth.

--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -79,13 +79,13 @@
 	table   store.Table
 	objects store.Objects
 	clock   clock.Clock
-	// blind leaves out the read-back after a lost answer. Only tests set it.
-	blind bool
+	// every is the number of revisions from snapshot to snapshot.
+	every int64
 }
 
 // NewLog returns a Log on the platform's table and objects.
 func NewLog(table store.Table, objects store.Objects, c clock.Clock) *Log {
-	return &Log{table: table, objects: objects, clock: c}
+	return &Log{table: table, objects: objects, clock: c, every: snapshotEvery}
 }
 
 // Poll reads the revisions above held, at most one page of them. At is set when
@@ -236,7 +236,7 @@
 	}
 	done, err := a.run(ctx)
 	a.read.Latest = a.state.Revision()
-	if err == nil && !done.Repeated && done.Revision%snapshotEvery == 0 {
+	if err == nil && !done.Repeated && done.Revision%l.every == 0 {
 		done.SnapshotErr = l.Snapshot(ctx, a.state.Config)
 	}
 	return done, a.read, err
@@ -355,7 +355,7 @@
 		if _, err = a.log.table.Insert(ctx, rowKey(e.Revision), e.Row); err == nil || errors.Is(err, store.ErrConflict) {
 			return err
 		}
-		if errors.Is(err, store.ErrUnavailable) && try == 0 || a.log.blind {
+		if errors.Is(err, store.ErrUnavailable) && try == 0 {
 			return err
 		}
 		row, readErr := a.log.table.Get(ctx, rowKey(e.Revision))
--- /dev/null
+++ b/internal/feed/log_test.go
@@ -0,0 +1,419 @@
+package feed_test
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"maps"
+	"os"
+	"reflect"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/feed"
+	"trefoildale.example/trefoildale/internal/store"
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+// A fixed seed gives CI the same verdict each time; -rapid.seed overrides it.
+func TestMain(m *testing.M) {
+	for name, value := range map[string]string{"rapid.seed": "20260104", "rapid.checks": "300", "rapid.steps": "60"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// recorder takes the place of a test that is expected to fail.
+type recorder struct {
+	*testing.T
+	failed bool
+	text   strings.Builder
+}
+
+func (r *recorder) Errorf(format string, args ...any) {
+	r.failed = true
+	fmt.Fprintf(&r.text, format+"\n", args...)
+}
+func (r *recorder) Logf(format string, args ...any)   { fmt.Fprintf(&r.text, format+"\n", args...) }
+func (r *recorder) Log(args ...any)                   { fmt.Fprintln(&r.text, args...) }
+func (r *recorder) Fatalf(format string, args ...any) { r.Errorf(format, args...); runtime.Goexit() }
+func (r *recorder) Failed() bool                      { return r.failed }
+func (r *recorder) FailNow()                          { r.failed = true; runtime.Goexit() }
+func (r *recorder) Fail()                             { r.failed = true }
+
+// mustFail runs a check with its mechanism switched off. A check that passes
+// then proves nothing.
+func mustFail(t *testing.T, check func(rapid.TB)) {
+	t.Helper()
+	for name, value := range map[string]string{"rapid.nofailfile": "true", "rapid.shrinktime": "1s"} {
+		old := flag.Lookup(name).Value.String()
+		defer flag.Set(name, old)
+		if err := flag.Set(name, value); err != nil {
+			t.Fatal(err)
+		}
+	}
+	r := &recorder{T: t}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		check(r)
+	}()
+	<-done
+	if !r.failed {
+		t.Error("the check passes with the mechanism switched off")
+	}
+	t.Log(r.text.String())
+}
+
+// table is a platform whose answers get lost. A write without an answer may
+// take effect at once, later, or never.
+type table struct {
+	rows    map[string]store.Row
+	objects map[string][]byte
+	down    bool
+	late    []func()
+	// draw chooses a fault; nil means none.
+	draw func(faults ...string) string
+	// between runs before each request, for operators that race.
+	between func()
+}
+
+func newTable() *table { return &table{rows: map[string]store.Row{}, objects: map[string][]byte{}} }
+
+func (p *table) fault(kinds ...string) string {
+	if p.between != nil {
+		p.between()
+	}
+	if p.down {
+		return "down"
+	}
+	if p.draw == nil {
+		return "none"
+	}
+	return p.draw(kinds...)
+}
+
+func (p *table) read() error {
+	if f := p.fault("none", "none", "none", "down"); f != "none" {
+		return store.ErrUnavailable
+	}
+	return nil
+}
+
+func (p *table) write(do func() error) error {
+	switch p.fault("none", "none", "none", "down", "lost", "late", "never") {
+	case "down":
+		return store.ErrUnavailable
+	case "lost":
+		_ = do()
+		return fmt.Errorf("insert: %w", store.ErrUnknown)
+	case "late":
+		p.late = append(p.late, func() { _ = do() })
+		return store.ErrUnknown
+	case "never":
+		return store.ErrUnknown
+	}
+	return do()
+}
+
+func (p *table) Get(_ context.Context, key string) (store.Row, error) {
+	if err := p.read(); err != nil {
+		return store.Row{}, err
+	}
+	row, ok := p.rows[key]
+	if !ok {
+		return store.Row{}, store.ErrAbsent
+	}
+	return row, nil
+}
+
+func (p *table) Insert(_ context.Context, key string, value []byte) (store.Row, error) {
+	row := store.Row{Key: key, Value: value, Version: 1}
+	return row, p.write(func() error {
+		if _, ok := p.rows[key]; ok {
+			return store.ErrConflict
+		}
+		p.rows[key] = row
+		return nil
+	})
+}
+
+func (p *table) Update(_ context.Context, key string, value []byte, version int64) (store.Row, error) {
+	row := store.Row{Key: key, Value: value, Version: version + 1}
+	return row, p.write(func() error {
+		if p.rows[key].Version != version {
+			return store.ErrConflict
+		}
+		p.rows[key] = row
+		return nil
+	})
+}
+
+func (p *table) Delete(context.Context, string, int64) error { return errors.New("not used") }
+
+func (p *table) Scan(_ context.Context, prefix, after string, limit int) ([]store.Row, error) {
+	if err := p.read(); err != nil {
+		return nil, err
+	}
+	var out []store.Row
+	for _, key := range slices.Sorted(maps.Keys(p.rows)) {
+		if strings.HasPrefix(key, prefix) && key > after && len(out) < limit {
+			out = append(out, p.rows[key])
+		}
+	}
+	return out, nil
+}
+
+type objects struct{ *table }
+
+func (o objects) Put(_ context.Context, key string, value []byte) error {
+	return o.write(func() error {
+		o.objects[key] = value
+		return nil
+	})
+}
+
+func (o objects) Get(_ context.Context, key string) ([]byte, error) {
+	if err := o.read(); err != nil {
+		return nil, err
+	}
+	data, ok := o.objects[key]
+	if !ok {
+		return nil, store.ErrAbsent
+	}
+	return data, nil
+}
+
+// logRow returns the change in a row of the log, read as another program would.
+func logRow(p *table, revision int64) (spec.Change, bool) {
+	row, ok := p.rows[fmt.Sprintf("config/%012d", revision)]
+	if !ok {
+		return spec.Change{}, false
+	}
+	e := feed.Entry{Revision: revision, Row: row.Value}
+	if err := e.Validate(); err != nil {
+		panic(err)
+	}
+	return *e.Change(), true
+}
+
+// operation is one operator's change and what the operator was told.
+type operation struct {
+	change  spec.Change
+	at      int64
+	refused bool
+	unknown bool
+}
+
+// operators is the world of the log: several operators at several nodes.
+type operators struct {
+	t     *rapid.T
+	p     *table
+	log   *feed.Log
+	views []*feed.View
+	ops   []*operation
+	depth int
+	// freshIDs makes repeats use a new operation id.
+	freshIDs bool
+}
+
+func (w *operators) submit() {
+	n := rapid.IntRange(0, len(w.views)-1).Draw(w.t, "node")
+	base := rapid.Int64Range(max(0, w.views[n].Revision()-2), w.views[n].Revision()).Draw(w.t, "base")
+	name := fmt.Sprintf("w%d", rapid.IntRange(0, 3).Draw(w.t, "workspace"))
+	o := &operation{change: spec.Change{OpID: fmt.Sprintf("%d-op%d", base, len(w.ops)), Author: "t", Base: base}}
+	if rapid.IntRange(0, 3).Draw(w.t, "delete") == 0 {
+		o.change.Deletes = []spec.Ref{{Kind: spec.KindOfWorkspace, Name: name}}
+	} else {
+		o.change.Puts = []spec.Item{{Workspace: &spec.Workspace{Name: name, RateTokensPerSecond: float64(len(w.ops)), BurstTokens: 9}}}
+	}
+	w.ops = append(w.ops, o)
+	w.attempt(o, n)
+}
+
+func (w *operators) attempt(o *operation, n int) {
+	c := o.change
+	if w.freshIDs && o.unknown {
+		c.OpID += "-again"
+	}
+	done, read, err := w.log.Append(context.Background(), w.views[n].State(), c)
+	if _, bad := w.views[n].Take(read); bad != nil {
+		w.t.Fatalf("take after append: %v", bad)
+	}
+	var refused *feed.Refused
+	var conflict *feed.Conflict
+	var unavailable *feed.Unavailable
+	var unknown *feed.Unknown
+	switch {
+	case err == nil:
+		o.at = done.Revision
+	case errors.As(err, &refused):
+		o.refused = true
+	case errors.As(err, &conflict):
+		o.refused = true
+		if won, ok := logRow(w.p, conflict.Revision); !ok || conflict.Revision <= c.Base || !won.Touches(&c) {
+			w.t.Fatalf("conflict names revision %d, which does not conflict: %+v", conflict.Revision, won)
+		}
+	case errors.As(err, &unavailable):
+		// Without an earlier unknown outcome this is a refusal as well.
+		o.refused = !o.unknown
+	case errors.As(err, &unknown):
+		o.unknown = true
+	default:
+		w.t.Fatalf("untyped error: %v", err)
+	}
+}
+
+func (w *operators) repeat() {
+	for _, o := range w.ops {
+		if o.unknown && o.at == 0 && !o.refused {
+			w.attempt(o, rapid.IntRange(0, len(w.views)-1).Draw(w.t, "node"))
+			return
+		}
+	}
+}
+
+func (w *operators) check() {
+	seen := map[string]int64{}
+	configs := []*spec.Config{spec.New()}
+	for n := int64(1); ; n++ {
+		c, ok := logRow(w.p, n)
+		if !ok {
+			break
+		}
+		id := strings.TrimSuffix(c.OpID, "-again")
+		if seen[id] != 0 {
+			w.t.Fatalf("operation %s took effect in revisions %d and %d", id, seen[id], n)
+		}
+		seen[id] = n
+		next, findings := configs[n-1].Apply(c)
+		if findings != nil {
+			w.t.Fatalf("revision %d breaks a rule: %v", n, findings)
+		}
+		configs = append(configs, next)
+	}
+	for _, o := range w.ops {
+		if at := seen[o.change.OpID]; o.at != 0 && at != o.at || o.refused && at != 0 {
+			w.t.Fatalf("operation %s is in revision %d, its operator was told revision %d, refused %v", o.change.OpID, at, o.at, o.refused)
+		}
+	}
+	for i, v := range w.views {
+		if want := configs[v.Revision()]; !reflect.DeepEqual(v.Config(), want) {
+			w.t.Fatalf("node %d at revision %d holds %+v, want %+v", i, v.Revision(), v.Config(), want)
+		}
+	}
+}
+
+func race(t rapid.TB, wrap func(store.Table) store.Table, freshIDs bool) {
+	rapid.Check(t, func(t *rapid.T) {
+		p := newTable()
+		w := &operators{t: t, p: p, freshIDs: freshIDs}
+		p.draw = func(faults ...string) string { return rapid.SampledFrom(faults).Draw(t, "fault") }
+		p.between = func() {
+			// Another operator comes first at times, and a late write arrives.
+			if len(p.late) > 0 && rapid.IntRange(0, 3).Draw(t, "late") == 0 {
+				late := p.late[0]
+				p.late = p.late[1:]
+				late()
+			}
+			if w.depth == 0 && rapid.IntRange(0, 5).Draw(t, "race") == 0 {
+				w.depth++
+				w.submit()
+				w.depth--
+			}
+		}
+		w.log = feed.NewLog(wrap(p), objects{table: p}, clock.NewFake())
+		w.log.SetSnapshotEvery(3)
+		for range 3 {
+			w.views = append(w.views, feed.NewView())
+		}
+		any := func() int { return rapid.IntRange(0, len(w.views)-1).Draw(t, "node") }
+		t.Repeat(map[string]func(*rapid.T){
+			"submit": func(*rapid.T) { w.submit() },
+			"repeat": func(*rapid.T) { w.repeat() },
+			"outage": func(*rapid.T) { p.down = !p.down },
+			"poll": func(t *rapid.T) {
+				v := w.views[any()]
+				before := v.Revision()
+				r, err := w.log.Poll(context.Background(), before)
+				if _, bad := v.Take(r); err == nil && (bad != nil || v.Revision() < before) {
+					t.Fatalf("went from revision %d to %d: %v", before, v.Revision(), bad)
+				}
+			},
+			"old": func(t *rapid.T) {
+				// An answer to an earlier request arrives after newer ones.
+				from := w.views[any()].State()
+				entries, _ := from.After(max(0, from.Revision()-2))
+				v := w.views[any()]
+				before := v.Revision()
+				_, _ = v.Take(feed.Read{Snapshot: from.Config, Entries: entries})
+				if v.Revision() < before {
+					t.Fatalf("went back from revision %d to %d", before, v.Revision())
+				}
+			},
+			"restart": func(t *rapid.T) {
+				r, err := w.log.Start(context.Background())
+				if err != nil {
+					return
+				}
+				v := feed.NewView()
+				if _, err := v.Take(r); err != nil {
+					t.Fatal(err)
+				}
+				w.views[any()] = v
+			},
+			"": func(*rapid.T) { w.check() },
+		})
+		// In the end every write arrives and every operator learns the outcome.
+		p.draw, p.between, p.down = nil, nil, false
+		for _, late := range p.late {
+			late()
+		}
+		for _, o := range w.ops {
+			if o.at == 0 && !o.refused {
+				w.attempt(o, 0)
+			}
+			if o.at == 0 && !o.refused {
+				t.Fatalf("operation %s stays unsettled", o.change.OpID)
+			}
+		}
+		w.check()
+	})
+}
+
+func identity(t store.Table) store.Table { return t }
+
+// Guards against two sequences of revisions, an operation that takes effect
+// twice, and an operator who is told something untrue.
+func TestOperatorsRace(t *testing.T) { race(t, identity, false) }
+
+// noReadBack takes a lost answer for a write that did not happen.
+type noReadBack struct{ store.Table }
+
+func (n noReadBack) Insert(ctx context.Context, key string, value []byte) (store.Row, error) {
+	row, err := n.Table.Insert(ctx, key, value)
+	if errors.Is(err, store.ErrUnknown) {
+		err = store.ErrUnavailable
+	}
+	return row, err
+}
+
+// Shows that TestOperatorsRace notices an append without read-back.
+func TestOperatorsRaceNoticesMissingReadBack(t *testing.T) {
+	mustFail(t, func(t rapid.TB) {
+		race(t, func(t store.Table) store.Table { return noReadBack{Table: t} }, false)
+	})
+}
+
+// Shows that TestOperatorsRace notices a repeat that is taken for a new operation.
+func TestOperatorsRaceNoticesNewOperationIDs(t *testing.T) {
+	mustFail(t, func(t rapid.TB) { race(t, identity, true) })
+}
--- a/internal/feed/sync.go
+++ b/internal/feed/sync.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"trefoildale.example/trefoildale/pkg/spec"
@@ -33,16 +34,32 @@
 	// Known is the highest revision that the node has heard of or has written.
 	Known int64 `cbor:"4,keyasint,omitempty"`
 	Mark  Mark  `cbor:"5,keyasint"`
-	// Relay asks for the states of all domains and, within a domain, of all
-	// nodes; other nodes get their summary.
-	Relay bool `cbor:"6,keyasint,omitempty"`
+	Scope Scope `cbor:"6,keyasint,omitempty"`
 }
 
+// Scope says how much of what it knows the relay answers with.
+type Scope uint8
+
+// The scopes.
+const (
+	// ScopeSummary is for nodes that are not relays.
+	ScopeSummary Scope = iota
+	// ScopeDomain adds the word of the relay's own domain; it is for relays of
+	// other domains.
+	ScopeDomain
+	// ScopeFleet adds the words of all domains, and of all nodes for a relay of
+	// the same domain. It also reaches domains that the asker is cut off from,
+	// at 30 times the size at the design size.
+	ScopeFleet
+)
+
 // Validate checks a decoded message.
 func (a *Ask) Validate() error {
 	switch {
 	case a.Held < 0 || a.Known < 0:
 		return fmt.Errorf("feed: ask: revision below zero")
+	case a.Scope > ScopeFleet:
+		return fmt.Errorf("feed: ask: no scope %d", a.Scope)
 	case !nameOK(a.Node) || !nameOK(a.Domain):
 		return fmt.Errorf("feed: ask: name is empty or longer than %d", maxName)
 	}
@@ -188,7 +205,11 @@
 	if at, highest, ok := r.Fleet.Quiet(r.Domains); ok {
 		out.QuietAge, out.QuietHighest = ageOf(now, at), highest
 	}
-	if a.Relay {
+	switch a.Scope {
+	case ScopeSummary:
+	case ScopeDomain:
+		out.Domains = slices.DeleteFunc(r.Fleet.States(now), func(s DomainState) bool { return s.Domain != r.Members.domain })
+	case ScopeFleet:
 		out.Domains = r.Fleet.States(now)
 		if own {
 			out.Members = r.Members.States(now)
