--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -104,7 +104,6 @@
 	write   int64
 	sent    time.Time
 	version int64
-	release bool
 }
 
 // Lease is the state of one candidate. It has no goroutine and does no I/O.
@@ -125,31 +124,34 @@
 	held   bool // the row names this incarnation
 	lapsed bool
 
-	writes   int64
-	pending  []pendingWrite
+	writes  int64
+	pending []pendingWrite
+	// released is the highest version that a give-back was sent for. While the
+	// row has this version, a late give-back may still free it.
+	released int64
 	mustRead bool
 	next     time.Time
 	quit     bool
-	given    bool
 }
 
 // New returns a candidate that has not seen the row.
 func New(set Settings) *Lease {
 	return &Lease{
-		set: set,
+		set:      set,
+		released: -1,
 	}
 }
 
 // Valid reports whether the lease may be used at now, a time of the candidate's
 // own clock. A caller checks it directly before each use.
 func (l *Lease) Valid(now time.Time) bool {
-	return l.held && !l.quit && now.Before(l.until)
+	return l.held && !l.quit && l.released < l.version && now.Before(l.until)
 }
 
 // Until is the end of validity on the candidate's own clock. It is zero when
 // the lease is not held.
 func (l *Lease) Until() time.Time {
-	if !l.held || l.quit {
+	if !l.held || l.quit || l.released >= l.version {
 		return time.Time{}
 	}
 	return l.until
@@ -173,8 +175,9 @@
 // Released reports whether the row was given back or was never held.
 func (l *Lease) Released() bool { return l.quit && !l.held && len(l.pending) == 0 }
 
-// Resume makes the candidate compete again after Release.
-func (l *Lease) Resume() { l.quit, l.given = false, false }
+// Resume makes the candidate compete again after Release. If a give-back was
+// sent, the lease is valid again only after a later write of this candidate.
+func (l *Lease) Resume() { l.quit = false }
 
 // Next returns the request that is due at now.
 func (l *Lease) Next(now time.Time) Op {
@@ -219,8 +222,12 @@
 	if !l.exists || l.rec.Holder == "" {
 		return true
 	}
-	wait := l.rec.Term + time.Duration(float64(l.rec.Term)*Margin)
-	return !now.Before(l.seenAt.Add(wait))
+	return !now.Before(l.seenAt.Add(wait(l.rec)))
+}
+
+// wait is how long a row must stay unchanged before another process takes it.
+func wait(rec Record) time.Duration {
+	return rec.Term + time.Duration(float64(rec.Term)*Margin)
 }
 
 func (l *Lease) write(release bool) Op {
@@ -258,11 +265,13 @@
 	if op.Kind != OpInsert && op.Kind != OpUpdate {
 		return
 	}
+	if op.release {
+		l.released = max(l.released, op.Version)
+	}
 	l.pending = append(l.pending, pendingWrite{
 		write:   op.write,
 		sent:    now,
 		version: op.Version,
-		release: op.release,
 	})
 	if len(l.pending) > maxPending {
 		l.pending = l.pending[1:]
@@ -307,7 +316,18 @@
 		return Event{}, nil
 	}
 	l.mustRead = false
-	return l.observe(now, row.Version, rec), nil
+	if rec.Holder == "" {
+		// A lease that was given back is taken without waiting.
+		l.next = time.Time{}
+	}
+	ev := l.observe(now, row.Version, rec)
+	if !l.held && rec.Holder != "" {
+		// The row is taken as soon as it may be, not at the next read after it.
+		if end := l.seenAt.Add(wait(rec)); end.Before(l.next) {
+			l.next = end
+		}
+	}
+	return ev, nil
 }
 
 // observe takes over what the row holds at a version.
@@ -329,7 +349,7 @@
 		return Event{}
 	}
 	if rec.Holder == "" {
-		l.held, l.until, l.given = false, time.Time{}, true
+		l.held, l.until = false, time.Time{}
 		l.settle(version)
 		return Event{
 			Kind:     EventGiven,
