once: fuzz the guard against an at-most-once oracle

The guard had no test. A stateful fuzz runs three nodes over a table that loses answers before or after the write, applies writes late, or is down, with kills and other arrivals inside each table operation, pauses, and expiry of rows. Oracle: at most one run within the retention, no 'not run' said of a request that ran, a replayed response is the one of the run.

--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -203,9 +203,6 @@
 	// pending holds the outcome that this process knows of a claim which the
 	// table still shows, by attempt.
 	pending map[string]pending
-
-	// skipReadBack takes a lost answer for a failure. Only tests set it.
-	skipReadBack bool
 }
 
 type pending struct {
@@ -272,9 +269,6 @@
 		}
 		if !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrAbsent) {
 			wrote = true
-			if g.skipReadBack {
-				break
-			}
 		}
 		found, err := g.Table.Get(ctx, key)
 		if errors.Is(err, store.ErrAbsent) {
@@ -430,7 +424,7 @@
 			return nil
 		}
 		cause = err
-		if errors.Is(err, store.ErrUnavailable) || g.skipReadBack {
+		if errors.Is(err, store.ErrUnavailable) {
 			break
 		}
 		found, err := g.Table.Get(ctx, p.key)
--- /dev/null
+++ b/internal/once/once_test.go
@@ -0,0 +1,560 @@
+package once
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/store"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	// A fixed seed gives the same verdict in each run; another one can be given.
+	for name, value := range map[string]string{
+		"rapid.seed": "1", "rapid.checks": "4000", "rapid.steps": "60", "rapid.shrinktime": "5s", "rapid.nofailfile": "true",
+	} {
+		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
+			_ = flag.Set(name, value)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// table is a platform table whose answers can be lost before or after the
+// write took effect, or whose writes can take effect later.
+type table struct {
+	rows  map[string]store.Row
+	late  []func()
+	down  bool
+	fault func() string
+	// between runs before each operation, to interleave other nodes.
+	between func()
+}
+
+func (f *table) do(op func() error) error {
+	f.between()
+	if f.down {
+		return store.ErrUnavailable
+	}
+	switch f.fault() {
+	case "unavailable":
+		return store.ErrUnavailable
+	case "lost":
+		return store.ErrUnknown
+	case "lost-after":
+		_ = op()
+		return store.ErrUnknown
+	case "late":
+		f.late = append(f.late, func() { _ = op() })
+		return store.ErrUnknown
+	}
+	return op()
+}
+
+func (f *table) Get(_ context.Context, key string) (row store.Row, err error) {
+	err = f.do(func() error {
+		var ok bool
+		if row, ok = f.rows[key]; !ok {
+			return store.ErrAbsent
+		}
+		return nil
+	})
+	return row, err
+}
+
+func (f *table) put(key string, value []byte, version int64) (row store.Row, err error) {
+	err = f.do(func() error {
+		if f.rows[key].Version != version {
+			return store.ErrConflict
+		}
+		row = store.Row{Key: key, Value: value, Version: version + 1}
+		f.rows[key] = row
+		return nil
+	})
+	return row, err
+}
+
+func (f *table) Insert(_ context.Context, key string, value []byte) (store.Row, error) {
+	return f.put(key, value, 0)
+}
+
+func (f *table) Update(_ context.Context, key string, value []byte, version int64) (store.Row, error) {
+	return f.put(key, value, version)
+}
+
+func (f *table) Delete(_ context.Context, key string, version int64) error {
+	return f.do(func() error {
+		if f.rows[key].Version != version {
+			return store.ErrConflict
+		}
+		delete(f.rows, key)
+		return nil
+	})
+}
+
+func (f *table) Scan(_ context.Context, prefix, after string, limit int) (rows []store.Row, err error) {
+	err = f.do(func() error {
+		for key, row := range f.rows {
+			if strings.HasPrefix(key, prefix) && key > after {
+				rows = append(rows, row)
+			}
+		}
+		slices.SortFunc(rows, func(a, b store.Row) int { return strings.Compare(a.Key, b.Key) })
+		rows = rows[:min(limit, len(rows))]
+		return nil
+	})
+	return rows, err
+}
+
+// trusting takes a lost answer to a write for a success, as a guard without
+// read-back would.
+type trusting struct{ store.Table }
+
+func (f trusting) Insert(ctx context.Context, key string, value []byte) (store.Row, error) {
+	row, err := f.Table.Insert(ctx, key, value)
+	if errors.Is(err, store.ErrUnknown) {
+		return store.Row{Key: key, Value: value, Version: 1}, nil
+	}
+	return row, err
+}
+
+// forgetful shows a claim of another process as proved not run, as a guard
+// would that takes over the claims of dead owners.
+type forgetful struct {
+	store.Table
+	node string
+}
+
+func (f forgetful) Get(ctx context.Context, key string) (store.Row, error) {
+	row, err := f.Table.Get(ctx, key)
+	if err != nil {
+		return row, err
+	}
+	held, err := decode(row.Value)
+	if err == nil && held.Phase == phaseClaimed && !strings.HasPrefix(held.Attempt, f.node+"/") {
+		held.Phase = phaseNotRun
+		row.Value = held.encode()
+	}
+	return row, nil
+}
+
+type ran struct {
+	at          time.Time
+	request     string
+	fingerprint []byte
+	answer      []byte
+}
+
+// call is a ticket in the hands of a node.
+type call struct {
+	node   int
+	key    string
+	body   string
+	ticket *Ticket
+	// result is how the attempt ended; 0 before.
+	result Outcome
+	answer []byte
+	// mayHaveRun is set when an earlier attempt of the ticket is in doubt.
+	mayHaveRun bool
+}
+
+type model struct {
+	t      *rapid.T
+	mutant string
+	clock  *clock.Fake
+	table  *table
+	nodes  []*Guard
+	starts int
+	calls  []*call
+	asked  int
+	runs   map[string][]ran
+	notRun map[string]string
+	depth  int
+	// reached counts decisions by kind, and runs after a proved "not run".
+	reached map[string]int
+}
+
+func (m *model) start(node int) {
+	m.starts++
+	g := &Guard{Table: m.table, Clock: m.clock, Node: fmt.Sprintf("vm%d-%d", node, m.starts), MaxBody: 64}
+	switch m.mutant {
+	case "trust lost answers":
+		g.Table = trusting{m.table}
+	case "take over claims":
+		g.Table = forgetful{Table: m.table, node: g.Node}
+	}
+	m.nodes[node] = g
+}
+
+func (m *model) sayNotRun(request, why string) {
+	m.notRun[request] = why
+}
+
+func (m *model) arrive() {
+	node := rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")
+	key := rapid.SampledFrom([]string{"k1", "k2"}).Draw(m.t, "key")
+	body := rapid.SampledFrom([]string{"b", "b", "b", "other"}).Draw(m.t, "body")
+	m.asked++
+	request := fmt.Sprintf("r%d", m.asked)
+	g := m.nodes[node]
+	d, err := g.Begin(context.Background(), "lanes", key, []byte(body), request)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	if m.nodes[node] != g {
+		// The process died while it asked; nobody learns the decision.
+		return
+	}
+	m.reached[d.Kind.String()]++
+	switch d.Kind {
+	case Run:
+		m.calls = append(m.calls, &call{node: node, key: key, body: body, ticket: d.Ticket})
+	case Replay:
+		runs := m.runs[key]
+		if len(runs) == 0 {
+			m.t.Fatalf("%s: a response of %s is replayed and nothing ran", request, d.Holder)
+		}
+		last := runs[len(runs)-1]
+		if last.request != d.Holder || string(last.fingerprint) != body || !d.Response.Omitted && !bytes.Equal(last.answer, d.Response.Body) {
+			m.t.Fatalf("%s: replayed %q of %s, but %s ran and answered %q", request, d.Response.Body, d.Holder, last.request, last.answer)
+		}
+	case NotProvable, DifferentBody:
+		m.sayNotRun(request, d.Kind.String())
+	case InProgress, Unknown:
+	default:
+		m.t.Fatalf("%s: decision %v", request, d.Kind)
+	}
+}
+
+func (m *model) pick() *call {
+	if len(m.calls) == 0 {
+		m.t.Skip("no call")
+	}
+	return m.calls[rapid.IntRange(0, len(m.calls)-1).Draw(m.t, "call")]
+}
+
+// send makes an attempt at the service, or a retry that the policy allows.
+func (m *model) send() {
+	c := m.pick()
+	attempts := 1
+	if c.result != 0 {
+		attempts = 2
+		p := Policy{MaxAttempts: 9}
+		if v := p.Next(Call{Deadline: m.clock.Now().Add(time.Hour)}, c.result, 1, !c.mayHaveRun, m.clock.Now()); v.Action != Retry {
+			m.t.Skip(v.Action)
+		}
+	}
+	if !c.ticket.MaySend(m.clock.Now()) {
+		c.result = NotSent
+		return
+	}
+	c.result = rapid.SampledFrom([]Outcome{NotSent, Declined, Lost, Mismatched, Faulted, Answered, Answered}).Draw(m.t, "result")
+	switch c.result {
+	case NotSent, Declined:
+		return
+	case Lost:
+		if rapid.Bool().Draw(m.t, "lost on the way") {
+			c.mayHaveRun = true
+			return
+		}
+	}
+	c.mayHaveRun = true
+	m.execute(c, attempts)
+}
+
+func (m *model) execute(c *call, attempts int) {
+	now := m.clock.Now()
+	runs := m.runs[c.key]
+	if len(runs) > 0 && now.Sub(runs[len(runs)-1].at) < Retention-time.Hour {
+		m.t.Fatalf("%s ran for %s at %v and runs again for %s (attempt %d) at %v",
+			c.key, runs[len(runs)-1].request, runs[len(runs)-1].at, c.ticket.Holder(), attempts, now)
+	}
+	c.answer = fmt.Appendf(nil, "answer %d %s", len(runs), strings.Repeat("x", rapid.SampledFrom([]int{1, 80}).Draw(m.t, "size")))
+	m.runs[c.key] = append(runs, ran{at: now, request: c.ticket.Holder(), fingerprint: []byte(c.body), answer: c.answer})
+}
+
+func (m *model) finish() {
+	c := m.pick()
+	if c.result == 0 {
+		m.t.Skip("not sent yet")
+	}
+	m.calls = slices.DeleteFunc(m.calls, func(o *call) bool { return o == c })
+	g, ctx := m.nodes[c.node], context.Background()
+	// An error means that the outcome waits for Sweep.
+	switch {
+	case c.result == Answered || c.result == Faulted:
+		_ = g.Finish(ctx, c.ticket, Response{Status: 200, Body: c.answer})
+	case !c.mayHaveRun:
+		m.sayNotRun(c.ticket.Holder(), c.result.String())
+		_ = g.NotRun(ctx, c.ticket)
+	default:
+		_ = g.FinishUnknown(ctx, c.ticket)
+	}
+	if c.ticket.MaySend(m.clock.Now()) {
+		m.t.Fatal("an ended ticket may send")
+	}
+}
+
+func (m *model) kill() {
+	node := rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")
+	m.calls = slices.DeleteFunc(m.calls, func(c *call) bool { return c.node == node })
+	m.start(node)
+}
+
+// interleave lets writes arrive late and other nodes act within an operation.
+func (m *model) interleave() {
+	if m.depth > 1 {
+		return
+	}
+	m.depth++
+	defer func() { m.depth-- }()
+	switch rapid.IntRange(0, 9).Draw(m.t, "interleave") {
+	case 0:
+		m.deliver()
+	case 1:
+		m.arrive()
+	case 2:
+		m.kill()
+	}
+}
+
+func (m *model) deliver() {
+	if len(m.table.late) == 0 {
+		return
+	}
+	i := rapid.IntRange(0, len(m.table.late)-1).Draw(m.t, "late")
+	op := m.table.late[i]
+	m.table.late = slices.Delete(m.table.late, i, i+1)
+	op()
+}
+
+func checkOnce(t *rapid.T, mutant string, reached map[string]int) {
+	m := &model{
+		t:      t,
+		mutant: mutant,
+		clock:  clock.NewFake(),
+		table:  &table{rows: map[string]store.Row{}},
+		nodes:  make([]*Guard, 3),
+		runs:   map[string][]ran{},
+		notRun: map[string]string{},
+
+		reached: reached,
+	}
+	m.table.between = m.interleave
+	m.table.fault = func() string {
+		return rapid.SampledFrom([]string{"", "", "", "", "", "unavailable", "lost", "lost-after", "late"}).Draw(m.t, "fault")
+	}
+	for i := range m.nodes {
+		m.start(i)
+	}
+	with := func(op func()) func(*rapid.T) {
+		return func(t *rapid.T) {
+			m.t = t
+			op()
+		}
+	}
+	t.Repeat(map[string]func(*rapid.T){
+		"arrive": with(m.arrive),
+		"again":  with(m.arrive),
+		"send":   with(m.send),
+		"finish": with(m.finish),
+		"kill":   with(m.kill),
+		"late":   with(m.deliver),
+		"outage": with(func() { m.table.down = rapid.IntRange(0, 3).Draw(m.t, "down") == 0 }),
+		"sweep": with(func() {
+			_ = m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")].Sweep(context.Background())
+		}),
+		"pause": with(func() {
+			m.clock.Advance(rapid.SampledFrom([]time.Duration{time.Second, DefaultTerm, time.Hour}).Draw(m.t, "pause"))
+		}),
+		"expire": with(func() {
+			if rapid.IntRange(0, 9).Draw(m.t, "week") == 0 {
+				// A write is not under way for a week.
+				m.table.late = nil
+				m.clock.Advance(Retention + time.Hour)
+			}
+			_, _, _ = m.nodes[0].Expire(context.Background(), "", 10)
+		}),
+		"": func(t *rapid.T) {
+			for _, runs := range m.runs {
+				for _, r := range runs {
+					if why, ok := m.notRun[r.request]; ok {
+						t.Fatalf("%s ran, and its caller was told %q", r.request, why)
+					}
+				}
+			}
+		},
+	})
+}
+
+// Guards against a second run of a call, a "not run" said of a call that ran,
+// and a replayed response that is not the one of the run, whatever is lost,
+// late, killed or paused.
+func TestAtMostOnce(t *testing.T) {
+	t.Logf("seed %s", flag.Lookup("rapid.seed").Value)
+	reached := map[string]int{}
+	rapid.Check(t, func(t *rapid.T) { checkOnce(t, "", reached) })
+	t.Logf("decisions: %v", reached)
+	for k := Run; k <= NotProvable; k++ {
+		if reached[k.String()] == 0 {
+			t.Errorf("no arrival was decided as %v, so that the check says little", k)
+		}
+	}
+}
+
+// recorder takes the verdict of a check that has to fail.
+type recorder struct {
+	testing.TB
+	failed bool
+	log    []string
+}
+
+func (r *recorder) Helper()                   {}
+func (r *recorder) Failed() bool              { return r.failed }
+func (r *recorder) Fail()                     { r.failed = true }
+func (r *recorder) FailNow()                  { r.failed = true; runtime.Goexit() }
+func (r *recorder) Logf(f string, a ...any)   { r.log = append(r.log, fmt.Sprintf(f, a...)) }
+func (r *recorder) Errorf(f string, a ...any) { r.Logf(f, a...); r.Fail() }
+func (r *recorder) Fatalf(f string, a ...any) { r.Logf(f, a...); r.FailNow() }
+
+// Guards against an oracle that cannot fail: with a mechanism switched off,
+// the same check has to find a second run.
+func TestCheckFindsBrokenGuards(t *testing.T) {
+	shrink := flag.Lookup("rapid.shrinktime")
+	defer func(old string) { _ = shrink.Value.Set(old) }(shrink.Value.String())
+	_ = shrink.Value.Set("100ms")
+	for _, mutant := range []string{"trust lost answers", "take over claims"} {
+		r := &recorder{TB: t}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			rapid.Check(r, func(t *rapid.T) { checkOnce(t, mutant, map[string]int{}) })
+		}()
+		<-done
+		out := strings.Join(r.log, "\n")
+		if !r.failed || !strings.Contains(out, "runs again") {
+			t.Errorf("%s: the check did not find the second run:\n%s", mutant, out)
+		}
+		for line := range strings.Lines(out) {
+			if strings.Contains(line, "runs again") {
+				t.Logf("%s: %s", mutant, strings.TrimSpace(line))
+				break
+			}
+		}
+	}
+}
+
+// Guards against a call that stays refused although it is proved that it did
+// not run, and against an outcome that only its own node knows.
+func TestLaterArrivalsLearnTheOutcome(t *testing.T) {
+	ctx := context.Background()
+	c := clock.NewFake()
+	fault := ""
+	f := &table{
+		rows:    map[string]store.Row{},
+		between: func() {},
+		fault:   func() string { return fault },
+	}
+	a, b := &Guard{Table: f, Clock: c, Node: "a"}, &Guard{Table: f, Clock: c, Node: "b"}
+	begin := func(g *Guard, request string, want Kind) Decision {
+		t.Helper()
+		d, err := g.Begin(ctx, "lanes", "k", []byte("b"), request)
+		if err != nil || d.Kind != want {
+			t.Fatalf("%s: got %v, %v; want %v", request, d.Kind, err, want)
+		}
+		return d
+	}
+	// The claim arrives and every answer about it is lost.
+	fault = "lost-after"
+	begin(a, "r1", NotProvable)
+	fault = ""
+	begin(b, "r2", InProgress)
+	if err := a.Sweep(ctx); err != nil || a.Pending() != 0 {
+		t.Fatal(err, a.Pending())
+	}
+	d := begin(b, "r3", Run)
+	if err := b.NotRun(ctx, d.Ticket); err != nil {
+		t.Fatal(err)
+	}
+	d = begin(a, "r4", Run)
+	f.down = true
+	if err := a.Finish(ctx, d.Ticket, Response{Status: 201, Body: []byte("lane 4")}); err == nil {
+		t.Fatal("the outcome is stored although the table is down")
+	}
+	begin(a, "r5", NotProvable)
+	f.down = false
+	if got := begin(a, "r6", Replay).Response; string(got.Body) != "lane 4" {
+		t.Fatalf("replayed %+v", got)
+	}
+	begin(b, "r7", InProgress)
+	c.Advance(DefaultTerm + time.Second)
+	begin(b, "r8", Unknown)
+	if err := a.Sweep(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := begin(b, "r9", Replay).Response; got.Status != 201 || string(got.Body) != "lane 4" {
+		t.Fatalf("replayed %+v", got)
+	}
+	c.Advance(Retention)
+	if _, n, err := b.Expire(ctx, "", 10); n != 1 || err != nil {
+		t.Fatalf("removed %d rows, %v", n, err)
+	}
+}
+
+// Guards against a retry of a call that may have run, a "not run" without
+// proof, and retries beyond the deadline or the budget.
+func TestRetryPolicy(t *testing.T) {
+	now := clock.NewFake().Now()
+	soon, later := now.Add(10*time.Millisecond), now.Add(time.Minute)
+	for _, c := range []struct {
+		call     Call
+		outcome  Outcome
+		attempts int
+		proved   bool
+		want     Action
+		notRun   bool
+	}{
+		{Call{Deadline: later}, NotSent, 1, true, Retry, true},
+		{Call{Deadline: later}, Declined, 1, true, Retry, true},
+		{Call{Deadline: later}, Lost, 1, true, Forbidden, false},
+		{Call{Deadline: later}, Mismatched, 1, true, Forbidden, false},
+		{Call{Deadline: later}, Faulted, 1, true, Stop, false},
+		{Call{Deadline: later}, Answered, 1, true, Stop, false},
+		{Call{Deadline: later}, NotSent, 2, false, Forbidden, false},
+		{Call{Deadline: soon}, NotSent, 1, true, TooLate, true},
+		{Call{Deadline: later}, NotSent, 3, true, TooOften, true},
+		{Call{Deadline: later, Repeatable: true}, Lost, 1, true, Retry, false},
+		{Call{Deadline: later, Repeatable: true}, Faulted, 2, false, Retry, false},
+		{Call{Deadline: later, Repeatable: true, Delivered: true}, Lost, 1, true, Forbidden, false},
+	} {
+		p := DefaultPolicy()
+		v := p.Next(c.call, c.outcome, c.attempts, c.proved, now)
+		if v.Action != c.want || v.NotRun != c.notRun {
+			t.Errorf("%+v: got %+v", c, v)
+		}
+	}
+	p := DefaultPolicy()
+	p.Budget = NewBudget(0.1, 2)
+	retries := 0
+	for range 1000 {
+		p.Budget.Request()
+		if p.Next(Call{Deadline: later, Repeatable: true}, Lost, 1, true, now).Action == Retry {
+			retries++
+		}
+	}
+	if retries < 100 || retries > 102 {
+		t.Errorf("%d retries for 1,000 requests, want a tenth and the reserve of 2", retries)
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -123,9 +123,6 @@
 	candTurn int
 	authorAt time.Time
 	want     map[string]bool
-
-	// timeoutProves takes a timeout for a proof of death. Only tests set it.
-	timeoutProves bool
 }
 
 // proc is what is known of a process of the own domain.
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -304,7 +304,7 @@
 		d.index++
 		d.fails++
 	}
-	if f == Refused || p.timeoutProves {
+	if f == Refused {
 		// The process listened when it was heard, and no longer does.
 		for _, pr := range p.procs {
 			if pr.Address == pb.To.Address && !pr.learned.After(pb.Sent) {
