once: remove expired rows without reusing their versions

A row that is created anew begins with version 1 again, so that a late removal of the expired row, or a late claim to it, could hit the row of a new call. Outcomes older than the retention are dropped, not stored.

--- a/internal/once/once.go
+++ b/internal/once/once.go
@@ -37,12 +37,17 @@
 	// DefaultTerm is how long a call may take before its claim is reported as
 	// an unknown outcome.
 	DefaultTerm = 2 * time.Minute
+	// WriteBound is the longest time after which a write to the table may still
+	// take effect. A row that is created anew begins with version 1 again, so
+	// that a late write could fit it; removal therefore waits for this bound.
+	WriteBound = 10 * time.Minute
 	// attempts bounds the writes tried for one step. Each lost answer costs a
 	// read and possibly one more write.
 	attempts = 4
 	// maxPending bounds the outcomes that wait for the table to come back: 256
 	// of 64 KB take 16 MB of the 64 MB that control work may use.
 	maxPending = 256
+	maxRetired = 4096
 )
 
 // Kind is what becomes of an arriving call.
@@ -132,6 +137,8 @@
 	phaseDone
 	phaseNotRun
 	phaseUnknown
+	// phaseRetired marks a row for removal by the node that retired it.
+	phaseRetired
 )
 
 // MaySend reports whether the first byte may still be sent. A ticket that is
@@ -150,6 +157,7 @@
 	// a claim, because a request may claim, prove "not run", and claim again.
 	Attempt  string    `cbor:"5,keyasint"`
 	Response *Response `cbor:"6,keyasint,omitempty"`
+	Retired  time.Time `cbor:"7,keyasint,omitzero"`
 }
 
 var encoder = func() cbor.EncMode {
@@ -176,7 +184,7 @@
 	if err := cbor.Unmarshal(data, &r); err != nil {
 		return row{}, fmt.Errorf("once: decode row: %w", err)
 	}
-	if r.Phase < phaseClaimed || r.Phase > phaseUnknown || r.Phase == phaseDone && r.Response == nil {
+	if r.Phase < phaseClaimed || r.Phase > phaseRetired || r.Phase == phaseDone && r.Response == nil {
 		return row{}, fmt.Errorf("once: row of %s has phase %d", r.Request, r.Phase)
 	}
 	return r, nil
@@ -203,6 +211,9 @@
 	// pending holds the outcome that this process knows of a claim which the
 	// table still shows, by attempt.
 	pending map[string]pending
+	// retired holds the attempts under which this process retired rows that it
+	// has not tried to remove yet.
+	retired map[string]bool
 }
 
 type pending struct {
@@ -242,7 +253,7 @@
 		Request:     requestID,
 		Fingerprint: fingerprint,
 		Claimed:     now,
-		Attempt:     fmt.Sprintf("%s/%d", g.Node, g.sequence.Add(1)),
+		Attempt:     g.attempt(),
 	}
 	d := g.claim(ctx, key, claim)
 	if d.Kind == Run {
@@ -251,6 +262,10 @@
 	return d, nil
 }
 
+func (g *Guard) attempt() string {
+	return fmt.Sprintf("%s/%d", g.Node, g.sequence.Add(1))
+}
+
 // claim writes the claim if the row allows it. Every path that does not end in
 // Run leaves a row of this attempt only in g.pending, as "not run".
 func (g *Guard) claim(ctx context.Context, key string, claim row) Decision {
@@ -330,6 +345,13 @@
 
 // judge decides by the row held; open means that the claim may replace it.
 func (g *Guard) judge(held, claim row) (d Decision, open bool) {
+	if held.Phase == phaseRetired {
+		// The row is about to go; until then nothing may be built on its version.
+		return Decision{
+			Kind:  NotProvable,
+			Cause: errors.New("once: the row of an earlier call is being removed"),
+		}, false
+	}
 	if claim.Claimed.Sub(held.Claimed) > Retention {
 		return Decision{}, true
 	}
@@ -416,6 +438,12 @@
 // starts from the row that the claim was to replace or the claim itself, so
 // that it also stops a lost claim from taking effect later.
 func (g *Guard) settle(ctx context.Context, p pending) error {
+	if g.Clock.Now().Sub(p.row.Claimed) > Retention-WriteBound {
+		// Nobody asks for the outcome any more, and the row may soon be of
+		// another call.
+		g.forget(p.row.Attempt)
+		return nil
+	}
 	var cause error
 	for range attempts {
 		_, err := g.write(ctx, p.key, p.row, p.version)
@@ -506,32 +534,67 @@
 	return nil
 }
 
-// Expire removes up to limit rows past their retention, beginning after the
-// given key. It returns the key to go on from, or "" at the end of the table.
+// Expire handles up to limit rows after the given key: rows past their
+// retention are retired, and those that this process retired before are
+// removed. It returns the key to go on from, or "" at the end of the table.
+//
+// A row is removed by one request only, at least WriteBound after it was
+// retired: by then no claim can still be under way to it, and no second
+// removal can hit the row that a later call creates.
 func (g *Guard) Expire(ctx context.Context, after string, limit int) (next string, removed int, err error) {
 	rows, err := g.Table.Scan(ctx, Prefix, after, limit)
 	if err != nil {
 		return after, 0, fmt.Errorf("once: list rows after %q: %w", after, err)
 	}
-	now := g.Clock.Now()
 	for _, r := range rows {
-		held, err := decode(r.Value)
-		if err != nil || now.Sub(held.Claimed) <= Retention {
-			continue
+		gone, err := g.expire(ctx, r)
+		if err != nil && !errors.Is(err, store.ErrConflict) && !errors.Is(err, store.ErrAbsent) {
+			return after, removed, fmt.Errorf("once: remove %s: %w", r.Key, err)
 		}
-		err = g.Table.Delete(ctx, r.Key, r.Version)
-		switch {
-		case err == nil:
+		if gone {
 			removed++
-		case errors.Is(err, store.ErrConflict), errors.Is(err, store.ErrAbsent):
-			// Another node removed or replaced it.
-		default:
-			return after, removed, fmt.Errorf("once: remove %s: %w", r.Key, err)
 		}
 		after = r.Key
 	}
 	if len(rows) < limit {
 		return "", removed, nil
 	}
-	return rows[len(rows)-1].Key, removed, nil
+	return after, removed, nil
+}
+
+func (g *Guard) expire(ctx context.Context, r store.Row) (removed bool, err error) {
+	held, err := decode(r.Value)
+	now := g.Clock.Now()
+	if err != nil || now.Sub(held.Claimed) <= Retention {
+		// A row that cannot be read has no age; it stays.
+		return false, nil
+	}
+	age := now.Sub(held.Retired)
+	if held.Phase != phaseRetired || age > 3*WriteBound {
+		held.Phase = phaseRetired
+		held.Response = nil
+		held.Retired = now
+		held.Attempt = g.attempt()
+		g.mu.Lock()
+		if len(g.retired) == 0 || len(g.retired) > maxRetired {
+			// What is dropped here is retired again by some node.
+			g.retired = map[string]bool{}
+		}
+		g.retired[held.Attempt] = true
+		g.mu.Unlock()
+		_, err := g.Table.Update(ctx, r.Key, held.encode(), r.Version)
+		return false, err
+	}
+	if age < WriteBound || age > 2*WriteBound {
+		return false, nil
+	}
+	g.mu.Lock()
+	mine := g.retired[held.Attempt]
+	delete(g.retired, held.Attempt)
+	g.mu.Unlock()
+	if !mine {
+		return false, nil
+	}
+	err = g.Table.Delete(ctx, r.Key, r.Version)
+	return err == nil, err
 }
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -340,6 +340,15 @@
 	op()
 }
 
+// advance moves the clock. A write that is still under way after WriteBound
+// has no effect any more.
+func (m *model) advance(d time.Duration) {
+	if d >= WriteBound {
+		m.table.late = nil
+	}
+	m.clock.Advance(d)
+}
+
 func checkOnce(t *rapid.T, mutant string, reached map[string]int) {
 	m := &model{
 		t:      t,
@@ -354,7 +363,7 @@
 	}
 	m.table.between = m.interleave
 	m.table.fault = func() string {
-		return rapid.SampledFrom([]string{"", "", "", "", "", "unavailable", "lost", "lost-after", "late"}).Draw(m.t, "fault")
+		return rapid.SampledFrom([]string{"", "", "", "", "", "", "", "", "", "", "unavailable", "lost", "lost-after", "late", "late"}).Draw(m.t, "fault")
 	}
 	for i := range m.nodes {
 		m.start(i)
@@ -377,15 +386,18 @@
 			_ = m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")].Sweep(context.Background())
 		}),
 		"pause": with(func() {
-			m.clock.Advance(rapid.SampledFrom([]time.Duration{time.Second, DefaultTerm, time.Hour}).Draw(m.t, "pause"))
+			m.advance(rapid.SampledFrom([]time.Duration{time.Second, DefaultTerm, WriteBound, time.Hour}).Draw(m.t, "pause"))
 		}),
 		"expire": with(func() {
 			if rapid.IntRange(0, 9).Draw(m.t, "week") == 0 {
-				// A write is not under way for a week.
-				m.table.late = nil
-				m.clock.Advance(Retention + time.Hour)
+				m.advance(Retention + time.Hour)
+			}
+			node := rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")
+			for range rapid.IntRange(1, 3).Draw(m.t, "rounds") {
+				_, n, _ := m.nodes[node].Expire(context.Background(), "", 10)
+				m.reached["expired"] += n
+				m.advance(rapid.SampledFrom([]time.Duration{0, WriteBound}).Draw(m.t, "pause"))
 			}
-			_, _, _ = m.nodes[0].Expire(context.Background(), "", 10)
 		}),
 		"": func(t *rapid.T) {
 			for _, runs := range m.runs {
@@ -407,9 +419,9 @@
 	reached := map[string]int{}
 	rapid.Check(t, func(t *rapid.T) { checkOnce(t, "", reached) })
 	t.Logf("decisions: %v", reached)
-	for k := Run; k <= NotProvable; k++ {
-		if reached[k.String()] == 0 {
-			t.Errorf("no arrival was decided as %v, so that the check says little", k)
+	for _, k := range []string{"run", "replay", "in-progress", "unknown", "different-body", "not-provable", "expired"} {
+		if reached[k] == 0 {
+			t.Errorf("the check never reached %q, so that it says little", k)
 		}
 	}
 }
@@ -508,8 +520,11 @@
 		t.Fatalf("replayed %+v", got)
 	}
 	c.Advance(Retention)
-	if _, n, err := b.Expire(ctx, "", 10); n != 1 || err != nil {
-		t.Fatalf("removed %d rows, %v", n, err)
+	for _, want := range []int{0, 0, 1} {
+		if _, n, err := b.Expire(ctx, "", 10); n != want || err != nil {
+			t.Fatalf("removed %d rows, %v; want %d", n, err, want)
+		}
+		c.Advance(WriteBound / 2)
 	}
 }
 
