--- a/cmd/trefoild/main.go
+++ b/cmd/trefoild/main.go
@@ -1,4 +1,13 @@
-// Command trefoild is the entry process.
+// Command trefoild is the entry process, the same on every VM.
 package main
 
-func main() {}
+import (
+	"context"
+	"os"
+
+	"trefoildale.example/trefoildale/internal/cmds"
+)
+
+func main() {
+	os.Exit(cmds.Run(context.Background(), cmds.Trefoild(), os.Args, os.Stdout, os.Stderr))
+}
--- a/internal/cmds/trefoil.go
+++ b/internal/cmds/trefoil.go
@@ -17,6 +17,7 @@
 	keyCommand,
 	statusCommand,
 	explainCommand,
+	devCommand,
 }
 
 // Trefoil returns the operators' program.
--- /dev/null
+++ b/internal/cmds/trefoild.go
@@ -0,0 +1,98 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"k8s.io/klog/v2"
+
+	"trefoildale.example/trefoildale/internal/conf"
+	"trefoildale.example/trefoildale/internal/node"
+)
+
+// Trefoild returns the entry process.
+func Trefoild() *cli.Command {
+	return &cli.Command{
+		Name:      "trefoild",
+		Usage:     "serve callers as an entry process",
+		ArgsUsage: " ",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:     "settings",
+				Usage:    "YAML file with the settings of this process",
+				Required: true,
+			},
+		},
+		Action: runTrefoild,
+	}
+}
+
+func runTrefoild(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return Usagef("trefoild: unexpected argument %q", cmd.Args().First())
+	}
+	set, err := conf.Load(cmd.String("settings"))
+	var findings conf.Findings
+	if errors.As(err, &findings) {
+		return Usagef("--settings:\n%w", findings)
+	}
+	if err != nil {
+		return Usagef("--settings: %w", err)
+	}
+	if err := setVerbosity(set.Log.Verbosity); err != nil {
+		return err
+	}
+	stops := make(chan os.Signal, 2)
+	signal.Notify(stops, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(stops)
+	n, _, err := node.New(node.Options{
+		Settings: set,
+	})
+	if err != nil {
+		return err
+	}
+	n.Stats().Publish()
+	w := cmd.Root().Writer
+	fmt.Fprintf(w, "callers %s\npeers %s\nadmin %s\n", n.CallersAddr, n.PeersAddr, n.AdminAddr)
+	select {
+	case <-stops:
+	case <-ctx.Done():
+	}
+	return shutdown(n, set, stops)
+}
+
+// shutdown stops the node. A second signal or the operator's deadline ends the
+// wait for running requests.
+func shutdown(n *node.Node, set *conf.Settings, stops <-chan os.Signal) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if d := time.Duration(set.Shutdown.Drain); d > 0 {
+		ctx, cancel = context.WithTimeout(ctx, d)
+		defer cancel()
+	}
+	go func() {
+		select {
+		case <-stops:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	if cut := n.Shutdown(ctx); len(cut) > 0 {
+		return Unavailablef("%d requests were cut: %v", len(cut), cut)
+	}
+	return nil
+}
+
+func setVerbosity(level int) error {
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	return fs.Set("v", strconv.Itoa(level))
+}
--- /dev/null
+++ b/internal/local/local.go
@@ -0,0 +1,347 @@
+// Package local runs a small fleet in one process: stand-ins for the platform,
+// the weight store, engines and plain services, and entry nodes that talk over
+// loopback. It serves newcomers, tests and experiments.
+package local
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/conf"
+	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/fake/model"
+	"trefoildale.example/trefoildale/internal/fake/plain"
+	"trefoildale.example/trefoildale/internal/fake/plat"
+	"trefoildale.example/trefoildale/internal/fake/weight"
+	"trefoildale.example/trefoildale/internal/node"
+	"trefoildale.example/trefoildale/internal/place"
+	"trefoildale.example/trefoildale/internal/route"
+	"trefoildale.example/trefoildale/internal/store"
+	"trefoildale.example/trefoildale/pkg/admin"
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+// Options describe a fleet.
+type Options struct {
+	// Config is applied once the nodes run. Its endpoints get stand-ins, and
+	// their addresses.
+	Config *spec.Config
+	// NodesPerDomain is the number of entry nodes in each domain of Config.
+	NodesPerDomain int
+	// Platform, Weights and Engine are the settings of the stand-ins. Name,
+	// memory, fencing and the weight store of Engine follow from Config; an
+	// endpoint's speed is a factor of Engine.Speed.
+	Platform plat.Options
+	Weights  weight.Options
+	Engine   model.Options
+	Plain    plain.Options
+	// PlatformURL replaces the address at which nodes reach the platform, for
+	// example by that of a fault-injecting proxy. It gets the stand-in's address.
+	PlatformURL func(address string) string
+	// Policy and Picker replace the decisions of the nodes; nil means the defaults.
+	Policy func() place.Policy
+	Picker func(*route.Table) route.Picker
+	// CallersListen is where the first node listens for callers, AdminListen for
+	// operators; free ports by default.
+	CallersListen string
+	AdminListen   string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	Platform    *plat.Platform
+	PlatformURL string
+	Weights     *weight.Store
+	Engines     map[string]*model.Engine
+	Services    map[string]*plain.Service
+	Nodes       []*node.Node
+	Config      *spec.Config
+
+	opts  Options
+	stops []func()
+}
+
+// startTimeout bounds the wait until the nodes are ready.
+const startTimeout = 30 * time.Second
+
+// Start starts a fleet and waits until its nodes are ready. The returned
+// function ends it.
+func Start(opts Options) (*Fleet, func(), error) {
+	if opts.NodesPerDomain == 0 {
+		opts.NodesPerDomain = 1
+	}
+	f := &Fleet{
+		Engines:  make(map[string]*model.Engine),
+		Services: make(map[string]*plain.Service),
+		Config:   opts.Config,
+		opts:     opts,
+	}
+	if err := f.start(); err != nil {
+		f.close()
+		return nil, nil, err
+	}
+	return f, f.close, nil
+}
+
+func (f *Fleet) close() {
+	for i := len(f.stops) - 1; i >= 0; i-- {
+		f.stops[i]()
+	}
+	f.stops = nil
+}
+
+func (f *Fleet) onClose(stop func()) {
+	f.stops = append(f.stops, stop)
+}
+
+func (f *Fleet) start() error {
+	p, release := plat.New(f.opts.Platform)
+	f.onClose(release)
+	f.Platform = p
+	address, err := f.serve(p.Handler())
+	if err != nil {
+		return err
+	}
+	f.PlatformURL = "http://" + address
+	if f.opts.PlatformURL != nil {
+		f.PlatformURL = f.opts.PlatformURL(address)
+	}
+	w, release := weight.New(f.opts.Weights)
+	f.onClose(release)
+	f.Weights = w
+	weightsAddress, err := f.serve(w.Handler())
+	if err != nil {
+		return err
+	}
+	for i := range f.Config.Endpoints {
+		if err := f.startEndpoint(&f.Config.Endpoints[i], "http://"+weightsAddress); err != nil {
+			return err
+		}
+	}
+	for _, d := range f.Config.Domains {
+		for i := range f.opts.NodesPerDomain {
+			if _, err := f.AddNode(fmt.Sprintf("%s-%d", d.Name, i+1), d.Name); err != nil {
+				return err
+			}
+		}
+	}
+	return f.configure()
+}
+
+// serve serves a stand-in on a free port.
+func (f *Fleet) serve(h http.Handler) (address string, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", fmt.Errorf("listen for a stand-in: %w", err)
+	}
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: 10 * time.Second,
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		// It ends when the fleet is closed.
+		_ = srv.Serve(l)
+	}()
+	f.onClose(func() {
+		_ = srv.Close()
+		<-done
+	})
+	return l.Addr().String(), nil
+}
+
+func (f *Fleet) startEndpoint(e *spec.Endpoint, weights string) error {
+	kind := spec.KindModel
+	for _, s := range f.Config.Services {
+		if s.Name == e.Service {
+			kind = s.Kind
+		}
+	}
+	var h http.Handler
+	if kind == spec.KindModel {
+		opts := f.opts.Engine
+		opts.Name = e.Name
+		opts.MemoryMiB = e.MemoryMiB
+		opts.Fencing = e.Fencing
+		opts.Weights = weights
+		if opts.Speed == 0 {
+			opts.Speed = 1000
+		}
+		if e.Speed > 0 {
+			opts.Speed *= e.Speed
+		}
+		m, release := model.New(opts)
+		f.onClose(release)
+		f.Engines[e.Name] = m
+		h = m.Handler()
+	} else {
+		opts := f.opts.Plain
+		opts.Name = e.Name
+		s, release := plain.New(opts)
+		f.onClose(release)
+		f.Services[e.Name] = s
+		h = s.Handler()
+	}
+	address, err := f.serve(h)
+	e.Address = address
+	return err
+}
+
+// AddNode starts one more entry node.
+func (f *Fleet) AddNode(name, domain string) (*node.Node, error) {
+	set := &conf.Settings{
+		Node: conf.Node{
+			Name:   name,
+			Domain: domain,
+		},
+		Listen: conf.Listen{
+			Callers: "127.0.0.1:0",
+			Peers:   "127.0.0.1:0",
+			Admin:   "127.0.0.1:0",
+		},
+		Platform: conf.Platform{
+			URL:     f.PlatformURL,
+			Timeout: conf.DefaultPlatformTimeout,
+		},
+		Limits: conf.Limits{
+			MaxBodyBytes:   conf.DefaultMaxBodyBytes,
+			MaxHeaderBytes: conf.DefaultMaxHeaderBytes,
+			StreamIdle:     conf.DefaultStreamIdle,
+		},
+	}
+	if len(f.Nodes) == 0 {
+		if f.opts.CallersListen != "" {
+			set.Listen.Callers = f.opts.CallersListen
+		}
+		if f.opts.AdminListen != "" {
+			set.Listen.Admin = f.opts.AdminListen
+		}
+	}
+	opts := node.Options{
+		Settings: set,
+		Picker:   f.opts.Picker,
+	}
+	if f.opts.Policy != nil {
+		opts.Policy = f.opts.Policy()
+	}
+	n, stop, err := node.New(opts)
+	if err != nil {
+		return nil, err
+	}
+	f.onClose(stop)
+	f.Nodes = append(f.Nodes, n)
+	f.Platform.PutVM(store.VM{
+		Name:    name,
+		Address: n.PeersAddr,
+		Domain:  domain,
+	})
+	return n, nil
+}
+
+// Admin returns an operators' client of a node.
+func (f *Fleet) Admin(i int) (*admin.Client, error) {
+	return admin.New(f.Nodes[i].AdminAddr, nil)
+}
+
+// configure applies the configuration and waits until every node is ready.
+func (f *Fleet) configure() error {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	client, err := f.Admin(0)
+	if err != nil {
+		return err
+	}
+	for {
+		err = f.apply(ctx, client)
+		var unavailable *admin.UnavailableError
+		if !errors.As(err, &unavailable) || ctx.Err() != nil {
+			break
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+	if err != nil {
+		return err
+	}
+	for _, n := range f.Nodes {
+		for !n.Ready() {
+			if ctx.Err() != nil {
+				return fmt.Errorf("node at %s is not ready: %w", n.CallersAddr, ctx.Err())
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) apply(ctx context.Context, client *admin.Client) error {
+	d, err := client.Diff(ctx, f.Config)
+	if err != nil {
+		return err
+	}
+	if err := d.Findings.Err(); err != nil {
+		return err
+	}
+	if d.Change.Empty() {
+		return nil
+	}
+	d.Change.Author = "local"
+	d.Change.OpID = spec.NewOpID(d.Change.Base)
+	_, err = client.Apply(ctx, d.Change)
+	return err
+}
+
+// AddKey adds a key for a workspace and returns its secret.
+func (f *Fleet) AddKey(ctx context.Context, id, workspace string) (string, error) {
+	client, err := f.Admin(0)
+	if err != nil {
+		return "", err
+	}
+	k, err := client.AddKey(ctx, admin.KeyRequest{
+		Author:    "local",
+		ID:        id,
+		Workspace: workspace,
+	})
+	if err != nil {
+		return "", err
+	}
+	return k.Secret, nil
+}
+
+// WaitResident waits until an engine holds each of the models.
+func (f *Fleet) WaitResident(ctx context.Context, models ...string) error {
+	client, release := engine.NewClient(engine.Options{})
+	defer release()
+	for _, name := range models {
+		for !f.resident(ctx, client, name) {
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("model %s did not become resident: %w", name, ctx.Err())
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) resident(ctx context.Context, client *engine.Client, name string) bool {
+	for _, e := range f.Config.Endpoints {
+		if f.Engines[e.Name] == nil {
+			continue
+		}
+		st, err := client.State(ctx, e.Address)
+		if err != nil {
+			continue
+		}
+		for _, r := range st.Resident {
+			if r.Model == name {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,7 +23,6 @@
 	"trefoildale.example/trefoildale/internal/limit"
 	"trefoildale.example/trefoildale/internal/once"
 	"trefoildale.example/trefoildale/internal/oper"
-	"trefoildale.example/trefoildale/internal/peers"
 	"trefoildale.example/trefoildale/internal/place"
 	"trefoildale.example/trefoildale/internal/route"
 	"trefoildale.example/trefoildale/internal/stats"
