--- /dev/null
+++ b/internal/engine/client_test.go
@@ -0,0 +1,363 @@
+package engine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/fake/fault"
+	"trefoildale.example/trefoildale/internal/fake/model"
+	"trefoildale.example/trefoildale/internal/fake/plain"
+)
+
+type stand struct {
+	*model.Engine
+	client *engine.Client
+	addr   string
+}
+
+func start(t *testing.T, opts model.Options) stand {
+	t.Helper()
+	if opts.Resident == nil {
+		opts.Resident = []engine.Resident{
+			{
+				Model:     "m",
+				Version:   "1",
+				MemoryMiB: 1000,
+			},
+		}
+	}
+	e, release := model.New(opts)
+	srv := httptest.NewServer(e.Handler())
+	c, closeClient := engine.NewClient(engine.Options{})
+	t.Cleanup(func() {
+		closeClient()
+		release()
+		srv.Close()
+	})
+	return stand{
+		Engine: e,
+		client: c,
+		addr:   strings.TrimPrefix(srv.URL, "http://"),
+	}
+}
+
+func (s stand) call(id, prompt string, maxTokens int, stream bool) engine.Call {
+	return engine.Call{
+		Address:   s.addr,
+		Method:    http.MethodPost,
+		Path:      "/v1/completions",
+		Body:      fmt.Appendf(nil, `{"model":"m","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, maxTokens, stream),
+		RequestID: id,
+	}
+}
+
+// text reads a stream to its end and returns its tokens, joined.
+func text(s *engine.Stream, limit int64) (string, *engine.Usage, error) {
+	defer s.Close()
+	var b strings.Builder
+	var usage *engine.Usage
+	for {
+		ev, err := s.Next()
+		if err == io.EOF {
+			return b.String(), usage, nil
+		}
+		if err != nil {
+			return b.String(), usage, err
+		}
+		if ev.Usage != nil {
+			usage = ev.Usage
+		}
+		if ev.Token > 0 {
+			_, rest, _ := strings.Cut(string(ev.Data), `"text":"`)
+			word, _, _ := strings.Cut(rest, `"`)
+			b.WriteString(word)
+		}
+		if limit > 0 && ev.Token == limit {
+			return b.String(), usage, nil
+		}
+	}
+}
+
+// TestComplete guards against an answer whose tokens or usage are not those of
+// its own request, streamed or not.
+func TestComplete(t *testing.T) {
+	s := start(t, model.Options{StreamSpeed: 10_000, Speed: 10_000})
+	want := model.Text("a lane", 20)
+	st, err := s.client.Stream(context.Background(), s.call("r1", "a lane", 20, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	got, usage, err := text(st, 0)
+	if err != nil || got != want || usage == nil || *usage != (engine.Usage{PromptTokens: 2, CompletionTokens: 20}) {
+		t.Errorf("stream: got %q, %+v, %v; want %q", got, usage, err, want)
+	}
+	a, err := s.client.Complete(context.Background(), s.call("r2", "a lane", 20, false))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(a.Body), want) || a.Usage == nil || a.Usage.CompletionTokens != 20 {
+		t.Errorf("got %s with usage %+v", a.Body, a.Usage)
+	}
+}
+
+// TestResume guards against tokens that are lost or repeated when a stream
+// continues on a second connection.
+func TestResume(t *testing.T) {
+	s := start(t, model.Options{StreamSpeed: 1000, Speed: 1000})
+	ctx := context.Background()
+	for _, at := range []int64{1, 7, 29} {
+		t.Run(fmt.Sprint(at), func(t *testing.T) {
+			id := fmt.Sprint("r", at)
+			first, err := s.client.Stream(ctx, s.call(id, "a fan", 30, true))
+			if err != nil {
+				t.Fatal(err)
+			}
+			head, _, err := text(first, at)
+			if err != nil {
+				t.Fatal(err)
+			}
+			second, err := s.client.Resume(ctx, s.addr, id, first.Last())
+			if err != nil {
+				t.Fatal(err)
+			}
+			tail, _, err := text(second, 0)
+			if got, want := head+tail, model.Text("a fan", 30); err != nil || got != want {
+				t.Errorf("got %q, %v; want %q", got, err, want)
+			}
+		})
+	}
+}
+
+// TestCancel guards against a cancelled request that goes on using the engine.
+func TestCancel(t *testing.T) {
+	s := start(t, model.Options{})
+	ctx := context.Background()
+	st, err := s.client.Stream(ctx, s.call("r", "p", 10_000, true))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.client.Cancel(ctx, s.addr, "r"); err != nil {
+		t.Fatal(err)
+	}
+	_, _, err = text(st, 0)
+	var broken *engine.BrokenError
+	if !errors.As(err, &broken) {
+		t.Errorf("a cancelled stream ended with %v", err)
+	}
+	if got := s.Stats(); got.Cancelled != 1 {
+		t.Errorf("cancelled %d requests", got.Cancelled)
+	}
+	if err := s.client.Cancel(ctx, s.addr, "unknown"); err != nil {
+		t.Errorf("cancel of an unknown request: %v", err)
+	}
+}
+
+// TestCancelledStreamLeavesNothing guards against goroutines that outlive a
+// stream whose context was cancelled or that was closed early.
+func TestCancelledStreamLeavesNothing(t *testing.T) {
+	s := start(t, model.Options{})
+	before := runtime.NumGoroutine()
+	for i := range 20 {
+		ctx, cancel := context.WithCancel(context.Background())
+		st, err := s.client.Stream(ctx, s.call(fmt.Sprint(i), "p", 1000, true))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := st.Next(); err != nil {
+			t.Fatal(err)
+		}
+		if i%2 == 0 {
+			cancel()
+			for err == nil {
+				_, err = st.Next()
+			}
+			if !errors.Is(err, context.Canceled) {
+				t.Errorf("read after cancel: %v", err)
+			}
+		}
+		st.Close()
+		cancel()
+	}
+	deadline := time.Now().Add(2 * time.Second)
+	for runtime.NumGoroutine() > before && time.Now().Before(deadline) {
+		time.Sleep(5 * time.Millisecond)
+	}
+	if after := runtime.NumGoroutine(); after > before {
+		buf := make([]byte, 1<<16)
+		t.Errorf("%d goroutines before, %d after:\n%s", before, after, buf[:runtime.Stack(buf, true)])
+	}
+}
+
+// TestFaults guards the types of errors, from which the caller decides whether
+// a request may run again.
+func TestFaults(t *testing.T) {
+	var (
+		broken   *engine.BrokenError
+		mismatch *engine.MismatchError
+		status   *engine.StatusError
+	)
+	tests := []struct {
+		fault fault.Fault
+		want  any
+	}{
+		{
+			fault: fault.Fault{Kind: fault.Refuse},
+			want:  &status,
+		},
+		{
+			fault: fault.Fault{Kind: fault.LoseAnswer},
+			want:  &broken,
+		},
+		{
+			fault: fault.Fault{Kind: fault.WrongID},
+			want:  &mismatch,
+		},
+		{
+			fault: fault.Fault{Kind: fault.Truncate, Bytes: 100},
+			want:  &broken,
+		},
+		{
+			fault: fault.Fault{Kind: fault.Garble, Bytes: 100},
+			want:  &broken,
+		},
+		{
+			fault: fault.Fault{Kind: fault.Freeze},
+			want:  &broken,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(string(tt.fault.Kind), func(t *testing.T) {
+			s := start(t, model.Options{StreamSpeed: 10_000, Speed: 10_000})
+			if err := s.Faults().Add(tt.fault); err != nil {
+				t.Fatal(err)
+			}
+			run := map[string]func(context.Context) error{
+				"whole": func(ctx context.Context) error {
+					_, err := s.client.Complete(ctx, s.call("r1", "p", 5, false))
+					return err
+				},
+				"stream": func(ctx context.Context) error {
+					st, err := s.client.Stream(ctx, s.call("r2", "p", 5, true))
+					if err == nil {
+						_, _, err = text(st, 0)
+					}
+					return err
+				},
+				"state": func(ctx context.Context) error {
+					_, err := s.client.State(ctx, s.addr)
+					return err
+				},
+			}
+			for name, f := range run {
+				ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+				if err := f(ctx); !errors.As(err, tt.want) {
+					t.Errorf("%s: got %v (%[2]T), want %T", name, err, tt.want)
+				}
+				cancel()
+			}
+		})
+	}
+}
+
+// TestNotSent guards the proof that lets a booking be tried at another endpoint.
+func TestNotSent(t *testing.T) {
+	srv := httptest.NewServer(nil)
+	srv.Close()
+	c, release := engine.NewClient(engine.Options{})
+	defer release()
+	_, err := c.Plain(context.Background(), engine.Call{
+		Address:   strings.TrimPrefix(srv.URL, "http://"),
+		Method:    http.MethodPost,
+		Path:      "/bookings",
+		RequestID: "r",
+	})
+	var notSent *engine.NotSentError
+	if !errors.As(err, &notSent) {
+		t.Errorf("got %v, want *NotSentError", err)
+	}
+}
+
+// TestPlain guards against a booking that runs twice after its answer was lost,
+// and against a key that reaches an endpoint.
+func TestPlain(t *testing.T) {
+	p, releaseService := plain.New(plain.Options{})
+	defer releaseService()
+	srv := httptest.NewServer(p.Handler())
+	defer srv.Close()
+	c, release := engine.NewClient(engine.Options{})
+	defer release()
+	call := engine.Call{
+		Address: strings.TrimPrefix(srv.URL, "http://"),
+		Method:  http.MethodPost,
+		Path:    "/bookings",
+		Header: http.Header{
+			"Authorization":   {"Bearer secret"},
+			"Connection":      {"X-Private"},
+			"X-Private":       {"Bearer secret"},
+			"Idempotency-Key": {"k1"},
+		},
+		Body:      []byte(`{"lane":3}`),
+		RequestID: "r1",
+	}
+	// The first answer opens a connection that the lost one then uses again.
+	a, err := c.Plain(context.Background(), call)
+	if err != nil || a.Status != http.StatusCreated {
+		t.Fatalf("got %+v, %v", a, err)
+	}
+	if err := p.Faults().Add(fault.Fault{Kind: fault.LoseAnswer, Count: 1}); err != nil {
+		t.Fatal(err)
+	}
+	call.RequestID = "r2"
+	call.Header.Set("Idempotency-Key", "k2")
+	var broken *engine.BrokenError
+	if _, err := c.Plain(context.Background(), call); !errors.As(err, &broken) {
+		t.Errorf("lost answer: got %v, want *BrokenError", err)
+	}
+	if p.Executions("k1") != 1 || p.Executions("k2") != 1 || p.RequestExecutions("r2") != 1 {
+		t.Errorf("bookings ran %d and %d times, want once", p.Executions("k1"), p.Executions("k2"))
+	}
+	if got := p.Stats(); got.KeysSeen != 0 || got.Repeated != 0 {
+		t.Errorf("got %+v", got)
+	}
+	read := engine.Call{
+		Address:   call.Address,
+		Method:    http.MethodGet,
+		Path:      "/bookings/1",
+		RequestID: "r3",
+	}
+	if a, err = c.Plain(context.Background(), read); err != nil || !strings.Contains(string(a.Body), `{"lane":3}`) {
+		t.Errorf("read back: got %+v, %v", a, err)
+	}
+}
+
+// TestKV guards against an imported KV cache that does not save the prefill.
+func TestKV(t *testing.T) {
+	a, b := start(t, model.Options{}), start(t, model.Options{})
+	ctx := context.Background()
+	prompt := strings.Repeat("x", 4000)
+	if _, err := a.client.Complete(ctx, a.call("r", prompt, 1, false)); err != nil {
+		t.Fatal(err)
+	}
+	kv, err := a.client.ExportKV(ctx, a.addr, "r")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.client.ImportKV(ctx, b.addr, "r", kv); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := b.client.Complete(ctx, b.call("r", prompt, 1, false)); err != nil {
+		t.Fatal(err)
+	}
+	if got := b.Stats().PrefillTokens; got != 0 {
+		t.Errorf("%d tokens were processed again", got)
+	}
+}
