feed: acknowledge a change after it has spread

Cause: stateful fuzzing of withdrawals found a key that works during an outage of the store: the node that appended the withdrawal dies just before the outage, and all others truthfully say that they know of no newer revision.

Change: Spread counts the nodes that have heard of an appended revision; the operator is answered after two others have, one of them in another domain, else the answer says unspread. Requests carry changes that the relay lacked. A node that holds no configuration yet vouches for nothing.

--- a/internal/cmds/config.go
+++ b/internal/cmds/config.go
@@ -7,6 +7,7 @@
 
 	"github.com/urfave/cli/v3"
 
+	"trefoildale.example/trefoildale/pkg/admin"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
 
@@ -142,9 +143,16 @@
 		return err
 	}
 	fmt.Fprintf(cmd.Root().Writer, "revision %d is active: %d put, %d deleted\n", done.Revision, len(change.Puts), len(change.Deletes))
+	warnUnspread(cmd, done)
 	return nil
 }
 
+func warnUnspread(cmd *cli.Command, done *admin.Applied) {
+	if done.Unspread {
+		fmt.Fprintf(cmd.Root().ErrWriter, "warning: revision %d is in the log, but no other nodes have confirmed it yet; see status\n", done.Revision)
+	}
+}
+
 func configShow(ctx context.Context, cmd *cli.Command) error {
 	if _, err := operands(cmd); err != nil {
 		return err
--- a/internal/cmds/key.go
+++ b/internal/cmds/key.go
@@ -83,6 +83,7 @@
 		return err
 	}
 	fmt.Fprintf(cmd.Root().Writer, "key %s of workspace %s added in revision %d\nsecret: %s\n", k.ID, args[1], k.Revision, k.Secret)
+	warnUnspread(cmd, &k.Applied)
 	return nil
 }
 
@@ -104,5 +105,6 @@
 		return err
 	}
 	fmt.Fprintf(cmd.Root().Writer, "key %s withdrawn in revision %d; no node honours it 5 s from now\n", args[0], done.Revision)
+	warnUnspread(cmd, done)
 	return nil
 }
--- /dev/null
+++ b/internal/feed/fleet_test.go
@@ -0,0 +1,567 @@
+package feed_test
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"pgregory.net/rapid"
+
+	"trefoildale.example/trefoildale/internal/feed"
+	"trefoildale.example/trefoildale/internal/keys"
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+// process is one entry process of the simulated fleet.
+type process struct {
+	w      *world
+	name   string
+	domain string
+	// offset separates the clocks of the processes.
+	offset time.Duration
+	paused bool
+	relay  *feed.Relay
+	log    *feed.Log
+	gate   *keys.Gate
+	// answers holds the last answer of each relay.
+	answers map[string]feed.Answer
+	spread  *feed.Spread
+}
+
+// Now implements clock.Clock.
+func (p *process) Now() time.Time { return p.w.now.Add(p.offset) }
+
+// GoString keeps the failing output of rapid short.
+func (p *process) GoString() string { return p.name }
+
+// world is a fleet with a network that delays, drops and repeats messages.
+type world struct {
+	now     time.Time
+	table   *table
+	nodes   []*process
+	flights []flight
+	// cut holds pairs of domains, and domains with "platform", that are cut off
+	// from each other.
+	cut map[[2]string]bool
+	// acked holds when the withdrawal of a key was acknowledged.
+	acked map[string]time.Time
+	// ackedAt holds when each revision was acknowledged.
+	ackedAt map[int64]time.Time
+	// off is the mechanism that is switched off.
+	off     string
+	started int
+}
+
+// flight is a request, or its answer when answer is set.
+type flight struct {
+	from, to *process
+	sent     time.Time
+	due      time.Time
+	ask      feed.Ask
+	answer   []byte
+}
+
+func secretOf(k int) string { return fmt.Sprintf("tfd-secret-%d", k) }
+
+func newWorld(domains, perDomain, keyCount int) *world {
+	w := &world{
+		now:   time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC),
+		table: newTable(),
+		cut:   map[[2]string]bool{},
+		acked: map[string]time.Time{},
+
+		ackedAt: map[int64]time.Time{},
+	}
+	first := spec.Change{OpID: "0-first", Author: "t", Puts: []spec.Item{{Workspace: &spec.Workspace{Name: "desk", RateTokensPerSecond: 1, BurstTokens: 1}}}}
+	for d := range domains {
+		first.Puts = append(first.Puts, spec.Item{Domain: &spec.Domain{Name: fmt.Sprintf("d%d", d), Region: "r"}})
+		for n := range perDomain {
+			p := &process{w: w, name: fmt.Sprintf("d%d-n%d", d, n), domain: fmt.Sprintf("d%d", d), offset: time.Duration(d*perDomain+n) * time.Hour}
+			w.nodes = append(w.nodes, p)
+		}
+	}
+	for k := range keyCount {
+		first.Puts = append(first.Puts, spec.Item{Key: &spec.Key{ID: fmt.Sprintf("k%d", k), Workspace: "desk", Digest: spec.Digest(secretOf(k))}})
+	}
+	for i, p := range w.nodes {
+		w.start(p)
+		if i == 0 {
+			if _, _, err := p.log.Append(context.Background(), p.relay.View.State(), first); err != nil {
+				panic(err)
+			}
+		}
+		p.poll()
+	}
+	return w
+}
+
+func (w *world) start(p *process) {
+	w.started++
+	p.relay = &feed.Relay{View: feed.NewView(), Fleet: feed.NewFleet(), Members: feed.NewMembers(p.domain, uint64(w.started))}
+	p.log = feed.NewLog(w.table, objects{table: w.table}, p)
+	p.gate = keys.NewGate(p)
+	p.answers = map[string]feed.Answer{}
+	p.paused = false
+	for _, n := range w.nodes {
+		if n.domain == p.domain {
+			p.relay.Live = append(p.relay.Live, n.name)
+		}
+		if !slices.Contains(p.relay.Domains, n.domain) {
+			p.relay.Domains = append(p.relay.Domains, n.domain)
+		}
+	}
+}
+
+func (w *world) reachable(a, b string) bool {
+	return !w.cut[[2]string{a, b}] && !w.cut[[2]string{b, a}]
+}
+
+func (p *process) take(r feed.Read) error {
+	_, err := p.relay.View.Take(r)
+	p.relay.Refresh(p.name, p.Now())
+	p.gate.Update(p.relay.View.Config())
+	p.gate.Fresh(p.relay.View.FreshAt())
+	p.gate.Tick()
+	return err
+}
+
+func (p *process) platform() bool {
+	return !p.w.table.down && p.w.reachable(p.domain, "platform") && !p.paused
+}
+
+func (p *process) poll() {
+	if !p.platform() {
+		return
+	}
+	if r, err := p.log.Poll(context.Background(), p.relay.View.Revision()); err == nil {
+		if err := p.take(r); err != nil {
+			panic(err)
+		}
+	}
+}
+
+func (p *process) ask(to *process, scope feed.Scope) {
+	if p.paused || p == to {
+		return
+	}
+	last := p.answers[to.name]
+	p.w.flights = append(p.w.flights, flight{
+		from: p,
+		to:   to,
+		sent: p.Now(),
+		due:  p.w.now,
+		ask:  p.relay.View.Ask(p.name, p.domain, scope, last.Revision, last.Mark),
+	})
+}
+
+// deliver hands over a message that is under way.
+func (w *world) deliver(f flight) error {
+	if f.from.paused || f.to.paused || !w.reachable(f.from.domain, f.to.domain) {
+		return nil
+	}
+	if f.answer == nil {
+		a := f.ask
+		if err := a.Validate(); err != nil {
+			return err
+		}
+		f.to.relay.Refresh(f.to.name, f.to.Now())
+		answer, err := f.to.relay.Answer(a, f.to.Now())
+		if err != nil {
+			return err
+		}
+		if err := f.to.take(feed.Read{}); err != nil {
+			return err
+		}
+		f.answer, err = cbor.Marshal(answer)
+		w.flights = append(w.flights, f)
+		return err
+	}
+	var answer feed.Answer
+	if err := cbor.Unmarshal(f.answer, &answer); err != nil {
+		return err
+	}
+	if err := answer.Validate(); err != nil {
+		return err
+	}
+	sent := f.sent
+	if w.off == "request time" {
+		sent = f.from.Now()
+	}
+	f.from.answers[f.to.name] = answer
+	if f.from.spread != nil {
+		f.from.spread.Answered(f.to.name, f.to.domain, f.ask)
+	}
+	f.from.relay.View.Heard(answer.Known)
+	f.from.relay.Fleet.Learn(sent, answer.Domains)
+	f.from.relay.Members.Learn(sent, answer.Members)
+	return f.from.take(answer.Read(sent))
+}
+
+// check is the oracle: no key works 5 s after its withdrawal was acknowledged,
+// and no view counts as fresh for a time after a higher revision was.
+func (w *world) check(t *rapid.T, running []keys.Verdict) {
+	for _, p := range w.nodes {
+		v := p.relay.View
+		for revision, at := range w.ackedAt {
+			if ahead := v.FreshAt().Add(-p.offset).Sub(at); revision > v.Revision() && ahead > 0 {
+				t.Fatalf("%s holds revision %d and is fresh for %s after revision %d was acknowledged", p.name, v.Revision(), ahead, revision)
+			}
+		}
+	}
+	for k, at := range w.acked {
+		if w.now.Sub(at) <= 5*time.Second {
+			continue
+		}
+		for _, p := range w.nodes {
+			if r := p.gate.Check(k).Result; r == keys.OK {
+				t.Fatalf("%s accepts a key %s after its withdrawal was acknowledged", p.name, w.now.Sub(at))
+			}
+		}
+	}
+	for i, v := range running {
+		at, gone := w.acked[secretOf(i%3)]
+		if gone && w.now.Sub(at) > 5*time.Second && w.nodes[i/3].gate.Still(v) == keys.OK {
+			t.Fatalf("%s continues a stream %s after the withdrawal of its key was acknowledged", w.nodes[i/3].name, w.now.Sub(at))
+		}
+	}
+}
+
+// lastToKnow reports whether p is the only node that knows of the highest
+// revision that was acknowledged.
+func (w *world) lastToKnow(p *process) bool {
+	highest := int64(0)
+	for revision := range w.ackedAt {
+		highest = max(highest, revision)
+	}
+	// Without a spread the death of the only one that knows is the fault to find.
+	if w.off == "spread" || highest == 0 || p.relay.View.Known() < highest {
+		return false
+	}
+	for _, other := range w.nodes {
+		if other != p && other.relay.View.Known() >= highest {
+			return false
+		}
+	}
+	return true
+}
+
+func withdrawals(t rapid.TB, off string) {
+	rapid.Check(t, func(t *rapid.T) {
+		const keyCount = 3
+		w := newWorld(3, 2, keyCount)
+		w.off = off
+		var running []keys.Verdict
+		for _, p := range w.nodes {
+			for k := range keyCount {
+				running = append(running, p.gate.Check(secretOf(k)))
+			}
+		}
+		node := func(t *rapid.T) *process { return rapid.SampledFrom(w.nodes).Draw(t, "node") }
+		toggle := func(t *rapid.T, a, b string) { w.cut[[2]string{a, b}] = !w.cut[[2]string{a, b}] }
+		domain := rapid.SampledFrom([]string{"d0", "d1", "d2"})
+		advance := func(t *rapid.T) {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(0, 1500).Draw(t, "ms")) * time.Millisecond)
+		}
+		ask := func(t *rapid.T) {
+			from, to := node(t), node(t)
+			from.ask(to, feed.ScopeFleet)
+		}
+		// deliver often hands over the newest message, so that exchanges
+		// complete, and sometimes an old one, once or twice.
+		deliver := func(t *rapid.T) {
+			if len(w.flights) == 0 {
+				return
+			}
+			i := len(w.flights) - 1 - rapid.IntRange(0, min(3, len(w.flights)-1)).Draw(t, "flight")
+			f := w.flights[i]
+			if rapid.IntRange(0, 9).Draw(t, "again") > 0 {
+				w.flights = slices.Delete(w.flights, i, i+1)
+			}
+			if err := w.deliver(f); err != nil {
+				t.Fatal(err)
+			}
+		}
+		exchange := func(t *rapid.T) {
+			for range 2 {
+				ask(t)
+				deliver(t)
+				deliver(t)
+			}
+		}
+		// meet completes an exchange of one node with all others that it reaches.
+		// Older messages stay under way.
+		meet := func(t *rapid.T, from *process) {
+			for _, to := range w.nodes {
+				old := w.flights
+				w.flights = nil
+				from.ask(to, feed.ScopeFleet)
+				for range 2 {
+					if len(w.flights) == 0 {
+						break
+					}
+					f := w.flights[0]
+					w.flights = w.flights[1:]
+					if err := w.deliver(f); err != nil {
+						t.Fatal(err)
+					}
+				}
+				w.flights = old
+			}
+		}
+		round := func(t *rapid.T) {
+			for _, from := range w.nodes {
+				meet(t, from)
+			}
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"advance":   advance,
+			"advance2":  advance,
+			"ask":       ask,
+			"deliver":   deliver,
+			"deliver2":  deliver,
+			"exchange":  exchange,
+			"round":     round,
+			"round2":    round,
+			"poll":      func(t *rapid.T) { node(t).poll() },
+			"outage":    func(*rapid.T) { w.table.down = !w.table.down },
+			"platform":  func(t *rapid.T) { toggle(t, domain.Draw(t, "domain"), "platform") },
+			"cut":       func(t *rapid.T) { toggle(t, domain.Draw(t, "a"), domain.Draw(t, "b")) },
+			"pause":     func(t *rapid.T) { p := node(t); p.paused = !p.paused },
+			"restart": func(t *rapid.T) {
+				i := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")
+				p := w.nodes[i]
+				if w.lastToKnow(p) {
+					// Spread leaves this out; see there.
+					return
+				}
+				w.start(p)
+				// No answer reaches the new process on an old connection.
+				w.flights = slices.DeleteFunc(w.flights, func(f flight) bool { return f.from == p })
+				for k := range keyCount {
+					// The streams ended with the process.
+					running[i*keyCount+k] = keys.Verdict{}
+				}
+				if p.platform() {
+					p.poll()
+				} else {
+					// It takes the highest revision that it can reach.
+					meet(t, p)
+				}
+			},
+			"withdraw": func(t *rapid.T) {
+				p, k := node(t), rapid.IntRange(0, keyCount-1).Draw(t, "key")
+				if !p.platform() {
+					return
+				}
+				s := p.relay.View.State()
+				done, read, err := p.log.Append(context.Background(), s, spec.Change{
+					OpID:    spec.NewOpID(s.Revision()),
+					Author:  "t",
+					Base:    s.Revision(),
+					Deletes: []spec.Ref{{Kind: spec.KindOfKey, Name: fmt.Sprintf("k%d", k)}},
+				})
+				if bad := p.take(read); bad != nil {
+					t.Fatal(bad)
+				}
+				if err != nil {
+					return
+				}
+				p.spread = feed.NewSpread(p.domain, done.Revision)
+				if w.off != "spread" {
+					meet(t, p)
+				}
+				if w.off == "spread" || p.spread.Done(map[string]int{"d0": 2, "d1": 2, "d2": 2}) {
+					// The acknowledgement may be late, the answer of a slow node.
+					advance(t)
+					w.acked[secretOf(k)] = w.now
+					w.ackedAt[done.Revision] = w.now
+				}
+			},
+			"": func(t *rapid.T) { w.check(t, running) },
+		})
+	})
+}
+
+// Guards against a key that works longer than 5 s after its withdrawal was
+// acknowledged, under partitions, pauses, restarts, outages and slow messages.
+func TestWithdrawals(t *testing.T) { withdrawals(t, "") }
+
+// Shows that TestWithdrawals notices freshness reckoned from the time of the
+// answer, and an acknowledgement of what only one node knows.
+func TestWithdrawalsNotices(t *testing.T) {
+	for _, off := range []string{"request time", "spread"} {
+		t.Run(off, func(t *testing.T) {
+			mustFail(t, func(t rapid.TB) { withdrawals(t, off) })
+		})
+	}
+}
+
+// Guards against a node's word that is reckoned from the receipt of a request
+// which the network has delayed: the node may have appended a revision since.
+func TestDelayedRequest(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		forged bool
+		want   time.Duration
+	}{
+		{name: "word from the mark", want: 4 * time.Second},
+		{name: "check notices a word from the receipt", forged: true, want: 0},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+			m := feed.NewMembers("d0", 7)
+			ask := feed.Ask{Domain: "d0", Node: "n1", Held: 5}
+			m.Hear(ask, now)
+			if _, ok := m.State(now, []string{"n1"}); ok {
+				t.Error("a first request vouches for something")
+			}
+			ask.Mark = m.Mark(now)
+			later := now.Add(4 * time.Second)
+			if test.forged {
+				ask.Mark = m.Mark(later)
+			}
+			m.Hear(ask, later)
+			s, ok := m.State(later, []string{"n1"})
+			if !ok || s.Age != test.want || s.Lowest != 5 {
+				t.Errorf("word %+v, %v, want age %s", s, ok, test.want)
+			}
+			ask.Mark.Issuer++
+			m.Hear(ask, later.Add(time.Second))
+			if s, _ := m.State(later.Add(time.Second), []string{"n1"}); s.Age != test.want+time.Second {
+				t.Errorf("the mark of another process counts: %+v", s)
+			}
+		})
+	}
+}
+
+// run lets the fleet exchange at its regular pace for a while and calls each
+// every 50 ms. Messages take up to delay, and one in lossEvery is lost.
+func (w *world) run(rnd *rand.Rand, d, delay time.Duration, lossEvery int, each func()) error {
+	type due struct{ poll, sync, exchange time.Time }
+	next := map[string]due{}
+	for _, p := range w.nodes {
+		spread := func(d time.Duration) time.Time { return w.now.Add(time.Duration(rnd.Int64N(int64(d)))) }
+		next[p.name] = due{poll: spread(feed.PollEvery), sync: spread(500 * time.Millisecond), exchange: spread(2 * time.Second)}
+	}
+	round := 0
+	for end := w.now.Add(d); w.now.Before(end); w.now = w.now.Add(10 * time.Millisecond) {
+		round++
+		flights := w.flights
+		w.flights = nil
+		for _, f := range flights {
+			if f.due.After(w.now) {
+				w.flights = append(w.flights, f)
+				continue
+			}
+			had := len(w.flights)
+			if err := w.deliver(f); err != nil {
+				return err
+			}
+			for i := had; i < len(w.flights); i++ {
+				w.flights[i].due = w.now.Add(time.Duration(rnd.Int64N(int64(delay))))
+			}
+		}
+		for _, p := range w.nodes {
+			n, pace, had := next[p.name], p.relay.View.Pace(p.Now()), len(w.flights)
+			relays := w.relaysOf(p.domain)
+			isRelay := slices.Contains(relays, p)
+			if (isRelay || pace.PollSelf) && !n.poll.After(w.now) {
+				p.poll()
+				n.poll = w.now.Add(feed.PollEvery)
+			}
+			if !n.sync.After(w.now) {
+				for _, to := range relays {
+					if isRelay {
+						p.ask(to, feed.ScopeFleet)
+					}
+				}
+				if !isRelay {
+					p.ask(relays[len(p.name+p.domain)%len(relays)], feed.ScopeSummary)
+				}
+				n.sync = w.now.Add(pace.Sync)
+			}
+			// An interval that became shorter applies at once.
+			if n.exchange.After(w.now.Add(pace.Exchange)) {
+				n.exchange = w.now.Add(pace.Exchange)
+			}
+			if isRelay && !n.exchange.After(w.now) {
+				for _, d := range p.relay.Domains {
+					if others := w.relaysOf(d); d != p.domain {
+						p.ask(others[rnd.IntN(len(others))], feed.ScopeDomain)
+					}
+				}
+				n.exchange = w.now.Add(pace.Exchange)
+			}
+			next[p.name] = n
+			for i := len(w.flights) - 1; i >= had; i-- {
+				w.flights[i].due = w.now.Add(time.Duration(rnd.Int64N(int64(delay))))
+				if rnd.IntN(lossEvery) == 0 {
+					w.flights = slices.Delete(w.flights, i, i+1)
+				}
+			}
+		}
+		if round%5 == 0 {
+			each()
+		}
+	}
+	return nil
+}
+
+func (w *world) relaysOf(domain string) []*process {
+	var out []*process
+	for _, p := range w.nodes {
+		if p.domain == domain && len(out) < 2 {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Guards against valid keys that are refused because the store is down, and
+// against a domain cut off from everything that goes on honouring keys.
+func TestOutageRefusesNoKey(t *testing.T) {
+	for _, size := range []struct{ domains, nodes int }{{domains: 3, nodes: 3}, {domains: 30, nodes: 3}} {
+		w := newWorld(size.domains, size.nodes, 1)
+		rnd := rand.New(rand.NewPCG(1, 2))
+		refused, asked := 0, 0
+		all := func() {
+			for _, p := range w.nodes {
+				asked++
+				if p.gate.Check(secretOf(0)).Result != keys.OK {
+					refused++
+				}
+			}
+		}
+		run := func(d time.Duration, each func()) {
+			t.Helper()
+			if err := w.run(rnd, d, 40*time.Millisecond, 1000, each); err != nil {
+				t.Fatal(err)
+			}
+		}
+		run(10*time.Second, all)
+		w.table.down = true
+		run(30*time.Second, all)
+		w.table.down = false
+		run(5*time.Second, all)
+		t.Logf("%d domains: %d of %d checks refused", size.domains, refused, asked)
+		if refused > 0 {
+			t.Errorf("%d domains: %d of %d checks refused while only the store was down", size.domains, refused, asked)
+		}
+		for d := range size.domains {
+			w.cut[[2]string{"d0", fmt.Sprintf("d%d", d)}] = d != 0
+		}
+		w.cut[[2]string{"d0", "platform"}] = true
+		run(4*time.Second, func() {})
+		run(2*time.Second, func() {
+			for _, p := range w.nodes {
+				if got := p.gate.Check(secretOf(0)).Result; (got == keys.OK) == (p.domain == "d0") {
+					t.Fatalf("%s answers %s with d0 cut off from everything", p.name, got)
+				}
+			}
+		})
+	}
+}
--- a/internal/feed/log.go
+++ b/internal/feed/log.go
@@ -218,6 +218,9 @@
 	Revision int64
 	// Repeated is set when an earlier attempt had already made the change.
 	Repeated bool
+	// Unspread is set by the node that appended when it acknowledges the change
+	// before Spread is done.
+	Unspread bool
 	// SnapshotErr tells why a due snapshot was not written. The next one is
 	// tried 256 revisions later.
 	SnapshotErr error
--- a/internal/feed/log_test.go
+++ b/internal/feed/log_test.go
@@ -53,7 +53,7 @@
 // then proves nothing.
 func mustFail(t *testing.T, check func(rapid.TB)) {
 	t.Helper()
-	for name, value := range map[string]string{"rapid.nofailfile": "true", "rapid.shrinktime": "1s"} {
+	for name, value := range map[string]string{"rapid.nofailfile": "true", "rapid.shrinktime": "1s", "rapid.checks": "5000"} {
 		old := flag.Lookup(name).Value.String()
 		defer flag.Set(name, old)
 		if err := flag.Set(name, value); err != nil {
--- a/internal/feed/sync.go
+++ b/internal/feed/sync.go
@@ -1,6 +1,7 @@
 package feed
 
 import (
+	"errors"
 	"fmt"
 	"slices"
 	"time"
@@ -35,6 +36,9 @@
 	Known int64 `cbor:"4,keyasint,omitempty"`
 	Mark  Mark  `cbor:"5,keyasint"`
 	Scope Scope `cbor:"6,keyasint,omitempty"`
+	// Changes are those that the relay did not hold when it last answered. A
+	// node that has appended a revision spreads it in this way.
+	Changes []Entry `cbor:"7,keyasint,omitempty"`
 }
 
 // Scope says how much of what it knows the relay answers with.
@@ -63,6 +67,19 @@
 	case !nameOK(a.Node) || !nameOK(a.Domain):
 		return fmt.Errorf("feed: ask: name is empty or longer than %d", maxName)
 	}
+	return validate(a.Changes, a.Held)
+}
+
+// validate decodes changes, which must be in order and at most revision last.
+func validate(changes []Entry, last int64) error {
+	for i := range changes {
+		if err := changes[i].Validate(); err != nil {
+			return err
+		}
+		if changes[i].Revision > last || i > 0 && changes[i].Revision != changes[i-1].Revision+1 {
+			return fmt.Errorf("feed: revision %d out of order", changes[i].Revision)
+		}
+	}
 	return nil
 }
 
@@ -125,13 +142,8 @@
 			return fmt.Errorf("feed: answer: malformed state of node %.64q", m.Node)
 		}
 	}
-	for i := range a.Changes {
-		if err := a.Changes[i].Validate(); err != nil {
-			return err
-		}
-		if a.Changes[i].Revision > a.Revision || i > 0 && a.Changes[i].Revision != a.Changes[i-1].Revision+1 {
-			return fmt.Errorf("feed: answer: revision %d out of order", a.Changes[i].Revision)
-		}
+	if err := validate(a.Changes, a.Revision); err != nil {
+		return err
 	}
 	if a.Snapshot != nil {
 		c, err := decodeSnapshot(a.Snapshot)
@@ -174,9 +186,26 @@
 	packedAt int64
 }
 
+// Ask returns the request to a relay that last answered with revision relayHeld
+// (0 before the first answer) and mark.
+func (v *View) Ask(node, domain string, scope Scope, relayHeld int64, mark Mark) Ask {
+	a := Ask{Domain: domain, Node: node, Held: v.Revision(), Known: v.Known(), Mark: mark, Scope: scope}
+	if relayHeld > 0 {
+		// A relay that lags further gets a snapshot elsewhere.
+		entries, _ := v.state.After(relayHeld)
+		a.Changes = firstOf(entries)
+	}
+	return a
+}
+
 // Refresh brings the relay's own word and the word of its domain up to date and
-// moves the view's freshness accordingly. node is the relay itself.
+// moves the view's freshness accordingly. node is the relay itself. A node that
+// holds no configuration yet has no word: before a restart it may have known
+// of a revision that it does not know now.
 func (r *Relay) Refresh(node string, now time.Time) {
+	if r.View.Revision() == 0 && r.View.AsOf().IsZero() {
+		return
+	}
 	r.Members.Self(node, r.View.Revision(), r.View.Known(), now)
 	if own, ok := r.Members.State(now, r.Live); ok {
 		r.Fleet.Learn(now, []DomainState{own})
@@ -186,9 +215,13 @@
 	}
 }
 
-// Answer returns the response to a valid request. Requests of the relay's own
-// domain are also noted as that node's word.
+// Answer takes the changes in a valid request and returns the response. Requests
+// of the relay's own domain are also noted as that node's word.
 func (r *Relay) Answer(a Ask, now time.Time) (Answer, error) {
+	// Changes that leave a gap are of no use, but the rest of the request is.
+	if _, err := r.View.Take(Read{Entries: a.Changes}); err != nil && !errors.Is(err, ErrGap) {
+		return Answer{}, err
+	}
 	own := a.Domain == r.Members.domain
 	if own {
 		r.Members.Hear(a, now)
@@ -232,15 +265,19 @@
 		out.Snapshot = r.packed
 		return nil
 	}
+	out.Changes = firstOf(entries)
+	return nil
+}
+
+// firstOf returns as many entries as fit into a message.
+func firstOf(entries []Entry) []Entry {
 	size := 0
 	for i, e := range entries {
 		if size += len(e.Row); size > maxAnswer && i > 0 {
-			entries = entries[:i]
-			break
+			return entries[:i]
 		}
 	}
-	out.Changes = entries
-	return nil
+	return entries
 }
 
 func nameOK(s string) bool { return s != "" && len(s) <= maxName }
--- a/internal/oper/oper.go
+++ b/internal/oper/oper.go
@@ -23,8 +23,8 @@
 }
 
 // Appender adds a change to the configuration log. It returns only after the
-// node's view has taken what Append read, so that the node acts on a change
-// before the operator hears of it. The errors are those of feed.Log.Append; any
+// node's view has taken what Append read and after feed.Spread is done, or with
+// Unspread set when that takes more than 2 s. The errors are those of feed.Log.Append; any
 // other counts as an unknown outcome.
 type Appender interface {
 	Append(ctx context.Context, c spec.Change) (feed.Appended, error)
@@ -77,7 +77,7 @@
 	}
 	done, err := h.append.Append(r.Context(), c)
 	if err == nil {
-		reply(w, http.StatusOK, admin.Applied{Revision: done.Revision, Repeated: done.Repeated, OpID: c.OpID})
+		reply(w, http.StatusOK, admin.Applied{Revision: done.Revision, Repeated: done.Repeated, Unspread: done.Unspread, OpID: c.OpID})
 		return
 	}
 	status, p := problemOf(err)
--- a/pkg/admin/admin.go
+++ b/pkg/admin/admin.go
@@ -50,7 +50,11 @@
 	// Revision is the one that holds the change.
 	Revision int64 `json:"revision"`
 	// Repeated is set when an earlier attempt had already made the change.
-	Repeated bool   `json:"repeated,omitempty"`
+	Repeated bool `json:"repeated,omitempty"`
+	// Unspread is set when no other nodes have confirmed the revision yet. It is
+	// in the log, but if this node is lost just before an outage of the store, a
+	// withdrawn key can work until the store responds again.
+	Unspread bool   `json:"unspread,omitempty"`
 	OpID     string `json:"op-id"`
 }
 
