--- a/internal/place/adapter.go
+++ b/internal/place/adapter.go
@@ -86,7 +86,7 @@
 			inFlight++
 		}
 	}
-	if inFlight >= m.set.AdaptersInFlight || best.ledger.Fencing() && best.own != best.ledger.Fence() {
+	if inFlight >= m.set.AdaptersInFlight || best.ledger.Fencing() && !best.fenced() {
 		return out
 	}
 	o := m.order(now, best, engine.OrderLoadAdapter, bestItem, a.MemoryMiB)
@@ -146,7 +146,7 @@
 	if len(e.dropping) == 0 || !m.mayOrder(now, e) {
 		return out
 	}
-	if e.ledger.Fencing() && (e.own != e.ledger.Fence() || m.unanswered(now, e)) {
+	if e.ledger.Fencing() && (!e.fenced() || m.unanswered(now, e)) {
 		return out
 	}
 	var due []Item
--- a/internal/place/baseline.go
+++ b/internal/place/baseline.go
@@ -83,7 +83,7 @@
 			}
 			best := -1
 			for at, e := range v.Endpoints {
-				if free[at] < m.Spec.MemoryMiB+m.AdapterMiB || slices.Contains(s.target[e.Name], i) {
+				if free[at] < m.needAt(&v.Endpoints[at]) || slices.Contains(s.target[e.Name], i) {
 					continue
 				}
 				if best < 0 || free[at] > free[best] {
@@ -95,7 +95,7 @@
 			}
 			name := v.Endpoints[best].Name
 			s.target[name] = append(s.target[name], i)
-			free[best] -= m.Spec.MemoryMiB + m.AdapterMiB
+			free[best] -= m.needAt(&v.Endpoints[best])
 			placed = true
 		}
 		if !placed || round == len(v.Endpoints) {
@@ -156,11 +156,11 @@
 		if len(out) >= v.Loads {
 			break
 		}
-		need := m.Spec.MemoryMiB + m.AdapterMiB
 		best := -1
 		var bestEvict []Item
 		var bestAge time.Time
 		for at, e := range v.Endpoints {
+			need := m.needAt(&v.Endpoints[at])
 			if !idle[at] || need > e.MemoryMiB {
 				continue
 			}
--- a/internal/place/ledger.go
+++ b/internal/place/ledger.go
@@ -252,7 +252,7 @@
 	if !l.settled {
 		return fmt.Errorf("%w: %s", ErrUnsettled, l.set.Endpoint)
 	}
-	if l.Fencing() && o.Fence != l.fence {
+	if l.Fencing() && (o.Fence != l.fence || o.Fence == engine.Fence{}) {
 		return fmt.Errorf("%w: %s has fence %v, the order %v", ErrUnsettled, l.set.Endpoint, l.fence, o.Fence)
 	}
 	if need, free := l.Cost(itemOf(o), o.MemoryMiB), l.FreeMiB(); need > free {
--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -257,6 +257,12 @@
 	layout   EndpointLayout
 }
 
+// fenced reports whether this manager's fence is the endpoint's highest, as
+// far as the last state tells.
+func (e *endpoint) fenced() bool {
+	return e.own != (engine.Fence{}) && e.own == e.ledger.Fence()
+}
+
 // Manager is the planner of one failure domain as a state machine. It has no
 // goroutine and does no I/O: Step returns what to do, and results come back in
 // a later step, late, never or twice.
@@ -795,7 +801,7 @@
 		return out
 	}
 	seen := e.ledger.Fence()
-	if e.own.Less(seen) {
+	if e.own == (engine.Fence{}) || e.own.Less(seen) {
 		// Another holder has ordered something. Without a lease the other one
 		// has the same right, and both taking turns would help nobody.
 		if !now.Before(m.auth.Until) && !e.claimed.IsZero() && now.Sub(e.claimed) < m.quiet() {
@@ -803,7 +809,7 @@
 		}
 		e.claimed = now
 		m.raise(e)
-	} else if e.own == seen {
+	} else if e.fenced() {
 		for _, s := range e.orders {
 			lost := s.phase != engine.OrderRunning && now.Sub(s.at) >= 3*m.set.AnswerWait
 			if lost && takesMemory(s.order.Kind) {
@@ -814,7 +820,7 @@
 			}
 		}
 	}
-	if e.own == seen {
+	if e.fenced() {
 		return out
 	}
 	for _, s := range e.orders {
@@ -913,7 +919,7 @@
 		m.finish(now, e)
 		return out
 	}
-	if now.Before(mv.retryAt) || e.ledger.Fencing() && e.own != e.ledger.Fence() {
+	if now.Before(mv.retryAt) || e.ledger.Fencing() && !e.fenced() {
 		return out
 	}
 	mv.retryAt = now.Add(3 * m.set.AnswerWait)
@@ -945,7 +951,7 @@
 		return out, false
 	}
 	if e.ledger.Fencing() {
-		if e.own != e.ledger.Fence() || m.unanswered(now, e) {
+		if !e.fenced() || m.unanswered(now, e) {
 			return out, false
 		}
 		// The raised fence proves, once a state shows it, that no copy of the
@@ -1032,7 +1038,7 @@
 			FreeMiB:   e.ledger.FreeMiB(),
 			Speed:     e.Speed,
 			Role:      e.role,
-			Idle:      e.move == nil && m.mayOrder(now, e) && (!e.ledger.Fencing() || e.own == e.ledger.Fence()),
+			Idle:      e.move == nil && m.mayOrder(now, e) && (!e.ledger.Fencing() || e.fenced()),
 		}
 		possible := e.ledger.possible()
 		if e.move != nil && e.move.Load != (Item{}) && possible[e.move.Load] == 0 {
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -259,14 +259,13 @@
 // best finds the endpoint where loading the model costs least.
 func (s *planState) best(i int, force bool, usable func(at int) bool) (int, []Item, float64) {
 	m := &s.v.Models[i]
-	need := m.Spec.MemoryMiB + m.AdapterMiB
 	best, bestScore, bestLoss := -1, 0.0, 0.0
 	var bestEvict []Item
 	for at := range s.v.Endpoints {
 		if !s.idle[at] || s.touched[at] || slices.Contains(s.replicas[i], at) || !usable(at) {
 			continue
 		}
-		evict, loss, ok := s.room(at, need, force)
+		evict, loss, ok := s.room(at, m.needAt(&s.v.Endpoints[at]), force)
 		if !ok {
 			continue
 		}
@@ -452,7 +451,6 @@
 }
 
 func (s *planState) update(i int, m *ModelView) {
-	need := m.Spec.MemoryMiB + m.AdapterMiB
 	inPlace, inPlaceOld := -1, Item{}
 	for _, at := range s.replicas[i] {
 		e := &s.v.Endpoints[at]
@@ -474,7 +472,7 @@
 		if has || old == (Item{}) {
 			continue
 		}
-		if s.free[at] >= need {
+		if s.free[at] >= m.needAt(e) {
 			s.startVersion(i, at, nil, "beside the old one")
 			return
 		}
@@ -493,6 +491,7 @@
 	}
 	if inPlace >= 0 {
 		e := &s.v.Endpoints[inPlace]
+		need := m.needAt(e)
 		evict := []Item{inPlaceOld}
 		free := s.free[inPlace]
 		for _, it := range e.Items {
--- a/internal/place/policy.go
+++ b/internal/place/policy.go
@@ -100,3 +100,12 @@
 	Name() string
 	Plan(v *View) []Move
 }
+
+// needAt is the memory that placing a model at an endpoint takes. The room for
+// adapters is left out where it would make the endpoint too small.
+func (m *ModelView) needAt(e *EndpointView) int64 {
+	if need := m.Spec.MemoryMiB + m.AdapterMiB; need <= e.MemoryMiB {
+		return need
+	}
+	return m.Spec.MemoryMiB
+}
