--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -140,11 +140,12 @@
 	b.settle(now)
 	if b.ownActive() {
 		level = int64(b.level)
-		if !b.faults.keepLevel {
-			b.level = 0
-		}
+		b.level = 0
 	}
 	b.ownFrom = resume
+	if b.faults.forgetDebt {
+		return level, 0
+	}
 	return level, int64(math.Ceil(b.lent))
 }
 
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -14,7 +14,7 @@
 //
 // A short fuzz with fixed seeds runs in plain go test. A long run:
 //
-//	go test ./internal/quota -run 'TestFleetWithinLimit$' -rapid.checks=20000 -rapid.steps=150 -timeout 0
+//	go test ./internal/quota -run 'TestFleetWithinLimit$' -rapid.checks=20000 -rapid.seed=$RANDOM -timeout 0
 package quota
 
 import "time"
@@ -41,5 +41,6 @@
 	ignoreSpendBy bool // tokens are spent after their deadline
 	raiseAtOnce   bool // a raised share is used before it is confirmed
 	creditTwice   bool // a duplicate of a return is credited again
-	keepLevel     bool // the depositor keeps the level that it handed over
+	deadAtOnce    bool // slots of a dead process are taken while its deposit is used
+	forgetDebt    bool // a deposit doesn't tell what the depositor lent itself
 }
--- a/internal/quota/slots.go
+++ b/internal/quota/slots.go
@@ -371,7 +371,7 @@
 	if s.faults.takeAtOnce {
 		return true
 	}
-	if p, ok := s.proofs[o.Node]; ok && o.Incarnation <= p.incarnation && !now.Before(p.at.Add(ResumeAfter)) {
+	if p, ok := s.proofs[o.Node]; ok && o.Incarnation <= p.incarnation && (s.faults.deadAtOnce || !now.Before(p.at.Add(ResumeAfter))) {
 		return true
 	}
 	if o.Node == s.self.node && o.Incarnation != s.self.incarnation && !now.Before(s.started.Add(ResumeAfter)) {
