local: test promises on a fleet with cuts and outages

Cause: nothing showed that the assembled nodes keep the promises under failure.

A refusal of a call with an idempotency key no longer says not run before the key is proved new: a caller takes it as the word on the booking. Models that no endpoint of a domain can hold are asked of another domain's planner.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -30,10 +30,13 @@
 // Unwrap returns the cause.
 func (e *NotSentError) Unwrap() error { return e.Err }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, address string) (net.Conn, error)
+
 // Options are the settings of a Transport. Zero values mean the defaults.
 type Options struct {
 	// Dial opens a connection; the default is net.Dialer.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial Dial
 	// DialTimeout bounds opening a connection; the default is 2 s.
 	DialTimeout time.Duration
 	// MaxIdlePerHost bounds the idle connections kept for one server; the default is 64.
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -7,7 +7,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -64,7 +63,7 @@
 // Options are the settings of a Client. Zero values mean the defaults.
 type Options struct {
 	// Dial opens a connection; the default is net.Dialer.
-	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	Dial conn.Dial
 	// DialTimeout defaults to 2 s.
 	DialTimeout time.Duration
 	// MaxIdlePerEndpoint defaults to 64.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -371,13 +371,14 @@
 		switch {
 		case err == nil && (c.adapter == "" || choice.AdapterReady):
 			return choice, nil
-		case err == nil, errors.Is(err, route.ErrNotResident):
-			if p := c.awaitResident(); p != nil {
-				return route.Choice{}, p
-			}
 		case errors.Is(err, route.ErrNoEndpoint) && len(c.exclude) > 0:
 			// Every endpoint failed once; the retry budget bounds the second round.
 			c.exclude = nil
+		case err == nil, errors.Is(err, route.ErrNotResident), errors.Is(err, route.ErrNoEndpoint):
+			// Endpoints that leave or are ejected hold the model in vain.
+			if p := c.awaitResident(); p != nil {
+				return route.Choice{}, p
+			}
 		default:
 			return route.Choice{}, &problem{
 				Status:     http.StatusServiceUnavailable,
@@ -401,7 +402,7 @@
 		if err == nil && (c.adapter == "" || choice.AdapterReady) {
 			return nil
 		}
-		if err != nil && !errors.Is(err, route.ErrNotResident) {
+		if errors.Is(err, route.ErrUnknown) {
 			return nil
 		}
 		left := c.onDemandBy.Sub(c.opts.Clock.Now())
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -37,6 +37,13 @@
 	exclude   []string
 }
 
+// mayHaveRun reports whether an earlier arrival of the same call may have run.
+// A caller that repeats a booking takes "not run" as the word on the booking,
+// so nothing says it before the idempotency key is proved new.
+func (q *request) mayHaveRun() bool {
+	return q.r.Header.Get("Idempotency-Key") != "" && !q.claimed
+}
+
 func (s *Server) plain(q *request) {
 	svc := q.findService()
 	if svc == nil {
@@ -131,6 +138,7 @@
 	switch d.Kind {
 	case once.Run:
 		c.ticket = d.Ticket
+		c.claimed = true
 		c.opts.Stats.Inc(stats.OnceRun)
 		return true
 	case once.Replay:
@@ -172,15 +180,13 @@
 		return problem{
 			Status:  http.StatusUnprocessableEntity,
 			Reason:  audit.RepeatDifferent,
-			Message: "this idempotency key belongs to another call",
-			NotRun:  true,
+			Message: "this idempotency key belongs to another call; this one was not run",
 		}
 	case once.NotProvable:
 		return problem{
 			Status:     http.StatusServiceUnavailable,
 			Reason:     audit.RepeatUnprovable,
 			Message:    "it cannot be checked at present whether this call was made before; this arrival was not run",
-			NotRun:     true,
 			RetryAfter: 5 * time.Second,
 		}
 	}
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -210,6 +210,8 @@
 	workspace *spec.Workspace
 	secret    string
 	model     string
+	// claimed is set when the call's idempotency key was proved new.
+	claimed bool
 }
 
 // track gives a request its id and keeps it in the list of running ones.
@@ -269,6 +271,7 @@
 
 // refuse answers with a problem before anything was delivered, and records it.
 func (q *request) refuse(p problem, e audit.Event) {
+	p.NotRun = p.NotRun && !q.mayHaveRun()
 	q.note(p, e)
 	p.write(q.w, q.id)
 }
--- a/internal/feed/fleet_test.go
+++ b/internal/feed/fleet_test.go
@@ -318,19 +318,19 @@
 			}
 		}
 		t.Repeat(map[string]func(*rapid.T){
-			"advance":   advance,
-			"advance2":  advance,
-			"ask":       ask,
-			"deliver":   deliver,
-			"deliver2":  deliver,
-			"exchange":  exchange,
-			"round":     round,
-			"round2":    round,
-			"poll":      func(t *rapid.T) { node(t).poll() },
-			"outage":    func(*rapid.T) { w.table.down = !w.table.down },
-			"platform":  func(t *rapid.T) { toggle(t, domain.Draw(t, "domain"), "platform") },
-			"cut":       func(t *rapid.T) { toggle(t, domain.Draw(t, "a"), domain.Draw(t, "b")) },
-			"pause":     func(t *rapid.T) { p := node(t); p.paused = !p.paused },
+			"advance":  advance,
+			"advance2": advance,
+			"ask":      ask,
+			"deliver":  deliver,
+			"deliver2": deliver,
+			"exchange": exchange,
+			"round":    round,
+			"round2":   round,
+			"poll":     func(t *rapid.T) { node(t).poll() },
+			"outage":   func(*rapid.T) { w.table.down = !w.table.down },
+			"platform": func(t *rapid.T) { toggle(t, domain.Draw(t, "domain"), "platform") },
+			"cut":      func(t *rapid.T) { toggle(t, domain.Draw(t, "a"), domain.Draw(t, "b")) },
+			"pause":    func(t *rapid.T) { p := node(t); p.paused = !p.paused },
 			"restart": func(t *rapid.T) {
 				i := rapid.IntRange(0, len(w.nodes)-1).Draw(t, "node")
 				p := w.nodes[i]
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -45,6 +45,10 @@
 	// Policy and Picker replace the decisions of the nodes; nil means the defaults.
 	Policy func() place.Policy
 	Picker func(*route.Table) route.Picker
+	// Network, when set, can cut domains off from each other and the platform.
+	Network *Network
+	// Settings may change the settings of a node before it starts.
+	Settings func(*conf.Settings)
 	// CallersListen is where the first node listens for callers, AdminListen for
 	// operators; free ports by default.
 	CallersListen string
@@ -110,6 +114,9 @@
 	if f.opts.PlatformURL != nil {
 		f.PlatformURL = f.opts.PlatformURL(address)
 	}
+	if f.opts.Network != nil {
+		f.opts.Network.place(address, PlatformSite)
+	}
 	w, release := weight.New(f.opts.Weights)
 	f.onClose(release)
 	f.Weights = w
@@ -189,6 +196,9 @@
 	}
 	address, err := f.serve(h)
 	e.Address = address
+	if f.opts.Network != nil {
+		f.opts.Network.place(address, e.Domain)
+	}
 	return err
 }
 
@@ -229,10 +239,19 @@
 	if f.opts.Policy != nil {
 		opts.Policy = f.opts.Policy()
 	}
+	if f.opts.Settings != nil {
+		f.opts.Settings(set)
+	}
+	if f.opts.Network != nil {
+		opts.Dial = f.opts.Network.dialer(domain)
+	}
 	n, stop, err := node.New(opts)
 	if err != nil {
 		return nil, err
 	}
+	if f.opts.Network != nil {
+		f.opts.Network.place(n.PeersAddr, domain)
+	}
 	f.onClose(stop)
 	f.Nodes = append(f.Nodes, n)
 	f.Platform.PutVM(store.VM{
--- /dev/null
+++ b/internal/local/network.go
@@ -0,0 +1,120 @@
+package local
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+
+	"trefoildale.example/trefoildale/internal/conn"
+)
+
+// PlatformSite is the platform's place in a Network, which is in no domain.
+const PlatformSite = "platform"
+
+// errCut is what a connection that is cut off reports. It is a timeout rather
+// than a refusal, since a partition gives no answer.
+var errCut = errors.New("local: no route between the domains")
+
+// Network opens connections between the domains of a fleet and cuts them.
+type Network struct {
+	mu    sync.Mutex
+	sites map[string]string
+	cut   map[[2]string]bool
+	conns map[*cutConn]bool
+}
+
+// NewNetwork returns a network without cuts.
+func NewNetwork() *Network {
+	return &Network{
+		sites: make(map[string]string),
+		cut:   make(map[[2]string]bool),
+		conns: make(map[*cutConn]bool),
+	}
+}
+
+// place notes the domain in which an address is.
+func (n *Network) place(address, domain string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.sites[address] = domain
+}
+
+// Cut separates two domains, or a domain and the platform, in both directions.
+// Open connections between them end.
+func (n *Network) Cut(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[pair(a, b)] = true
+	for c := range n.conns {
+		if c.sites == pair(a, b) {
+			_ = c.Conn.Close()
+			delete(n.conns, c)
+		}
+	}
+}
+
+// Heal ends a cut.
+func (n *Network) Heal(a, b string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.cut, pair(a, b))
+}
+
+func pair(a, b string) [2]string {
+	if a > b {
+		a, b = b, a
+	}
+	return [2]string{a, b}
+}
+
+// dialer opens connections from a domain.
+func (n *Network) dialer(domain string) conn.Dial {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		n.mu.Lock()
+		sites := pair(domain, n.sites[address])
+		cut := n.cut[sites]
+		n.mu.Unlock()
+		if cut {
+			<-ctx.Done()
+			return nil, errCut
+		}
+		var d net.Dialer
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return n.track(c, sites)
+	}
+}
+
+func (n *Network) track(c net.Conn, sites [2]string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.cut[sites] {
+		_ = c.Close()
+		return nil, errCut
+	}
+	t := &cutConn{
+		Conn:    c,
+		network: n,
+		sites:   sites,
+	}
+	n.conns[t] = true
+	return t, nil
+}
+
+// cutConn is a connection that ends when its domains are cut.
+type cutConn struct {
+	net.Conn
+	network *Network
+	sites   [2]string
+}
+
+// Close implements net.Conn.
+func (c *cutConn) Close() error {
+	c.network.mu.Lock()
+	delete(c.network.conns, c)
+	c.network.mu.Unlock()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/local/outage_test.go
@@ -0,0 +1,145 @@
+package local
+
+import (
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/fake/fault"
+)
+
+// withdrawBound is how long after its withdrawal a key may be honoured.
+const withdrawBound = 5 * time.Second
+
+func platformDown(t *testing.T, f *Fleet) (heal func()) {
+	t.Helper()
+	if err := f.Platform.Faults().Add(fault.Fault{Kind: fault.Refuse}); err != nil {
+		t.Fatal(err)
+	}
+	return func() { f.Platform.Faults().Clear(fault.Refuse) }
+}
+
+// Guards against refusing valid keys, or requests inside the rate, because the
+// platform's table answers nobody.
+func TestOutageOfThePlatformAloneRefusesNothing(t *testing.T) {
+	f, keys := testFleet(t, Options{
+		Config:         testConfig(3),
+		NodesPerDomain: 2,
+	})
+	heal := platformDown(t, f)
+	end := time.Now().Add(12 * time.Second)
+	asked := 0
+	for time.Now().Before(end) {
+		for i := range f.Nodes {
+			if a := ask(t, f, i, keys["club"], 10); a.status != http.StatusOK {
+				t.Fatalf("node %d after %d requests: %d %s", i, asked, a.status, a.body)
+			}
+			asked++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	a := do(t, f, 0, http.MethodPost, "/booking/lanes", keys["club"], `{"lane":1}`, "Idempotency-Key", "k1")
+	if a.status != http.StatusServiceUnavailable || a.notRun || a.code != "repeat-unprovable" {
+		t.Errorf("booking during the outage: %d %s, want a refusal that does not speak for earlier arrivals", a.status, a.body)
+	}
+	heal()
+	eventually(t, 5*time.Second, func() error {
+		a := do(t, f, 0, http.MethodPost, "/booking/lanes", keys["club"], `{"lane":1}`, "Idempotency-Key", "k1")
+		if a.status != http.StatusCreated {
+			return fmt.Errorf("booking after the outage: %d %s", a.status, a.body)
+		}
+		return nil
+	})
+	t.Logf("%d requests served during the outage", asked)
+}
+
+// Guards against honouring a withdrawn key, through a domain that is cut off
+// from the platform, from the other domains, or from both.
+func TestWithdrawnKeyStopsEverywhere(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		cuts [][2]string
+		// served tells whether the cut domain goes on serving other keys.
+		served bool
+	}{
+		{
+			name:   "whole network",
+			served: true,
+		},
+		{
+			name:   "no platform",
+			cuts:   [][2]string{{"d3", PlatformSite}},
+			served: true,
+		},
+		{
+			name:   "no other domains",
+			cuts:   [][2]string{{"d3", "d1"}, {"d3", "d2"}},
+			served: true,
+		},
+		{
+			name: "neither",
+			cuts: [][2]string{{"d3", PlatformSite}, {"d3", "d1"}, {"d3", "d2"}},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			network := NewNetwork()
+			f, keys := testFleet(t, Options{
+				Config:         testConfig(3),
+				NodesPerDomain: 2,
+				Network:        network,
+			})
+			other, err := f.AddKey(t.Context(), "other", "club")
+			if err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(2 * time.Second)
+			for _, c := range tc.cuts {
+				network.Cut(c[0], c[1])
+			}
+			client, err := f.Admin(0)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := client.WithdrawKey(t.Context(), "test", "key-club", ""); err != nil {
+				t.Fatal(err)
+			}
+			withdrawn := time.Now()
+			last := make([]time.Time, len(f.Nodes))
+			for time.Since(withdrawn) < withdrawBound+2*time.Second {
+				for i := range f.Nodes {
+					sent := time.Now()
+					if a := ask(t, f, i, keys["club"], 1); a.status == http.StatusOK {
+						last[i] = sent
+					}
+				}
+				time.Sleep(10 * time.Millisecond)
+			}
+			for i, at := range last {
+				if at.After(withdrawn.Add(withdrawBound)) {
+					t.Errorf("node %d honoured the key %s after its withdrawal", i, at.Sub(withdrawn))
+				}
+			}
+			a := ask(t, f, 4, other, 1)
+			if tc.served && a.status != http.StatusOK {
+				t.Errorf("another key in the cut domain: %d %s, want an answer", a.status, a.body)
+			}
+			if !tc.served && (a.code != "key-unverifiable" || !a.notRun) {
+				t.Errorf("another key in the cut domain: %d %s, want a refusal as not run", a.status, a.body)
+			}
+			if a := do(t, f, 4, http.MethodGet, "/notice/today", "", ""); a.status != http.StatusOK {
+				t.Errorf("open route in the cut domain: %d %s", a.status, a.body)
+			}
+			for _, c := range tc.cuts {
+				network.Heal(c[0], c[1])
+			}
+			eventually(t, 10*time.Second, func() error {
+				if a := ask(t, f, 4, other, 1); a.status != http.StatusOK {
+					return fmt.Errorf("after healing: %d %s", a.status, a.body)
+				}
+				return nil
+			})
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -17,6 +17,7 @@
 	"trefoildale.example/trefoildale/internal/audit"
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/conf"
+	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/engine"
 	"trefoildale.example/trefoildale/internal/entry"
 	"trefoildale.example/trefoildale/internal/keys"
@@ -46,6 +47,9 @@
 	// Picker makes the endpoint choice from the routing table; nil means the
 	// table's own.
 	Picker func(*route.Table) route.Picker
+	// Dial opens the connections to the platform, to peers and to endpoints; nil
+	// means net.Dialer.
+	Dial conn.Dial
 	// DrainNotice overrides the time between failing /readyz and stopping to
 	// take requests; zero means the default.
 	DrainNotice time.Duration
@@ -121,13 +125,14 @@
 func (n *Node) start() error {
 	name, domain := n.set.Node.Name, n.set.Node.Domain
 	var release func()
-	n.store, release = store.NewClient(n.set.Platform.URL)
+	n.store, release = store.NewClientDial(n.set.Platform.URL, n.opts.Dial)
 	n.onClose(release)
 	n.engines, release = engine.NewClient(engine.Options{
 		Name: name,
+		Dial: n.opts.Dial,
 	})
 	n.onClose(release)
-	n.wire, release = wire.NewClient(&n.meter)
+	n.wire, release = wire.NewClient(&n.meter, n.opts.Dial)
 	n.onClose(release)
 	n.trans = newTransport(n.wire)
 	n.audit = audit.New(name, 0, n.clock)
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -337,7 +337,7 @@
 	}
 	l.node.board.take(report)
 	if planner == l.node.set.Node.Name {
-		l.inputs.Reports = append(l.inputs.Reports, *report)
+		l.takeReport(*report)
 		l.fetchLayouts(now)
 		return
 	}
@@ -352,6 +352,60 @@
 	})
 }
 
+// takeReport hands a report of the domain to the manager. Models that wait and
+// that no endpoint of the domain can hold are passed on to another domain.
+func (l *loop) takeReport(r place.DemandReport) {
+	l.inputs.Reports = append(l.inputs.Reports, r)
+	for _, w := range r.Waiting {
+		if !l.canHold(w.Model, l.node.set.Node.Domain) {
+			l.foreign[w.Model] = w
+		}
+	}
+}
+
+// canHold reports whether an endpoint of the domain could be given the model.
+func (l *loop) canHold(model, domain string) bool {
+	cfg := l.view.Config()
+	i := slices.IndexFunc(cfg.Models, func(m spec.Model) bool { return m.Name == model })
+	if i < 0 {
+		return false
+	}
+	m := cfg.Models[i]
+	return slices.ContainsFunc(cfg.Endpoints, func(e spec.Endpoint) bool {
+		return e.Domain == domain && e.Service == m.Service && e.MemoryMiB >= m.MemoryMiB &&
+			!l.gone[e.Name] && !l.loads[e.Name].Leaving
+	})
+}
+
+// foreignReport is what the planner of another domain is asked to hold. Each
+// model goes to one domain that can hold it.
+func (l *loop) foreignReport(domain string) *place.DemandReport {
+	own := l.node.set.Node
+	var report *place.DemandReport
+	for name, w := range l.foreign {
+		var able []string
+		for d := range l.planners {
+			if d != own.Domain && l.canHold(name, d) {
+				able = append(able, d)
+			}
+		}
+		if rank.First("model/"+name, able) != domain {
+			continue
+		}
+		if report == nil {
+			l.report.seq++
+			report = &place.DemandReport{
+				Node:        own.Name,
+				Incarnation: incarnationText(l.node.inc),
+				Seq:         l.report.seq,
+			}
+		}
+		report.Waiting = append(report.Waiting, w)
+		delete(l.foreign, name)
+	}
+	return report
+}
+
 func (l *loop) marksOf() []wire.LayoutMark {
 	out := make([]wire.LayoutMark, 0, len(l.layouts))
 	for _, name := range slices.Sorted(maps.Keys(l.layouts)) {
@@ -377,6 +431,7 @@
 		}
 		req := &wire.DemandRequest{
 			Domain: l.node.set.Node.Domain,
+			Report: l.foreignReport(domain),
 		}
 		if held := l.layouts[domain]; held != nil {
 			req.Held = []wire.LayoutMark{{
@@ -395,7 +450,7 @@
 	if !ok {
 		return
 	}
-	if req.Report != nil {
+	if domain == l.node.set.Node.Domain {
 		l.report.busy = true
 	}
 	l.spawn(callTimeout, func(ctx context.Context) message {
@@ -418,7 +473,7 @@
 }
 
 func (m exchanged) handle(l *loop) {
-	if m.req.Report != nil {
+	if m.domain == l.node.set.Node.Domain {
 		l.report.busy = false
 	}
 	if m.err != nil || !m.reply.Planner {
@@ -467,9 +522,13 @@
 	if h := held[own]; true {
 		out.Layouts = append(out.Layouts, l.manager.Reply(h.Term, h.Seq))
 	}
+	if m.req.Domain != own && m.req.Report != nil {
+		// A domain that cannot hold a model asks for it here.
+		l.inputs.Reports = append(l.inputs.Reports, *m.req.Report)
+	}
 	if m.req.Domain == own {
 		if m.req.Report != nil {
-			l.inputs.Reports = append(l.inputs.Reports, *m.req.Report)
+			l.takeReport(*m.req.Report)
 		}
 		out.Layouts = append(out.Layouts, l.otherLayouts(held)...)
 		for _, load := range m.req.Loads {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -33,7 +33,7 @@
 			err:   err,
 		}
 		if err != nil && l.ctx.Err() == nil {
-			done.refused = errors.Is(wire.Probe(ctx, address), wire.ErrRefused)
+			done.refused = errors.Is(l.node.wire.Probe(ctx, address), wire.ErrRefused)
 		}
 		return done
 	})
@@ -81,8 +81,8 @@
 		return
 	}
 	l.peers.Heard(now, m.probe, m.reply.Peer)
-	if m.reply.Planner != "" {
-		l.planners[m.probe.To.Domain] = m.reply.Planner
+	for _, p := range m.reply.Planners {
+		l.planners[p.Domain] = p.Node
 	}
 	a := m.reply.Feed
 	if a == nil {
@@ -107,10 +107,10 @@
 func (m asked) handle(l *loop) {
 	now := l.node.clock.Now()
 	out := &wire.SyncReply{
-		Peer:    l.peers.Answer(now, m.req.Peer),
-		Planner: l.planner(),
+		Peer: l.peers.Answer(now, m.req.Peer),
 	}
 	if m.req.Feed != nil {
+		out.Planners = l.knownPlanners(*m.req.Feed)
 		a, err := l.relay.Answer(*m.req.Feed, now)
 		if err != nil {
 			klog.ErrorS(err, "Configuration part of a heartbeat left out", "node", m.req.Feed.Node)
@@ -121,6 +121,30 @@
 	m.reply <- out
 }
 
+// knownPlanners are the planners that the sender of a heartbeat is told.
+func (l *loop) knownPlanners(a feed.Ask) []wire.Planner {
+	own := l.node.set.Node.Domain
+	var out []wire.Planner
+	if name := l.planner(); name != "" {
+		out = append(out, wire.Planner{
+			Domain: own,
+			Node:   name,
+		})
+	}
+	if a.Domain != own || a.Scope != feed.ScopeFleet {
+		return out
+	}
+	for domain, name := range l.planners {
+		if domain != own {
+			out = append(out, wire.Planner{
+				Domain: domain,
+				Node:   name,
+			})
+		}
+	}
+	return out
+}
+
 // poll reads the table when it is due: relays always, other nodes while their
 // view is old.
 func (l *loop) poll(now time.Time) {
@@ -293,6 +317,7 @@
 	l.peers.List(l.node.clock.Now(), entries)
 	l.node.routes.SetLeaving(gone)
 	l.inputs.Leaving = gone
+	l.gone = gone
 }
 
 // publish hands the membership to the parts that need it.
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -60,7 +60,14 @@
 // NewClient returns a Client of the platform at baseURL, for example
 // "http://10.0.0.1:7000", and a function that releases its connections.
 func NewClient(baseURL string) (*Client, func()) {
-	t, release := conn.NewTransport(conn.Options{})
+	return NewClientDial(baseURL, nil)
+}
+
+// NewClientDial returns a Client that opens its connections with dial.
+func NewClientDial(baseURL string, dial conn.Dial) (*Client, func()) {
+	t, release := conn.NewTransport(conn.Options{
+		Dial: dial,
+	})
 	return &Client{
 		base:      strings.TrimSuffix(baseURL, "/"),
 		transport: t,
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -13,6 +13,8 @@
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
+
+	"trefoildale.example/trefoildale/internal/conn"
 )
 
 // ErrRefused means that the peer's address refused the connection: no process
@@ -22,16 +24,22 @@
 // Client calls other entry processes by address.
 type Client struct {
 	meter *Meter
+	dial  conn.Dial
 
 	mu     sync.Mutex
 	conns  map[string]*grpc.ClientConn
 	closed bool
 }
 
-// NewClient returns a client and a function that closes its connections.
-func NewClient(meter *Meter) (*Client, func()) {
+// NewClient returns a client and a function that closes its connections. A nil
+// dial stands for net.Dialer.
+func NewClient(meter *Meter, dial conn.Dial) (*Client, func()) {
+	if dial == nil {
+		dial = (&net.Dialer{}).DialContext
+	}
 	c := &Client{
 		meter: meter,
+		dial:  dial,
 		conns: make(map[string]*grpc.ClientConn),
 	}
 	return c, c.close
@@ -75,6 +83,9 @@
 		),
 		grpc.WithDisableServiceConfig(),
 		grpc.WithStatsHandler(c.meter),
+		grpc.WithContextDialer(func(ctx context.Context, address string) (net.Conn, error) {
+			return c.dial(ctx, "tcp", address)
+		}),
 		// Peers come back within seconds after a partition; the default backoff
 		// of up to two minutes would keep a healed domain apart.
 		grpc.WithConnectParams(grpc.ConnectParams{
@@ -111,14 +122,13 @@
 // ErrRefused when no process listens there. A dial of its own is needed: gRPC
 // repeats the error of an earlier attempt while it backs off, and that error
 // may be older than a restart of the peer.
-func Probe(ctx context.Context, address string) error {
-	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", address)
+func (c *Client) Probe(ctx context.Context, address string) error {
+	opened, err := c.dial(ctx, "tcp", address)
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return ErrRefused
 	}
 	if err != nil {
 		return err
 	}
-	return conn.Close()
+	return opened.Close()
 }
--- a/internal/wire/service.go
+++ b/internal/wire/service.go
@@ -38,8 +38,15 @@
 type SyncReply struct {
 	Peer peers.Welcome `cbor:"1,keyasint"`
 	Feed *feed.Answer  `cbor:"2,keyasint,omitempty"`
-	// Planner names the planner of the responder's domain.
-	Planner string `cbor:"3,keyasint,omitempty"`
+	// Planners are those that the responder knows: of its own domain, and for
+	// another relay of its domain those of all domains.
+	Planners []Planner `cbor:"3,keyasint,omitempty"`
+}
+
+// Planner names the node that places the models of a domain.
+type Planner struct {
+	Domain string `cbor:"1,keyasint"`
+	Node   string `cbor:"2,keyasint"`
 }
 
 // Validate checks a decoded message.
@@ -47,6 +54,11 @@
 	if err := r.Peer.Validate(); err != nil {
 		return err
 	}
+	for _, p := range r.Planners {
+		if p.Domain == "" || p.Node == "" || len(p.Domain)+len(p.Node) > maxID {
+			return fmt.Errorf("malformed planner of domain %.64q", p.Domain)
+		}
+	}
 	if r.Feed == nil {
 		return nil
 	}
