--- /dev/null
+++ b/internal/fake/cutter/cutter_test.go
@@ -0,0 +1,160 @@
+package cutter
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// echo returns a proxy in front of a server that echoes lines.
+func echo(t *testing.T) *Proxy {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	p, release, err := New(l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		release()
+		l.Close()
+	})
+	return p
+}
+
+func dial(t *testing.T, p *Proxy) net.Conn {
+	t.Helper()
+	c, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// exchange sends a line and reads it back within the limit.
+func exchange(c net.Conn, limit time.Duration) error {
+	_ = c.SetDeadline(time.Now().Add(limit))
+	if _, err := c.Write([]byte("line\n")); err != nil {
+		return err
+	}
+	_, err := bufio.NewReader(c).ReadString('\n')
+	return err
+}
+
+func isTimeout(err error) bool {
+	e, ok := err.(net.Error)
+	return ok && e.Timeout()
+}
+
+// TestFaults guards the faults that integration tests rely on: each must take
+// effect on an open connection, and end with Heal.
+func TestFaults(t *testing.T) {
+	const wait = 50 * time.Millisecond
+	tests := []struct {
+		name  string
+		fault func(*Proxy)
+		// silent means that the connection stays open without an answer.
+		silent bool
+		// survives means that the connection can be used after Heal.
+		survives bool
+	}{
+		{
+			name:  "cut",
+			fault: (*Proxy).Cut,
+		},
+		{
+			name:     "freeze",
+			fault:    (*Proxy).Freeze,
+			silent:   true,
+			survives: true,
+		},
+		{
+			name:   "drop to server",
+			fault:  func(p *Proxy) { p.Drop(ToServer) },
+			silent: true,
+		},
+		{
+			name:   "drop to client",
+			fault:  func(p *Proxy) { p.Drop(ToClient) },
+			silent: true,
+		},
+		{
+			name:     "delay",
+			fault:    func(p *Proxy) { p.Delay(wait) },
+			silent:   true,
+			survives: true,
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			p := echo(t)
+			c := dial(t, p)
+			if err := exchange(c, time.Second); err != nil {
+				t.Fatal(err)
+			}
+			tt.fault(p)
+			err := exchange(c, wait)
+			if err == nil || isTimeout(err) != tt.silent {
+				t.Errorf("during the fault: %v, want silence %t", err, tt.silent)
+			}
+			if err := p.Heal(); err != nil {
+				t.Fatal(err)
+			}
+			if err := exchange(c, time.Second); (err == nil) != tt.survives {
+				t.Errorf("the open connection after heal: %v, want survival %t", err, tt.survives)
+			}
+			if err := exchange(dial(t, p), time.Second); err != nil {
+				t.Errorf("a new connection after heal: %v", err)
+			}
+		})
+	}
+}
+
+// TestCutRefuses guards the proof of death: a cut target refuses connections.
+func TestCutRefuses(t *testing.T) {
+	p := echo(t)
+	p.Cut()
+	if c, err := net.Dial("tcp", p.Addr()); err == nil {
+		c.Close()
+		t.Error("a connection was accepted during the cut")
+	}
+}
+
+// TestEnd guards against the loss of the last bytes before a regular close.
+func TestEnd(t *testing.T) {
+	p := echo(t)
+	c := dial(t, p)
+	sent := make([]byte, 4<<20)
+	go func() {
+		_, _ = c.Write(sent)
+		_ = c.(*net.TCPConn).CloseWrite()
+	}()
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	got, err := io.ReadAll(c)
+	if err != nil || len(got) != len(sent) {
+		t.Errorf("got %d of %d bytes, %v", len(got), len(sent), err)
+	}
+	for deadline := time.Now().Add(time.Second); p.Links() > 0 && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
+	if n := p.Links(); n != 0 {
+		t.Errorf("%d links are left", n)
+	}
+}
--- /dev/null
+++ b/internal/fake/fault/fault_test.go
@@ -0,0 +1,117 @@
+package fault_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/fake/fault"
+)
+
+func do(t *testing.T, method, url, body string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequest(method, url, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer res.Body.Close()
+	out, err := io.ReadAll(res.Body)
+	if err != nil {
+		return res.StatusCode, err.Error()
+	}
+	return res.StatusCode, string(out)
+}
+
+// TestAdmin guards the interface through which tests and scenarios set faults:
+// a fault must affect exactly the requests that it names.
+func TestAdmin(t *testing.T) {
+	set, release := fault.NewSet()
+	defer release()
+	var handled atomic.Int64
+	srv := httptest.NewServer(set.Wrap(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { handled.Add(1) })))
+	defer srv.Close()
+	steps := []struct {
+		method string
+		path   string
+		body   string
+		status int
+		// handled is how many requests the stand-in has handled by then.
+		handled int64
+	}{
+		{method: "POST", path: "/faults/", body: `{"kind":"nonsense"}`, status: 400},
+		{method: "POST", path: "/faults/", body: `{"kind":"refuse","count":-1}`, status: 400},
+		{method: "POST", path: "/faults/", body: `{"kind":"refuse","path":"/a","method":"POST","count":1}`, status: 200},
+		{method: "GET", path: "/a", status: 200, handled: 1},
+		{method: "POST", path: "/b", status: 200, handled: 2},
+		{method: "POST", path: "/a", status: 503, handled: 2},
+		{method: "POST", path: "/a", status: 200, handled: 3},
+		{method: "POST", path: "/faults/", body: `{"kind":"lose-answer"}`, status: 200, handled: 3},
+		{method: "POST", path: "/a", handled: 4},
+		{method: "DELETE", path: "/faults/lose-answer", status: 200, handled: 4},
+		{method: "POST", path: "/faults/", body: `{"kind":"duplicate","count":1}`, status: 200, handled: 4},
+		{method: "POST", path: "/a", status: 200, handled: 6},
+		{method: "POST", path: "/faults/", body: `{"kind":"delay","delay":"1ms"}`, status: 200, handled: 6},
+		{method: "POST", path: "/a", status: 200, handled: 7},
+	}
+	for i, s := range steps {
+		status, answer := do(t, s.method, srv.URL+s.path, s.body)
+		if status != s.status || handled.Load() != s.handled {
+			t.Errorf("step %d: status %d, handled %d, want %d and %d: %s", i, status, handled.Load(), s.status, s.handled, answer)
+		}
+	}
+	if _, got := do(t, "GET", srv.URL+"/faults/", ""); !strings.Contains(got, `"delay":"1ms","hits":1`) {
+		t.Errorf("got faults %s", got)
+	}
+	do(t, "DELETE", srv.URL+"/faults/", "")
+	if got := set.List(); len(got) != 0 {
+		t.Errorf("after the clear: %+v", got)
+	}
+}
+
+// TestFreeze guards the imitation of a suspended process: what arrived before
+// its client left is handled when the process continues.
+func TestFreeze(t *testing.T) {
+	set, release := fault.NewSet()
+	defer release()
+	bodies := make(chan string, 1)
+	srv := httptest.NewServer(set.Wrap(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		bodies <- string(body)
+	})))
+	defer srv.Close()
+	if err := set.Add(fault.Fault{Kind: fault.Freeze}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, srv.URL, strings.NewReader("charge"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := http.DefaultClient.Do(req); err == nil {
+		t.Fatal("a frozen process answered")
+	}
+	select {
+	case <-bodies:
+		t.Fatal("a frozen process handled a request")
+	case <-time.After(20 * time.Millisecond):
+	}
+	set.Clear(fault.Freeze)
+	select {
+	case got := <-bodies:
+		if got != "charge" {
+			t.Errorf("got body %q", got)
+		}
+	case <-time.After(time.Second):
+		t.Error("the request was lost")
+	}
+}
--- /dev/null
+++ b/internal/fake/plain/plain_test.go
@@ -0,0 +1,65 @@
+package plain
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+)
+
+// TestRepeated guards the counter that shows a booking which ran twice.
+func TestRepeated(t *testing.T) {
+	tests := []struct {
+		name     string
+		method   string
+		key      string
+		ids      []string
+		repeated int64
+	}{
+		{
+			name:     "same key, other request",
+			method:   http.MethodPost,
+			key:      "k",
+			ids:      []string{"a", "b"},
+			repeated: 1,
+		},
+		{
+			name:     "same request without a key",
+			method:   http.MethodPost,
+			ids:      []string{"a", "a", "a"},
+			repeated: 2,
+		},
+		{
+			name:   "other requests without a key",
+			method: http.MethodPost,
+			ids:    []string{"a", "b"},
+		},
+		{
+			name:   "read again",
+			method: http.MethodGet,
+			ids:    []string{"a", "a"},
+		},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s, release := New(Options{})
+			defer release()
+			h := s.Handler()
+			for _, id := range tt.ids {
+				r := httptest.NewRequest(tt.method, "/bookings", strings.NewReader("{}"))
+				r.Header.Set("X-Request-Id", id)
+				if tt.key != "" {
+					r.Header.Set("Idempotency-Key", tt.key)
+				}
+				w := httptest.NewRecorder()
+				h.ServeHTTP(w, r)
+				if got := w.Header().Get("X-Request-Id"); got != id {
+					t.Errorf("echoed request id %q, want %q", got, id)
+				}
+			}
+			if got := s.Stats(); got.Repeated != tt.repeated || got.Executions != int64(len(tt.ids)) {
+				t.Errorf("got %+v, want %d repeated", got, tt.repeated)
+			}
+		})
+	}
+}
