stand: embed stand-ins with one call

Cause: trefoil dev and tests start many stand-ins in one process, and a fleet has more engines than a VM should have processes.

--- a/internal/cmds/stand.go
+++ b/internal/cmds/stand.go
@@ -7,10 +7,14 @@
 	"net"
 	"net/http"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"trefoildale.example/trefoildale/internal/fake/local"
 )
 
 // standStop bounds how long a stand-in waits for running requests when it stops.
@@ -24,34 +28,98 @@
 	}
 }
 
-// serveStand serves a stand-in until the process is told to stop. The first
-// line of the output is the address.
-func serveStand(ctx context.Context, c *cli.Command, handler http.Handler) error {
-	if c.Args().Present() {
-		return usageError(fmt.Errorf("unexpected argument %q", c.Args().First()))
+// countFlag belongs to the stand-ins of which a fleet has many, so that they
+// do not need a process each.
+func countFlag() cli.Flag {
+	return &cli.IntFlag{
+		Name:  "count",
+		Value: 1,
+		Usage: "how many to run; a fixed port is counted up, and so is the name",
+	}
+}
+
+// countedName returns the name of one of count stand-ins.
+func countedName(name string, i, count int) string {
+	if count == 1 {
+		return name
 	}
+	return name + "-" + strconv.Itoa(i+1)
+}
+
+// serveStand serves stand-ins until the process is told to stop. The first
+// lines of the output are their addresses.
+func serveStand(ctx context.Context, c *cli.Command, handlers ...http.Handler) error {
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	l, err := net.Listen("tcp", c.String("listen"))
+	listeners, err := listenAll(c.String("listen"), len(handlers))
 	if err != nil {
 		return err
 	}
-	srv := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: 10 * time.Second,
+	for _, l := range listeners {
+		fmt.Fprintf(c.Root().Writer, "listening %s\n", l.Addr())
 	}
-	fmt.Fprintf(c.Root().Writer, "listening %s\n", l.Addr())
-	served := make(chan error, 1)
-	go func() { served <- srv.Serve(l) }()
-	select {
-	case err := <-served:
-		return err
-	case <-ctx.Done():
+	group, ctx := errgroup.WithContext(ctx)
+	for i, h := range handlers {
+		srv := local.NewServer(h)
+		group.Go(func() error {
+			if err := srv.Serve(listeners[i]); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+		group.Go(func() error {
+			<-ctx.Done()
+			return shutdown(srv)
+		})
 	}
-	shut, cancel := context.WithTimeout(context.WithoutCancel(ctx), standStop)
+	return group.Wait()
+}
+
+func shutdown(srv *http.Server) error {
+	ctx, cancel := context.WithTimeout(context.Background(), standStop)
 	defer cancel()
-	if err := srv.Shutdown(shut); errors.Is(err, context.DeadlineExceeded) {
+	err := srv.Shutdown(ctx)
+	if errors.Is(err, context.DeadlineExceeded) {
 		return srv.Close()
 	}
-	return nil
+	return err
+}
+
+// listenAll listens on n addresses: on free ports, or from the given one up.
+func listenAll(address string, n int) ([]net.Listener, error) {
+	host, service, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, usageError(err)
+	}
+	port, err := strconv.Atoi(service)
+	if err != nil || port < 0 || port+n-1 > 65_535 {
+		return nil, usageError(fmt.Errorf("address %s: ports must be between 0 and 65535", address))
+	}
+	listeners := make([]net.Listener, 0, n)
+	for i := range n {
+		next := port
+		if port > 0 {
+			next += i
+		}
+		l, err := net.Listen("tcp", net.JoinHostPort(host, strconv.Itoa(next)))
+		if err != nil {
+			for _, l := range listeners {
+				l.Close()
+			}
+			return nil, err
+		}
+		listeners = append(listeners, l)
+	}
+	return listeners, nil
+}
+
+// checkStandArgs refuses arguments, which no stand-in takes.
+func checkStandArgs(ctx context.Context, c *cli.Command) (context.Context, error) {
+	if c.Args().Present() {
+		return ctx, usageError(fmt.Errorf("unexpected argument %q", c.Args().First()))
+	}
+	if c.Int("count") < 0 {
+		return ctx, usageError(errors.New("count must not be negative"))
+	}
+	return ctx, nil
 }
--- a/internal/cmds/stand_engine.go
+++ b/internal/cmds/stand_engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"strconv"
 	"strings"
 	"time"
@@ -19,6 +20,7 @@
 		Usage: "engine for language models",
 		Flags: []cli.Flag{
 			listenFlag(),
+			countFlag(),
 			&cli.StringFlag{Name: "name", Usage: "name of the engine", Value: "engine"},
 			&cli.Int64Flag{Name: "memory-mib", Usage: "memory for models and adapters", Value: 81_920},
 			&cli.FloatFlag{Name: "speed", Usage: "generated tokens per second, all requests together", Value: 1000},
@@ -41,6 +43,7 @@
 		},
 		// A resident is written with commas.
 		DisableSliceFlagSeparator: true,
+		Before:                    checkStandArgs,
 		Action:                    runStandEngine,
 	}
 }
@@ -54,8 +57,7 @@
 		}
 		resident = append(resident, r)
 	}
-	e, release := model.New(model.Options{
-		Name:            c.String("name"),
+	opts := model.Options{
 		MemoryMiB:       c.Int64("memory-mib"),
 		Speed:           c.Float("speed"),
 		StreamSpeed:     c.Float("stream-speed"),
@@ -74,9 +76,15 @@
 		AdapterMin:      c.Duration("adapter-min"),
 		AdapterMax:      c.Duration("adapter-max"),
 		AdapterParallel: c.Int("adapter-parallel"),
-	})
-	defer release()
-	return serveStand(ctx, c, e.Handler())
+	}
+	handlers := make([]http.Handler, c.Int("count"))
+	for i := range handlers {
+		opts.Name = countedName(c.String("name"), i, len(handlers))
+		e, release := model.New(opts)
+		defer release()
+		handlers[i] = e.Handler()
+	}
+	return serveStand(ctx, c, handlers...)
 }
 
 func parseResident(text string) (engine.Resident, error) {
--- a/internal/cmds/stand_platform.go
+++ b/internal/cmds/stand_platform.go
@@ -18,6 +18,7 @@
 			&cli.FloatFlag{Name: "writes", Usage: "writes per second", Value: 300},
 			&cli.DurationFlag{Name: "lag", Usage: "how late the list of VMs is"},
 		},
+		Before: checkStandArgs,
 		Action: func(ctx context.Context, c *cli.Command) error {
 			p, release := plat.New(plat.Options{
 				ReadsPerSecond:  c.Float("reads"),
--- a/internal/cmds/stand_service.go
+++ b/internal/cmds/stand_service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 
 	"github.com/urfave/cli/v3"
 
@@ -14,16 +15,22 @@
 		Usage: "plain service",
 		Flags: []cli.Flag{
 			listenFlag(),
+			countFlag(),
 			&cli.StringFlag{Name: "name", Usage: "name in the answers", Value: "service"},
 			&cli.DurationFlag{Name: "work", Usage: "how long a call takes"},
 		},
+		Before: checkStandArgs,
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s, release := plain.New(plain.Options{
-				Name: c.String("name"),
-				Work: c.Duration("work"),
-			})
-			defer release()
-			return serveStand(ctx, c, s.Handler())
+			handlers := make([]http.Handler, c.Int("count"))
+			for i := range handlers {
+				s, release := plain.New(plain.Options{
+					Name: countedName(c.String("name"), i, len(handlers)),
+					Work: c.Duration("work"),
+				})
+				defer release()
+				handlers[i] = s.Handler()
+			}
+			return serveStand(ctx, c, handlers...)
 		},
 	}
 }
--- a/internal/cmds/stand_weights.go
+++ b/internal/cmds/stand_weights.go
@@ -18,6 +18,7 @@
 			&cli.IntFlag{Name: "parallel", Usage: "loads at once", Value: 4},
 			&cli.FloatFlag{Name: "mib-per-second", Usage: "speed of one load", Value: 8192},
 		},
+		Before: checkStandArgs,
 		Action: func(ctx context.Context, c *cli.Command) error {
 			s, release := weight.New(weight.Options{
 				LoadsPerSecond: c.Float("loads"),
--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -19,9 +19,7 @@
 )
 
 type stand struct {
-	*model.Engine
-	client *engine.Client
-	addr   string
+	*model.Local
 }
 
 func start(t *testing.T, opts model.Options) stand {
@@ -35,24 +33,17 @@
 			},
 		}
 	}
-	e, release := model.New(opts)
-	srv := httptest.NewServer(e.Handler())
-	c, closeClient := engine.NewClient(engine.Options{})
-	t.Cleanup(func() {
-		closeClient()
-		release()
-		srv.Close()
-	})
-	return stand{
-		Engine: e,
-		client: c,
-		addr:   strings.TrimPrefix(srv.URL, "http://"),
+	l, stop, err := model.Start(opts)
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(stop)
+	return stand{Local: l}
 }
 
 func (s stand) call(id, prompt string, maxTokens int, stream bool) engine.Call {
 	return engine.Call{
-		Address:   s.addr,
+		Address:   s.Addr,
 		Method:    http.MethodPost,
 		Path:      "/v1/completions",
 		Body:      fmt.Appendf(nil, `{"model":"m","prompt":%q,"max_tokens":%d,"stream":%t}`, prompt, maxTokens, stream),
@@ -92,7 +83,7 @@
 func TestComplete(t *testing.T) {
 	s := start(t, model.Options{StreamSpeed: 10_000, Speed: 10_000})
 	want := model.Text("a lane", 20)
-	st, err := s.client.Stream(context.Background(), s.call("r1", "a lane", 20, true))
+	st, err := s.Client.Stream(context.Background(), s.call("r1", "a lane", 20, true))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -100,7 +91,7 @@
 	if err != nil || got != want || usage == nil || *usage != (engine.Usage{PromptTokens: 2, CompletionTokens: 20}) {
 		t.Errorf("stream: got %q, %+v, %v; want %q", got, usage, err, want)
 	}
-	a, err := s.client.Complete(context.Background(), s.call("r2", "a lane", 20, false))
+	a, err := s.Client.Complete(context.Background(), s.call("r2", "a lane", 20, false))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -117,7 +108,7 @@
 	for _, at := range []int64{1, 7, 29} {
 		t.Run(fmt.Sprint(at), func(t *testing.T) {
 			id := fmt.Sprint("r", at)
-			first, err := s.client.Stream(ctx, s.call(id, "a fan", 30, true))
+			first, err := s.Client.Stream(ctx, s.call(id, "a fan", 30, true))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -125,7 +116,7 @@
 			if err != nil {
 				t.Fatal(err)
 			}
-			second, err := s.client.Resume(ctx, s.addr, id, first.Last())
+			second, err := s.Client.Resume(ctx, s.Addr, id, first.Last())
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -141,11 +132,11 @@
 func TestCancel(t *testing.T) {
 	s := start(t, model.Options{})
 	ctx := context.Background()
-	st, err := s.client.Stream(ctx, s.call("r", "p", 10_000, true))
+	st, err := s.Client.Stream(ctx, s.call("r", "p", 10_000, true))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := s.client.Cancel(ctx, s.addr, "r"); err != nil {
+	if err := s.Client.Cancel(ctx, s.Addr, "r"); err != nil {
 		t.Fatal(err)
 	}
 	_, _, err = text(st, 0)
@@ -156,7 +147,7 @@
 	if got := s.Stats(); got.Cancelled != 1 {
 		t.Errorf("cancelled %d requests", got.Cancelled)
 	}
-	if err := s.client.Cancel(ctx, s.addr, "unknown"); err != nil {
+	if err := s.Client.Cancel(ctx, s.Addr, "unknown"); err != nil {
 		t.Errorf("cancel of an unknown request: %v", err)
 	}
 }
@@ -168,7 +159,7 @@
 	before := runtime.NumGoroutine()
 	for i := range 20 {
 		ctx, cancel := context.WithCancel(context.Background())
-		st, err := s.client.Stream(ctx, s.call(fmt.Sprint(i), "p", 1000, true))
+		st, err := s.Client.Stream(ctx, s.call(fmt.Sprint(i), "p", 1000, true))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -242,18 +233,18 @@
 			}
 			run := map[string]func(context.Context) error{
 				"whole": func(ctx context.Context) error {
-					_, err := s.client.Complete(ctx, s.call("r1", "p", 5, false))
+					_, err := s.Client.Complete(ctx, s.call("r1", "p", 5, false))
 					return err
 				},
 				"stream": func(ctx context.Context) error {
-					st, err := s.client.Stream(ctx, s.call("r2", "p", 5, true))
+					st, err := s.Client.Stream(ctx, s.call("r2", "p", 5, true))
 					if err == nil {
 						_, _, err = text(st, 0)
 					}
 					return err
 				},
 				"state": func(ctx context.Context) error {
-					_, err := s.client.State(ctx, s.addr)
+					_, err := s.Client.State(ctx, s.Addr)
 					return err
 				},
 			}
@@ -289,14 +280,15 @@
 // TestPlain guards against a booking that runs twice after its answer was lost,
 // and against a key that reaches an endpoint.
 func TestPlain(t *testing.T) {
-	p, releaseService := plain.New(plain.Options{})
-	defer releaseService()
-	srv := httptest.NewServer(p.Handler())
-	defer srv.Close()
+	p, stop, err := plain.Start(plain.Options{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
 	c, release := engine.NewClient(engine.Options{})
 	defer release()
 	call := engine.Call{
-		Address: strings.TrimPrefix(srv.URL, "http://"),
+		Address: p.Addr,
 		Method:  http.MethodPost,
 		Path:    "/bookings",
 		Header: http.Header{
@@ -344,17 +336,17 @@
 	a, b := start(t, model.Options{}), start(t, model.Options{})
 	ctx := context.Background()
 	prompt := strings.Repeat("x", 4000)
-	if _, err := a.client.Complete(ctx, a.call("r", prompt, 1, false)); err != nil {
+	if _, err := a.Client.Complete(ctx, a.call("r", prompt, 1, false)); err != nil {
 		t.Fatal(err)
 	}
-	kv, err := a.client.ExportKV(ctx, a.addr, "r")
+	kv, err := a.Client.ExportKV(ctx, a.Addr, "r")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := b.client.ImportKV(ctx, b.addr, "r", kv); err != nil {
+	if err := b.Client.ImportKV(ctx, b.Addr, "r", kv); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := b.client.Complete(ctx, b.call("r", prompt, 1, false)); err != nil {
+	if _, err := b.Client.Complete(ctx, b.call("r", prompt, 1, false)); err != nil {
 		t.Fatal(err)
 	}
 	if got := b.Stats().PrefillTokens; got != 0 {
--- a/internal/fake/model/model_test.go
+++ b/internal/fake/model/model_test.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -18,26 +17,17 @@
 )
 
 type stand struct {
-	*model.Engine
-	client *engine.Client
-	addr   string
+	*model.Local
 }
 
 func start(t *testing.T, opts model.Options) stand {
 	t.Helper()
-	e, release := model.New(opts)
-	srv := httptest.NewServer(e.Handler())
-	c, closeClient := engine.NewClient(engine.Options{})
-	t.Cleanup(func() {
-		closeClient()
-		release()
-		srv.Close()
-	})
-	return stand{
-		Engine: e,
-		client: c,
-		addr:   strings.TrimPrefix(srv.URL, "http://"),
+	l, stop, err := model.Start(opts)
+	if err != nil {
+		t.Fatal(err)
 	}
+	t.Cleanup(stop)
+	return stand{Local: l}
 }
 
 func resident(name string, mib int64) engine.Resident {
@@ -63,7 +53,7 @@
 func (s stand) settle(t *testing.T, id string) engine.OrderStatus {
 	t.Helper()
 	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
-		st, err := s.client.OrderStatus(context.Background(), s.addr, id)
+		st, err := s.Client.OrderStatus(context.Background(), s.Addr, id)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -76,8 +66,8 @@
 }
 
 func (s stand) complete(id, prompt string, maxTokens int, header http.Header) error {
-	_, err := s.client.Complete(context.Background(), engine.Call{
-		Address:   s.addr,
+	_, err := s.Client.Complete(context.Background(), engine.Call{
+		Address:   s.Addr,
 		Method:    http.MethodPost,
 		Path:      "/v1/completions",
 		Header:    header,
@@ -176,7 +166,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			s := start(t, tt.opts)
 			for _, o := range tt.sent {
-				_, err := s.client.Order(context.Background(), s.addr, o.order)
+				_, err := s.Client.Order(context.Background(), s.Addr, o.order)
 				if o.code == "" {
 					if err != nil {
 						t.Fatal(err)
@@ -206,7 +196,7 @@
 	for s.Stats().Requests == 0 {
 		time.Sleep(time.Millisecond)
 	}
-	_, err := s.client.Order(context.Background(), s.addr, engine.Order{
+	_, err := s.Client.Order(context.Background(), s.Addr, engine.Order{
 		ID:      "o",
 		Kind:    engine.OrderUnload,
 		Model:   "m",
@@ -237,10 +227,10 @@
 		t.Fatal(err)
 	}
 	var broken *engine.BrokenError
-	if _, err := s.client.Order(context.Background(), s.addr, load("o", "a", 1, 1)); !errors.As(err, &broken) {
+	if _, err := s.Client.Order(context.Background(), s.Addr, load("o", "a", 1, 1)); !errors.As(err, &broken) {
 		t.Errorf("got %v, want *BrokenError", err)
 	}
-	st, err := s.client.OrderStatus(context.Background(), s.addr, "o")
+	st, err := s.Client.OrderStatus(context.Background(), s.Addr, "o")
 	if err != nil || st.Phase != engine.OrderUnseen {
 		t.Errorf("before it arrives: got %+v, %v", st, err)
 	}
@@ -254,19 +244,20 @@
 
 // TestWeights guards against loads that bypass the weight store's limits.
 func TestWeights(t *testing.T) {
-	w, release := weight.New(weight.Options{
+	w, stop, err := weight.Start(weight.Options{
 		LoadsPerSecond: 20,
 		Parallel:       1,
 		MiBPerSecond:   1000,
 	})
-	defer release()
-	srv := httptest.NewServer(w.Handler())
-	defer srv.Close()
-	s := start(t, model.Options{Weights: srv.URL})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	s := start(t, model.Options{Weights: w.URL})
 	begin := time.Now()
 	for i := range 4 {
 		id := fmt.Sprint(i)
-		if _, err := s.client.Order(context.Background(), s.addr, load(id, id, 50, 1)); err != nil {
+		if _, err := s.Client.Order(context.Background(), s.Addr, load(id, id, 50, 1)); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -284,7 +275,7 @@
 	if err := w.Faults().Add(fault.Fault{Kind: fault.Refuse}); err != nil {
 		t.Fatal(err)
 	}
-	if _, err := s.client.Order(context.Background(), s.addr, load("x", "x", 50, 1)); err != nil {
+	if _, err := s.Client.Order(context.Background(), s.Addr, load("x", "x", 50, 1)); err != nil {
 		t.Fatal(err)
 	}
 	if st := s.settle(t, "x"); st.Phase != engine.OrderFailed {
@@ -340,7 +331,7 @@
 		Resident:    []engine.Resident{resident("m", 100)},
 	})
 	events := func(after int64) []engine.CacheEvent {
-		out, err := s.client.CacheEvents(context.Background(), s.addr, after)
+		out, err := s.Client.CacheEvents(context.Background(), s.Addr, after)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -381,7 +372,7 @@
 	})
 	begin := time.Now()
 	for i := range 16 {
-		_, err := s.client.Order(context.Background(), s.addr, engine.Order{
+		_, err := s.Client.Order(context.Background(), s.Addr, engine.Order{
 			ID:      fmt.Sprint(i),
 			Kind:    engine.OrderLoadAdapter,
 			Model:   "m",
@@ -408,7 +399,7 @@
 // TestKeySeen guards the counter with which tests detect a key at an endpoint.
 func TestKeySeen(t *testing.T) {
 	s := start(t, model.Options{})
-	req, err := http.NewRequest(http.MethodGet, "http://"+s.addr+"/load", nil)
+	req, err := http.NewRequest(http.MethodGet, "http://"+s.Addr+"/load", nil)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -431,7 +422,7 @@
 		Resident:  []engine.Resident{resident("m", 100)},
 	})
 	report := func() engine.Load {
-		l, err := s.client.Load(context.Background(), s.addr)
+		l, err := s.Client.Load(context.Background(), s.Addr)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -452,12 +443,12 @@
 	if got := report(); !got.Leaving {
 		t.Errorf("got %+v, want leaving", got)
 	}
-	before, err := s.client.State(context.Background(), s.addr)
+	before, err := s.Client.State(context.Background(), s.Addr)
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.Restart()
-	after, err := s.client.State(context.Background(), s.addr)
+	after, err := s.Client.State(context.Background(), s.Addr)
 	if err != nil {
 		t.Fatal(err)
 	}
--- /dev/null
+++ b/internal/fake/model/start.go
@@ -0,0 +1,29 @@
+package model
+
+import (
+	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/fake/local"
+)
+
+// Local is an Engine that is served on the loopback interface.
+type Local struct {
+	*Engine
+	// Addr is its host and port.
+	Addr   string
+	Client *engine.Client
+}
+
+// Start returns a Local and a function that ends it.
+func Start(opts Options) (*Local, func(), error) {
+	e, release := New(opts)
+	c, closeClient := engine.NewClient(engine.Options{})
+	addr, stop, err := local.Serve(e.Handler(), closeClient, release)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &Local{
+		Engine: e,
+		Addr:   addr,
+		Client: c,
+	}, stop, nil
+}
--- /dev/null
+++ b/internal/fake/weight/start.go
@@ -0,0 +1,22 @@
+package weight
+
+import "trefoildale.example/trefoildale/internal/fake/local"
+
+// Local is a Store that is served on the loopback interface.
+type Local struct {
+	*Store
+	URL string
+}
+
+// Start returns a Local and a function that ends it.
+func Start(opts Options) (*Local, func(), error) {
+	s, release := New(opts)
+	addr, stop, err := local.Serve(s.Handler(), release)
+	if err != nil {
+		return nil, nil, err
+	}
+	return &Local{
+		Store: s,
+		URL:   "http://" + addr,
+	}, stop, nil
+}
--- a/internal/store/client_test.go
+++ b/internal/store/client_test.go
@@ -15,15 +15,12 @@
 
 func start(t *testing.T, opts plat.Options) (*store.Client, *plat.Platform) {
 	t.Helper()
-	p, release := plat.New(opts)
-	srv := httptest.NewServer(p.Handler())
-	c, closeClient := store.NewClient(srv.URL)
-	t.Cleanup(func() {
-		closeClient()
-		release()
-		srv.Close()
-	})
-	return c, p
+	l, stop, err := plat.Start(opts)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(stop)
+	return l.Client, l.Platform
 }
 
 // TestErrorMapping guards against a write that is reported as without effect
