stand: check settings and state the protocols

Cause: a negative speed or limit passed and stopped the batch.

Change: Validate of each stand-in's options, called by trefstand; the protocols of the platform and of the fault interface in the doc comments.

Result: usage errors lead to exit code 2 (TestUsage).

--- a/internal/cmds/stand_engine.go
+++ b/internal/cmds/stand_engine.go
@@ -77,6 +77,9 @@
 		AdapterMax:      c.Duration("adapter-max"),
 		AdapterParallel: c.Int("adapter-parallel"),
 	}
+	if err := opts.Validate(); err != nil {
+		return usageError(err)
+	}
 	handlers := make([]http.Handler, c.Int("count"))
 	for i := range handlers {
 		opts.Name = countedName(c.String("name"), i, len(handlers))
--- a/internal/cmds/stand_platform.go
+++ b/internal/cmds/stand_platform.go
@@ -20,11 +20,15 @@
 		},
 		Before: checkStandArgs,
 		Action: func(ctx context.Context, c *cli.Command) error {
-			p, release := plat.New(plat.Options{
+			opts := plat.Options{
 				ReadsPerSecond:  c.Float("reads"),
 				WritesPerSecond: c.Float("writes"),
 				Lag:             c.Duration("lag"),
-			})
+			}
+			if err := opts.Validate(); err != nil {
+				return usageError(err)
+			}
+			p, release := plat.New(opts)
 			defer release()
 			return serveStand(ctx, c, p.Handler())
 		},
--- a/internal/cmds/stand_test.go
+++ b/internal/cmds/stand_test.go
@@ -21,6 +21,12 @@
 		"engine --resident m",
 		"weights --loads many",
 		"service --listen",
+		"service --listen nowhere",
+		"service --count=-1",
+		"platform --writes=-1",
+		"weights --parallel=-1",
+		"engine --speed=-1",
+		"engine --memory-mib 10 --resident m,1,11",
 	} {
 		var stdout, stderr bytes.Buffer
 		code := Run(context.Background(), "trefstand", append([]string{"trefstand"}, strings.Fields(args)...), &stdout, &stderr)
--- a/internal/cmds/stand_weights.go
+++ b/internal/cmds/stand_weights.go
@@ -20,11 +20,15 @@
 		},
 		Before: checkStandArgs,
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s, release := weight.New(weight.Options{
+			opts := weight.Options{
 				LoadsPerSecond: c.Float("loads"),
 				Parallel:       c.Int("parallel"),
 				MiBPerSecond:   c.Float("mib-per-second"),
-			})
+			}
+			if err := opts.Validate(); err != nil {
+				return usageError(err)
+			}
+			s, release := weight.New(opts)
 			defer release()
 			return serveStand(ctx, c, s.Handler())
 		},
--- a/internal/fake/fault/fault.go
+++ b/internal/fake/fault/fault.go
@@ -1,5 +1,10 @@
 // Package fault makes a stand-in misbehave on request. It wraps the stand-in's
-// handler and serves an admin interface under /faults/.
+// handler and serves an admin interface:
+//
+//	GET    /faults/        lists the faults with their hits
+//	POST   /faults/        adds a fault, for example {"kind":"delay","path":"/load","delay":"2s"}
+//	DELETE /faults/{kind}  clears the faults of a kind
+//	DELETE /faults/        clears all
 package fault
 
 import (
--- a/internal/fake/model/model.go
+++ b/internal/fake/model/model.go
@@ -6,6 +6,8 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync"
@@ -82,6 +84,33 @@
 	setDefault(&o.AdapterParallel, 16)
 }
 
+// Validate reports all settings that are out of range.
+func (o Options) Validate() error {
+	var errs []error
+	check := func(ok bool, name, want string) {
+		if !ok {
+			errs = append(errs, fmt.Errorf("%s must %s", name, want))
+		}
+	}
+	check(o.MemoryMiB >= 0, "memory-mib", "not be negative")
+	check(o.Speed >= 0, "speed", "not be negative")
+	check(o.StreamSpeed >= 0, "stream-speed", "not be negative")
+	check(o.PrefillSpeed >= 0, "prefill-speed", "not be negative")
+	check(o.MaxRunning >= 0, "max-running", "not be negative")
+	check(o.MaxQueued >= 0, "max-queued", "not be negative")
+	check(o.MinAnswer >= 0 && o.MinAnswer <= 1, "min-answer", "be between 0 and 1")
+	check(o.CacheTokens >= 0, "cache-tokens", "not be negative")
+	check(o.CacheGap != 1 && o.CacheGap >= 0, "cache-gap", "be 0 or at least 2; 1 loses every event")
+	check(o.AdapterMin >= 0 && o.AdapterMin <= o.AdapterMax, "adapter-min", "be between 0 and adapter-max")
+	check(o.AdapterParallel >= 0, "adapter-parallel", "not be negative")
+	used := int64(0)
+	for _, r := range o.Resident {
+		used += r.MemoryMiB
+	}
+	check(o.MemoryMiB == 0 || used <= o.MemoryMiB, "resident", "fit into memory-mib")
+	return errors.Join(errs...)
+}
+
 func setDefault[T comparable](v *T, d T) {
 	var zero T
 	if *v == zero {
--- a/internal/fake/plat/plat.go
+++ b/internal/fake/plat/plat.go
@@ -4,6 +4,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -31,6 +32,21 @@
 	Lag time.Duration
 }
 
+// Validate reports all settings that are out of range.
+func (o Options) Validate() error {
+	var errs []error
+	if o.ReadsPerSecond < 0 {
+		errs = append(errs, errors.New("reads must not be negative"))
+	}
+	if o.WritesPerSecond < 0 {
+		errs = append(errs, errors.New("writes must not be negative"))
+	}
+	if o.Lag < 0 {
+		errs = append(errs, errors.New("lag must not be negative"))
+	}
+	return errors.Join(errs...)
+}
+
 // maxWait is how long a request above the rate limit is queued before it is refused.
 const maxWait = 100 * time.Millisecond
 
--- a/internal/fake/weight/weight.go
+++ b/internal/fake/weight/weight.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"sync"
@@ -27,6 +28,21 @@
 	MaxQueued int
 }
 
+// Validate reports all settings that are out of range.
+func (o Options) Validate() error {
+	var errs []error
+	if o.LoadsPerSecond < 0 {
+		errs = append(errs, errors.New("loads must not be negative"))
+	}
+	if o.Parallel < 0 {
+		errs = append(errs, errors.New("parallel must not be negative"))
+	}
+	if o.MiBPerSecond < 0 {
+		errs = append(errs, errors.New("mib-per-second must not be negative"))
+	}
+	return errors.Join(errs...)
+}
+
 // Stats are the counters of a Store.
 type Stats struct {
 	Loads   int64 `json:"loads"`
--- a/internal/store/client.go
+++ b/internal/store/client.go
@@ -45,6 +45,20 @@
 
 // Client speaks to the platform over HTTP. It implements Table and VMs, and
 // Objects through the method of that name.
+//
+// The protocol is JSON, but for the values of objects:
+//
+//	GET  /table/row?key=K                      a Row
+//	GET  /table/scan?prefix=P&after=K&limit=N  a list of Row
+//	POST /table/insert                         a WriteRequest; the Row without its value
+//	POST /table/update                         the same, with the version to replace
+//	POST /table/delete                         the same, with the version to delete
+//	GET  /objects?key=K                        the value
+//	PUT  /objects?key=K                        the value
+//	GET  /vms                                  a list of VM
+//
+// A success has status 200; anything else carries a Failure. Each answer
+// echoes X-Request-Id.
 type Client struct {
 	base      string
 	transport *conn.Transport
