engine: remove connection headers from answers

Cause: an answer that is passed on must not carry the headers of the endpoint's connection, and a stand-in that held its header back until the first token hid when a request was accepted. The flush showed that the fault wrong-request-id did not apply to it.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -395,6 +395,18 @@
 	"X-Request-Id":        true,
 }
 
+// connectionHeaders belong to the endpoint's connection. They are removed from
+// an answer so that it can be passed on.
+var connectionHeaders = []string{
+	"Connection",
+	"Keep-Alive",
+	"Proxy-Authenticate",
+	"Proxy-Connection",
+	"Trailer",
+	"Transfer-Encoding",
+	"Upgrade",
+}
+
 // send returns a response whose echoed request id is right. The caller closes
 // its body.
 func (c *Client) send(ctx context.Context, call Call) (*http.Response, error) {
@@ -425,6 +437,9 @@
 		}
 		return nil, broken(ctx, err)
 	}
+	for _, name := range connectionHeaders {
+		res.Header.Del(name)
+	}
 	if got := res.Header.Get("X-Request-Id"); got != call.RequestID {
 		// Closing an unread body closes the connection, so nothing of the
 		// other answer reaches a later request.
--- a/internal/fake/fault/writer.go
+++ b/internal/fake/fault/writer.go
@@ -53,6 +53,12 @@
 	return w.ResponseWriter.Write(b)
 }
 
+// FlushError serves http.ResponseController. A flush sends the header.
+func (w *wrongID) FlushError() error {
+	w.change()
+	return http.NewResponseController(w.ResponseWriter).Flush()
+}
+
 // Unwrap serves http.ResponseController.
 func (w *wrongID) Unwrap() http.ResponseWriter { return w.ResponseWriter }
 
--- a/internal/fake/model/serve.go
+++ b/internal/fake/model/serve.go
@@ -201,6 +201,11 @@
 	h.Set("Content-Type", "text/event-stream")
 	h.Set("Cache-Control", "no-store")
 	rc := http.NewResponseController(w)
+	// The header tells the client that the request was accepted; the first
+	// token may be a long time away.
+	if err := rc.Flush(); err != nil {
+		return
+	}
 	f := newFormat(req)
 	var buf []byte
 	write := func() error {
