--- a/internal/cmds/stand_platform.go
+++ b/internal/cmds/stand_platform.go
@@ -18,12 +18,17 @@
 			&cli.FloatFlag{Name: "writes", Usage: "writes per second", Value: 300},
 			&cli.DurationFlag{Name: "lag", Usage: "how late the list of VMs is"},
 		},
+		Before: checkStandArgs,
 		Action: func(ctx context.Context, c *cli.Command) error {
-			p, release := plat.New(plat.Options{
+			opts := plat.Options{
 				ReadsPerSecond:  c.Float("reads"),
 				WritesPerSecond: c.Float("writes"),
 				Lag:             c.Duration("lag"),
-			})
+			}
+			if err := opts.Validate(); err != nil {
+				return Usagef("%w", err)
+			}
+			p, release := plat.New(opts)
 			defer release()
 			return serveStand(ctx, c, p.Handler())
 		},
--- a/internal/cmds/stand_weights.go
+++ b/internal/cmds/stand_weights.go
@@ -18,12 +18,17 @@
 			&cli.IntFlag{Name: "parallel", Usage: "loads at once", Value: 4},
 			&cli.FloatFlag{Name: "mib-per-second", Usage: "speed of one load", Value: 8192},
 		},
+		Before: checkStandArgs,
 		Action: func(ctx context.Context, c *cli.Command) error {
-			s, release := weight.New(weight.Options{
+			opts := weight.Options{
 				LoadsPerSecond: c.Float("loads"),
 				Parallel:       c.Int("parallel"),
 				MiBPerSecond:   c.Float("mib-per-second"),
-			})
+			}
+			if err := opts.Validate(); err != nil {
+				return Usagef("%w", err)
+			}
+			s, release := weight.New(opts)
 			defer release()
 			return serveStand(ctx, c, s.Handler())
 		},
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -7,12 +7,12 @@
 	"context"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/conf"
 	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/fake/host"
 	"trefoildale.example/trefoildale/internal/fake/model"
 	"trefoildale.example/trefoildale/internal/fake/plain"
 	"trefoildale.example/trefoildale/internal/fake/plat"
@@ -141,25 +141,11 @@
 
 // serve serves a stand-in on a free port.
 func (f *Fleet) serve(h http.Handler) (address string, err error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", fmt.Errorf("listen for a stand-in: %w", err)
-	}
-	srv := &http.Server{
-		Handler:           h,
-		ReadHeaderTimeout: 10 * time.Second,
-	}
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		// It ends when the fleet is closed.
-		_ = srv.Serve(l)
-	}()
-	f.onClose(func() {
-		_ = srv.Close()
-		<-done
-	})
-	return l.Addr().String(), nil
+	address, stop, err := host.Serve(h)
+	if err == nil {
+		f.onClose(stop)
+	}
+	return address, err
 }
 
 func (f *Fleet) startEndpoint(e *spec.Endpoint, weights string) error {
