--- /dev/null
+++ b/internal/conf/conf_test.go
@@ -0,0 +1,42 @@
+package conf
+
+import (
+	"testing"
+	"time"
+)
+
+// Guards against defaults that are missing or accepted without their checks.
+func TestDecode(t *testing.T) {
+	s, err := Decode("f", []byte("node: {name: n1, domain: d1}\nlisten: {peers: \"10.0.0.1:7946\"}\nplatform: {url: http://10.0.0.9:80}\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.Listen.PeersAdvertised != "10.0.0.1:7946" || s.Shutdown.Drain != 0 || time.Duration(s.Limits.StreamIdle) != 30*time.Second {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Guards against findings that are reported one by one or without a place.
+func TestFindings(t *testing.T) {
+	_, err := Decode("f", []byte(`node: {name: N1}
+listen: {callers: 8080, admin: ":7946"}
+platform: {url: "ftp://x", timeout: soon}
+peers: {seeds: ["10.0.0.2:7946", "nowhere"]}
+shutdown: {drain: -1s, grace: 1s}
+log: {verbosity: 11}
+`))
+	want := `f:1:7: node.domain: is missing
+f:1:14: node.name: "N1" is not in kebab case with at most 64 characters
+f:2:9: listen.peers-advertised: is missing; the address ":7946" is not one that others can connect to
+f:2:19: listen.callers: "8080" is not host:port
+f:2:32: listen.admin: ":7946" is also the address for peers
+f:3:17: platform.url: "ftp://x" is not an http or https URL
+f:3:37: platform.timeout: time: invalid duration "soon"
+f:4:34: peers.seeds[1]: "nowhere" is not host:port
+f:5:19: shutdown.drain: is below zero
+f:5:24: shutdown: unknown field "grace"
+f:6:18: log.verbosity: 11 is not between 0 and 10`
+	if err == nil || err.Error() != want {
+		t.Errorf("got:\n%v\nwant:\n%s", err, want)
+	}
+}
--- /dev/null
+++ b/internal/keys/keys_test.go
@@ -0,0 +1,106 @@
+package keys
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+func config(ids ...string) *spec.Config {
+	c := spec.New()
+	for _, id := range ids {
+		c.Keys = append(c.Keys, spec.Key{ID: id, Workspace: "desk", Digest: spec.Digest("secret-" + id)})
+	}
+	return c
+}
+
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
+// Guards against a wrong reason, and against a stream that is not told of the
+// withdrawal of its key or is told of that of another.
+func TestGate(t *testing.T) {
+	now := clock.NewFake()
+	g := NewGate(now)
+	if r := g.Check("secret-a").Result; r != NotFresh {
+		t.Errorf("before the first configuration: %s", r)
+	}
+	g.Update(config("a", "b"))
+	g.Fresh(now.Now())
+	a, b := g.Check("secret-a"), g.Check("secret-b")
+	if a.Result != OK || a.Workspace != "desk" || a.KeyID != "a" || g.Check("secret-c").Result != Unknown || g.Check("").Result != Unknown {
+		t.Errorf("fresh: %+v", a)
+	}
+	moved := config("b")
+	moved.Keys = append(moved.Keys, spec.Key{ID: "a", Workspace: "other", Digest: spec.Digest("secret-new")})
+	g.Update(moved)
+	if !isClosed(a.Withdrawn()) || isClosed(b.Withdrawn()) || g.Still(a) != Withdrawn || g.Still(b) != OK {
+		t.Error("replacing key a did not end its streams, or ended others")
+	}
+	if r := g.Check("secret-a").Result; r != Withdrawn {
+		t.Errorf("withdrawn key: %s", r)
+	}
+	lapsed := g.Lapsed()
+	now.Advance(freshFor + 1)
+	g.Tick()
+	if g.Check("secret-b").Result != NotFresh || g.Begins(b) != NotFresh || g.Still(b) != OK || isClosed(lapsed) {
+		t.Error("after 3 s: want no new requests, and running ones go on")
+	}
+	now.Advance(streamsFor - freshFor)
+	if g.Still(b) != NotFresh {
+		t.Error("after 4.5 s, before a tick: the stream goes on")
+	}
+	g.Tick()
+	if !isClosed(lapsed) || !isClosed(g.Lapsed()) {
+		t.Error("after 4.5 s: streams are not told")
+	}
+	g.Fresh(now.Now())
+	g.Fresh(now.Now().Add(-time.Hour))
+	g.Tick()
+	if isClosed(g.Lapsed()) || g.Check("secret-b").Result != OK {
+		t.Error("fresh again: still closed")
+	}
+	now.Advance(time.Hour)
+	serve := config("b")
+	serve.Limits.WhenIsolated = spec.IsolationServe
+	g.Update(serve)
+	g.Tick()
+	if isClosed(g.Lapsed()) || g.Check("secret-b").Result != OK || g.Begins(b) != OK || g.Check("secret-a").Result != Withdrawn {
+		t.Error("when-isolated: serve does not serve, or forgets withdrawals")
+	}
+}
+
+// Guards against secrets that repeat or do not match their digest.
+func TestGenerate(t *testing.T) {
+	s, d := Generate()
+	other, _ := Generate()
+	if s == other || d != spec.Digest(s) || len(s) != len("tfd-")+26 {
+		t.Errorf("%q %q %q", s, d, other)
+	}
+}
+
+func BenchmarkCheck(b *testing.B) {
+	var ids []string
+	for i := range 1000 {
+		ids = append(ids, fmt.Sprint(i))
+	}
+	now := clock.NewReal()
+	g := NewGate(now)
+	g.Update(config(ids...))
+	g.Fresh(now.Now().Add(time.Hour))
+	b.ReportAllocs()
+	for b.Loop() {
+		if g.Check("secret-500").Result != OK {
+			b.Fatal("refused")
+		}
+	}
+}
