feed: leave silent nodes out of the word of a domain

Cause: a VM that vanishes during an outage of the store without proof of its death kept its domain from vouching, and all domains refused keys until the store was back.

Change: Members.Live leaves out a node after 10 s without a word; by then an acknowledged revision has spread.

--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -93,9 +93,17 @@
 type Members struct {
 	domain string
 	issuer uint64
+	since  time.Time
 	nodes  map[string]member
 }
 
+// silentAfter is how long a node may give no word before it is left out of the
+// word of its domain. Until then its silence keeps every domain from vouching.
+// A revision that was acknowledged has spread to at least two other nodes, which
+// pass it on several times a second, so that after this time it is lost only if
+// all of them fell silent at once.
+const silentAfter = 10 * time.Second
+
 type member struct {
 	held  int64
 	known int64
@@ -104,8 +112,21 @@
 
 // NewMembers returns an empty Members. issuer is a number that no other process
 // uses, for example a random one; it marks the answers of this relay.
-func NewMembers(domain string, issuer uint64) *Members {
-	return &Members{domain: domain, issuer: issuer, nodes: map[string]member{}}
+func NewMembers(domain string, issuer uint64, now time.Time) *Members {
+	return &Members{domain: domain, issuer: issuer, since: now, nodes: map[string]member{}}
+}
+
+// Live returns the nodes, of those not proved dead, that the word of the domain
+// is made of. A node that was never heard counts until this relay has had time
+// to hear it.
+func (m *Members) Live(now time.Time, nodes []string) []string {
+	return slices.DeleteFunc(slices.Clone(nodes), func(name string) bool {
+		last := m.since
+		if n, ok := m.nodes[name]; ok && n.asOf.After(last) {
+			last = n.asOf
+		}
+		return now.Sub(last) > silentAfter
+	})
 }
 
 // Mark returns the mark to put into an answer.
--- a/internal/feed/fleet_test.go
+++ b/internal/feed/fleet_test.go
@@ -32,6 +32,8 @@
 	spread  *feed.Spread
 	// config is the one that the gate has.
 	config *spec.Config
+	// peers are the nodes of the domain.
+	peers []string
 }
 
 // Now implements clock.Clock.
@@ -103,20 +105,21 @@
 
 func (w *world) start(p *process) {
 	w.started++
-	p.relay = &feed.Relay{View: feed.NewView(), Fleet: feed.NewFleet(), Members: feed.NewMembers(p.domain, uint64(w.started))}
+	p.relay = &feed.Relay{View: feed.NewView(), Fleet: feed.NewFleet(), Members: feed.NewMembers(p.domain, uint64(w.started), p.Now())}
 	p.log = feed.NewLog(w.table, objects{table: w.table}, p)
 	p.gate = keys.NewGate(p)
 	p.answers = map[string]feed.Answer{}
 	p.paused = false
-	p.config = nil
+	p.config, p.peers = nil, nil
 	for _, n := range w.nodes {
 		if n.domain == p.domain {
-			p.relay.Live = append(p.relay.Live, n.name)
+			p.peers = append(p.peers, n.name)
 		}
 		if !slices.Contains(p.relay.Domains, n.domain) {
 			p.relay.Domains = append(p.relay.Domains, n.domain)
 		}
 	}
+	p.relay.Live = p.peers
 }
 
 func (w *world) reachable(a, b string) bool {
@@ -419,7 +422,7 @@
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
-			m := feed.NewMembers("d0", 7)
+			m := feed.NewMembers("d0", 7, now)
 			ask := feed.Ask{Domain: "d0", Node: "n1", Held: 5}
 			m.Hear(ask, now)
 			if _, ok := m.State(now, []string{"n1"}); ok {
@@ -472,6 +475,7 @@
 			}
 		}
 		for _, p := range w.nodes {
+			p.relay.Live = p.relay.Members.Live(p.Now(), p.peers)
 			n, pace, had := next[p.name], p.relay.View.Pace(p.Now()), len(w.flights)
 			relays := w.relaysOf(p.domain)
 			isRelay := slices.Contains(relays, p)
@@ -560,6 +564,13 @@
 		run(10*time.Second, all)
 		w.table.down = true
 		run(10*time.Second, all)
+		if size.off == "" {
+			// A VM that vanishes in the outage costs at most 13 s.
+			w.nodes[len(w.nodes)-1].paused = true
+			w.nodes = w.nodes[:len(w.nodes)-1]
+			run(13*time.Second, func() {})
+			run(2*time.Second, all)
+		}
 		w.table.down = false
 		run(5*time.Second, all)
 		t.Logf("%d domains, off %q: %d of %d checks refused", size.domains, size.off, refused, asked)
--- a/internal/feed/sync.go
+++ b/internal/feed/sync.go
@@ -176,8 +176,10 @@
 	View    *View
 	Fleet   *Fleet
 	Members *Members
-	// Live are the live nodes of the relay's domain, Domains all domains of the
-	// configuration. The caller keeps them current.
+	// Live are the nodes of the relay's domain that are not proved dead, reduced
+	// by Members.Live. Domains are all domains of the configuration and the
+	// relay's own. The caller keeps both current. A node that is missing in Live
+	// without proof can have appended a revision that the domain denies.
 	Live    []string
 	Domains []string
 
--- a/internal/oper/oper.go
+++ b/internal/oper/oper.go
@@ -24,7 +24,9 @@
 
 // Appender adds a change to the configuration log. It returns only after the
 // node's view has taken what Append read and after feed.Spread is done, or with
-// Unspread set when that takes more than 2 s. The errors are those of feed.Log.Append; any
+// Unspread set when that takes more than 2 s. A node whose domain is not in the
+// configuration appends nothing once there is one: other domains would not wait
+// for its word before they call their views fresh. The errors are those of feed.Log.Append; any
 // other counts as an unknown outcome.
 type Appender interface {
 	Append(ctx context.Context, c spec.Change) (feed.Appended, error)
