feed: add the schedule of requests and one way to take answers

Cause: the order in which a node takes an answer, refreshes the words and tells the gate matters for safety, and each user would have repeated it.

Change: Schedule says what is due; Relay.Take and TakeAnswer, Gate.Follow hold the safe order.

--- a/internal/feed/pace.go
+++ b/internal/feed/pace.go
@@ -42,3 +42,48 @@
 	}
 	return p
 }
+
+// Schedule says when requests are due. It belongs to the control loop.
+type Schedule struct {
+	poll     time.Time
+	sync     time.Time
+	exchange time.Time
+}
+
+// Due holds the requests that are to be sent now.
+type Due struct {
+	// Poll is a read of the table, Sync a request to a relay of the same domain,
+	// Exchange one to a relay of each other domain.
+	Poll     bool
+	Sync     bool
+	Exchange bool
+}
+
+// NewSchedule returns the schedule of a node that starts at now. random, in
+// [0,1), spreads the nodes over the intervals.
+func NewSchedule(now time.Time, random func() float64) *Schedule {
+	at := func(d time.Duration) time.Time { return now.Add(time.Duration(random() * float64(d))) }
+	return &Schedule{poll: at(PollEvery), sync: at(syncEvery), exchange: at(exchangeEvery)}
+}
+
+// Due returns what is to be sent now and moves those times on.
+func (s *Schedule) Due(now time.Time, p Pace, relay bool) Due {
+	return Due{
+		Poll:     (relay || p.PollSelf) && due(&s.poll, now, PollEvery),
+		Sync:     due(&s.sync, now, p.Sync),
+		Exchange: relay && due(&s.exchange, now, p.Exchange),
+	}
+}
+
+// due reports whether the time has come and sets the next. An interval that
+// has become shorter applies at once.
+func due(next *time.Time, now time.Time, every time.Duration) bool {
+	if limit := now.Add(every); next.After(limit) {
+		*next = limit
+	}
+	if next.After(now) {
+		return false
+	}
+	*next = now.Add(every)
+	return true
+}
--- a/internal/feed/sync.go
+++ b/internal/feed/sync.go
@@ -217,6 +217,23 @@
 	}
 }
 
+// Take gives the view what a read or an answer showed and refreshes the words
+// that follow from it. See View.Take.
+func (r *Relay) Take(node string, read Read, now time.Time) (changed bool, err error) {
+	changed, err = r.View.Take(read)
+	r.Refresh(node, now)
+	return changed, err
+}
+
+// TakeAnswer is Take for the valid answer of another relay to the request that
+// was sent at sent.
+func (r *Relay) TakeAnswer(node string, a *Answer, sent, now time.Time) (changed bool, err error) {
+	r.View.Heard(a.Known)
+	r.Fleet.Learn(sent, a.Domains)
+	r.Members.Learn(sent, a.Members)
+	return r.Take(node, a.Read(sent), now)
+}
+
 // Answer takes the changes in a valid request and returns the response. Requests
 // of the relay's own domain are also noted as that node's word.
 func (r *Relay) Answer(a Ask, now time.Time) (Answer, error) {
--- a/internal/keys/gate.go
+++ b/internal/keys/gate.go
@@ -68,8 +68,8 @@
 	return v.entry.gone
 }
 
-// Gate answers requests. Check and Still are safe for concurrent use; Update,
-// Fresh and Tick belong to the control loop.
+// Gate answers requests. Check and Still are safe for concurrent use; Follow
+// and its parts Update, Fresh and Tick belong to the control loop.
 type Gate struct {
 	clock clock.Clock
 	state atomic.Pointer[gateState]
@@ -78,6 +78,7 @@
 	// lapsed is the channel that Lapsed hands out.
 	lapsed atomic.Pointer[chan struct{}]
 	closed bool
+	config *spec.Config
 	counts [NotFresh + 1]atomic.Int64
 }
 
@@ -95,8 +96,20 @@
 	return g
 }
 
+// Follow is Update, Fresh and Tick in the order that is safe: a view that holds
+// a higher revision may be fresh for a time at which the lower one was not. The
+// control loop calls it after each change of the view and every 250 ms.
+func (g *Gate) Follow(c *spec.Config, freshAt time.Time) {
+	if c != g.config {
+		g.Update(c)
+	}
+	g.Fresh(freshAt)
+	g.Tick()
+}
+
 // Update takes a new configuration and tells the streams of withdrawn keys.
 func (g *Gate) Update(c *spec.Config) {
+	g.config = c
 	table, gone := g.state.Load().table.next(c)
 	g.state.Store(&gateState{table: table, isolation: c.Limits.WhenIsolated})
 	for _, e := range gone {
