--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -95,6 +95,7 @@
 	set     Settings
 	leaving bool
 	polls   bool
+	started time.Time
 	now     time.Time
 
 	// procs are the known processes of the own domain without this one.
@@ -104,6 +105,9 @@
 	domains map[string]*domain
 	fleet   uint32
 
+	cache    snapshot
+	expireAt time.Time
+
 	// published is the direct evidence that this node reports, with its log.
 	published map[Process]Member
 	version   uint64
@@ -125,6 +129,14 @@
 	want     map[string]bool
 }
 
+// snapshot holds what follows from the evidence at one time.
+type snapshot struct {
+	valid      bool
+	members    []Member
+	relays     []Member
+	successors []Member
+}
+
 // proc is what is known of a process of the own domain.
 type proc struct {
 	Member
@@ -136,6 +148,8 @@
 	seen   time.Time
 	died   time.Time
 	verify bool
+	// state is the condition at the time of the snapshot.
+	state State
 }
 
 // view is what a process of the own domain reported.
@@ -147,6 +161,8 @@
 	members map[Process]State
 	// introduced means that the peer knows this node's address.
 	introduced bool
+	// behind names the domains of which the peer holds an older list.
+	behind []string
 }
 
 type change struct {
@@ -173,14 +189,15 @@
 	tried time.Time
 	index int
 	fails int
-	// pull asks for an exchange because the other side may hold newer lists.
-	pull bool
+	// again asks for an exchange soon, because the lists differ.
+	again bool
 }
 
 // New returns the state of a node that has just started.
 func New(set Settings, now time.Time) *Peers {
 	p := &Peers{
 		set:       set,
+		started:   now,
 		now:       now,
 		procs:     map[Process]*proc{},
 		views:     map[string]*view{},
@@ -240,6 +257,7 @@
 func (p *Peers) at(now time.Time) {
 	if now.After(p.now) {
 		p.now = now
+		p.cache.valid = false
 	}
 }
 
@@ -251,6 +269,7 @@
 // more and is no longer part of Local on any node.
 func (p *Peers) Leave() {
 	p.leaving = true
+	p.cache.valid = false
 	p.publish()
 }
 
@@ -309,44 +328,56 @@
 	return p.keep == nil || p.keep[domain]
 }
 
-// state tells the condition of a known process.
-func (p *Peers) state(pr *proc) State {
-	if !pr.died.IsZero() {
-		return Dead
-	}
-	if p.fresh(pr.direct) || p.vouched(pr.Process()) {
-		return pr.State
+// snap brings the snapshot up to date. The relays and the ring are worked out
+// again only when a member changed.
+func (p *Peers) snap() *snapshot {
+	c := &p.cache
+	if c.valid {
+		return c
 	}
-	return Gone
-}
-
-func (p *Peers) vouched(id Process) bool {
+	c.valid = true
+	vouched := map[Process]bool{}
 	for _, v := range p.views {
-		if v.domain == p.set.Domain && p.fresh(v.heard) {
-			if s := v.members[id]; s == Live || s == Leaving {
-				return true
-			}
+		if v.domain != p.set.Domain || !p.fresh(v.heard) {
+			continue
+		}
+		for id := range v.members {
+			vouched[id] = true
 		}
 	}
-	return false
+	members := make([]Member, 0, len(p.procs)+1)
+	members = append(members, p.selfMember())
+	for id, pr := range p.procs {
+		switch {
+		case !pr.died.IsZero():
+			pr.state = Dead
+		case p.fresh(pr.direct) || vouched[id]:
+			pr.state = pr.State
+		default:
+			pr.state = Gone
+		}
+		m := pr.Member
+		m.State = pr.state
+		members = append(members, m)
+	}
+	sortMembers(members)
+	if !slices.Equal(members, c.members) {
+		c.members = members
+		c.relays = relaysOf(p.set.Domain, members)
+		c.successors = successorsOf(p.self(), members)
+	}
+	return c
 }
 
 // Members returns the own domain's processes, with the silent and dead ones.
 func (p *Peers) Members() []Member {
-	out := []Member{p.selfMember()}
-	for _, pr := range p.procs {
-		m := pr.Member
-		m.State = p.state(pr)
-		out = append(out, m)
-	}
-	sortMembers(out)
-	return out
+	return slices.Clone(p.snap().members)
 }
 
 // Local returns the names of the own domain's live nodes that are not leaving.
 func (p *Peers) Local() []string {
 	var out []string
-	for _, m := range p.Members() {
+	for _, m := range p.snap().members {
 		if m.State == Live && !slices.Contains(out, m.Name) {
 			out = append(out, m.Name)
 		}
@@ -385,7 +416,7 @@
 func (p *Peers) Relays(domain string) []Peer {
 	var members []Member
 	if domain == p.set.Domain {
-		members = relaysOf(domain, p.Members())
+		members = p.snap().relays
 	} else if d, ok := p.domains[domain]; ok {
 		members = d.relays
 	}
@@ -416,12 +447,7 @@
 
 // IsRelay reports whether this node relays for its domain.
 func (p *Peers) IsRelay() bool {
-	for _, r := range p.Relays(p.set.Domain) {
-		if r.Process == p.self() {
-			return true
-		}
-	}
-	return false
+	return slices.ContainsFunc(p.snap().relays, func(m Member) bool { return m.Process() == p.self() })
 }
 
 // Connected reports whether this node hears another one of its domain.
@@ -595,10 +621,11 @@
 }
 
 // author publishes the own domain's list when this node is its first relay. A
-// second relay does not, so that two views do not replace each other.
+// second relay does not, so that two views do not replace each other, and a
+// starting node first hears who else is there.
 func (p *Peers) author() {
-	relays := p.Relays(p.set.Domain)
-	if len(relays) == 0 || relays[0].Process != p.self() || p.now.Sub(p.authorAt) < authorEvery {
+	relays := p.snap().relays
+	if len(relays) == 0 || relays[0].Process() != p.self() || p.now.Sub(p.started) < LiveTerm || p.now.Sub(p.authorAt) < authorEvery {
 		return
 	}
 	members := slices.DeleteFunc(p.Members(), func(m Member) bool {
@@ -618,12 +645,18 @@
 
 // expire drops what is no longer needed.
 func (p *Peers) expire() {
+	if p.now.Before(p.expireAt) {
+		return
+	}
+	p.expireAt = p.now.Add(time.Second)
+	p.snap()
 	for id, pr := range p.procs {
-		if s := p.state(pr); s == Live || s == Leaving {
+		if pr.state == Live || pr.state == Leaving {
 			pr.seen = p.now
 		}
 		if p.now.Sub(pr.seen) > Forget && p.now.Sub(pr.died) > Forget {
 			delete(p.procs, id)
+			p.cache.valid = false
 		}
 	}
 	maps.DeleteFunc(p.pace, func(_ string, pc *pace) bool { return p.now.Sub(pc.used) > paceTerm })
--- a/internal/peers/step.go
+++ b/internal/peers/step.go
@@ -85,6 +85,14 @@
 		}
 		h.Want = append(h.Want, name)
 	}
+	if v != nil {
+		for _, name := range v.behind {
+			if d, ok := p.domains[name]; ok {
+				h.Lists = append(h.Lists, d.list)
+			}
+		}
+		v.behind = nil
+	}
 	for _, pr := range p.procs {
 		if !pr.died.IsZero() && p.now.Sub(pr.died) < tellDeaths {
 			m := pr.Member
@@ -176,7 +184,7 @@
 	if !s.connected() {
 		every = RingFast
 	}
-	for _, m := range s.Successors() {
+	for _, m := range s.snap().successors {
 		pr := s.procs[m.Process()]
 		if s.now.Sub(pr.direct) < every {
 			continue
@@ -189,16 +197,18 @@
 
 // Successors returns the processes that this node probes in the domain's ring.
 func (p *Peers) Successors() []Member {
+	return slices.Clone(p.snap().successors)
+}
+
+func successorsOf(self Process, members []Member) []Member {
 	type place struct {
 		score  uint64
 		member Member
 	}
 	var ring []place
-	own := rank.Score("ring", p.set.Name)
-	for _, id := range p.ids() {
-		m := p.procs[id].Member
-		m.State = p.state(p.procs[id])
-		if m.State != Dead {
+	own := rank.Score("ring", self.Name)
+	for _, m := range members {
+		if m.State != Dead && m.Process() != self {
 			ring = append(ring, place{
 				// The distance from this node; it wraps around.
 				score:  rank.Score("ring", m.Name) - own,
@@ -235,8 +245,9 @@
 	s.candAt = s.now.Add(SyncEvery)
 	live := map[string]bool{}
 	var addresses []string
+	s.snap()
 	for _, pr := range s.procs {
-		switch s.state(pr) {
+		switch pr.state {
 		case Live, Leaving:
 			live[pr.Address] = true
 		case Gone:
@@ -288,11 +299,11 @@
 			wait += backupDelay
 		}
 		// After a failure the next address is asked sooner, and so is a domain
-		// that may hold newer lists.
-		if d.fails > 0 && d.fails < 4 || d.pull {
+		// whose lists differ.
+		if d.fails > 0 && d.fails < 4 || d.again {
 			wait = SyncEvery
 		}
-		if s.now.Sub(d.tried) < wait || !d.pull && s.now.Sub(d.heard) < wait {
+		if s.now.Sub(d.tried) < wait || !d.again && s.now.Sub(d.heard) < wait {
 			continue
 		}
 		targets := s.targets(name, d)
@@ -300,22 +311,24 @@
 			continue
 		}
 		d.tried = s.now
-		d.pull = false
+		d.again = false
 		s.probe(targets[d.index%len(targets)])
 	}
 }
 
-// responsible names the relay that exchanges with another domain.
+// responsible names the relay that exchanges with another domain. The domains
+// are dealt to the relays in turn, so that each has half of them.
 func (p *Peers) responsible(own, other string, relays []Peer) string {
-	names := make([]string, 0, len(relays))
-	for _, r := range relays {
-		names = append(names, r.Name)
+	if len(relays) == 0 {
+		return ""
 	}
-	pair := own + "/" + other
-	if other < own {
-		pair = other + "/" + own
+	before := 0
+	for name := range p.domains {
+		if name < other && name != own {
+			before++
+		}
 	}
-	return rank.First(pair, names)
+	return relays[before%len(relays)].Name
 }
 
 // targets returns whom to ask in another domain: the relay responsible for the
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -43,9 +43,7 @@
 		if !p.kept(h.Domain) {
 			return w
 		}
-		d := p.domain(h.Domain)
-		d.heard = p.now
-		d.pull = h.Fleet != p.fleet
+		p.domain(h.Domain).heard = p.now
 	default:
 		for _, m := range h.Dead {
 			p.learnDeath(m)
@@ -56,6 +54,9 @@
 		p.publish()
 		p.delta(&w, h, met)
 	}
+	for _, l := range h.Lists {
+		p.adopt(l)
+	}
 	if h.Fleet != p.fleet {
 		w.Heads = p.heads()
 	}
@@ -109,6 +110,7 @@
 			State:       Live,
 		})
 	}
+	p.cache.valid = false
 	if at.After(pr.direct) {
 		pr.direct = at
 	}
@@ -133,6 +135,7 @@
 			pr.verify = true
 		}
 	}
+	p.cache.valid = false
 	p.procs[m.Process()] = pr
 	if m.Address == p.set.Address {
 		// This process holds the address now, so that the other one ended before.
@@ -160,6 +163,7 @@
 
 func (p *Peers) die(pr *proc) {
 	if pr.died.IsZero() {
+		p.cache.valid = false
 		pr.died = p.now
 		pr.verify = false
 	}
@@ -190,6 +194,7 @@
 		pc.self = true
 		return
 	}
+	p.cache.valid = false
 	p.replaced(pb, id)
 	if v == nil || v.peer != id || w.Unknown {
 		v = &view{
@@ -221,13 +226,8 @@
 			d.index++
 		}
 	}
-	for _, h := range w.Heads {
-		if d, ok := p.domains[h.Domain]; p.kept(h.Domain) && (!ok || h.newer(d.head)) {
-			p.want[h.Domain] = true
-			if d, ok := p.domains[home]; ok {
-				d.pull = true
-			}
-		}
+	if len(w.Heads) > 0 {
+		p.compare(v, w.Heads)
 	}
 	for _, l := range w.Lists {
 		delete(p.want, l.Domain)
@@ -236,6 +236,34 @@
 	p.publish()
 }
 
+// compare plans what to ask for and what to send in the next requests. The
+// sender does both, because the responder does not learn what it lacks.
+func (p *Peers) compare(v *view, heads []Head) {
+	again := false
+	behind := map[string]bool{}
+	for name, d := range p.domains {
+		behind[name] = d.head.Version > 0
+	}
+	for _, h := range heads {
+		d, ok := p.domains[h.Domain]
+		behind[h.Domain] = ok && d.head.newer(h)
+		if p.kept(h.Domain) && (!ok || h.newer(d.head)) {
+			p.want[h.Domain] = true
+			again = true
+		}
+	}
+	v.behind = v.behind[:0]
+	for _, name := range slices.Sorted(maps.Keys(behind)) {
+		if behind[name] && len(v.behind) < maxLists {
+			v.behind = append(v.behind, name)
+			again = true
+		}
+	}
+	if d, ok := p.domains[v.domain]; ok {
+		d.again = again
+	}
+}
+
 // update applies the changes of a view. A late response to an older request is
 // left out; the next one continues from the version held.
 func (p *Peers) update(v *view, pb Probe, w Welcome) {
--- a/internal/peers/wire.go
+++ b/internal/peers/wire.go
@@ -117,6 +117,8 @@
 	Want []string `cbor:"9,keyasint,omitempty"`
 	// Dead are processes of the receiver's domain that were recently proved dead.
 	Dead []Member `cbor:"10,keyasint,omitempty"`
+	// Lists are newer than those that the receiver last said it holds.
+	Lists []List `cbor:"11,keyasint,omitempty"`
 }
 
 // Welcome is the membership part of a Sync response. Between processes that
@@ -146,7 +148,7 @@
 	maxName    = 128
 	maxMembers = 4096
 	maxDomains = 256
-	// maxLists bounds the lists in one response. Eight lists of 14 members take
+	// maxLists bounds the lists in one message. Eight lists of 14 members take
 	// 5 KB, and a starting node learns 30 domains in four exchanges.
 	maxLists = 8
 )
@@ -176,6 +178,18 @@
 	return nil
 }
 
+func checkLists(lists []List) error {
+	if len(lists) > maxLists {
+		return fmt.Errorf("peers: %d lists, at most %d are allowed", len(lists), maxLists)
+	}
+	for _, l := range lists {
+		if err := cmp.Or(checkName("a domain", l.Domain, true), checkMembers(l.Members)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Validate checks a request that came from another process.
 func (h Hello) Validate() error {
 	if err := cmp.Or(
@@ -183,6 +197,7 @@
 		checkName("the sender's domain", h.Domain, false),
 		checkName("the sender's address", h.Address, h.Domain != ""),
 		checkMembers(h.Dead),
+		checkLists(h.Lists),
 	); err != nil {
 		return err
 	}
@@ -202,22 +217,18 @@
 		checkName("the responder's domain", w.Domain, w.Incarnation != 0),
 		checkName("the responder's address", w.Address, false),
 		checkMembers(w.Changes),
+		checkLists(w.Lists),
 	); err != nil {
 		return err
 	}
-	if len(w.Heads) > maxDomains || len(w.Lists) > maxLists {
-		return fmt.Errorf("peers: the response holds %d heads and %d lists, which is too many", len(w.Heads), len(w.Lists))
+	if len(w.Heads) > maxDomains {
+		return fmt.Errorf("peers: the response holds %d heads, at most %d are allowed", len(w.Heads), maxDomains)
 	}
 	for _, h := range w.Heads {
 		if err := checkName("a domain", h.Domain, true); err != nil {
 			return err
 		}
 	}
-	for _, l := range w.Lists {
-		if err := cmp.Or(checkName("a domain", l.Domain, true), checkMembers(l.Members)); err != nil {
-			return err
-		}
-	}
 	return nil
 }
 
