quota: send returns with deposit replies

Change: refunds and reports of spent tokens travel with the deposit replies, or at once when they hold 1/32 of a burst. A refund without room goes to the domain that had the least left. Nodes with few requests draw nothing ahead.

--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -42,9 +42,12 @@
 const (
 	// TickEvery is how often Tick should be called.
 	TickEvery = 100 * time.Millisecond
-	// returnEvery is how long refunds and reports are collected; with 13 pools
-	// that makes at most 52 messages a second.
-	returnEvery = 250 * time.Millisecond
+	// returnEvery is how long returns wait for a deposit reply to travel with.
+	returnEvery = DepositEvery + DepositEvery/5
+	// returnLeast is the least time between returns that are sent early, which
+	// they are when they hold one part in returnParts of a workspace's burst.
+	returnLeast = 20 * time.Millisecond
+	returnParts = 32
 	// askAgain is how long the answer of a domain without tokens counts.
 	askAgain = 50 * time.Millisecond
 	// askLost is how long a domain that didn't answer is left alone.
@@ -57,29 +60,28 @@
 // Node is the quota state of one entry process. It is not safe for concurrent
 // use: one goroutine owns it.
 type Node struct {
-	self      ownerID
-	domain    string
-	slots     *Slots
-	shares    *Shares
-	members   []string            // live nodes of the own domain, with this one
-	pools     map[string][]string // nodes of other domains
-	spaces    map[string]*space
-	seq       uint64
-	replies   replies
-	credits   credits
-	epochs    map[string]uint64    // of other nodes, for refunds
-	lost      map[string]time.Time // pools that did not answer, until when they are left alone
-	peers     map[string]*peer     // depositors, as a pool sees them
-	askers    map[string]*asker    // pools, as a depositor sees them
-	set       []string             // workspaces whose pool this node is
-	setID     uint64
-	draws     map[uint64]*draw
-	refunds   map[string]map[string]int64 // by pool and workspace, until the next tick
-	nextFlush time.Time
-	unused    map[lender][]ReturnItem // until the next tick
-	fx        Effects
-	faults    *faults
-	credit    func(workspace string, tokens float64) // of refunds, for tests
+	self    ownerID
+	domain  string
+	slots   *Slots
+	shares  *Shares
+	members []string            // live nodes of the own domain, with this one
+	pools   map[string][]string // nodes of other domains
+	spaces  map[string]*space
+	seq     uint64
+	replies replies
+	credits credits
+	epochs  map[string]uint64    // of other nodes, for refunds
+	lost    map[string]time.Time // pools that did not answer, until when they are left alone
+	peers   map[string]*peer     // depositors, as a pool sees them
+	askers  map[string]*asker    // pools, as a depositor sees them
+	set     []string             // workspaces whose pool this node is
+	setID   uint64
+	draws   map[uint64]*draw
+	refunds map[string]map[string]int64 // by pool and workspace, until the next tick
+	returns map[lender]*bundle
+	fx      Effects
+	faults  *faults
+	credit  func(workspace string, tokens float64) // of refunds, for tests
 }
 
 // space is the state of one workspace.
@@ -96,7 +98,8 @@
 	wave      int
 	lost      bool // a domain did not answer
 	retry     map[string]time.Time
-	spare     map[string]int64 // what other domains said to have left
+	spare     map[string]int64 // what other domains said to have left, until they are asked again
+	left      map[string]int64 // the same with refunds sent since, as an estimate
 }
 
 // wish is an item of a draw that waits for other domains.
@@ -114,6 +117,14 @@
 	epoch uint64
 }
 
+// bundle is what waits to be returned to a lender.
+type bundle struct {
+	items  []ReturnItem
+	since  time.Time // when the first of them was added
+	urgent bool
+	sent   time.Time
+}
+
 // peer is a depositor as its pool sees it.
 type peer struct {
 	next  time.Time
@@ -167,8 +178,7 @@
 		peers:   make(map[string]*peer),
 		askers:  make(map[string]*asker),
 		draws:   make(map[uint64]*draw),
-		refunds: make(map[string]map[string]int64),
-		unused:  make(map[lender][]ReturnItem),
+		returns: make(map[lender]*bundle),
 		credit:  func(string, float64) {},
 	}
 	n.credits.epoch = incarnation << 16
@@ -232,6 +242,7 @@
 				name:  name,
 				retry: make(map[string]time.Time),
 				spare: make(map[string]int64),
+				left:  make(map[string]int64),
 			}
 			sp.bucket.faults = n.faults
 			n.spaces[name] = sp
@@ -320,10 +331,7 @@
 			n.GiveBack(now, l)
 		}
 	}
-	if !now.Before(n.nextFlush) {
-		n.nextFlush = now.Add(returnEvery)
-		n.flushReturns()
-	}
+	n.sendReturns(now)
 	for seq, d := range n.draws {
 		if now.Sub(d.at) > DepositTerm {
 			delete(n.draws, seq)
@@ -420,6 +428,9 @@
 		count = 0
 	}
 	reply := none
+	if b := n.returns[lender{node: req.ID.Node, epoch: req.Epoch}]; b != nil && len(b.items) <= maxItems {
+		reply.Returns, b.items, b.urgent = b.items, nil, false
+	}
 	reply.Slots = count
 	pool := ownerID{
 		node:        req.ID.Node,
@@ -470,6 +481,7 @@
 	a := p.out[i]
 	// Older requests are answered no more: their term is shorter.
 	p.out = slices.Delete(p.out, 0, i+1)
+	n.credited(now, reply.Returns, false)
 	if reply.UnknownSet {
 		p.acked, p.next = 0, now
 		return
@@ -903,8 +915,9 @@
 		got += g.Tokens
 		sp.borrowed.Add(d.loan(g, reply.Epoch))
 	}
+	sp.left[d.domain] = 0
 	for _, s := range reply.Short {
-		sp.spare[d.domain] = s.Available
+		sp.spare[d.domain], sp.left[d.domain] = s.Available, s.Available
 	}
 	switch {
 	case err != nil:
@@ -929,16 +942,19 @@
 		n.creditHere(now, sp, tokens, true)
 		return
 	}
-	n.queueRefund(sp.home, workspace, tokens)
+	n.queueRefund(now, sp.home, workspace, tokens)
 }
 
-func (n *Node) queueRefund(to, workspace string, tokens int64) {
-	m := n.refunds[to]
-	if m == nil {
-		m = make(map[string]int64)
-		n.refunds[to] = m
+func (n *Node) queueRefund(now time.Time, to, workspace string, tokens int64) {
+	if epoch, known := n.epochs[to]; known {
+		n.queue(now, lender{
+			node:  to,
+			epoch: epoch,
+		}, ReturnItem{
+			Workspace: workspace,
+			Tokens:    tokens,
+		})
 	}
-	m[workspace] += tokens
 }
 
 // GiveBack returns an unused loan. The caller has taken it out of its wallet.
@@ -964,11 +980,10 @@
 	case p.Lender == n.self.node:
 		sp.bucket.repay(now, p.ID, p.Tokens, spent)
 	default:
-		by := lender{
+		n.queue(now, lender{
 			node:  p.Lender,
 			epoch: p.Epoch,
-		}
-		n.unused[by] = append(n.unused[by], ReturnItem{
+		}, ReturnItem{
 			Workspace: workspace,
 			Tokens:    p.Tokens,
 			Loan:      p.ID,
@@ -977,8 +992,67 @@
 	}
 }
 
-// creditHere credits a refund; what finds no room goes to a domain that has a
-// share, once, since a domain without one would lose every refund.
+// queue collects an item. Most items travel with the next deposit reply to the
+// lender. A bundle is sent by itself when it grows old, or at once when it holds
+// a sizeable part of a workspace's burst: until then that part can't be lent or
+// refilled.
+func (n *Node) queue(now time.Time, to lender, it ReturnItem) {
+	b := n.returns[to]
+	if b == nil {
+		b = &bundle{}
+		n.returns[to] = b
+	}
+	if len(b.items) == 0 {
+		b.since = now
+	}
+	sum := it.Tokens
+	for _, o := range b.items {
+		if o.Workspace == it.Workspace {
+			sum += o.Tokens
+		}
+	}
+	b.items = append(b.items, it)
+	sh := n.shares.items[it.Workspace]
+	if sh != nil && float64(sum) >= sh.burst/returnParts {
+		b.urgent = true
+		if now.Sub(b.sent) >= returnLeast {
+			n.sendReturn(now, to, b)
+		}
+	}
+}
+
+func (n *Node) sendReturn(now time.Time, to lender, b *bundle) {
+	n.fx.Returns = append(n.fx.Returns, Send[ReturnRequest]{
+		To: to.node,
+		Msg: ReturnRequest{
+			ID:     n.id(),
+			Epoch:  to.epoch,
+			Items:  b.items,
+			Passed: !slices.Contains(n.members, to.node),
+		},
+	})
+	b.items, b.urgent, b.sent = nil, false, now
+}
+
+// sendReturns sends what is due, in a fixed order, which keeps runs with the
+// same inputs alike.
+func (n *Node) sendReturns(now time.Time) {
+	all := slices.SortedFunc(maps.Keys(n.returns), func(a, b lender) int {
+		return cmp.Or(cmp.Compare(a.node, b.node), cmp.Compare(a.epoch, b.epoch))
+	})
+	for _, to := range all {
+		b := n.returns[to]
+		switch {
+		case len(b.items) == 0 && now.Sub(b.sent) > DepositTerm:
+			delete(n.returns, to)
+		case len(b.items) > 0 && (b.urgent || now.Sub(b.since) >= returnEvery):
+			n.sendReturn(now, to, b)
+		}
+	}
+}
+
+// creditHere credits a refund. What finds no room goes once to the domain that
+// had the least left, since a domain without a share would lose every refund.
 func (n *Node) creditHere(now time.Time, sp *space, tokens int64, pass bool) {
 	got := sp.bucket.credit(now, float64(tokens))
 	if got > 0 {
@@ -986,56 +1060,19 @@
 	}
 	sh := n.shares.items[sp.name]
 	rest := tokens - int64(got)
-	if !pass || rest <= 0 || sh == nil || sh.fraction > 0 {
+	if !pass || rest <= 0 || sh == nil {
 		return
 	}
+	to := ""
 	for _, d := range sh.domains {
-		if d != n.domain && len(n.pools[d]) > 0 {
-			n.queueRefund(rank.First(sp.name, n.pools[d]), sp.name, rest)
-			return
+		if d != n.domain && len(n.pools[d]) > 0 && (to == "" || sp.left[d] < sp.left[to]) {
+			to = d
 		}
 	}
-}
-
-// flushReturns sends what was collected since the last tick, one message a pool.
-func (n *Node) flushReturns() {
-	for to, m := range n.refunds {
-		epoch, known := n.epochs[to]
-		if !known {
-			continue
-		}
-		by := lender{
-			node:  to,
-			epoch: epoch,
-		}
-		for w, tokens := range m {
-			n.unused[by] = append(n.unused[by], ReturnItem{
-				Workspace: w,
-				Tokens:    tokens,
-			})
-		}
+	if to != "" {
+		sp.left[to] += rest
+		n.queueRefund(now, rank.First(sp.name, n.pools[to]), sp.name, rest)
 	}
-	// A fixed order keeps runs with the same inputs alike.
-	pools := slices.SortedFunc(maps.Keys(n.unused), func(a, b lender) int {
-		return cmp.Or(cmp.Compare(a.node, b.node), cmp.Compare(a.epoch, b.epoch))
-	})
-	for _, by := range pools {
-		items := n.unused[by]
-		slices.SortStableFunc(items, func(a, b ReturnItem) int {
-			return cmp.Or(cmp.Compare(a.Workspace, b.Workspace), cmp.Compare(a.Loan, b.Loan))
-		})
-		n.fx.Returns = append(n.fx.Returns, Send[ReturnRequest]{
-			To: by.node,
-			Msg: ReturnRequest{
-				ID:     n.id(),
-				Epoch:  by.epoch,
-				Items:  items,
-				Passed: !slices.Contains(n.members, by.node),
-			},
-		})
-	}
-	clear(n.refunds)
-	clear(n.unused)
 }
 
 // HandleReturn credits returned tokens, each return once.
@@ -1047,20 +1084,25 @@
 	if req.Epoch != n.credits.epoch || !n.credits.first(req.ID) && !n.faults.creditTwice {
 		return reply
 	}
-	for _, it := range req.Items {
+	n.credited(now, req.Items, req.Passed)
+	return reply
+}
+
+// credited books returned items, which the caller has found to be new.
+func (n *Node) credited(now time.Time, items []ReturnItem, passed bool) {
+	for _, it := range items {
 		sp := n.spaces[it.Workspace]
 		switch {
 		case sp == nil:
 		case it.Loan != 0:
 			sp.bucket.repay(now, it.Loan, it.Tokens, it.Spent)
-		case sp.home != n.self.node && req.Passed:
+		case sp.home != n.self.node && passed:
 			// A relay was addressed; its domain's pool has the room.
-			n.queueRefund(sp.home, it.Workspace, it.Tokens)
+			n.queueRefund(now, sp.home, it.Workspace, it.Tokens)
 		default:
-			n.creditHere(now, sp, it.Tokens, !req.Passed)
+			n.creditHere(now, sp, it.Tokens, !passed)
 		}
 	}
-	return reply
 }
 
 // ReturnDone takes the reply to a return.
--- a/internal/quota/wallet.go
+++ b/internal/quota/wallet.go
@@ -20,6 +20,7 @@
 type Wallet struct {
 	loans []Loan // earliest deadline first
 	use   meter
+	takes meter
 	// loose lets tokens be spent after their deadline; only tests set it.
 	loose bool
 }
@@ -30,6 +31,9 @@
 	prefetchLow = 200 * time.Millisecond
 	// prefetchHigh is the stock it draws up to, and keeps when it returns tokens.
 	prefetchHigh = 500 * time.Millisecond
+	// prefetchTakes is the number of requests a second from which a node draws
+	// ahead; below it a request draws for itself.
+	prefetchTakes = 4
 	// spendMargin is left between admission and the deadline, so that a request
 	// that isn't queued passes the check before its first byte.
 	spendMargin = 20 * time.Millisecond
@@ -75,7 +79,7 @@
 type Taken struct {
 	// SpendBy is the earliest deadline among the loans.
 	SpendBy time.Time
-	Parts   [4]Part
+	Parts   [8]Part
 }
 
 // Part is tokens of one loan.
@@ -94,6 +98,7 @@
 		return t, false
 	}
 	w.use.add(now, tokens)
+	w.takes.add(now, 1)
 	t.SpendBy = now.Add(DepositTerm)
 	if len(w.loans) > 0 && tokens > 0 {
 		t.SpendBy = w.loans[0].SpendBy
@@ -130,6 +135,7 @@
 		return nil
 	}
 	w.use.add(now, n)
+	w.takes.add(now, 1)
 	var out []Loan
 	for n > 0 {
 		l := w.loans[0]
@@ -143,14 +149,23 @@
 	return out
 }
 
+// stock is the use during d. With few requests it is 0: tokens drawn ahead
+// would mostly be returned, at the cost of two messages.
+func (w *Wallet) stock(now time.Time, d time.Duration) float64 {
+	if w.takes.value(now) < prefetchTakes {
+		return 0
+	}
+	return w.use.value(now) * d.Seconds()
+}
+
 // Low reports whether the stock is short of the recent use.
 func (w *Wallet) Low(now time.Time) bool {
-	return float64(w.Tokens(now)) < w.use.value(now)*prefetchLow.Seconds()
+	return float64(w.Tokens(now)) < w.stock(now, prefetchLow)
 }
 
 // Prefetch is how many tokens bring the stock up to the recent use.
 func (w *Wallet) Prefetch(now time.Time) int64 {
-	return max(0, int64(w.use.value(now)*prefetchHigh.Seconds())-w.Tokens(now))
+	return max(0, int64(w.stock(now, prefetchHigh))-w.Tokens(now))
 }
 
 // Use is the recent use in tokens per second.
@@ -160,7 +175,7 @@
 
 // Surplus removes and returns the loans that are not needed for the recent use.
 func (w *Wallet) Surplus(now time.Time) []Loan {
-	return w.remove(w.Tokens(now) - int64(w.use.value(now)*prefetchHigh.Seconds()))
+	return w.remove(w.Tokens(now) - int64(w.stock(now, prefetchHigh)))
 }
 
 // Drain removes and returns all loans.
--- a/internal/quota/wire.go
+++ b/internal/quota/wire.go
@@ -59,6 +59,8 @@
 	Except []string `cbor:"4,keyasint,omitempty"`
 	// Levels lists the workspaces with a level or a debt.
 	Levels []DepositLevel `cbor:"5,keyasint,omitempty"`
+	// Returns saves a message of its own for refunds and reports to this pool.
+	Returns []ReturnItem `cbor:"6,keyasint,omitempty"`
 }
 
 // DepositLevel is what comes with a fraction besides its slots.
@@ -82,6 +84,9 @@
 			return fmt.Errorf("deposit reply: %w", err)
 		}
 	}
+	if err := returnItems(r.Returns); err != nil {
+		return fmt.Errorf("deposit reply: %w", err)
+	}
 	return wrap("deposit reply", names(r.Except))
 }
 
@@ -209,15 +214,19 @@
 	if err := r.ID.validate(); err != nil {
 		return fmt.Errorf("return request: %w", err)
 	}
-	if len(r.Items) == 0 || len(r.Items) > maxItems {
-		return fmt.Errorf("return request: %d items", len(r.Items))
+	return wrap("return request", returnItems(r.Items))
+}
+
+func returnItems(items []ReturnItem) error {
+	if len(items) > maxItems {
+		return fmt.Errorf("%d items", len(items))
 	}
-	for _, i := range r.Items {
+	for _, i := range items {
 		if err := item(i.Workspace, i.Tokens, 0); err != nil {
-			return fmt.Errorf("return request: %w", err)
+			return err
 		}
 		if i.Spent && i.Loan == 0 {
-			return errors.New("return request: spent tokens without a loan")
+			return errors.New("spent tokens without a loan")
 		}
 	}
 	return nil
