--- a/internal/fair/queue.go
+++ b/internal/fair/queue.go
@@ -39,6 +39,10 @@
 	MaxQueue int
 	// DeferBound is how long a request yields to more urgent classes.
 	DeferBound time.Duration
+	// Credit is the cost that a workspace which used less than its part may catch
+	// up. Without it a group of its requests would take turns with a workspace
+	// that always has requests waiting.
+	Credit int64
 	// InteractiveLead is the cost by which interactive requests run ahead.
 	InteractiveLead int64
 }
@@ -48,6 +52,7 @@
 	DefaultLimit           = 32
 	DefaultMaxQueue        = 1024
 	DefaultDeferBound      = 30 * time.Second
+	DefaultCredit          = 16384
 	DefaultInteractiveLead = 4096
 	// activeFor is how long a workspace counts as active after its last request.
 	activeFor = 10 * time.Second
@@ -121,6 +126,9 @@
 	if opts.DeferBound <= 0 {
 		opts.DeferBound = DefaultDeferBound
 	}
+	if opts.Credit <= 0 {
+		opts.Credit = DefaultCredit
+	}
 	if opts.InteractiveLead <= 0 {
 		opts.InteractiveLead = DefaultInteractiveLead
 	}
@@ -183,7 +191,7 @@
 		out.state = Over
 	}
 	if f.waiting == 0 {
-		f.start = max(f.start, q.virtual)
+		f.start = max(f.start, q.virtual-float64(q.opts.Credit)/f.weight)
 	}
 	q.seq++
 	t.seq, t.arrived, t.flow, t.state = q.seq, now, f, Waiting
@@ -240,7 +248,7 @@
 			lowest = f.start
 		}
 		if active > 1 && q.running >= q.opts.Limit-q.opts.Reserve &&
-			float64(f.running) >= float64(q.opts.Limit)*f.weight/weights {
+			f.start >= q.virtual && float64(f.running) >= float64(q.opts.Limit)*f.weight/weights {
 			continue
 		}
 		t, rank := q.head(now, f)
