limit: test the limit and its use with concurrent nodes

Cause: the fuzz covers the state machines, not their wiring. Change: greedy callers on four nodes in two domains; take-over of slots after a planned stop, a proof of death and the term; validation of messages.

--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -320,6 +321,43 @@
 	}
 }
 
+// Guards against wiring that breaks the limit or wastes it: in any time nodes
+// of two domains may charge burst + rate x time together, and should get most
+// of it.
+func TestGreedyNodes(t *testing.T) {
+	t.Parallel()
+	const rate, burst = 20_000, 10_000
+	nodes, _ := cluster(t, &table{rows: make(map[string]store.Row)}, config(rate, burst, "a", "b"),
+		[2]string{"a", "a1"}, [2]string{"a", "a2"}, [2]string{"b", "b1"}, [2]string{"b", "b2"})
+	admit(t, nodes["a1"], 100)
+	time.Sleep(time.Second)
+	var wg sync.WaitGroup
+	var sum atomic.Int64
+	start := time.Now()
+	for _, l := range nodes {
+		for range 4 {
+			wg.Go(func() {
+				for time.Since(start) < 2*time.Second {
+					c, err := l.Admit(context.Background(), "w", 100)
+					if err != nil {
+						time.Sleep(5 * time.Millisecond)
+						continue
+					}
+					if c.Check() == nil {
+						sum.Add(100)
+					}
+				}
+			})
+		}
+	}
+	wg.Wait()
+	allowed := burst + rate*time.Since(start).Seconds()
+	t.Logf("charged %d of %.0f tokens", sum.Load(), allowed)
+	if got := float64(sum.Load()); got > allowed || got < 0.6*allowed {
+		t.Errorf("charged %.0f tokens, allowed are %.0f", got, allowed)
+	}
+}
+
 // BenchmarkAdmit measures an admission from local tokens; the target is below
 // 2 µs without allocation.
 func BenchmarkAdmit(b *testing.B) {
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -287,3 +287,87 @@
 		})
 	}
 }
+
+// Guards against tokens that stay unused: slots of a node that stopped have to
+// be taken over, and all levels together have to reach the burst again.
+func TestSlotsAreTakenOver(t *testing.T) {
+	const term = 20 * time.Second
+	tests := []struct {
+		name  string
+		stop  func(f *fleet, s *simNode)
+		after time.Duration
+	}{
+		{"given back", func(f *fleet, s *simNode) {
+			s.node.Leave(s.clock())
+			s.carryOut()
+			f.run(ResumeAfter + time.Second)
+			if !s.node.Left() {
+				t.Error("slots were not given back")
+			}
+			s.alive = false
+		}, 15 * time.Second},
+		{"proved dead", func(f *fleet, s *simNode) {
+			s.alive = false
+			f.nodes[3].node.ProvedDead(f.nodes[3].clock(), s.name, s.incarnation)
+		}, ResumeAfter + 15*time.Second},
+		{"term over", func(_ *fleet, s *simNode) { s.alive = false }, term + term/10 + 20*time.Second},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(1, 3, 2, &faults{})
+			f.configure(1000, 2000, 600, term)
+			f.startAll()
+			f.run(30 * time.Second)
+			tt.stop(f, f.nodes[0])
+			for _, s := range f.alive() {
+				s.members(f.alive())
+			}
+			f.run(tt.after + 6*time.Second)
+			for _, s := range f.alive() {
+				if n, _ := s.node.Slots(s.clock()); s == f.nodes[3] && n != SlotCount {
+					t.Errorf("%s has %d slots", s.name, n)
+				}
+			}
+			level := 0.0
+			for _, s := range f.alive() {
+				level += s.node.Status(s.clock())[0].Level
+			}
+			if level < 1999 {
+				t.Errorf("levels add up to %.0f", level)
+			}
+		})
+	}
+}
+
+// Guards against messages from a faulty peer that would be booked.
+func TestValidate(t *testing.T) {
+	id := ID{
+		Node: "n",
+		Seq:  1,
+	}
+	tests := []struct {
+		name string
+		msg  interface{ Validate() error }
+		ok   bool
+	}{
+		{"deposit", DepositRequest{ID: id, Workspaces: []string{"w"}}, true},
+		{"deposit without id", DepositRequest{}, false},
+		{"deposit of no name", DepositRequest{ID: id, Workspaces: []string{""}}, false},
+		{"reply", DepositReply{Seq: 1, Slots: 64}, true},
+		{"too many slots", DepositReply{Seq: 1, Slots: 65}, false},
+		{"negative level", DepositReply{Seq: 1, Levels: []DepositLevel{{Workspace: "w", Tokens: -1}}}, false},
+		{"spent without a loan", DepositReply{Seq: 1, Returns: []ReturnItem{{Workspace: "w", Spent: true}}}, false},
+		{"draw", DrawRequest{ID: id, Items: []DrawItem{{Workspace: "w", Need: 1, Want: 1}}}, true},
+		{"need above want", DrawRequest{ID: id, Items: []DrawItem{{Workspace: "w", Need: 2, Want: 1}}}, false},
+		{"too many hops", DrawRequest{ID: id, Hops: 3, Items: []DrawItem{{Workspace: "w", Want: 1}}}, false},
+		{"long term", DrawReply{ID: id, Grants: []DrawGrant{{Workspace: "w", Tokens: 1, TermMillis: 3001}}}, false},
+		{"unknown reason", DrawReply{ID: id, Short: []DrawShort{{Workspace: "w", Reason: 99}}}, false},
+		{"negative refund", ReturnRequest{ID: id, Items: []ReturnItem{{Workspace: "w", Tokens: -5}}}, false},
+		{"return reply without sequence", ReturnReply{}, false},
+	}
+	for _, tt := range tests {
+		if err := tt.msg.Validate(); (err == nil) != tt.ok {
+			t.Errorf("%s: %v", tt.name, err)
+		}
+	}
+}
