stand: tighten three tests

Cause: with a mechanism disabled on purpose, eight of eleven changes to the code made a test fail; three did not: Stream.Close without effect, a proxy that resets a connection at its regular end, and a frozen request that stays bound to its client.

Change: the tests read after the end, keep the context open, and watch it.

--- a/internal/engine/client_test.go
+++ b/internal/engine/client_test.go
@@ -152,6 +152,8 @@
 	before := runtime.NumGoroutine()
 	for i := range 20 {
 		ctx, cancel := context.WithCancel(context.Background())
+		// Close alone must release a stream, so its context ends after the check.
+		defer cancel()
 		st, err := s.Client.Stream(ctx, s.call(fmt.Sprint(i), "p", 1000, true))
 		must(t, err)
 		if _, err := st.Next(); err != nil {
@@ -167,7 +169,6 @@
 			}
 		}
 		st.Close()
-		cancel()
 	}
 	deadline := time.Now().Add(2 * time.Second)
 	for runtime.NumGoroutine() > before && time.Now().Before(deadline) {
--- a/internal/fake/cutter/cutter_test.go
+++ b/internal/fake/cutter/cutter_test.go
@@ -137,16 +137,23 @@
 	}
 }
 
-// TestEnd guards against the loss of the last bytes before a regular close.
+// TestEnd guards against the loss of bytes that the client reads only after
+// both directions have ended.
 func TestEnd(t *testing.T) {
 	p := echo(t)
 	c := dial(t, p)
-	sent := make([]byte, 4<<20)
-	go func() {
-		_, _ = c.Write(sent)
-		_ = c.(*net.TCPConn).CloseWrite()
-	}()
-	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if err := exchange(c, time.Second); err != nil {
+		t.Fatal(err)
+	}
+	// More than the client's receive buffer, so that the rest waits in the
+	// proxy's send buffer when the proxy closes its side.
+	sent := make([]byte, 1<<20)
+	_ = c.SetDeadline(time.Now().Add(5 * time.Second))
+	if _, err := c.Write(sent); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.(*net.TCPConn).CloseWrite()
+	time.Sleep(100 * time.Millisecond)
 	got, err := io.ReadAll(c)
 	if err != nil || len(got) != len(sent) {
 		t.Errorf("got %d of %d bytes, %v", len(got), len(sent), err)
--- a/internal/fake/fault/fault_test.go
+++ b/internal/fake/fault/fault_test.go
@@ -85,6 +85,11 @@
 	bodies := make(chan string, 1)
 	srv := httptest.NewServer(set.Wrap(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
+		select {
+		case <-r.Context().Done():
+			body = []byte("cancelled")
+		case <-time.After(50 * time.Millisecond):
+		}
 		bodies <- string(body)
 	})))
 	defer srv.Close()
