--- a/internal/place/demand.go
+++ b/internal/place/demand.go
@@ -8,10 +8,14 @@
 )
 
 const (
-	// fastTime follows a tenfold change within a minute; slowTime keeps a model
-	// with a few requests an hour from looking idle between two of them.
+	// fastTime follows a tenfold change within a minute. slowTime evens out the
+	// arrivals of models with a few requests a minute.
 	fastTime = 20 * time.Second
-	slowTime = 10 * time.Minute
+	slowTime = 3 * time.Minute
+	// The fast average counts only when it stands for at least fastRequests and
+	// is fastRatio above the slow one; below that it is mostly chance.
+	fastRequests = 4
+	fastRatio    = 1.5
 	// attainTime is the memory of a workspace's attainment.
 	attainTime = time.Minute
 	// levelBand is the hysteresis of a level: it changes only when the average
@@ -35,9 +39,14 @@
 	a.sum = 0
 	a.fast = rate + (a.fast-rate)*keepFast
 	a.slow = rate + (a.slow-rate)*keepSlow
-	// A rise shows in the fast average; after a fall the slow one keeps the
-	// model from being unloaded at once.
-	now := max(a.fast, a.slow)
+}
+
+// settle moves the level to the current average if that has left the band.
+func (a *average) settle(rising bool) {
+	now := a.slow
+	if rising {
+		now = a.fast
+	}
 	if now > a.level*(1+levelBand) || now < a.level*(1-levelBand) {
 		a.level = now
 	}
@@ -148,10 +157,10 @@
 		m.requests.sum += float64(e.Requests)
 		m.tokens.sum += float64(e.Tokens)
 		m.value.sum += float64(e.Requests) * w.urgency()
+		w.ok += float64(e.OnTarget)
+		w.all += float64(e.Begun)
 		if e.Requests > 0 {
 			m.lastUse = now
-			w.ok += float64(e.OnTarget)
-			w.all += float64(e.Requests)
 			if e.Adapter != "" {
 				d.adapter(e.Model, e.Adapter).lastUse = now
 			}
@@ -213,10 +222,17 @@
 		m.requests.advance(dt, keepFast, keepSlow)
 		m.tokens.advance(dt, keepFast, keepSlow)
 		m.value.advance(dt, keepFast, keepSlow)
+		// A rise shows in the fast average; after a fall the slow one keeps the
+		// model from being unloaded at once.
+		r := &m.requests
+		rising := r.fast*fastTime.Seconds() >= fastRequests && r.fast > fastRatio*r.slow
+		m.requests.settle(rising)
+		m.tokens.settle(rising)
+		m.value.settle(rising)
 		if !wanted[Item{Model: name}] {
 			m.waiting = time.Time{}
 		}
-		if m.requests.slow < idleRate && m.requests.fast < idleRate && m.waiting.IsZero() && now.Sub(m.lastUse) > 6*slowTime {
+		if m.requests.slow < idleRate && m.requests.fast < idleRate && m.waiting.IsZero() && now.Sub(m.lastUse) > 20*slowTime {
 			delete(d.models, name)
 		}
 	}
@@ -224,7 +240,7 @@
 		if !wanted[i] {
 			a.waiting = time.Time{}
 		}
-		if a.waiting.IsZero() && now.Sub(a.lastUse) > 6*slowTime {
+		if a.waiting.IsZero() && now.Sub(a.lastUse) > 20*slowTime {
 			delete(d.adapters, i)
 		}
 	}
--- a/internal/place/ledger.go
+++ b/internal/place/ledger.go
@@ -4,6 +4,14 @@
 // Ledger guards the memory of one endpoint, Demand estimates what is asked for,
 // a Policy decides moves (Planner, and the baselines Static and LRU), and
 // Manager carries them out as a state machine without I/O.
+//
+// The policies are compared with the figures of both user organisations by
+//
+//	go test ./internal/place -run TestMeasurePolicies -v
+//
+// and the cost of a step at the design size is measured by
+//
+//	go test ./internal/place -run NONE -bench Step -benchmem
 package place
 
 import (
@@ -116,6 +124,7 @@
 	read        bool
 	readUntil   time.Time // when the answer of the last state read was received
 	resident    map[Item]int64
+	order       []Item                  // the resident items in order
 	running     map[string]engine.Order // orders that the last state showed as running
 	entries     map[string]*entry
 	fence       engine.Fence // as the last state had it
@@ -199,10 +208,9 @@
 	return out
 }
 
-// Resident lists what the last state showed as resident, in order.
-func (l *Ledger) Resident() []Item {
-	return slices.SortedFunc(maps.Keys(l.resident), compareItems)
-}
+// Resident lists what the last state showed as resident, in order. The caller
+// does not change the list.
+func (l *Ledger) Resident() []Item { return l.order }
 
 // Has reports whether the last state showed the item as resident.
 func (l *Ledger) Has(i Item) bool {
@@ -304,6 +312,7 @@
 		}
 		l.resident[i] += mib
 	}
+	l.order = slices.SortedFunc(maps.Keys(l.resident), compareItems)
 	l.settled = l.Fencing() || l.settled || !asked.Before(l.quiet)
 	return true
 }
--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -3,11 +3,13 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/rank"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
 
@@ -172,9 +174,8 @@
 	States    []StateResult
 	Orders    []OrderResult
 	Reports   []DemandReport
-	// Remote counts the ready replicas of models in other domains; nil keeps
-	// the last one.
-	Remote map[string]int
+	// Remote is what other domains of the region have; nil keeps the last one.
+	Remote map[string]RemoteModel
 	// Leaving names endpoints that are listed as leaving; nil keeps the last list.
 	Leaving map[string]bool
 }
@@ -276,7 +277,8 @@
 	names   []string
 	demand  *Demand
 	weights Weights
-	remote  map[string]int
+	remote  map[string]RemoteModel
+	turns   map[string]int
 
 	auth     Authority
 	held     time.Time // Since of the holding that was begun
@@ -287,10 +289,12 @@
 	nextID   int64
 	loadTime time.Duration
 
-	seq      int64
-	removed  map[string]int64 // endpoints that left the layout, and when
-	counters Counters
-	records  []MoveRecord
+	seq       int64
+	removed   map[string]int64 // endpoints that left the layout, and when
+	published map[string]ModelDemand
+	excess    map[string]float64
+	counters  Counters
+	records   []MoveRecord
 }
 
 // maxRecords bounds the records that nobody has fetched.
@@ -300,12 +304,13 @@
 func NewManager(set Settings) *Manager {
 	set.defaults()
 	return &Manager{
-		set:      set,
-		eps:      map[string]*endpoint{},
-		demand:   NewDemand(),
-		remote:   map[string]int{},
-		removed:  map[string]int64{},
-		loadTime: 2 * time.Second,
+		set:       set,
+		eps:       map[string]*endpoint{},
+		demand:    NewDemand(),
+		remote:    map[string]RemoteModel{},
+		published: map[string]ModelDemand{},
+		removed:   map[string]int64{},
+		loadTime:  2 * time.Second,
 		counters: Counters{
 			ByReason: map[Reason]int64{},
 		},
@@ -482,9 +487,28 @@
 		}
 	}
 	m.names = slices.Sorted(maps.Keys(m.eps))
+	m.setTurns(cfg, domains)
 	m.weights.Set(m.set.Domain, slices.Sorted(maps.Keys(domains)), cfg.Limits.WeightLoadsPerSecond, cfg.Limits.WeightLoadsParallel)
 }
 
+// setTurns finds the place of this domain in each model's order of domains.
+func (m *Manager) setTurns(cfg *spec.Config, domains map[string]bool) {
+	regions := map[string]string{}
+	for _, d := range cfg.Domains {
+		regions[d.Name] = d.Region
+	}
+	var near []string
+	for _, name := range slices.Sorted(maps.Keys(domains)) {
+		if regions[name] == regions[m.set.Domain] {
+			near = append(near, name)
+		}
+	}
+	m.turns = make(map[string]int, len(m.models))
+	for name := range m.models {
+		m.turns[name] = max(0, slices.Index(rank.Order(name, near), m.set.Domain))
+	}
+}
+
 func (m *Manager) newEndpoint(now time.Time, c spec.Endpoint) *endpoint {
 	e := &endpoint{
 		Endpoint: c,
@@ -1040,6 +1064,9 @@
 			Role:      e.role,
 			Idle:      e.move == nil && m.mayOrder(now, e) && (!e.ledger.Fencing() || e.fenced()),
 		}
+		if !e.ledger.Fencing() {
+			ev.Hold = m.quiet()
+		}
 		possible := e.ledger.possible()
 		if e.move != nil && e.move.Load != (Item{}) && possible[e.move.Load] == 0 {
 			possible[e.move.Load] = e.move.MiB
@@ -1061,13 +1088,21 @@
 	}
 	for _, name := range slices.Sorted(maps.Keys(m.models)) {
 		x := m.models[name]
+		away := m.remote[name]
 		mv := ModelView{
 			Spec:       x,
-			Remote:     m.remote[name],
+			Requests:   away.Requests,
+			Tokens:     away.Tokens,
+			Value:      away.Value,
+			Excess:     away.Excess,
+			Remote:     away.Replicas,
+			Turn:       m.turns[name],
 			AdapterMiB: m.adapterRoom(name),
 		}
 		if d := m.demand.models[name]; d != nil {
-			mv.Requests, mv.Tokens, mv.Value = d.requests.level, d.tokens.level, d.value.level
+			mv.Requests += d.requests.level
+			mv.Tokens += d.tokens.level
+			mv.Value += d.value.level
 			mv.LastUse, mv.Waiting = d.lastUse, d.waiting
 		}
 		v.Models = append(v.Models, mv)
@@ -1109,6 +1144,7 @@
 // plan asks the policy for moves and begins those that are possible.
 func (m *Manager) plan(now time.Time) {
 	v := m.View(now)
+	m.excess = excess(v)
 	moves := m.set.Policy.Plan(v)
 	if m.set.Roles {
 		moves = append(moves, planRoles(v, moves)...)
@@ -1143,6 +1179,27 @@
 		e.layout = next
 		delete(m.removed, name)
 	}
+	for name := range m.models {
+		var next ModelDemand
+		if d := m.demand.models[name]; d != nil {
+			next = ModelDemand{
+				Requests: float32(d.requests.level),
+				Tokens:   float32(d.tokens.level),
+				Value:    float32(d.value.level),
+			}
+			// In tenths, so that the layout does not change all the time.
+			next.Excess = float32(math.Round(m.excess[name]/max(d.tokens.level, 1)*10) / 10 * d.tokens.level)
+		}
+		next.Model = name
+		old, ok := m.published[name]
+		next.Seq = old.Seq
+		if old == next || !ok && next.Requests == 0 {
+			continue
+		}
+		m.seq++
+		next.Seq = m.seq
+		m.published[name] = next
+	}
 }
 
 func (m *Manager) layoutOf(e *endpoint) EndpointLayout {
@@ -1154,6 +1211,13 @@
 	if e.fails >= 3 {
 		return out
 	}
+	if e.move != nil && e.move.Load != (Item{}) && !e.ledger.Has(e.move.Load) {
+		out.Models = append(out.Models, ModelLayout{
+			Model:   e.move.Load.Model,
+			Version: e.move.Load.Version,
+			Coming:  true,
+		})
+	}
 	// Items are in order: a model comes directly before its adapters.
 	for _, i := range e.ledger.Resident() {
 		if i.Adapter == "" {
@@ -1174,7 +1238,7 @@
 
 func equalLayout(a, b EndpointLayout) bool {
 	return a.Role == b.Role && a.Leaving == b.Leaving && slices.EqualFunc(a.Models, b.Models, func(x, y ModelLayout) bool {
-		return x.Model == y.Model && x.Version == y.Version && x.Ready == y.Ready && slices.Equal(x.Adapters, y.Adapters)
+		return x.Model == y.Model && x.Version == y.Version && x.Ready == y.Ready && x.Coming == y.Coming && slices.Equal(x.Adapters, y.Adapters)
 	})
 }
 
@@ -1190,6 +1254,9 @@
 			out.Endpoints = append(out.Endpoints, e.layout)
 		}
 	}
+	for _, name := range slices.Sorted(maps.Keys(m.published)) {
+		out.Demand = append(out.Demand, m.published[name])
+	}
 	return out
 }
 
@@ -1202,7 +1269,7 @@
 		Seq:    full.Seq,
 	}
 	if term != full.Term || seq > full.Seq || seq <= 0 {
-		out.Full, out.Changed = true, full.Endpoints
+		out.Full, out.Changed, out.Demand = true, full.Endpoints, full.Demand
 		return out
 	}
 	out.Base = seq
@@ -1211,6 +1278,11 @@
 			out.Changed = append(out.Changed, e)
 		}
 	}
+	for _, d := range full.Demand {
+		if d.Seq > seq {
+			out.Demand = append(out.Demand, d)
+		}
+	}
 	for _, name := range slices.Sorted(maps.Keys(m.removed)) {
 		if m.removed[name] > seq {
 			out.Removed = append(out.Removed, name)
--- a/internal/place/planner.go
+++ b/internal/place/planner.go
@@ -11,29 +11,42 @@
 	// horizon is how long a move is expected to pay off. Demand that moves
 	// tenfold within an hour changes by about a quarter in it.
 	horizon = 5 * time.Minute
-	// gainFactor is the hysteresis of replacing one model by another.
-	gainFactor = 1.5
+	// gainFactor is the hysteresis of replacing one model by another. The levels
+	// of models with a few requests a minute differ by half through chance alone.
+	gainFactor = 2.5
 	// moveCost is what a move costs in weighted requests besides its load time.
-	moveCost = 2.0
+	moveCost = 5.0
 	// busyShare is the utilisation above which a model gets another replica, and
 	// spareShare the one below which an endpoint may take it.
-	busyShare  = 0.75
+	busyShare  = 0.65
 	spareShare = 0.5
 	// minStay protects a model that was loaded just now from being evicted
 	// before the requests that waited for it had a chance to run.
 	minStay = 15 * time.Second
-	// remoteShare is how much a model counts whose requests another domain can
-	// serve: the way is longer, but they are served.
-	remoteShare = 0.25
+	// remoteShare is how much a model counts whose requests another domain of
+	// the region serves: a millisecond more is lost, not the request.
+	remoteShare = 0.05
+	// turnTime is how long a domain leaves a missing model to the domain before
+	// it in the order. Layouts travel between domains within two seconds.
+	turnTime = 4 * time.Second
+	// replicaShare is the part of an endpoint that one replica is counted on for.
+	replicaShare = 0.6
 )
 
 // Planner places models by what they are worth: coverage first, then requests
 // that wait, then replicas for busy models. It evicts what is worth least and
 // starts a move only when its gain outweighs its load time.
-type Planner struct{}
+type Planner struct {
+	// short is since when a model has had too few replicas.
+	short map[string]time.Time
+}
 
 // NewPlanner returns the planner.
-func NewPlanner() *Planner { return &Planner{} }
+func NewPlanner() *Planner {
+	return &Planner{
+		short: map[string]time.Time{},
+	}
+}
 
 // Name implements Policy.
 func (*Planner) Name() string { return "planner" }
@@ -52,11 +65,13 @@
 	touched  []bool // endpoints with a move in this plan
 	moves    []Move
 	loads    int
+	short    map[string]time.Time
 }
 
 // Plan implements Policy.
 func (p *Planner) Plan(v *View) []Move {
 	s := newPlanState(v)
+	s.short = p.short
 	s.shrink()
 	s.waiting()
 	s.cover()
@@ -110,6 +125,20 @@
 	return s
 }
 
+// deficit is the part of a model's load that its replicas, and more of them,
+// cannot be counted on for.
+func (s *planState) deficit(i, more int) float64 {
+	m := &s.v.Models[i]
+	if m.Tokens <= 0 {
+		return 0
+	}
+	n := float64(len(s.replicas[i]) + m.Remote + more)
+	if more == 0 && m.Excess > 0 {
+		return min(1, max(m.Excess/m.Tokens, 1-n*replicaShare*s.v.TokensPerSecond/m.Tokens))
+	}
+	return max(0, 1-max(0, n)*replicaShare*s.v.TokensPerSecond/m.Tokens)
+}
+
 func (s *planState) capacity(at int) float64 {
 	speed := s.v.Endpoints[at].Speed
 	if speed <= 0 {
@@ -125,8 +154,8 @@
 	for round := range 2 {
 		next := make([]float64, len(s.util))
 		for i := range s.v.Models {
-			load := s.v.Models[i].Tokens
-			if load <= 0 || len(s.replicas[i]) == 0 {
+			load := s.local(i)
+			if load <= 0 {
 				continue
 			}
 			var sum float64
@@ -141,6 +170,16 @@
 	}
 }
 
+// local is the part of a model's load that comes to this domain's replicas.
+func (s *planState) local(i int) float64 {
+	here := len(s.replicas[i])
+	if here == 0 {
+		return 0
+	}
+	m := &s.v.Models[i]
+	return m.Tokens * float64(here) / float64(here+m.Remote)
+}
+
 func (s *planState) weight(at, round int) float64 {
 	if round == 0 {
 		return s.capacity(at)
@@ -163,23 +202,26 @@
 		// A model without requests is worth a little, so that coverage is kept
 		// where nothing else needs the room.
 		value := m.Value + 1e-4
-		if m.Remote > 0 {
-			value *= remoteShare
+		if m.Remote > 0 && m.Turn > 0 {
+			// The first domain in the order keeps the model, so that two do not
+			// unload it at once because of each other.
+			value *= remoteShare + s.deficit(i, -1)
 		}
 		return value
 	}
 	// The others take the load over; what does not fit there is lost.
-	var spare float64
-	for _, o := range s.replicas[i] {
-		if o != at {
-			spare += max(0, busyShare-s.util[o]) * s.capacity(o)
+	share := s.deficit(i, -1)
+	if m.Remote == 0 && m.Tokens > 0 {
+		spare := 0.0
+		for _, o := range s.replicas[i] {
+			if o != at {
+				spare += max(0, busyShare-s.util[o]) * s.capacity(o)
+			}
 		}
+		here := m.Tokens / float64(len(s.replicas[i]))
+		share = max(share, min(1, (here-spare)/m.Tokens))
 	}
-	here := m.Tokens / float64(len(s.replicas[i]))
-	if here <= spare || m.Tokens <= 0 {
-		return 1e-5
-	}
-	return m.Value * (here - spare) / m.Tokens
+	return 1e-5 + m.Value*share
 }
 
 // room chooses what to evict at an endpoint so that need fits, least loss first.
@@ -197,7 +239,10 @@
 	}
 	var victims []victim
 	for _, it := range e.Items {
-		if it.Adapter != "" || !it.Ready || s.v.Now.Sub(it.Since) < minStay && !force {
+		if it.Adapter != "" || !it.Ready {
+			continue
+		}
+		if age := s.v.Now.Sub(it.Since); age < e.Hold || age < minStay && !force {
 			continue
 		}
 		if i, ok := s.index[it.Model]; ok && !s.v.Models[i].Waiting.IsZero() && s.ready[i] <= 1 {
@@ -269,8 +314,10 @@
 		if !ok {
 			continue
 		}
-		// Utilisation matters less than what is lost, and decides among equals.
-		score := loss + 0.01*m.Value*s.util[at] + 1e-6*s.util[at] + 1e-7*float64(len(evict))
+		// What is lost counts most, then work that the endpoint could not do in
+		// time; utilisation decides among equals.
+		after := s.util[at] + m.Tokens/float64(len(s.replicas[i])+m.Remote+1)/s.capacity(at)
+		score := loss + m.Value*(0.3*max(0, after-busyShare)+0.01*after) + 1e-6*after + 1e-7*float64(len(evict))
 		if best < 0 || score < bestScore {
 			best, bestScore, bestLoss, bestEvict = at, score, loss, evict
 		}
@@ -366,12 +413,15 @@
 			return
 		}
 		m := &s.v.Models[i]
-		// While a protected or more valuable model would have to go, waiting
-		// lets requests gather. A quarter of the bound is left for it.
-		slack := time.Duration(m.Spec.OnDemand)/4 - s.v.LoadTime
-		force := s.v.Now.Sub(m.Waiting) >= slack
+		waited, limit := s.v.Now.Sub(m.Waiting), time.Duration(m.Spec.OnDemand)
+		if waited < time.Duration(m.Turn)*turnTime || m.Remote > 0 && waited < limit/2 {
+			continue
+		}
+		// While a more valuable model would have to go, waiting lets requests
+		// gather. Half of the bound is left for draining and loading.
+		force := waited >= limit/2-s.v.LoadTime
 		at, evict, loss := s.best(i, force, always)
-		if at < 0 || !force && loss > m.Value+0.05 {
+		if at < 0 || !force && loss > m.Value/2 {
 			continue
 		}
 		s.start(i, at, evict, ReasonOnDemand,
@@ -386,38 +436,59 @@
 	return fmt.Sprintf("; %v makes room, which is needed least", evict[0])
 }
 
-// cover loads models that no endpoint here has, the most valuable first. A
-// model without recent requests is covered only where there is free memory.
+// cover loads models that have no replica, or fewer than their load needs, the
+// most valuable first. A model without recent requests is covered only where
+// there is free memory.
 func (s *planState) cover() {
-	var list []int
-	value := func(i int) float64 {
-		m := &s.v.Models[i]
-		if m.Remote > 0 {
-			return (m.Value + 1e-4) * remoteShare
-		}
-		return m.Value + 1e-4
+	type want struct {
+		model   int
+		gain    float64
+		missing bool
 	}
+	var list []want
 	for i := range s.v.Models {
-		if len(s.replicas[i]) == 0 {
-			list = append(list, i)
+		m := &s.v.Models[i]
+		x := want{
+			model:   i,
+			missing: len(s.replicas[i])+m.Remote == 0,
+		}
+		if x.missing {
+			x.gain = m.Value + 1e-4
+		} else if x.gain = m.Value * s.deficit(i, 0); x.gain == 0 || s.fresh[i] > s.freshOK[i] {
+			// One replica comes after the other, so that its effect is seen.
+			delete(s.short, m.Spec.Name)
+			continue
+		}
+		since, ok := s.short[m.Spec.Name]
+		if !ok {
+			since = s.v.Now
+			s.short[m.Spec.Name] = since
+		}
+		if s.v.Now.Sub(since) >= time.Duration(m.Turn)*turnTime {
+			list = append(list, x)
 		}
 	}
-	slices.SortStableFunc(list, func(a, b int) int { return cmp.Compare(value(b), value(a)) })
+	slices.SortStableFunc(list, func(a, b want) int { return cmp.Compare(b.gain, a.gain) })
 	// Once a model finds no cheap place, the next ones hardly do; the bound
 	// keeps a step short with 1,900 models.
 	failed := 0
-	for _, i := range list {
+	for _, x := range list {
 		if s.loads <= 0 || failed >= 8 {
 			return
 		}
-		m := &s.v.Models[i]
-		at, evict, loss := s.best(i, false, always)
-		if at < 0 || !s.pays(value(i), loss, len(evict) > 0) {
+		m := &s.v.Models[x.model]
+		at, evict, loss := s.best(x.model, false, always)
+		if at < 0 || !s.pays(x.gain, loss, len(evict) > 0 || !x.missing) {
 			failed++
 			continue
 		}
-		s.start(i, at, evict, ReasonCoverage,
-			fmt.Sprintf("%s is loaded on %s because no accelerator here had it%s.", m.Spec.Name, s.v.Endpoints[at].Name, roomPhrase(evict)))
+		if x.missing {
+			s.start(x.model, at, evict, ReasonCoverage,
+				fmt.Sprintf("%s is loaded on %s because no accelerator had it%s.", m.Spec.Name, s.v.Endpoints[at].Name, roomPhrase(evict)))
+			continue
+		}
+		s.start(x.model, at, evict, ReasonDemand,
+			fmt.Sprintf("%s is loaded on %s because it is asked for more than its other places can serve%s.", m.Spec.Name, s.v.Endpoints[at].Name, roomPhrase(evict)))
 	}
 }
 
@@ -540,7 +611,7 @@
 			if !ok || it.Adapter != "" || !it.Ready || s.fresh[i] > s.freshOK[i] {
 				continue
 			}
-			if load := s.v.Models[i].Tokens / float64(len(s.replicas[i])); load > mostLoad {
+			if load := s.local(i) / float64(len(s.replicas[i])); load > mostLoad {
 				most, mostLoad = i, load
 			}
 		}
@@ -554,7 +625,7 @@
 		}
 		// Only the part above the threshold is gained.
 		excess := min(1, (s.util[busy]-busyShare)*s.capacity(busy)/max(mostLoad, 1e-9))
-		gain := m.Value / float64(len(s.replicas[most])) * excess
+		gain := m.Value / float64(len(s.replicas[most])+m.Remote) * excess
 		if !s.pays(gain, loss, true) {
 			continue
 		}
@@ -613,3 +684,30 @@
 	}
 	return s.v.Models[i].Tokens <= spare
 }
+
+// excess is, by model, the load that comes to endpoints which are too busy to
+// do it in time.
+func excess(v *View) map[string]float64 {
+	s := newPlanState(v)
+	out := map[string]float64{}
+	for at, u := range s.util {
+		if u <= busyShare {
+			continue
+		}
+		// The largest load is what another endpoint can relieve it of.
+		most, mostLoad := -1, 0.0
+		for _, it := range v.Endpoints[at].Items {
+			i, ok := s.index[it.Model]
+			if !ok || it.Adapter != "" {
+				continue
+			}
+			if load := s.local(i) / float64(len(s.replicas[i])); load > mostLoad {
+				most, mostLoad = i, load
+			}
+		}
+		if most >= 0 {
+			out[v.Models[most].Spec.Name] += min(mostLoad, (u-busyShare)*s.capacity(at))
+		}
+	}
+	return out
+}
--- a/internal/place/policy.go
+++ b/internal/place/policy.go
@@ -48,21 +48,31 @@
 	Items []ItemView
 	// Idle is true when the endpoint can start a move now.
 	Idle bool
+	// Hold is how long the memory of an item stays booked after it was loaded,
+	// even if it is unloaded before. It is short where fences are checked.
+	Hold time.Duration
 }
 
 // ModelView is a model with its demand.
 type ModelView struct {
 	Spec spec.Model
-	// Requests and Tokens are levels per second; Value counts the requests with
-	// the weight and the urgency of their workspaces.
+	// Requests and Tokens are levels per second in all domains of the region;
+	// Value counts the requests with the weight and the urgency of their
+	// workspaces.
 	Requests float64
 	Tokens   float64
 	Value    float64
-	LastUse  time.Time
+	// Excess is the part of Tokens that the endpoints of other domains are too
+	// busy for.
+	Excess  float64
+	LastUse time.Time
 	// Waiting is since when requests wait for the model, zero when none do.
 	Waiting time.Time
-	// Remote counts the ready replicas in other domains.
+	// Remote counts the replicas in other domains, ready or being loaded.
 	Remote int
+	// Turn is the place of this domain in the order in which the domains take
+	// care of the model. It keeps them from all loading it at once.
+	Turn int
 	// AdapterMiB is the memory to keep free for the model's adapters.
 	AdapterMiB int64
 }
--- a/internal/place/wire.go
+++ b/internal/place/wire.go
@@ -24,6 +24,21 @@
 	// Ready is false while the model is about to be unloaded; it gets no new work.
 	Ready    bool     `cbor:"3,keyasint,omitempty"`
 	Adapters []string `cbor:"4,keyasint,omitempty"`
+	// Coming is true while the model is being loaded.
+	Coming bool `cbor:"5,keyasint,omitempty"`
+}
+
+// ModelDemand is the demand for a model in one domain. It changes only when a
+// level leaves its band, so that planners can follow each other cheaply.
+type ModelDemand struct {
+	Model    string  `cbor:"1,keyasint"`
+	Requests float32 `cbor:"2,keyasint"`
+	Tokens   float32 `cbor:"3,keyasint"`
+	Value    float32 `cbor:"4,keyasint"`
+	// Seq is the number of the layout that changed this entry last.
+	Seq int64 `cbor:"5,keyasint"`
+	// Excess is the part of Tokens that the domain's endpoints are too busy for.
+	Excess float32 `cbor:"6,keyasint,omitempty"`
 }
 
 // EndpointLayout is what is resident at one endpoint.
@@ -43,6 +58,7 @@
 	Term      engine.Fence     `cbor:"2,keyasint"`
 	Seq       int64            `cbor:"3,keyasint"`
 	Endpoints []EndpointLayout `cbor:"4,keyasint,omitempty"`
+	Demand    []ModelDemand    `cbor:"5,keyasint,omitempty"`
 }
 
 // LayoutReply carries a layout, or what changed since one that its receiver holds.
@@ -54,6 +70,7 @@
 	Full    bool             `cbor:"5,keyasint,omitempty"`
 	Changed []EndpointLayout `cbor:"6,keyasint,omitempty"`
 	Removed []string         `cbor:"7,keyasint,omitempty"`
+	Demand  []ModelDemand    `cbor:"8,keyasint,omitempty"`
 }
 
 // DemandEntry is what one node saw for one model and workspace since its last report.
@@ -61,10 +78,14 @@
 	Model     string `cbor:"1,keyasint"`
 	Workspace string `cbor:"2,keyasint,omitempty"`
 	Adapter   string `cbor:"3,keyasint,omitempty"`
-	Requests  int64  `cbor:"4,keyasint"`
-	Tokens    int64  `cbor:"5,keyasint,omitempty"`
-	// OnTarget counts the requests that met their class's latency target.
-	OnTarget int64 `cbor:"6,keyasint,omitempty"`
+	// Requests and Tokens count at arrival, with the tokens that are expected:
+	// what is served would hide the demand for a model that is overloaded.
+	Requests int64 `cbor:"4,keyasint,omitempty"`
+	Tokens   int64 `cbor:"5,keyasint,omitempty"`
+	// Begun counts the requests of which it is known whether they met their
+	// class's target for the first token, and OnTarget those that met it.
+	Begun    int64 `cbor:"6,keyasint,omitempty"`
+	OnTarget int64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Want is a model or adapter that requests wait for because it is not resident.
@@ -132,6 +153,21 @@
 	return nil
 }
 
+func validateDemand(list []ModelDemand) error {
+	if len(list) > maxNames {
+		return fmt.Errorf("place: layout lists the demand of %d models", len(list))
+	}
+	for i, d := range list {
+		if d.Model == "" || !(d.Requests >= 0) || !(d.Tokens >= 0) || !(d.Value >= 0) || !(d.Excess >= 0) {
+			return fmt.Errorf("place: layout has a bad demand for model %q", d.Model)
+		}
+		if i > 0 && list[i-1].Model >= d.Model {
+			return fmt.Errorf("place: demand is not in order at %s", d.Model)
+		}
+	}
+	return nil
+}
+
 // Validate reports what is wrong with a layout.
 func (l Layout) Validate() error {
 	if l.Domain == "" {
@@ -140,7 +176,7 @@
 	if l.Seq < 0 {
 		return fmt.Errorf("place: layout has number %d", l.Seq)
 	}
-	return validateEndpoints(l.Endpoints)
+	return errors.Join(validateEndpoints(l.Endpoints), validateDemand(l.Demand))
 }
 
 // Validate reports what is wrong with a reply.
@@ -154,7 +190,7 @@
 	if len(r.Removed) > maxNames || slices.Contains(r.Removed, "") {
 		return errors.New("place: layout reply has a bad list of removed endpoints")
 	}
-	return validateEndpoints(r.Changed)
+	return errors.Join(validateEndpoints(r.Changed), validateDemand(r.Demand))
 }
 
 // Validate reports what is wrong with a report.
@@ -166,7 +202,7 @@
 		return fmt.Errorf("place: demand report of %s is too long", d.Node)
 	}
 	for _, e := range d.Entries {
-		if e.Model == "" || e.Requests < 0 || e.Tokens < 0 || e.OnTarget < 0 || e.OnTarget > e.Requests {
+		if e.Model == "" || e.Requests < 0 || e.Tokens < 0 || e.OnTarget < 0 || e.OnTarget > e.Begun {
 			return fmt.Errorf("place: demand report of %s has a bad entry for model %q", d.Node, e.Model)
 		}
 	}
@@ -198,6 +234,7 @@
 			Term:      r.Term,
 			Seq:       r.Seq,
 			Endpoints: r.Changed,
+			Demand:    r.Demand,
 		}
 		return nil
 	}
@@ -218,10 +255,60 @@
 	slices.SortFunc(merged, func(a, b EndpointLayout) int {
 		return strings.Compare(a.Endpoint, b.Endpoint)
 	})
-	l.Seq, l.Endpoints = r.Seq, merged
+	demand := make([]ModelDemand, 0, len(l.Demand)+len(r.Demand))
+	for _, d := range l.Demand {
+		if _, ok := slices.BinarySearchFunc(r.Demand, d.Model, compareDemand); !ok {
+			demand = append(demand, d)
+		}
+	}
+	demand = append(demand, r.Demand...)
+	slices.SortFunc(demand, func(a, b ModelDemand) int { return strings.Compare(a.Model, b.Model) })
+	l.Seq, l.Endpoints, l.Demand = r.Seq, merged, demand
 	return nil
 }
 
+func compareDemand(d ModelDemand, name string) int { return strings.Compare(d.Model, name) }
+
+// RemoteModel is what other domains have of a model and how much it is asked
+// for there.
+type RemoteModel struct {
+	// Replicas are ready or being loaded.
+	Replicas int
+	Requests float64
+	Tokens   float64
+	Value    float64
+	Excess   float64
+}
+
+// Remote sums up the layouts of other domains for Inputs.Remote. A planner is
+// given the domains of its own region.
+func Remote(layouts ...Layout) map[string]RemoteModel {
+	out := map[string]RemoteModel{}
+	for _, l := range layouts {
+		for _, e := range l.Endpoints {
+			if e.Leaving {
+				continue
+			}
+			for _, m := range e.Models {
+				if m.Ready || m.Coming {
+					x := out[m.Model]
+					x.Replicas++
+					out[m.Model] = x
+				}
+			}
+		}
+		for _, d := range l.Demand {
+			x := out[d.Model]
+			x.Requests += float64(d.Requests)
+			x.Tokens += float64(d.Tokens)
+			x.Value += float64(d.Value)
+			x.Excess += float64(d.Excess)
+			out[d.Model] = x
+		}
+	}
+	return out
+}
+
 func compareEndpoint(e EndpointLayout, name string) int {
 	return strings.Compare(e.Endpoint, name)
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -421,22 +421,16 @@
 	}
 }
 
-// Remote counts the ready replicas of each model outside this domain.
-func (t *Table) Remote() map[string]int {
+// Remote sums up what the other domains of this region have, for the planner.
+func (t *Table) Remote() map[string]place.RemoteModel {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[string]int{}
+	var near []place.Layout
+	domains := *t.domains.Load()
 	for _, name := range slices.Sorted(maps.Keys(t.layouts)) {
-		if name == t.set.Domain {
-			continue
-		}
-		for _, e := range t.layouts[name].Endpoints {
-			for _, m := range e.Models {
-				if m.Ready && !e.Leaving {
-					out[m.Model]++
-				}
-			}
+		if d := domains[name]; name != t.set.Domain && d != nil && d.distance < t.set.OtherRegion {
+			near = append(near, t.layouts[name])
 		}
 	}
-	return out
+	return place.Remote(near...)
 }
