--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -116,6 +116,7 @@
 	load float64 // outstanding requests for each unit of speed
 	hash uint64
 	hit  float64
+	base float64 // cost apart from load and prefill, in seconds
 	cost float64
 }
 
@@ -145,10 +146,17 @@
 	if key == "" {
 		random = rand.Uint64()
 	}
-	var sum float64
+	least := open[0].base
+	for i := range open {
+		least = min(least, open[i].base)
+	}
+	sum, eligible := 0.0, 0
 	for i := range open {
 		x := &open[i]
-		sum += x.load
+		if x.base <= least+baseTolerance {
+			sum += x.load
+			eligible++
+		}
 		if key != "" {
 			x.hash = rank.Score(key, x.c.end.spec.Name)
 		} else {
@@ -156,10 +164,10 @@
 			// nodes with the same lagging reports do not all choose the same one.
 			x.hash = mix(random ^ uint64(x.c.end.id)*0x9e3779b97f4a7c15)
 		}
-		x.cost += x.load*unit + (1-x.hit)*t.prefill(&r, x.c.end) + x.c.end.dom.Load().distance.Seconds()
+		x.cost = x.base + x.load*unit + (1-x.hit)*t.prefill(&r, x.c.end)
 	}
-	bound := t.set.Bound*sum/float64(len(open)) + 1
-	best, reason := t.offer(open, bound)
+	bound := t.set.Bound*sum/float64(eligible) + 1
+	best, reason := t.offer(open, least+baseTolerance, bound)
 	if best == nil {
 		best, reason = cheapest(open), ReasonLoad
 	}
@@ -224,17 +232,19 @@
 		// An endpoint in slow start counts as busier than it is.
 		x.load = (e.outstanding() + 1) / e.speed / e.slow(r.Now, t.set.SlowStart)
 		if !c.current {
-			x.cost += oldVersionCost
+			x.base += oldVersionCost
 		}
 		if c.role != "" && c.role != engine.RoleMixed && c.role != r.Role && !(r.Role == "" && c.role == engine.RoleDecode) {
-			x.cost += roleCost
+			x.base += roleCost
 		}
 		if r.Adapter != "" && !slices.Contains(c.adapters, r.Adapter) {
-			x.cost += adapterCost
+			x.base += adapterCost
 		}
-		if e.dom.Load().unhealthy() {
+		d := e.dom.Load()
+		x.base += d.distance.Seconds()
+		if d.unhealthy() {
 			out.Unhealthy++
-			x.cost += unhealthyCost
+			x.base += unhealthyCost
 		}
 		open = append(open, x)
 	}
@@ -297,8 +307,9 @@
 }
 
 // offer chooses the cheapest of the endpoints that cache the prefix and of the
-// first ones by rendezvous hash, as far as they are within the bound.
-func (t *Table) offer(open []scored, bound float64) (*scored, Reason) {
+// first ones by rendezvous hash, as far as they are within the bound on load
+// and not much worse placed than others.
+func (t *Table) offer(open []scored, base, bound float64) (*scored, Reason) {
 	var best *scored
 	reason := ReasonAffinity
 	consider := func(x *scored, why Reason) {
@@ -319,7 +330,7 @@
 	n := 0
 	for i := range open {
 		x := &open[i]
-		if x.load > bound {
+		if x.load > bound || x.base > base {
 			// The next one in the order takes the place of a loaded one.
 			continue
 		}
@@ -352,6 +363,10 @@
 	return best, reason
 }
 
+// baseTolerance is how much farther an endpoint may be than the nearest one, in
+// seconds, to be offered for a prefix. Other domains of a region are within it.
+const baseTolerance = 0.005
+
 // offerTolerance is how many seconds affinity may cost against the cheapest
 // endpoint.
 const offerTolerance = 0.5
--- /dev/null
+++ b/internal/route/table_test.go
@@ -0,0 +1,319 @@
+package route
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/place"
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+// newFleet makes a table with n endpoints in each of two domains, all of which
+// have model "m" ready.
+func newFleet(n int) (*Table, *spec.Config, map[string]place.Layout) {
+	cfg := &spec.Config{
+		Domains: []spec.Domain{{Name: "near", Region: "r"}, {Name: "far", Region: "s"}},
+		Services: []spec.Service{
+			{Name: "chat", Kind: spec.KindModel},
+			{Name: "booking", Kind: spec.KindPlain},
+		},
+		Models: []spec.Model{
+			{Name: "m", Service: "chat", Version: "2"},
+			{Name: "cold", Service: "chat", Version: "1"},
+		},
+	}
+	layouts := map[string]place.Layout{}
+	for _, d := range cfg.Domains {
+		l := place.Layout{
+			Domain: d.Name,
+			Term:   engine.Fence{Counter: 1},
+			Seq:    1,
+		}
+		for i := range n {
+			name := fmt.Sprintf("%s-%02d", d.Name, i)
+			cfg.Endpoints = append(cfg.Endpoints, spec.Endpoint{Name: name, Service: "chat", Domain: d.Name, Address: name, Speed: 1})
+			l.Endpoints = append(l.Endpoints, place.EndpointLayout{
+				Endpoint: name,
+				Models:   []place.ModelLayout{{Model: "m", Version: "2", Ready: true}},
+				Seq:      1,
+			})
+		}
+		layouts[d.Name] = l
+	}
+	cfg.Endpoints = append(cfg.Endpoints, spec.Endpoint{Name: "desk", Service: "booking", Domain: "near", Address: "desk"})
+	t := NewTable(Settings{
+		Domain: "near",
+	})
+	t.SetConfig(cfg)
+	for _, l := range layouts {
+		t.SetLayout(l)
+	}
+	return t, cfg, layouts
+}
+
+func request(at time.Duration) Request {
+	return Request{
+		Now:          start.Add(at),
+		Model:        "m",
+		PromptTokens: 500,
+	}
+}
+
+func pick(t *testing.T, tab Picker, r Request) Choice {
+	t.Helper()
+	c, err := tab.Pick(r)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// spread counts where 200 requests go.
+func spread(t *testing.T, tab *Table, at time.Duration) map[string]int {
+	t.Helper()
+	out := map[string]int{}
+	for range 200 {
+		out[pick(t, tab, request(at)).Endpoint]++
+	}
+	return out
+}
+
+// Guards against new work for an endpoint that leaves: at once on its own
+// word, on the list of VMs and on the planner's layout.
+func TestLeaving(t *testing.T) {
+	tab, _, layouts := newFleet(4)
+	tab.SetLeaving(map[string]bool{"near-00": true})
+	tab.SetLoad(start, "near-01", engine.Load{Leaving: true, Sampled: start})
+	l := layouts["near"]
+	l.Seq = 2
+	l.Endpoints = slices.Clone(l.Endpoints)
+	l.Endpoints[2].Leaving, l.Endpoints[2].Seq = true, 2
+	tab.SetLayout(l)
+	got := spread(t, tab, 0)
+	for _, name := range []string{"near-00", "near-01", "near-02"} {
+		if got[name] > 0 {
+			t.Errorf("%s leaves and got %d requests", name, got[name])
+		}
+	}
+	r := request(0)
+	r.Exclude = []string{"near-03", "far-00", "far-01", "far-02", "far-03"}
+	if _, err := tab.Pick(r); !errors.Is(err, ErrNoEndpoint) {
+		t.Errorf("error %v, want ErrNoEndpoint", err)
+	}
+	tab.SetLeaving(nil)
+	if spread(t, tab, 0)["near-00"] == 0 {
+		t.Error("an endpoint that is no longer listed gets no work")
+	}
+}
+
+// Guards against an endpoint that fails and keeps its work, gets all of it
+// back at once, or makes a model unreachable when all are ejected.
+func TestEjection(t *testing.T) {
+	tab, _, _ := newFleet(2)
+	fail := func(name string, at time.Duration) bool {
+		r := request(at)
+		for _, x := range []string{"near-00", "near-01", "far-00", "far-01"} {
+			if x != name {
+				r.Exclude = append(r.Exclude, x)
+			}
+		}
+		c := pick(t, tab, r)
+		tab.Start(c, r)
+		return tab.Finish(c, Outcome{Now: r.Now, Failed: true})
+	}
+	if fail("near-00", 0) || fail("near-00", 0) || !fail("near-00", 0) {
+		t.Fatal("not ejected at the third failure")
+	}
+	if n := spread(t, tab, time.Second)["near-00"]; n > 0 {
+		t.Errorf("an ejected endpoint got %d requests", n)
+	}
+	c := pick(t, tab, request(time.Second))
+	if c.Ejected != 1 || c.Candidates != 4 || c.Sentence() == "" {
+		t.Errorf("choice %+v", c)
+	}
+	// It comes back in slow start, in which one failure ejects it for longer.
+	if n := spread(t, tab, 6*time.Second)["near-00"]; n > 100 {
+		t.Errorf("in slow start the endpoint got %d of 200 requests", n)
+	}
+	if !fail("near-00", 6*time.Second) {
+		t.Error("a failure in slow start does not eject")
+	}
+	if n := spread(t, tab, 15*time.Second)["near-00"]; n > 0 {
+		t.Errorf("the second ejection did not last longer: %d requests", n)
+	}
+	for _, name := range []string{"near-01", "far-00", "far-01"} {
+		for range 3 {
+			fail(name, 15*time.Second)
+		}
+	}
+	if c := pick(t, tab, request(15*time.Second)); c.Reason != ReasonFallback {
+		t.Errorf("with all endpoints ejected the reason is %q", c.Reason)
+	}
+}
+
+// Guards against work that goes to another domain without need, and against a
+// domain in trouble that is still preferred.
+func TestDomains(t *testing.T) {
+	tab, _, _ := newFleet(3)
+	for name, n := range spread(t, tab, 0) {
+		if name[:3] == "far" && n > 0 {
+			t.Errorf("%s got %d requests without need", name, n)
+		}
+	}
+	tab.SetIsolated(map[string]bool{"near": true})
+	c := pick(t, tab, request(0))
+	if c.Domain != "far" || c.Unhealthy != 3 || c.Distance != 30*time.Millisecond {
+		t.Errorf("choice %+v", c)
+	}
+	tab.SetIsolated(nil)
+	if r := tab.Remote(); len(r) != 0 {
+		t.Errorf("a domain of another region counts as near: %v", r)
+	}
+}
+
+// Guards against wrong answers while a model or its new version moves.
+func TestLayoutChanges(t *testing.T) {
+	tab, cfg, layouts := newFleet(2)
+	if _, err := tab.Pick(Request{Now: start, Model: "cold"}); !errors.Is(err, ErrNotResident) {
+		t.Errorf("error %v, want ErrNotResident", err)
+	}
+	if _, err := tab.Pick(Request{Now: start, Model: "none"}); !errors.Is(err, ErrUnknown) {
+		t.Errorf("error %v, want ErrUnknown", err)
+	}
+	if c := pick(t, tab, Request{Now: start, Service: "booking"}); c.Endpoint != "desk" || c.Reason != ReasonOnly {
+		t.Errorf("choice %+v", c)
+	}
+	l := layouts["near"]
+	l.Seq = 2
+	l.Endpoints = []place.EndpointLayout{
+		{
+			Endpoint: "near-00",
+			Models: []place.ModelLayout{
+				{Model: "cold", Version: "1", Ready: true, Adapters: []string{"a"}},
+				{Model: "m", Version: "1", Ready: true},
+				{Model: "m", Version: "2", Ready: true},
+			},
+			Seq: 2,
+		},
+		{
+			Endpoint: "near-01",
+			Models:   []place.ModelLayout{{Model: "m", Version: "2"}},
+			Seq:      2,
+		},
+	}
+	tab.SetLayout(l)
+	if c := pick(t, tab, Request{Now: start, Model: "cold", Adapter: "a"}); c.Endpoint != "near-00" || !c.AdapterReady {
+		t.Errorf("choice %+v", c)
+	}
+	for range 50 {
+		if c := pick(t, tab, request(0)); c.Endpoint == "near-01" || c.Version != "2" {
+			t.Fatalf("choice %+v: near-01 is about to unload, and version 2 is wanted", c)
+		}
+	}
+	old := layouts["near"]
+	tab.SetLayout(old)
+	if _, err := tab.Pick(Request{Now: start, Model: "cold"}); err != nil {
+		t.Errorf("a late old layout was taken over: %v", err)
+	}
+	tab.SetConfig(cfg)
+	if c := pick(t, tab, Request{Now: start, Model: "cold"}); c.Endpoint != "near-00" {
+		t.Errorf("after a new configuration: %+v", c)
+	}
+}
+
+// Guards against more retries than the budget allows.
+func TestRetryBudget(t *testing.T) {
+	tab, _, _ := newFleet(1)
+	n := 0
+	for tab.Retry() {
+		n++
+	}
+	if n != 10 {
+		t.Errorf("%d retries were saved up, want 10", n)
+	}
+	r := request(0)
+	for range 100 {
+		tab.Start(pick(t, tab, r), r)
+	}
+	for n = 0; tab.Retry(); n++ {
+	}
+	if n < 9 || n > 10 {
+		t.Errorf("100 requests allow %d retries, want 10", n)
+	}
+}
+
+// Guards against a report that hides what was sent after it was sampled, and
+// against prefixes that count after their eviction, a gap or a restart.
+func TestEstimates(t *testing.T) {
+	tab, _, _ := newFleet(1)
+	r := request(0)
+	r.Exclude = []string{"far-00"}
+	for i := range 10 {
+		r.Now = start.Add(time.Duration(i) * 200 * time.Millisecond)
+		tab.Start(pick(t, tab, r), r)
+	}
+	r.Now = start.Add(2 * time.Second)
+	tab.SetLoad(r.Now, "near-00", engine.Load{Running: 3, Queued: 1, Sampled: start.Add(time.Second)})
+	if got := pick(t, tab, r).Outstanding; got < 8 || got > 10 {
+		t.Errorf("%d outstanding, want 4 reported and those of the last second", got)
+	}
+	r.Prefixes = []string{"p1", "p2"}
+	hit := func(want float64, why string) {
+		t.Helper()
+		if got := pick(t, tab, r).Hit; got != want {
+			t.Errorf("hit %v, want %v %s", got, want, why)
+		}
+	}
+	hit(0, "before any event")
+	tab.CacheEvents(r.Now, "near-00", []engine.CacheEvent{{Seq: 5, Model: "m", Prefix: "p1"}, {Seq: 6, Model: "m", Prefix: "p2"}})
+	hit(1, "after the events")
+	tab.CacheEvents(r.Now, "near-00", []engine.CacheEvent{{Seq: 7, Model: "m", Prefix: "p2", Evicted: true}})
+	hit(0.5, "after an eviction")
+	tab.CacheEvents(r.Now, "near-00", []engine.CacheEvent{{Seq: 9, Model: "m", Prefix: "other"}})
+	hit(0.25, "after a gap")
+	tab.CacheEvents(r.Now, "near-00", []engine.CacheEvent{{Seq: 200, Model: "m", Prefix: "p1"}, {Seq: 1, Model: "m", Prefix: "other"}})
+	hit(0, "after a restart")
+}
+
+// Guards against data races between the control loop and traffic.
+func TestConcurrent(t *testing.T) {
+	tab, cfg, layouts := newFleet(8)
+	var wg sync.WaitGroup
+	for g := range 4 {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for i := range 2000 {
+				r := request(time.Duration(i) * time.Millisecond)
+				r.Prefixes = []string{fmt.Sprint(g, i%50)}
+				c, err := tab.Pick(r)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				tab.Start(c, r)
+				tab.Finish(c, Outcome{Now: r.Now, Failed: i%7 == 0, FirstToken: time.Millisecond})
+			}
+		}()
+	}
+	for i := range 200 {
+		l := layouts["near"]
+		l.Seq = int64(2 + i)
+		l.Endpoints = slices.Clone(l.Endpoints)
+		l.Endpoints[i%8].Seq = l.Seq
+		tab.SetLayout(l)
+		tab.SetLoad(start, "near-01", engine.Load{Running: i, Sampled: start})
+		tab.CacheEvents(start, "near-02", []engine.CacheEvent{{Seq: int64(i), Model: "m", Prefix: "x"}})
+		if i%20 == 0 {
+			tab.SetConfig(cfg)
+		}
+	}
+	wg.Wait()
+}
