route: look at far endpoints only when they can be better

Cause: a decision for a model on all 2,600 endpoints took 510 us against a target of 50 us, and the comparators drew from an unseeded source.

Change: the endpoints of the own region come first; those of other regions are looked at only when an idle one there could be better, and at most 256 of them. The name hashes are computed once, lists are reused, and cached prefixes are matched in one pass.

--- a/internal/route/end.go
+++ b/internal/route/end.go
@@ -21,6 +21,7 @@
 // with atomics; the buckets have a lock of their own.
 type end struct {
 	id    uint32
+	hash  uint64
 	spec  spec.Endpoint
 	speed float64
 	dom   atomic.Pointer[domain]
@@ -49,6 +50,7 @@
 func newEnd(id uint32, s spec.Endpoint, d *domain) *end {
 	e := &end{
 		id:    id,
+		hash:  nameHash(s.Name),
 		spec:  s,
 		speed: s.Speed,
 	}
--- a/internal/route/measure_test.go
+++ b/internal/route/measure_test.go
@@ -248,13 +248,14 @@
 	out := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(out, "routing\tp50\tp95\tp99\tprefix blocks from cache")
 	var results []routeResult
+	draw := rand.New(rand.NewPCG(5, 3))
 	for _, x := range []struct {
 		name   string
 		choose func(*Table) Picker
 	}{
 		{"trefoildale", func(t *Table) Picker { return t }},
-		{"random", func(t *Table) Picker { return Random{Table: t} }},
-		{"least connections", func(t *Table) Picker { return LeastConnections{Table: t} }},
+		{"random", func(t *Table) Picker { return Random{Table: t, Draw: draw.IntN} }},
+		{"least connections", func(t *Table) Picker { return LeastConnections{Table: t, Draw: draw.IntN} }},
 	} {
 		r := simulate(t, x.choose, 5)
 		results = append(results, r)
@@ -314,14 +315,22 @@
 
 // The target is 50 µs for a decision over 2,600 endpoints and 1,900 models.
 func BenchmarkPick(b *testing.B) {
-	t := benchTable()
+	t, busy := benchTable(), benchTable()
+	for i := range 2600 {
+		if (i%30)%8 == 0 {
+			busy.SetLoad(start, fmt.Sprintf("e%04d", i), engine.Load{Running: 500, Sampled: start})
+		}
+	}
 	for _, x := range []struct {
 		name  string
+		table *Table
 		model func(i int) string
 	}{
-		{"a-model-on-27-endpoints", func(i int) string { return fmt.Sprint("model-", i%1899) }},
-		{"the-model-on-2600-endpoints", func(int) string { return "everywhere" }},
+		{"a-model-on-27-endpoints", t, func(i int) string { return fmt.Sprint("model-", i%1899) }},
+		{"the-model-on-2600-endpoints", t, func(int) string { return "everywhere" }},
+		{"with-the-own-region-busy", busy, func(int) string { return "everywhere" }},
 	} {
+		t := x.table
 		var list []Request
 		for i := range 512 {
 			r := Request{
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -6,10 +6,10 @@
 	"math/rand/v2"
 	"slices"
 	"strconv"
+	"sync"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/engine"
-	"trefoildale.example/trefoildale/internal/rank"
 )
 
 // Errors of Pick.
@@ -120,51 +120,88 @@
 	cost float64
 }
 
+// farMost bounds the endpoints of other regions that one decision looks at, so
+// that it stays below 50 µs with 2,600 endpoints.
+const farMost = 256
+
+// scratch lets Pick reuse its lists.
+var scratch = sync.Pool{
+	New: func() any {
+		list := make([]scored, 0, 128)
+		return &list
+	},
+}
+
 // Pick chooses the endpoint for a request. The caller calls Start on the choice
 // when it sends the request and Finish when it is over.
 func (t *Table) Pick(r Request) (Choice, error) {
-	list, err := t.candidates(&r)
+	all, err := t.candidates(&r)
 	if err != nil {
 		return Choice{}, err
 	}
-	var buf [64]scored
-	out := Choice{
-		Candidates: len(list),
-	}
-	open := t.filter(&r, list, buf[:0], &out)
-	if len(open) == 0 {
-		return t.fallback(&r, list, out)
-	}
+	buf := scratch.Get().(*[]scored)
+	defer scratch.Put(buf)
 	unit := t.unit.get()
-	t.hits(&r, open)
-
-	var key string
+	var key uint64
 	if len(r.Prefixes) > 0 {
-		key = r.Prefixes[0]
+		key = nameHash(r.Prefixes[0])
+	} else {
+		// Without a prefix the offered endpoints are drawn at random, so that
+		// nodes with the same lagging reports do not all choose the same one.
+		key = rand.Uint64()
 	}
-	random := uint64(0)
-	if key == "" {
-		random = rand.Uint64()
+	for i, tier := range all.tiers {
+		out := Choice{
+			Candidates: len(all.list),
+		}
+		near, far := all.list[:tier], []candidate(nil)
+		if i > 0 && tier-all.tiers[0] > farMost {
+			// A part of the many far ones is enough to find an idle one.
+			near, far = all.list[:all.tiers[0]], all.list[all.tiers[0]:tier]
+			from := rand.IntN(len(far) - farMost + 1)
+			far = far[from : from+farMost]
+		}
+		open := t.filter(&r, near, (*buf)[:0], &out)
+		open = t.filter(&r, far, open, &out)
+		*buf = open[:0]
+		if len(open) == 0 {
+			continue
+		}
+		best, reason := t.choose(&r, open, unit, key)
+		if i+1 < len(all.tiers) {
+			// Endpoints farther away are looked at only when an idle one there
+			// could be better.
+			next := all.list[tier].end.dom.Load().distance.Seconds()
+			if best.cost > next+unit+t.prefill(&r, best.c.end) {
+				continue
+			}
+		}
+		if len(all.list) == 1 {
+			reason = ReasonOnly
+		}
+		t.fill(&out, &r, best, unit, reason)
+		return out, nil
 	}
+	return t.fallback(&r, all.list)
+}
+
+// choose finds the best of the endpoints that take new work.
+func (t *Table) choose(r *Request, open []scored, unit float64, key uint64) (*scored, Reason) {
+	t.hits(r, open)
 	least := open[0].base
 	for i := range open {
 		least = min(least, open[i].base)
 	}
 	sum, eligible := 0.0, 0
+	prefill := float64(r.PromptTokens) * t.set.PrefillPerToken.Seconds()
 	for i := range open {
 		x := &open[i]
 		if x.base <= least+baseTolerance {
 			sum += x.load
 			eligible++
 		}
-		if key != "" {
-			x.hash = rank.Score(key, x.c.end.spec.Name)
-		} else {
-			// Without a prefix the offered endpoints are drawn at random, so that
-			// nodes with the same lagging reports do not all choose the same one.
-			x.hash = mix(random ^ uint64(x.c.end.id)*0x9e3779b97f4a7c15)
-		}
-		x.cost = x.base + x.load*unit + (1-x.hit)*t.prefill(&r, x.c.end)
+		x.hash = mix(key ^ x.c.end.hash)
+		x.cost = x.base + x.load*unit + (1-x.hit)*prefill/x.c.end.speed
 	}
 	bound := t.set.Bound*sum/float64(eligible) + 1
 	best, reason := t.offer(open, least+baseTolerance, bound)
@@ -174,8 +211,7 @@
 	if len(open) == 1 {
 		reason = ReasonOnly
 	}
-	t.fill(&out, &r, best, unit, reason)
-	return out, nil
+	return best, reason
 }
 
 func mix(x uint64) uint64 {
@@ -187,7 +223,7 @@
 }
 
 // candidates finds what could serve a request.
-func (t *Table) candidates(r *Request) ([]candidate, error) {
+func (t *Table) candidates(r *Request) (*candidates, error) {
 	idx := t.idx.Load()
 	var x *target
 	if r.Model != "" {
@@ -199,10 +235,10 @@
 		return nil, fmt.Errorf("%w: %s%s", ErrUnknown, r.Model, r.Service)
 	}
 	p := x.cands.Load()
-	if p == nil || len(*p) == 0 {
+	if p == nil || len(p.list) == 0 {
 		return nil, fmt.Errorf("%w: %s%s", ErrNotResident, r.Model, r.Service)
 	}
-	return *p, nil
+	return p, nil
 }
 
 // filter keeps the candidates that take new work and counts the others.
@@ -253,7 +289,11 @@
 
 // fallback chooses among ejected endpoints when nothing else is left, so that
 // a wrong ejection does not make a model unreachable.
-func (t *Table) fallback(r *Request, list []candidate, out Choice) (Choice, error) {
+func (t *Table) fallback(r *Request, list []candidate) (Choice, error) {
+	out := Choice{
+		Candidates: len(list),
+	}
+	t.filter(r, list, nil, &out)
 	var best *candidate
 	for i := range list {
 		c := &list[i]
@@ -278,24 +318,43 @@
 // hits notes which part of the prompt each candidate is expected to have cached.
 func (t *Table) hits(r *Request, open []scored) {
 	n := len(r.Prefixes)
-	for i := n - 1; i >= 0; i-- {
-		holders, count := t.prefix.find(prefixHash(r.Model, r.Prefixes[i]))
-		part := float64(i+1) / float64(n)
-		for _, h := range holders[:count] {
-			if r.Now.UnixNano()-h.at > int64(t.set.PrefixAge) {
+	if n == 0 {
+		return
+	}
+	type known struct {
+		end        uint32
+		generation uint32
+		part       float64
+	}
+	var list [4 * holdersMax]known
+	count := 0
+	var bits uint64 // of the ends in the list, to skip most others quickly
+	for i := n - 1; i >= 0 && count < len(list); i-- {
+		holders, m := t.prefix.find(prefixHash(r.Model, r.Prefixes[i]))
+		for _, h := range holders[:m] {
+			if count == len(list) || r.Now.UnixNano()-h.at > int64(t.set.PrefixAge) {
 				continue
 			}
-			for k := range open {
-				e := open[k].c.end
-				if e.id != h.end {
-					continue
-				}
-				behind := e.generation.Load() - h.generation
-				if behind >= forgetGenerations {
-					break
-				}
-				open[k].hit = max(open[k].hit, part/float64(uint32(1)<<min(behind, 8)))
-				break
+			list[count] = known{
+				end:        h.end,
+				generation: h.generation,
+				part:       float64(i+1) / float64(n),
+			}
+			count++
+			bits |= 1 << (h.end % 64)
+		}
+	}
+	for k := range open {
+		e := open[k].c.end
+		if bits&(1<<(e.id%64)) == 0 {
+			continue
+		}
+		for _, h := range list[:count] {
+			if h.end != e.id {
+				continue
+			}
+			if behind := e.generation.Load() - h.generation; behind < forgetGenerations {
+				open[k].hit = max(open[k].hit, h.part/float64(uint32(1)<<behind))
 			}
 		}
 	}
@@ -447,12 +506,14 @@
 // Random is the comparator that draws among the endpoints that take new work.
 type Random struct {
 	Table *Table
+	// Draw returns a number from 0 up to n-1; nil draws from math/rand.
+	Draw func(n int) int
 }
 
 // Pick implements Picker.
 func (p Random) Pick(r Request) (Choice, error) {
 	return p.Table.compare(r, ReasonRandom, func(open []scored) *scored {
-		return &open[rand.IntN(len(open))]
+		return &open[draw(p.Draw, len(open))]
 	})
 }
 
@@ -460,6 +521,15 @@
 // requests of this process under way.
 type LeastConnections struct {
 	Table *Table
+	// Draw decides between equal endpoints; nil draws from math/rand.
+	Draw func(n int) int
+}
+
+func draw(f func(int) int, n int) int {
+	if f == nil {
+		return rand.IntN(n)
+	}
+	return f(n)
 }
 
 // Pick implements Picker.
@@ -476,7 +546,7 @@
 			case n == best.c.end.running.Load():
 				// Each of the tied endpoints is equally likely.
 				ties++
-				if rand.IntN(ties) == 0 {
+				if draw(p.Draw, ties) == 0 {
 					best = x
 				}
 			}
@@ -486,16 +556,16 @@
 }
 
 func (t *Table) compare(r Request, reason Reason, choose func([]scored) *scored) (Choice, error) {
-	list, err := t.candidates(&r)
+	all, err := t.candidates(&r)
 	if err != nil {
 		return Choice{}, err
 	}
 	out := Choice{
-		Candidates: len(list),
+		Candidates: len(all.list),
 	}
-	open := t.filter(&r, list, nil, &out)
+	open := t.filter(&r, all.list, nil, &out)
 	if len(open) == 0 {
-		return t.fallback(&r, list, out)
+		return t.fallback(&r, all.list)
 	}
 	x := choose(open)
 	t.fill(&out, &r, x, t.unit.get(), reason)
--- a/internal/route/prefix.go
+++ b/internal/route/prefix.go
@@ -20,6 +20,10 @@
 	forgetGenerations = 8
 )
 
+// nameHash is one half of the rendezvous hash of a prefix and an endpoint. All
+// nodes get the same one.
+func nameHash(name string) uint64 { return rank.Score("", name) }
+
 func prefixHash(model, prefix string) uint64 { return rank.Score(model, prefix) }
 
 // holder is an endpoint that is believed to have a prefix in its cache.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -3,6 +3,14 @@
 // A Table is fed by the control loop with the configuration, the layouts of
 // the domains, load reports and cache events, and asked by the goroutines that
 // handle traffic. Asking takes no lock of the control loop.
+//
+// Routing is compared with random choice and least connections by
+//
+//	go test ./internal/route -run TestMeasureRouting -v
+//
+// and the cost of a decision at the design size is measured by
+//
+//	go test ./internal/route -run NONE -bench Pick
 package route
 
 import (
@@ -107,9 +115,15 @@
 
 // target is a model or plain service with its candidates.
 type target struct {
-	model   spec.Model
-	cands   atomic.Pointer[[]candidate]
-	domains atomic.Int32
+	model spec.Model
+	cands atomic.Pointer[candidates]
+}
+
+// candidates are in the order of their distance. Each tier ends where the
+// distance grows; the domains of the own region are one tier.
+type candidates struct {
+	list  []candidate
+	tiers []int
 }
 
 // index is what Pick reads. It is replaced as a whole when the configuration
@@ -214,7 +228,7 @@
 	}
 	for name, list := range plain {
 		x := &target{}
-		x.cands.Store(&list)
+		t.store(x, list)
 		idx.services[name] = x
 	}
 	// The candidates are collected anew from all layouts.
@@ -298,7 +312,16 @@
 
 // store publishes a candidate list in a fixed order.
 func (t *Table) store(x *target, list []candidate) {
+	far := func(c candidate) int {
+		if c.end.dom.Load().distance < t.set.OtherRegion {
+			return 0
+		}
+		return 1
+	}
 	slices.SortFunc(list, func(a, b candidate) int {
+		if c := far(a) - far(b); c != 0 {
+			return c
+		}
 		if a.end.id != b.end.id {
 			return int(a.end.id) - int(b.end.id)
 		}
@@ -310,7 +333,15 @@
 		}
 		return 0
 	})
-	x.cands.Store(&list)
+	out := &candidates{
+		list: list,
+	}
+	for i := range list {
+		if i+1 == len(list) || far(list[i]) != far(list[i+1]) {
+			out.tiers = append(out.tiers, i+1)
+		}
+	}
+	x.cands.Store(out)
 }
 
 // SetLayout takes over the layout of a domain. Only endpoints that changed
@@ -364,7 +395,7 @@
 		}
 		list := slices.Clone(fresh[name])
 		if p := x.cands.Load(); p != nil {
-			for _, c := range *p {
+			for _, c := range p.list {
 				if !changed[c.end] {
 					list = append(list, c)
 				}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -242,7 +242,9 @@
 	for range 100 {
 		tab.Start(pick(t, tab, r), r)
 	}
-	for n = 0; tab.Retry(); n++ {
+	n = 0
+	for tab.Retry() {
+		n++
 	}
 	if n < 9 || n > 10 {
 		t.Errorf("100 requests allow %d retries, want 10", n)
