place: send wants for adapters to the planner that has the model

Change: a node reports a wanted adapter to the planner of a domain that has the model. Leaving by the platform's list and by the endpoint's word are kept apart, so that a read of the state does not undo the list. The demand of a removed model leaves the published layout.

--- a/internal/place/demand.go
+++ b/internal/place/demand.go
@@ -58,13 +58,11 @@
 	value    average
 	lastUse  time.Time
 	waiting  time.Time // since when requests wait for it, zero when none do
-	lastWant time.Time
 }
 
 type adapterDemand struct {
-	lastUse  time.Time
-	waiting  time.Time
-	lastWant time.Time
+	lastUse time.Time
+	waiting time.Time
 }
 
 type nodeDemand struct {
@@ -176,7 +174,6 @@
 			continue
 		}
 		m := d.model(w.Model)
-		m.lastWant = now
 		if w.Adapter == "" {
 			if m.waiting.IsZero() {
 				m.waiting = now
@@ -184,7 +181,6 @@
 			continue
 		}
 		a := d.adapter(w.Model, w.Adapter)
-		a.lastWant = now
 		if a.waiting.IsZero() {
 			a.waiting = now
 		}
--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -249,7 +249,8 @@
 	fails     int
 
 	role     engine.Role
-	leaving  bool
+	leaving  bool // by its own word
+	listed   bool // by the platform's list
 	orders   map[string]*sentOrder
 	move     *move
 	since    map[Item]time.Time
@@ -330,7 +331,7 @@
 	for _, name := range m.names {
 		e := m.eps[name]
 		if in.Leaving != nil {
-			e.leaving = in.Leaving[name]
+			e.listed = in.Leaving[name]
 		}
 	}
 	m.authorise(now, in.Authority)
@@ -553,7 +554,7 @@
 	e.fails = 0
 	e.nextRead = now.Add(m.set.StateEvery)
 	e.role = r.State.Role
-	e.leaving = e.leaving || r.State.Leaving
+	e.leaving = r.State.Leaving
 	if before != "" && before != r.State.Incarnation {
 		m.counters.Restarts++
 		e.dropping = map[Item]time.Time{}
@@ -1020,7 +1021,7 @@
 
 // usable reports whether an endpoint may be given new models.
 func (e *endpoint) usable() bool {
-	return !e.leaving && e.fails < 3 && e.ledger.Incarnation() != ""
+	return !e.leaving && !e.listed && e.fails < 3 && e.ledger.Incarnation() != ""
 }
 
 // evicting reports whether an item is about to be unloaded.
@@ -1179,6 +1180,15 @@
 		e.layout = next
 		delete(m.removed, name)
 	}
+	for name := range m.published {
+		if _, ok := m.models[name]; !ok && m.published[name].Requests != 0 {
+			m.seq++
+			m.published[name] = ModelDemand{
+				Model: name,
+				Seq:   m.seq,
+			}
+		}
+	}
 	for name := range m.models {
 		var next ModelDemand
 		if d := m.demand.models[name]; d != nil {
@@ -1206,7 +1216,7 @@
 	out := EndpointLayout{
 		Endpoint: e.Name,
 		Role:     e.role,
-		Leaving:  e.leaving,
+		Leaving:  e.leaving || e.listed,
 	}
 	if e.fails >= 3 {
 		return out
--- /dev/null
+++ b/internal/place/place_test.go
@@ -0,0 +1,327 @@
+package place
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+func item(model, version string) ItemView {
+	return ItemView{
+		Item: Item{
+			Model:   model,
+			Version: version,
+		},
+		MiB:   40,
+		Ready: true,
+	}
+}
+
+func model(name, version string, value float64) ModelView {
+	return ModelView{
+		Spec: spec.Model{
+			Name:      name,
+			Version:   version,
+			MemoryMiB: 40,
+			OnDemand:  spec.Duration(time.Minute),
+		},
+		Requests: value,
+		Tokens:   value * 100,
+		Value:    value,
+	}
+}
+
+// Guards against plans that interrupt a model during a change of version, evict
+// the wrong model, or leave memory overcommitted after it shrank.
+func TestPlanner(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	waiting := model("c", "1", 0.1)
+	waiting.Waiting = now.Add(-40 * time.Second)
+	fresh := model("c", "1", 0.1)
+	fresh.Waiting = now
+	for _, c := range []struct {
+		name   string
+		memory []int64
+		items  [][]ItemView
+		models []ModelView
+		want   string
+	}{
+		{
+			name:   "new version beside the old one",
+			memory: []int64{100},
+			items:  [][]ItemView{{item("a", "1")}},
+			models: []ModelView{model("a", "2", 0.5)},
+			want:   "e0 [] a@2 version; ",
+		},
+		{
+			name:   "new version in place where both do not fit",
+			memory: []int64{60},
+			items:  [][]ItemView{{item("a", "1")}},
+			models: []ModelView{model("a", "2", 0.5)},
+			want:   "e0 [a@1] a@2 version; ",
+		},
+		{
+			name:   "new version elsewhere first",
+			memory: []int64{60, 60},
+			items:  [][]ItemView{{item("a", "1")}, {}},
+			models: []ModelView{model("a", "2", 0.5)},
+			want:   "e1 [] a@2 version; ",
+		},
+		{
+			name:   "replaced version goes",
+			memory: []int64{100},
+			items:  [][]ItemView{{item("a", "1"), item("a", "2")}},
+			models: []ModelView{model("a", "2", 0.5)},
+			want:   "e0 [a@1]  obsolete; ",
+		},
+		{
+			name:   "removed model goes",
+			memory: []int64{100},
+			items:  [][]ItemView{{item("a", "1"), item("x", "1")}},
+			models: []ModelView{model("a", "1", 0.5)},
+			want:   "e0 [x@1]  obsolete; ",
+		},
+		{
+			name:   "least valuable model goes when memory shrinks",
+			memory: []int64{50},
+			items:  [][]ItemView{{item("a", "1"), item("b", "1")}},
+			models: []ModelView{model("a", "1", 0.1), model("b", "1", 0.2)},
+			want:   "e0 [a@1]  memory; ",
+		},
+		{
+			name:   "least valuable model makes room for requests near their bound",
+			memory: []int64{80},
+			items:  [][]ItemView{{item("a", "1"), item("b", "1")}},
+			models: []ModelView{model("a", "1", 0.3), model("b", "1", 0.2), waiting},
+			want:   "e0 [b@1] c@1 on-demand; ",
+		},
+		{
+			name:   "requests gather before a more valuable model goes",
+			memory: []int64{80},
+			items:  [][]ItemView{{item("a", "1"), item("b", "1")}},
+			models: []ModelView{model("a", "1", 0.3), model("b", "1", 0.2), fresh},
+		},
+		{
+			name:   "a small difference of value moves nothing",
+			memory: []int64{40},
+			items:  [][]ItemView{{item("a", "1")}},
+			models: []ModelView{model("a", "1", 0.1), model("b", "1", 0.15)},
+		},
+		{
+			name:   "a large one does",
+			memory: []int64{40},
+			items:  [][]ItemView{{item("a", "1")}},
+			models: []ModelView{model("a", "1", 0.1), model("b", "1", 0.9)},
+			want:   "e0 [a@1] b@1 coverage; ",
+		},
+		{
+			name:   "a busy model gets another replica",
+			memory: []int64{40, 40},
+			items:  [][]ItemView{{item("a", "1")}, {item("b", "1")}},
+			models: []ModelView{model("a", "1", 1.4), model("b", "1", 0.01)},
+			want:   "e1 [b@1] a@1 demand; ",
+		},
+	} {
+		v := &View{
+			Now:             now,
+			Models:          c.models,
+			Loads:           1,
+			LoadTime:        2 * time.Second,
+			TokensPerSecond: 154,
+		}
+		for i, items := range c.items {
+			free := c.memory[i]
+			for k := range items {
+				free -= items[k].MiB
+				items[k].Since = now.Add(-time.Hour)
+			}
+			v.Endpoints = append(v.Endpoints, EndpointView{
+				Name:      fmt.Sprint("e", i),
+				MemoryMiB: c.memory[i],
+				FreeMiB:   free,
+				Speed:     1,
+				Items:     items,
+				Idle:      true,
+			})
+		}
+		got := ""
+		for _, m := range NewPlanner().Plan(v) {
+			load := ""
+			if m.Load != (Item{}) {
+				load = m.Load.String()
+			}
+			got += fmt.Sprintf("%s %v %s %s; ", m.Endpoint, m.Evict, load, m.Reason)
+			if m.Sentence == "" {
+				t.Errorf("%s: no sentence", c.name)
+			}
+		}
+		if got != c.want {
+			t.Errorf("%s: %q, want %q", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against domains that together exceed the weight store's limits, or
+// one that never gets its part.
+func TestWeights(t *testing.T) {
+	domains := []string{"a", "b", "c"}
+	list := make([]Weights, 3)
+	got := make([]int, 3)
+	for i := range list {
+		list[i].Set(domains[i], domains, 1.5, 2)
+	}
+	for s := range 180 {
+		now := time.Unix(1_000_000, 0).Add(time.Duration(s) * time.Second)
+		parallel, rate := 0, 0.0
+		for i := range list {
+			p, r := list[i].share(now)
+			parallel += p
+			rate += r
+			got[i] += p
+		}
+		if parallel > 2 || rate > 1.5+1e-9 {
+			t.Fatalf("after %d s: %d loads in parallel, %v loads/s", s, parallel, rate)
+		}
+	}
+	if slices.Min(got) < 100 {
+		t.Errorf("shares of 3 minutes %v, want about 120 each", got)
+	}
+}
+
+// Guards against a ledger that trusts a fence which an endpoint has forgotten,
+// uses a state older than one it has seen, or books the same order twice.
+func TestLedger(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	l := NewLedger(LedgerSettings{
+		Endpoint:  "e",
+		MemoryMiB: 100,
+		Fencing:   true,
+		Margin:    0.1,
+		Quiet:     33 * time.Second,
+	})
+	fence := engine.Fence{Counter: 5, Node: 1}
+	order := func(id string, f engine.Fence, mib int64) engine.Order {
+		return engine.Order{
+			ID:        id,
+			Fence:     f,
+			Kind:      engine.OrderLoad,
+			Model:     id,
+			MemoryMiB: mib,
+			Deadline:  now.Add(30 * time.Second),
+		}
+	}
+	book := func(o engine.Order, want error) {
+		t.Helper()
+		if err := l.Book(now, o); !errors.Is(err, want) {
+			t.Errorf("%s: error %v, want %v", o.ID, err, want)
+		}
+	}
+	book(order("a", fence, 60), ErrUnsettled)
+	l.Apply(now, now, engine.State{Incarnation: "1", MemoryMiB: 100, Fence: fence})
+	book(order("a", engine.Fence{Counter: 6, Node: 1}, 60), ErrUnsettled)
+	book(order("a", fence, 60), nil)
+	book(order("a", fence, 60), ErrDuplicate)
+	book(order("b", fence, 60), ErrNoRoom)
+	now = now.Add(time.Second)
+	if l.Apply(now.Add(-2*time.Second), now, engine.State{Incarnation: "1", Fence: engine.Fence{Counter: 9}}) {
+		t.Error("a state older than the last one was used")
+	}
+	l.Apply(now, now, engine.State{Incarnation: "1", MemoryMiB: 100, Fence: engine.Fence{Counter: 6, Node: 1}})
+	if l.FreeMiB() != 100 {
+		t.Errorf("%d MiB are free after a higher fence, want 100", l.FreeMiB())
+	}
+	now = now.Add(time.Second)
+	l.Apply(now, now, engine.State{Incarnation: "2", MemoryMiB: 100})
+	if l.Fencing() || l.Settled() {
+		t.Error("an endpoint that forgot its fence is still trusted")
+	}
+	now = now.Add(33 * time.Second)
+	l.Apply(now, now, engine.State{Incarnation: "2", MemoryMiB: 100})
+	book(order("c", engine.Fence{}, 100), nil)
+}
+
+// Guards against an adapter that is evicted while requests use it, or before
+// one that was used less recently.
+func TestAdapters(t *testing.T) {
+	w := newFuzzWorld(func(engine.Order) time.Duration { return 0 })
+	w.cfg.Models = w.cfg.Models[4:5] // m4, 25 MiB
+	for name := range w.engines {
+		if name != "e0" {
+			delete(w.engines, name)
+		}
+	}
+	w.cfg.Endpoints = w.cfg.Endpoints[:1]
+	w.cfg.Endpoints[0].MemoryMiB = 38 // the model and two adapters of 6 MiB
+	p := w.join()
+	w.procs = []*process{p}
+	w.run(10*time.Second, w.procs, func() {})
+	seq := int64(0)
+	want := func(adapter string, inUse ...string) {
+		for range 40 {
+			seq++
+			r := DemandReport{
+				Node:        "n",
+				Incarnation: "1",
+				Seq:         seq,
+				Waiting:     []Want{{Model: "m4", Adapter: adapter, Requests: 1}},
+			}
+			for _, a := range inUse {
+				r.InUse = append(r.InUse, Use{Endpoint: "e0", Model: "m4", Adapter: a, Running: 1})
+			}
+			p.in.Reports = append(p.in.Reports, r)
+			w.run(200*time.Millisecond, w.procs, func() {})
+		}
+	}
+	for _, c := range []struct {
+		adapter string
+		inUse   []string
+		have    string
+	}{
+		{"a0", nil, "[a0]"},
+		{"a1", nil, "[a0 a1]"},
+		{"a2", []string{"a0"}, "[a0 a2]"},
+		{"a3", []string{"a0", "a2"}, "[a0 a2]"},
+		{"a3", []string{"a2"}, "[a2 a3]"},
+	} {
+		want(c.adapter, c.inUse...)
+		var have []string
+		for i := range w.engines["e0"].resident {
+			if i.Adapter != "" {
+				have = append(have, i.Adapter)
+			}
+		}
+		slices.Sort(have)
+		if fmt.Sprint(have) != c.have {
+			t.Errorf("after %s with %v in use: %v, want %s", c.adapter, c.inUse, have, c.have)
+		}
+	}
+}
+
+// Guards against roles that change although nothing speaks for it, and against
+// a group of endpoints without one that prefills.
+func TestRoles(t *testing.T) {
+	v := &View{}
+	for i := range 4 {
+		v.Endpoints = append(v.Endpoints, EndpointView{
+			Name:  fmt.Sprint("e", i),
+			Items: []ItemView{item("a", "1")},
+			Idle:  true,
+		})
+	}
+	got := ""
+	for _, m := range planRoles(v, nil) {
+		got += m.Endpoint + " " + string(m.Role) + ";"
+	}
+	if want := "e0 prefill;e1 decode;e2 decode;e3 decode;"; got != want {
+		t.Errorf("%q, want %q", got, want)
+	}
+	v.Endpoints = v.Endpoints[:3]
+	if moves := planRoles(v, nil); len(moves) != 0 {
+		t.Errorf("three endpoints are divided: %v", moves)
+	}
+}
--- a/internal/place/wire.go
+++ b/internal/place/wire.go
@@ -89,6 +89,9 @@
 }
 
 // Want is a model or adapter that requests wait for because it is not resident.
+// A node reports a model to the planner of its own domain. It reports an adapter
+// to the planner of a domain that has the adapter's model ready, since only
+// that one can load it at once.
 type Want struct {
 	Model    string `cbor:"1,keyasint"`
 	Adapter  string `cbor:"2,keyasint,omitempty"`
