peers: introduce a node to other domains once

A relay sent its domain and address with each request to another domain. The receiver now remembers the processes that introduced themselves.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -100,6 +100,8 @@
 
 	// procs are the known processes of the own domain without this one.
 	procs map[Process]*proc
+	// foreign are the processes of other domains that introduced themselves.
+	foreign map[Process]foreigner
 	// views are what other processes reported, by the address that answered.
 	views   map[string]*view
 	domains map[string]*domain
@@ -152,13 +154,18 @@
 	state State
 }
 
+type foreigner struct {
+	domain string
+	heard  time.Time
+}
+
 // view is what a process of the own domain reported.
 type view struct {
 	peer    Process
 	domain  string
 	version uint64
 	heard   time.Time
-	members map[Process]State
+	members map[Process]bool
 	// introduced means that the peer knows this node's address.
 	introduced bool
 	// behind names the domains of which the peer holds an older list.
@@ -200,6 +207,7 @@
 		started:   now,
 		now:       now,
 		procs:     map[Process]*proc{},
+		foreign:   map[Process]foreigner{},
 		views:     map[string]*view{},
 		domains:   map[string]*domain{},
 		published: map[Process]Member{},
@@ -285,6 +293,8 @@
 	switch {
 	case p.lists == 0:
 		return true
+	case now.Sub(p.listedAt) < listFast:
+		return false
 	case !p.connected():
 		return now.Sub(p.listedAt) >= min(listFast<<min(p.lists-1, 5), listEvery)
 	case p.IsRelay():
@@ -336,22 +346,22 @@
 		return c
 	}
 	c.valid = true
-	vouched := map[Process]bool{}
+	var views []*view
 	for _, v := range p.views {
-		if v.domain != p.set.Domain || !p.fresh(v.heard) {
-			continue
-		}
-		for id := range v.members {
-			vouched[id] = true
+		if v.domain == p.set.Domain && p.fresh(v.heard) {
+			views = append(views, v)
 		}
 	}
+	vouched := func(id Process) bool {
+		return slices.ContainsFunc(views, func(v *view) bool { return v.members[id] })
+	}
 	members := make([]Member, 0, len(p.procs)+1)
 	members = append(members, p.selfMember())
 	for id, pr := range p.procs {
 		switch {
 		case !pr.died.IsZero():
 			pr.state = Dead
-		case p.fresh(pr.direct) || vouched[id]:
+		case p.fresh(pr.direct) || vouched(id):
 			pr.state = pr.State
 		default:
 			pr.state = Gone
@@ -526,45 +536,50 @@
 // publish brings the view that this node reports up to date: only what it
 // heard itself, because evidence passed on in circles would never expire.
 func (p *Peers) publish() {
-	want := map[Process]Member{
-		p.self(): p.selfMember(),
-	}
+	p.report(p.selfMember())
 	for id, pr := range p.procs {
 		m := pr.Member
 		switch {
 		case !pr.died.IsZero():
 			m.State = Dead
 		case !p.fresh(pr.direct):
+			p.retract(id)
 			continue
 		}
-		want[id] = m
-	}
-	var changes []Member
-	for id, m := range want {
-		if p.published[id] != m {
-			changes = append(changes, m)
-		}
-	}
-	for id, m := range p.published {
-		if _, ok := want[id]; !ok {
-			m.State = Gone
-			m.Address = ""
-			changes = append(changes, m)
-		}
-	}
-	sortMembers(changes)
-	for _, m := range changes {
-		p.version++
-		p.log = append(p.log, change{
-			version: p.version,
-			member:  m,
-		})
+		p.report(m)
 	}
 	if drop := len(p.log) - maxLog; drop > 0 {
 		p.logStart = p.log[drop-1].version
 		p.log = slices.Delete(p.log, 0, drop)
 	}
-	p.published = want
+}
+
+func (p *Peers) report(m Member) {
+	if p.published[m.Process()] == m {
+		return
+	}
+	p.published[m.Process()] = m
+	p.version++
+	p.log = append(p.log, change{
+		version: p.version,
+		member:  m,
+	})
+}
+
+func (p *Peers) retract(id Process) {
+	if _, ok := p.published[id]; !ok {
+		return
+	}
+	delete(p.published, id)
+	p.version++
+	p.log = append(p.log, change{
+		version: p.version,
+		member: Member{
+			Name:        id.Name,
+			Incarnation: id.Incarnation,
+			State:       Gone,
+		},
+	})
 }
 
 // since returns the changes after a version, the last of each process.
@@ -656,10 +671,12 @@
 		}
 		if p.now.Sub(pr.seen) > Forget && p.now.Sub(pr.died) > Forget {
 			delete(p.procs, id)
+			p.retract(id)
 			p.cache.valid = false
 		}
 	}
 	maps.DeleteFunc(p.pace, func(_ string, pc *pace) bool { return p.now.Sub(pc.used) > paceTerm })
+	maps.DeleteFunc(p.foreign, func(_ Process, f foreigner) bool { return p.now.Sub(f.heard) > paceTerm })
 	for address, v := range p.views {
 		if p.now.Sub(v.heard) > 10*LiveTerm {
 			delete(p.views, address)
--- a/internal/peers/step.go
+++ b/internal/peers/step.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/rank"
@@ -74,7 +73,7 @@
 		h.Seen = v.peer.id()
 		h.SeenVersion = v.version
 	}
-	if v == nil || v.domain != p.set.Domain || !v.introduced {
+	if v == nil || !v.introduced {
 		h.Domain = p.set.Domain
 		h.Address = p.set.Address
 	}
@@ -163,20 +162,13 @@
 
 // verify asks at addresses that two processes claim.
 func (s *step) verify() {
-	for _, id := range s.ids() {
-		pr := s.procs[id]
-		if pr.verify && s.due(pr.Address, SyncEvery) {
-			s.probe(peer(s.set.Domain, pr.Member))
+	for _, m := range s.snap().members {
+		if pr, ok := s.procs[m.Process()]; ok && pr.verify && s.due(m.Address, SyncEvery) {
+			s.probe(peer(s.set.Domain, m))
 		}
 	}
 }
 
-func (p *Peers) ids() []Process {
-	return slices.SortedFunc(maps.Keys(p.procs), func(a, b Process) int {
-		return cmp.Or(strings.Compare(a.Name, b.Name), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
-}
-
 // ring probes the successors in the order of the names' hashes: the next three
 // live ones, and silent ones on the way, whose death may be provable.
 func (s *step) ring() {
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -35,15 +35,22 @@
 		Name:        h.Name,
 		Incarnation: h.Incarnation,
 	}
-	foreign := h.Domain != "" && h.Domain != p.set.Domain
+	home := h.Domain
+	if f, ok := p.foreign[from]; ok && home == "" {
+		home = f.domain
+	}
 	switch {
 	case from == p.self():
 		return w
-	case foreign:
-		if !p.kept(h.Domain) {
+	case home != "" && home != p.set.Domain:
+		if !p.kept(home) {
 			return w
 		}
-		p.domain(h.Domain).heard = p.now
+		p.foreign[from] = foreigner{
+			domain: home,
+			heard:  p.now,
+		}
+		p.domain(home).heard = p.now
 	default:
 		for _, m := range h.Dead {
 			p.learnDeath(m)
@@ -200,7 +207,7 @@
 		v = &view{
 			peer:    id,
 			domain:  home,
-			members: map[Process]State{},
+			members: map[Process]bool{},
 		}
 		p.views[pb.To.Address] = v
 	}
@@ -291,7 +298,7 @@
 			p.learnDeath(m)
 			continue
 		}
-		v.members[id] = m.State
+		v.members[id] = true
 		pr, ok := p.procs[id]
 		if !ok {
 			pr = p.learn(m)
