audit: write an answer as text

Operators need the events of a request, workspace or time in order, with the summary and with what the record may lack. Runs of like refusals take one line.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -162,6 +162,7 @@
 	var answers []Answer
 	q := Query{From: fake.Now()}
 	for _, node := range []string{"vm-1", "vm-2"} {
+		fake.Advance(time.Second)
 		l := New(node, 64, fake)
 		l.Record(Event{Reason: MoveDemand, Model: "mistral-7", Endpoint: "eng-4"})
 		for range 500 {
@@ -200,6 +201,15 @@
 	if !slices.Equal(a.Nodes, []string{"vm-1", "vm-2"}) || !slices.Equal(a.Missing, []string{"vm-3"}) {
 		t.Errorf("nodes %v, missing %v", a.Nodes, a.Missing)
 	}
+	text := Explain(q, a, time.UTC)
+	for _, part := range []string{
+		"from 1 January 00:00:00:\nThursday 1 January 2026\n  00:00:01  The model mistral-7 was loaded",
+		"(The same happened 19 more times until 00:00:02.)", "Before 1 January 00:00:02 the record is not complete", "No record came from vm-3.", Summary(a),
+	} {
+		if !strings.Contains(text, part) {
+			t.Errorf("the explanation lacks %q:\n%s", part, text)
+		}
+	}
 	got := Summary(a)
 	want := "Workspace lanes was served worst: of 1,040 requests within its allowance, 40 were not answered (3.8%). " +
 		"The most frequent cause (40 of 40): Request y of workspace lanes was refused because too many requests were already waiting (64 of at most 64). " +
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -198,12 +198,8 @@
 	m.nodes[node] = g
 }
 
-func (m *model) sayNotRun(request, why string) {
-	m.notRun[request] = why
-}
-
 func (m *model) arrive() {
-	node := rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")
+	node := m.node()
 	key := rapid.SampledFrom([]string{"k1", "k2"}).Draw(m.t, "key")
 	body := rapid.SampledFrom([]string{"b", "b", "b", "other"}).Draw(m.t, "body")
 	m.asked++
@@ -231,7 +227,7 @@
 			m.t.Fatalf("%s: replayed %q of %s, but %s ran and answered %q", request, d.Response.Body, d.Holder, last.request, last.answer)
 		}
 	case NotProvable, DifferentBody:
-		m.sayNotRun(request, d.Kind.String())
+		m.notRun[request] = d.Kind.String()
 	case InProgress, Unknown:
 	default:
 		m.t.Fatalf("%s: decision %v", request, d.Kind)
@@ -248,9 +244,7 @@
 // send makes an attempt at the service, or a retry that the policy allows.
 func (m *model) send() {
 	c := m.pick()
-	attempts := 1
 	if c.result != 0 {
-		attempts = 2
 		p := Policy{MaxAttempts: 9}
 		if v := p.Next(Call{Deadline: m.clock.Now().Add(time.Hour)}, c.result, 1, !c.mayHaveRun, m.clock.Now()); v.Action != Retry {
 			m.t.Skip(v.Action)
@@ -261,25 +255,18 @@
 		return
 	}
 	c.result = rapid.SampledFrom([]Outcome{NotSent, Declined, Lost, Mismatched, Faulted, Answered, Answered}).Draw(m.t, "result")
-	switch c.result {
-	case NotSent, Declined:
+	if c.result.ProvedNotRun() {
 		return
-	case Lost:
-		if rapid.Bool().Draw(m.t, "lost on the way") {
-			c.mayHaveRun = true
-			return
-		}
 	}
 	c.mayHaveRun = true
-	m.execute(c, attempts)
-}
-
-func (m *model) execute(c *call, attempts int) {
+	if c.result == Lost && rapid.Bool().Draw(m.t, "lost on the way") {
+		return
+	}
 	now := m.clock.Now()
 	runs := m.runs[c.key]
 	if len(runs) > 0 && now.Sub(runs[len(runs)-1].at) < Retention-time.Hour {
-		m.t.Fatalf("%s ran for %s at %v and runs again for %s (attempt %d) at %v",
-			c.key, runs[len(runs)-1].request, runs[len(runs)-1].at, c.ticket.Holder(), attempts, now)
+		m.t.Fatalf("%s ran for %s at %v and runs again for %s at %v",
+			c.key, runs[len(runs)-1].request, runs[len(runs)-1].at, c.ticket.Holder(), now)
 	}
 	c.answer = fmt.Appendf(nil, "answer %d %s", len(runs), strings.Repeat("x", rapid.SampledFrom([]int{1, 80}).Draw(m.t, "size")))
 	m.runs[c.key] = append(runs, ran{at: now, request: c.ticket.Holder(), fingerprint: []byte(c.body), answer: c.answer})
@@ -297,18 +284,19 @@
 	case c.result == Answered || c.result == Faulted:
 		_ = g.Finish(ctx, c.ticket, Response{Status: 200, Body: c.answer})
 	case !c.mayHaveRun:
-		m.sayNotRun(c.ticket.Holder(), c.result.String())
+		m.notRun[c.ticket.Holder()] = c.result.String()
 		_ = g.NotRun(ctx, c.ticket)
 	default:
 		_ = g.FinishUnknown(ctx, c.ticket)
 	}
-	if c.ticket.MaySend(m.clock.Now()) {
-		m.t.Fatal("an ended ticket may send")
-	}
+}
+
+func (m *model) node() int {
+	return rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")
 }
 
 func (m *model) kill() {
-	node := rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")
+	node := m.node()
 	m.calls = slices.DeleteFunc(m.calls, func(c *call) bool { return c.node == node })
 	m.start(node)
 }
@@ -320,13 +308,8 @@
 	}
 	m.depth++
 	defer func() { m.depth-- }()
-	switch rapid.IntRange(0, 9).Draw(m.t, "interleave") {
-	case 0:
-		m.deliver()
-	case 1:
-		m.arrive()
-	case 2:
-		m.kill()
+	if i := rapid.IntRange(0, 9).Draw(m.t, "interleave"); i < 3 {
+		[]func(){m.deliver, m.arrive, m.kill}[i]()
 	}
 }
 
@@ -382,9 +365,7 @@
 		"kill":   with(m.kill),
 		"late":   with(m.deliver),
 		"outage": with(func() { m.table.down = rapid.IntRange(0, 3).Draw(m.t, "down") == 0 }),
-		"sweep": with(func() {
-			_ = m.nodes[rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")].Sweep(context.Background())
-		}),
+		"sweep":  with(func() { _ = m.nodes[m.node()].Sweep(context.Background()) }),
 		"pause": with(func() {
 			m.advance(rapid.SampledFrom([]time.Duration{time.Second, DefaultTerm, WriteBound, time.Hour}).Draw(m.t, "pause"))
 		}),
@@ -392,7 +373,7 @@
 			if rapid.IntRange(0, 9).Draw(m.t, "week") == 0 {
 				m.advance(Retention + time.Hour)
 			}
-			node := rapid.IntRange(0, len(m.nodes)-1).Draw(m.t, "node")
+			node := m.node()
 			for range rapid.IntRange(1, 3).Draw(m.t, "rounds") {
 				_, n, _ := m.nodes[node].Expire(context.Background(), "", 10)
 				m.reached["expired"] += n
@@ -500,6 +481,9 @@
 	if err := b.NotRun(ctx, d.Ticket); err != nil {
 		t.Fatal(err)
 	}
+	if err := b.Finish(ctx, d.Ticket, Response{}); !errors.Is(err, ErrEnded) || d.Ticket.MaySend(c.Now()) {
+		t.Fatal("an ended ticket may still be used", err)
+	}
 	d = begin(a, "r4", Run)
 	f.down = true
 	if err := a.Finish(ctx, d.Ticket, Response{Status: 201, Body: []byte("lane 4")}); err == nil {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -278,6 +278,9 @@
 		return rapid.SampledFrom([]time.Duration{0, 0, 0, 0, 0, 300 * time.Millisecond, 900 * time.Millisecond, 8 * time.Second}).Draw(w.t, "delay")
 	}
 	resume := func(n *node) {
+		if n == nil {
+			return
+		}
 		n.paused = false
 		for _, f := range n.inbox {
 			f()
@@ -290,8 +293,7 @@
 	}
 	restart := func(a string) { w.start(name(a), a, domain(a)) }
 	actions := map[string]func(*rapid.T){
-		"run":  func(t *rapid.T) { w.run(time.Duration(rapid.IntRange(1, 40).Draw(t, "ticks")) * tick) },
-		"rest": func(t *rapid.T) { w.run(time.Duration(rapid.IntRange(1, 40).Draw(t, "ticks")) * tick) },
+		"run": func(t *rapid.T) { w.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * tick) },
 		"kill": func(t *rapid.T) {
 			a, _ := pick(t)
 			delete(w.vms, a)
@@ -315,9 +317,8 @@
 			}
 		},
 		"resume": func(t *rapid.T) {
-			if _, n := pick(t); n != nil {
-				resume(n)
-			}
+			_, n := pick(t)
+			resume(n)
 		},
 		"leave": func(t *rapid.T) {
 			if _, n := pick(t); n != nil && !n.paused {
@@ -357,12 +358,10 @@
 	clear(cuts)
 	w.delay = func() time.Duration { return 0 }
 	for _, a := range addresses {
-		switch n := w.vms[a]; {
-		case n == nil || n.leaving:
+		if n := w.vms[a]; n == nil || n.leaving {
 			restart(a)
-		case n.paused:
-			resume(n)
 		}
+		resume(w.vms[a])
 	}
 	w.list = w.truth()
 	w.run(converge)
@@ -417,6 +416,35 @@
 	}
 }
 
+// Guards against a process whose end is never proved, so that its slots stay
+// unused, and against a leaving node that is still given work.
+func TestProofsOfDeath(t *testing.T) {
+	w := newWorld(1, 6)
+	w.run(6 * time.Second)
+	killed, replaced, paused, leaving := w.vms["10.0.0.1:7400"], w.vms["10.0.0.2:7400"], w.vms["10.0.0.3:7400"], w.vms["10.0.0.4:7400"]
+	delete(w.vms, "10.0.0.1:7400")
+	w.start("vm-00-02", "10.0.0.2:7400", "d00")
+	paused.paused = true
+	leaving.Leave()
+	// A suspect is probed in the ring, and a relay passes the proof on.
+	w.run(LiveTerm + 2*RingEvery + 2*SyncEvery)
+	for _, n := range w.vms {
+		if n == paused {
+			continue
+		}
+		want := []Process{killed.self(), replaced.self()}
+		if got := n.DeadIncarnations(); !slices.Equal(got, want) {
+			t.Errorf("%s has proofs for %v, want %v", n.set.Name, got, want)
+		}
+		if got := n.Local(); !slices.Equal(got, []string{"vm-00-00", "vm-00-02", "vm-00-05"}) {
+			t.Errorf("%s takes %v for live", n.set.Name, got)
+		}
+		if m, ok := n.Lookup("d00", "vm-00-04"); !ok || !m.Leaving {
+			t.Errorf("%s does not find the leaving node", n.set.Name)
+		}
+	}
+}
+
 // Guards against control traffic that grows with the fleet, and against more
 // than the 5 KB/s that a node may use.
 func TestTrafficPerNode(t *testing.T) {
