stats: report recent waiting times beside those since the start

Percentiles since the start of a process hide a fault that began a minute ago. Rotate begins a new period each minute; the recent values cover one to two periods. The tests of once and peers are shorter, with the same checks.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -236,11 +236,3 @@
 		})
 	}
 }
-
-func BenchmarkServed(b *testing.B) {
-	l := New("vm-1", DefaultSize, clock.NewReal())
-	b.ReportAllocs()
-	for b.Loop() {
-		l.Served("lanes", false)
-	}
-}
--- a/internal/once/once_test.go
+++ b/internal/once/once_test.go
@@ -1,7 +1,6 @@
 package once
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"flag"
@@ -22,9 +21,8 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	// A fixed seed gives the same verdict in each run; another one can be given.
-	for name, value := range map[string]string{
-		"rapid.seed": "1", "rapid.checks": "4000", "rapid.steps": "60", "rapid.shrinktime": "5s", "rapid.nofailfile": "true",
-	} {
+	for _, d := range []string{"seed=1", "checks=4000", "steps=60", "shrinktime=5s", "nofailfile=true"} {
+		name, value, _ := strings.Cut("rapid."+d, "=")
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			_ = flag.Set(name, value)
 		}
@@ -65,8 +63,8 @@
 
 func (f *table) Get(_ context.Context, key string) (row store.Row, err error) {
 	err = f.do(func() error {
-		var ok bool
-		if row, ok = f.rows[key]; !ok {
+		row = f.rows[key]
+		if row.Version == 0 {
 			return store.ErrAbsent
 		}
 		return nil
@@ -151,21 +149,17 @@
 }
 
 type ran struct {
-	at          time.Time
-	request     string
-	fingerprint []byte
-	answer      []byte
+	at                    time.Time
+	request, body, answer string
 }
 
 // call is a ticket in the hands of a node.
 type call struct {
 	node   int
-	key    string
-	body   string
 	ticket *Ticket
 	// result is how the attempt ended; 0 before.
-	result Outcome
-	answer []byte
+	result            Outcome
+	key, body, answer string
 	// mayHaveRun is set when an earlier attempt of the ticket is in doubt.
 	mayHaveRun bool
 }
@@ -223,7 +217,7 @@
 			m.t.Fatalf("%s: a response of %s is replayed and nothing ran", request, d.Holder)
 		}
 		last := runs[len(runs)-1]
-		if last.request != d.Holder || string(last.fingerprint) != body || !d.Response.Omitted && !bytes.Equal(last.answer, d.Response.Body) {
+		if last.request != d.Holder || last.body != body || !d.Response.Omitted && last.answer != string(d.Response.Body) {
 			m.t.Fatalf("%s: replayed %q of %s, but %s ran and answered %q", request, d.Response.Body, d.Holder, last.request, last.answer)
 		}
 	case NotProvable, DifferentBody:
@@ -268,8 +262,8 @@
 		m.t.Fatalf("%s ran for %s at %v and runs again for %s at %v",
 			c.key, runs[len(runs)-1].request, runs[len(runs)-1].at, c.ticket.Holder(), now)
 	}
-	c.answer = fmt.Appendf(nil, "answer %d %s", len(runs), strings.Repeat("x", rapid.SampledFrom([]int{1, 80}).Draw(m.t, "size")))
-	m.runs[c.key] = append(runs, ran{at: now, request: c.ticket.Holder(), fingerprint: []byte(c.body), answer: c.answer})
+	c.answer = fmt.Sprintf("answer %d %s", len(runs), strings.Repeat("x", rapid.SampledFrom([]int{1, 80}).Draw(m.t, "size")))
+	m.runs[c.key] = append(runs, ran{at: now, request: c.ticket.Holder(), body: c.body, answer: c.answer})
 }
 
 func (m *model) finish() {
@@ -282,7 +276,7 @@
 	// An error means that the outcome waits for Sweep.
 	switch {
 	case c.result == Answered || c.result == Faulted:
-		_ = g.Finish(ctx, c.ticket, Response{Status: 200, Body: c.answer})
+		_ = g.Finish(ctx, c.ticket, Response{Status: 200, Body: []byte(c.answer)})
 	case !c.mayHaveRun:
 		m.notRun[c.ticket.Holder()] = c.result.String()
 		_ = g.NotRun(ctx, c.ticket)
@@ -334,15 +328,9 @@
 
 func checkOnce(t *rapid.T, mutant string, reached map[string]int) {
 	m := &model{
-		t:      t,
-		mutant: mutant,
-		clock:  clock.NewFake(),
-		table:  &table{rows: map[string]store.Row{}},
-		nodes:  make([]*Guard, 3),
-		runs:   map[string][]ran{},
-		notRun: map[string]string{},
-
-		reached: reached,
+		t: t, mutant: mutant, reached: reached, clock: clock.NewFake(),
+		table: &table{rows: map[string]store.Row{}}, nodes: make([]*Guard, 3),
+		runs: map[string][]ran{}, notRun: map[string]string{},
 	}
 	m.table.between = m.interleave
 	m.table.fault = func() string {
@@ -414,7 +402,6 @@
 	log    []string
 }
 
-func (r *recorder) Helper()                   {}
 func (r *recorder) Failed() bool              { return r.failed }
 func (r *recorder) Fail()                     { r.failed = true }
 func (r *recorder) FailNow()                  { r.failed = true; runtime.Goexit() }
@@ -436,16 +423,12 @@
 			rapid.Check(r, func(t *rapid.T) { checkOnce(t, mutant, map[string]int{}) })
 		}()
 		<-done
-		out := strings.Join(r.log, "\n")
-		if !r.failed || !strings.Contains(out, "runs again") {
-			t.Errorf("%s: the check did not find the second run:\n%s", mutant, out)
-		}
-		for line := range strings.Lines(out) {
-			if strings.Contains(line, "runs again") {
-				t.Logf("%s: %s", mutant, strings.TrimSpace(line))
-				break
-			}
+		found := slices.IndexFunc(r.log, func(line string) bool { return strings.Contains(line, "runs again") })
+		if !r.failed || found < 0 {
+			t.Errorf("%s: the check did not find the second run:\n%s", mutant, strings.Join(r.log, "\n"))
+			continue
 		}
+		t.Logf("%s: %s", mutant, strings.SplitN(r.log[found], "\n", 2)[0])
 	}
 }
 
@@ -455,11 +438,7 @@
 	ctx := context.Background()
 	c := clock.NewFake()
 	fault := ""
-	f := &table{
-		rows:    map[string]store.Row{},
-		between: func() {},
-		fault:   func() string { return fault },
-	}
+	f := &table{rows: map[string]store.Row{}, between: func() {}, fault: func() string { return fault }}
 	a, b := &Guard{Table: f, Clock: c, Node: "a"}, &Guard{Table: f, Clock: c, Node: "b"}
 	begin := func(g *Guard, request string, want Kind) Decision {
 		t.Helper()
@@ -544,8 +523,7 @@
 			t.Errorf("%+v: got %+v", c, v)
 		}
 	}
-	p := DefaultPolicy()
-	p.Budget = NewBudget(0.1, 2)
+	p := Policy{MaxAttempts: 2, Budget: NewBudget(0.1, 2)}
 	retries := 0
 	for range 1000 {
 		p.Budget.Request()
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -20,9 +20,8 @@
 func TestMain(m *testing.M) {
 	flag.Parse()
 	// A fixed seed gives the same verdict in each run; another one can be given.
-	for name, value := range map[string]string{
-		"rapid.seed": "1", "rapid.checks": "40", "rapid.steps": "30", "rapid.shrinktime": "5s", "rapid.nofailfile": "true",
-	} {
+	for _, d := range []string{"seed=1", "checks=40", "steps=30", "shrinktime=5s", "nofailfile=true"} {
+		name, value, _ := strings.Cut("rapid."+d, "=")
 		if f := flag.Lookup(name); f.Value.String() == f.DefValue {
 			_ = flag.Set(name, value)
 		}
@@ -260,8 +259,8 @@
 }
 
 func checkPeers(t *rapid.T, mutant string) {
-	const domains, size = 3, 4
-	w := newWorld(domains, size)
+	const size = 4
+	w := newWorld(3, size)
 	w.t = t
 	w.run(2 * time.Second)
 	w.mutant = mutant
@@ -288,9 +287,7 @@
 		n.inbox = nil
 	}
 	name := func(a string) string { return "vm-" + strings.ReplaceAll(strings.TrimSuffix(a, ":7400"), ".", "-") }
-	domain := func(a string) string {
-		return fmt.Sprintf("d%02d", slices.Index(addresses, a)/size)
-	}
+	domain := func(a string) string { return fmt.Sprintf("d%02d", slices.Index(addresses, a)/size) }
 	restart := func(a string) { w.start(name(a), a, domain(a)) }
 	actions := map[string]func(*rapid.T){
 		"run": func(t *rapid.T) { w.run(time.Duration(rapid.IntRange(1, 60).Draw(t, "ticks")) * tick) },
@@ -385,7 +382,6 @@
 	log    []string
 }
 
-func (r *recorder) Helper()                   {}
 func (r *recorder) Failed() bool              { return r.failed }
 func (r *recorder) Fail()                     { r.failed = true }
 func (r *recorder) FailNow()                  { r.failed = true; runtime.Goexit() }
@@ -465,16 +461,15 @@
 		}
 		w.run(seconds * time.Second)
 		for _, relay := range []bool{false, true} {
-			var worst *node
+			role, worst := map[bool]string{false: "node", true: "relay"}[relay], &node{}
 			for _, n := range w.vms {
-				if n.IsRelay() == relay && (worst == nil || n.sent+n.received > worst.sent+worst.received) {
+				if n.IsRelay() == relay && n.sent+n.received > worst.sent+worst.received {
 					worst = n
 				}
 			}
-			if worst == nil {
+			if worst.sent == 0 {
 				continue
 			}
-			role := map[bool]string{false: "node", true: "relay"}[relay]
 			exchanges, bytes := float64(worst.sent+worst.received)/seconds, float64(worst.bytes)/seconds
 			t.Logf("%5d %7d %5s %11.1f %4.0f B/s %6.0f B/s %6.0f B/s",
 				c.domains*c.size, c.domains, role, exchanges, bytes, bytes+exchanges*stream, bytes+exchanges*call)
--- a/internal/stats/latency.go
+++ b/internal/stats/latency.go
@@ -20,8 +20,12 @@
 	// Two keep a histogram near 20 KB; three would need 150 KB.
 	figures = 2
 	// maxWorkspaces bounds the memory of the histograms: 32 workspaces of three
-	// classes with two histograms each take 4 MB when all are in use.
+	// classes, with two quantities of three histograms each, take 12 MB when all
+	// are in use.
 	maxWorkspaces = 32
+	// RotateEvery is how often Rotate is called. The recent values cover between
+	// one and two periods.
+	RotateEvery = time.Minute
 	// Other is the workspace under which the ones above the bound are recorded.
 	Other = "other"
 )
@@ -35,12 +39,15 @@
 	Max   float64 `json:"max-ms"`
 }
 
-// Report holds the summaries of one workspace and class.
+// Report holds the summaries of one workspace and class: since the start of
+// the process, and of the last one to two minutes.
 type Report struct {
-	Workspace  string     `json:"workspace"`
-	Class      spec.Class `json:"class"`
-	FirstToken Summary    `json:"first-token"`
-	TokenGap   Summary    `json:"token-gap"`
+	Workspace        string     `json:"workspace"`
+	Class            spec.Class `json:"class"`
+	FirstToken       Summary    `json:"first-token"`
+	TokenGap         Summary    `json:"token-gap"`
+	RecentFirstToken Summary    `json:"recent-first-token"`
+	RecentTokenGap   Summary    `json:"recent-token-gap"`
 }
 
 type seriesKey struct {
@@ -110,42 +117,76 @@
 	s.tokenGap.record(d)
 }
 
-// histogram is an HDR histogram behind a lock that is held for one addition.
+// histogram is behind a lock that is held for the addition of one value.
 type histogram struct {
-	mu sync.Mutex
-	h  *hdrhistogram.Histogram
+	mu       sync.Mutex
+	total    *hdrhistogram.Histogram
+	current  *hdrhistogram.Histogram
+	previous *hdrhistogram.Histogram
+}
+
+func newHDR() *hdrhistogram.Histogram {
+	return hdrhistogram.New(1, int64(longest/unit), figures)
 }
 
 func (h *histogram) record(d time.Duration) {
 	v := min(max(int64(d/unit), 0), int64(longest/unit))
 	h.mu.Lock()
-	if h.h == nil {
-		h.h = hdrhistogram.New(1, int64(longest/unit), figures)
+	if h.total == nil {
+		h.total, h.current, h.previous = newHDR(), newHDR(), newHDR()
 	}
-	// v is within the range of the histogram, which is the only error.
-	_ = h.h.RecordValue(v)
+	// v is within the range of the histograms, which is the only error.
+	_ = h.total.RecordValue(v)
+	_ = h.current.RecordValue(v)
 	h.mu.Unlock()
 }
 
-func (h *histogram) summary() Summary {
+func (h *histogram) rotate() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.total != nil {
+		h.current, h.previous = h.previous, h.current
+		h.current.Reset()
+	}
+}
+
+func (h *histogram) summaries() (total, recent Summary) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.h == nil {
-		return Summary{}
+	if h.total == nil {
+		return Summary{}, Summary{}
 	}
+	merged := newHDR()
+	// The histograms have the same range, so that no value is dropped.
+	merged.Merge(h.current)
+	merged.Merge(h.previous)
+	return summarize(h.total), summarize(merged)
+}
+
+func summarize(h *hdrhistogram.Histogram) Summary {
 	ms := func(v int64) float64 {
 		return float64(time.Duration(v)*unit) / float64(time.Millisecond)
 	}
-	q := h.h.ValueAtPercentiles([]float64{50, 95, 99})
+	q := h.ValueAtPercentiles([]float64{50, 95, 99})
 	return Summary{
-		Count: h.h.TotalCount(),
+		Count: h.TotalCount(),
 		P50:   ms(q[50]),
 		P95:   ms(q[95]),
 		P99:   ms(q[99]),
-		Max:   ms(h.h.Max()),
+		Max:   ms(h.Max()),
 	}
 }
 
+// Rotate begins a new period of the recent values.
+func (s *Set) Rotate() {
+	s.latency.series.Range(func(_, v any) bool {
+		series := v.(*Series)
+		series.firstToken.rotate()
+		series.tokenGap.rotate()
+		return true
+	})
+}
+
 // Reports returns the summaries of all workspaces and classes seen, in the
 // order of their first request.
 func (s *Set) Reports() []Report {
@@ -159,12 +200,13 @@
 			continue
 		}
 		series := v.(*Series)
-		out = append(out, Report{
-			Workspace:  key.workspace,
-			Class:      key.class,
-			FirstToken: series.firstToken.summary(),
-			TokenGap:   series.tokenGap.summary(),
-		})
+		r := Report{
+			Workspace: key.workspace,
+			Class:     key.class,
+		}
+		r.FirstToken, r.RecentFirstToken = series.firstToken.summaries()
+		r.TokenGap, r.RecentTokenGap = series.tokenGap.summaries()
+		out = append(out, r)
 	}
 	return out
 }
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -45,6 +45,13 @@
 	if got := s.Value(RequestsStarted); got != 8000 {
 		t.Errorf("started = %d, want 8000", got)
 	}
+	s.Rotate()
+	s.Series("reykjavik", spec.ClassInteractive).FirstToken(time.Millisecond)
+	recent := s.Reports()[0].RecentFirstToken.Count
+	s.Rotate()
+	if now := s.Reports()[0].RecentFirstToken.Count; recent != 8001 || now != 1 {
+		t.Errorf("%d and then %d values are recent, want 8001 and 1", recent, now)
+	}
 	text, err := json.Marshal(s.Latency()())
 	if err != nil {
 		t.Fatal(err)
@@ -68,8 +75,8 @@
 			t.Errorf("got %v ms, want %v within 1%%", q.got, q.want)
 		}
 	}
-	if r.FirstToken.Count != 8000 {
-		t.Errorf("count = %d, want 8000", r.FirstToken.Count)
+	if r.FirstToken.Count != 8001 {
+		t.Errorf("count = %d, want 8001", r.FirstToken.Count)
 	}
 }
 
@@ -84,21 +91,13 @@
 	}
 }
 
-func BenchmarkTokenGap(b *testing.B) {
-	series := New().Series("reykjavik", spec.ClassInteractive)
+func BenchmarkRecord(b *testing.B) {
+	s := New()
 	b.ReportAllocs()
 	b.RunParallel(func(pb *testing.PB) {
 		for pb.Next() {
-			series.TokenGap(20 * time.Millisecond)
+			s.Inc(TokensGenerated)
+			s.Series("reykjavik", spec.ClassInteractive).TokenGap(20 * time.Millisecond)
 		}
 	})
 }
-
-func BenchmarkSeries(b *testing.B) {
-	s := New()
-	b.ReportAllocs()
-	for b.Loop() {
-		s.Inc(RequestsStarted)
-		s.Series("reykjavik", spec.ClassInteractive).FirstToken(time.Second)
-	}
-}
