node: report demand at arrival and pass wants to other domains

Cause: demand was counted when a request ended, which hides an overloaded model; an adapter of a model that is resident in another domain only was never loaded there.

Change: entry reports arrivals with their charge, and ends; the planner passes wants that only another domain can meet to one planner that can.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -238,6 +238,7 @@
 	c.onDemandBy = c.arrived.Add(onDemand)
 	c.prefixes = engine.Prefixes(c.spec.Name, c.in.Prompt)
 	c.retries.Budget.Request()
+	c.opts.Demand.Arrived(c.spec.Name, c.workspaceName(), c.adapter, c.tokens)
 	defer func() {
 		if c.charge != nil {
 			c.charge.Settle(c.used)
@@ -592,7 +593,6 @@
 			Model:     c.spec.Name,
 			Adapter:   c.adapter,
 			Workspace: c.workspaceName(),
-			Tokens:    c.used,
 			OnTarget:  onTarget,
 		})
 		return
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -33,7 +33,9 @@
 
 // Demand learns what callers ask for, so that the planner can place models.
 type Demand interface {
-	// Served counts a request that ended, with the tokens it used.
+	// Arrived counts an admitted request with the tokens it is charged.
+	Arrived(model, workspace, adapter string, tokens int64)
+	// Served counts a request that ended.
 	Served(s Usage)
 	// Wait reports a request that needs a model or adapter that is not
 	// resident, until done is called.
@@ -46,12 +48,11 @@
 	Suspect(endpoint string)
 }
 
-// Usage is what one request used.
+// Usage tells how one request ended.
 type Usage struct {
 	Model     string
 	Adapter   string
 	Workspace string
-	Tokens    int64
 	// OnTarget tells that the request met the latency target of its class.
 	OnTarget bool
 }
--- a/internal/node/demand.go
+++ b/internal/node/demand.go
@@ -43,29 +43,42 @@
 	}
 }
 
+// Arrived implements entry.Demand.
+func (b *board) Arrived(model, workspace, adapter string, tokens int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	e := b.entry(model, workspace, adapter)
+	e.Requests++
+	e.Tokens += tokens
+}
+
 // Served implements entry.Demand.
 func (b *board) Served(u entry.Usage) {
-	k := servedKey{
-		model:     u.Model,
-		workspace: u.Workspace,
-		adapter:   u.Adapter,
-	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	e := b.entry(u.Model, u.Workspace, u.Adapter)
+	e.Begun++
+	if u.OnTarget {
+		e.OnTarget++
+	}
+}
+
+func (b *board) entry(model, workspace, adapter string) *place.DemandEntry {
+	k := servedKey{
+		model:     model,
+		workspace: workspace,
+		adapter:   adapter,
+	}
 	e := b.served[k]
 	if e == nil {
 		e = &place.DemandEntry{
-			Model:     u.Model,
-			Workspace: u.Workspace,
-			Adapter:   u.Adapter,
+			Model:     model,
+			Workspace: workspace,
+			Adapter:   adapter,
 		}
 		b.served[k] = e
 	}
-	e.Requests++
-	e.Tokens += u.Tokens
-	if u.OnTarget {
-		e.OnTarget++
-	}
+	return e
 }
 
 // Wait implements entry.Demand.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -82,16 +82,17 @@
 	inputs    place.Inputs
 	planners  map[string]string
 	layouts   map[string]*place.Layout
-	// foreign are models that requests of the domain wait for and that no
-	// endpoint of the domain can hold; gone are endpoints listed as leaving.
-	foreign  map[string]place.Want
-	gone     map[string]bool
-	report   reporter
-	loads    map[string]wire.EndpointLoad
-	loadAt   map[string]time.Time
-	loadBusy map[string]bool
-	loadDue  time.Time
-	cacheSeq map[string]int64
+	// foreign are wants that only another domain can meet; gone are endpoints
+	// listed as leaving.
+	foreign   map[wantKey]place.Want
+	gone      map[string]bool
+	remoteDue time.Time
+	report    reporter
+	loads     map[string]wire.EndpointLoad
+	loadAt    map[string]time.Time
+	loadBusy  map[string]bool
+	loadDue   time.Time
+	cacheSeq  map[string]int64
 }
 
 func newLoop(n *Node) *loop {
@@ -110,7 +111,7 @@
 		deadSeen: make(map[peers.Process]bool),
 		planners: make(map[string]string),
 		layouts:  make(map[string]*place.Layout),
-		foreign:  make(map[string]place.Want),
+		foreign:  make(map[wantKey]place.Want),
 		loads:    make(map[string]wire.EndpointLoad),
 		loadAt:   make(map[string]time.Time),
 		loadBusy: make(map[string]bool),
--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -174,7 +174,10 @@
 		l.inputs.Config = nil
 		return
 	}
-	l.inputs.Remote = l.node.routes.Remote()
+	if !now.Before(l.remoteDue) {
+		l.remoteDue = now.Add(time.Second)
+		l.inputs.Remote = l.node.routes.Remote()
+	}
 	in := l.inputs
 	l.inputs = place.Inputs{}
 	for _, a := range l.manager.Step(now, in) {
@@ -352,17 +355,31 @@
 	})
 }
 
-// takeReport hands a report of the domain to the manager. Models that wait and
-// that no endpoint of the domain can hold are passed on to another domain.
+// takeReport hands a report of the domain to the manager. What requests wait for
+// and only another domain can provide is passed on.
 func (l *loop) takeReport(r place.DemandReport) {
 	l.inputs.Reports = append(l.inputs.Reports, r)
+	own := l.node.set.Node.Domain
 	for _, w := range r.Waiting {
-		if !l.canHold(w.Model, l.node.set.Node.Domain) {
-			l.foreign[w.Model] = w
+		if w.Adapter == "" && !l.canHold(w.Model, own) || w.Adapter != "" && !l.holds(w.Model, own) {
+			l.foreign[wantKey{model: w.Model, adapter: w.Adapter}] = w
 		}
 	}
 }
 
+// holds reports whether a domain has the model ready.
+func (l *loop) holds(model, domain string) bool {
+	held := l.layouts[domain]
+	if held == nil {
+		return false
+	}
+	return slices.ContainsFunc(held.Endpoints, func(e place.EndpointLayout) bool {
+		return slices.ContainsFunc(e.Models, func(m place.ModelLayout) bool {
+			return m.Model == model && m.Ready
+		})
+	})
+}
+
 // canHold reports whether an endpoint of the domain could be given the model.
 func (l *loop) canHold(model, domain string) bool {
 	cfg := l.view.Config()
@@ -377,19 +394,23 @@
 	})
 }
 
-// foreignReport is what the planner of another domain is asked to hold. Each
-// model goes to one domain that can hold it.
+// foreignReport is what the planner of another domain is asked for. Each want
+// goes to one domain that can meet it.
 func (l *loop) foreignReport(domain string) *place.DemandReport {
 	own := l.node.set.Node
 	var report *place.DemandReport
-	for name, w := range l.foreign {
+	for key, w := range l.foreign {
+		can := l.canHold
+		if w.Adapter != "" {
+			can = l.holds
+		}
 		var able []string
 		for d := range l.planners {
-			if d != own.Domain && l.canHold(name, d) {
+			if d != own.Domain && can(w.Model, d) {
 				able = append(able, d)
 			}
 		}
-		if rank.First("model/"+name, able) != domain {
+		if rank.First("model/"+w.Model, able) != domain {
 			continue
 		}
 		if report == nil {
@@ -401,7 +422,7 @@
 			}
 		}
 		report.Waiting = append(report.Waiting, w)
-		delete(l.foreign, name)
+		delete(l.foreign, key)
 	}
 	return report
 }
@@ -553,6 +574,7 @@
 			Seq:     have.Seq,
 			Full:    true,
 			Changed: have.Endpoints,
+			Demand:  have.Demand,
 		})
 	}
 	return out
