conn: check a request directly before its first byte

Cause: the key and the charge were checked before a connection was opened, which can take 2 s; a process paused in between sent the request with a permission that had ended.

Change: SendIf runs a check when the connection is there; entry checks key, charge and claim in it. A refusal is returned as not sent.

Result: TestCheckBeforeFirstByte passes: the server gets 2 of 3 requests.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -90,20 +90,28 @@
 // Send sends req with the body and returns the response. The error is a
 // *NotSentError when no byte was written.
 func (t *Transport) Send(req *http.Request, body []byte) (*http.Response, error) {
+	return t.SendIf(req, body, nil)
+}
+
+// SendIf is Send with a check that runs when a connection is there, directly
+// before the first byte is written. Its error is returned in a *NotSentError.
+func (t *Transport) SendIf(req *http.Request, body []byte, check func() error) (*http.Response, error) {
 	for attempt := 1; ; attempt++ {
-		res, reused, err := t.sendOnce(req, body)
+		p := &proof{
+			check: check,
+		}
+		res, err := t.sendOnce(req, body, p)
 		if err == nil {
 			return res, nil
 		}
 		var notSent *NotSentError
-		if !errors.As(err, &notSent) || !reused || attempt == maxAttempts || req.Context().Err() != nil {
+		if !errors.As(err, &notSent) || !p.reused.Load() || p.refused != nil || attempt == maxAttempts || req.Context().Err() != nil {
 			return nil, err
 		}
 	}
 }
 
-func (t *Transport) sendOnce(req *http.Request, body []byte) (*http.Response, bool, error) {
-	var p proof
+func (t *Transport) sendOnce(req *http.Request, body []byte, p *proof) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{
 		GotConn: p.gotConn,
 	}
@@ -119,12 +127,15 @@
 	}
 	res, err := t.base.RoundTrip(out)
 	if err == nil {
-		return res, false, nil
+		return res, nil
 	}
 	if p.seal() {
-		return nil, p.reused.Load(), &NotSentError{Err: err}
+		if p.refused != nil {
+			err = p.refused
+		}
+		return nil, &NotSentError{Err: err}
 	}
-	return nil, false, err
+	return nil, err
 }
 
 // onceBody is a request body of a type that http.Transport cannot rewind.
@@ -142,6 +153,9 @@
 	starts []int64
 	opaque bool
 	reused atomic.Bool
+	// check may refuse the request; refused is its error.
+	check   func() error
+	refused error
 }
 
 func (p *proof) gotConn(info httptrace.GotConnInfo) {
@@ -157,6 +171,13 @@
 	}
 	p.conns = append(p.conns, c)
 	p.starts = append(p.starts, c.count())
+	if p.check == nil {
+		return
+	}
+	if p.refused = p.check(); p.refused != nil {
+		// The write of the request fails and the connection is dropped.
+		c.seal(c.count())
+	}
 }
 
 // seal reports whether nothing was written, and makes sure that nothing will be.
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -162,3 +163,33 @@
 		t.Error("a connection with a write in progress counts as unused")
 	}
 }
+
+// TestCheckBeforeFirstByte guards against sending a request whose permission
+// ended while a connection was opened.
+func TestCheckBeforeFirstByte(t *testing.T) {
+	var requests atomic.Int64
+	srv := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+		requests.Add(1)
+	}))
+	defer srv.Close()
+	tr, release := NewTransport(Options{})
+	defer release()
+	refused := errors.New("too late")
+	for _, want := range []error{nil, refused, nil} {
+		req, err := http.NewRequest(http.MethodPost, srv.URL, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := tr.SendIf(req, []byte("x"), func() error { return want })
+		if err == nil {
+			res.Body.Close()
+		}
+		var notSent *NotSentError
+		if !errors.Is(err, want) || want != nil && !errors.As(err, &notSent) {
+			t.Errorf("error is %v, want %v", err, want)
+		}
+	}
+	if n := requests.Load(); n != 2 {
+		t.Errorf("the server got %d requests, want 2", n)
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -116,6 +116,9 @@
 	Body   []byte
 	// RequestID is sent as X-Request-Id and must be echoed.
 	RequestID string
+	// Check, when set, runs directly before the first byte is written. Its error
+	// is returned in a *NotSentError.
+	Check func() error
 }
 
 // Answer is a complete response.
@@ -428,7 +431,7 @@
 		req.Header.Set("Content-Type", "application/json")
 	}
 	req.Header.Set("X-Request-Id", call.RequestID)
-	res, err := c.transport.Send(req, call.Body)
+	res, err := c.transport.SendIf(req, call.Body, call.Check)
 	if err != nil {
 		var notSent *NotSentError
 		if errors.As(err, &notSent) {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -291,9 +291,6 @@
 		return c.queueProblem(err), false
 	}
 	defer release()
-	if p := c.begin(); p != nil {
-		return p, false
-	}
 	req := c.routeRequest()
 	if c.attempts == 0 {
 		c.opts.Routes.Start(choice, req)
@@ -308,7 +305,7 @@
 	outcome := outcomeOf(err)
 	ejected := c.opts.Routes.Finish(choice, route.Outcome{
 		Now:        c.opts.Clock.Now(),
-		Failed:     outcome != once.Answered && c.ctx.Err() == nil && outcome != once.Declined,
+		Failed:     c.blames(err, outcome),
 		FirstToken: c.timing.firstToken,
 	})
 	if ejected {
@@ -322,12 +319,22 @@
 	if err == nil {
 		return nil, false
 	}
+	var refused *refusal
+	if errors.As(err, &refused) {
+		return refused.problem, false
+	}
 	if c.ctx.Err() != nil {
 		go c.cancelAt(choice.Address)
 	}
 	return c.judge(err, outcome, choice)
 }
 
+// blames reports whether the endpoint is to blame for the error of an attempt.
+func (c *completion) blames(err error, outcome once.Outcome) bool {
+	var refused *refusal
+	return outcome != once.Answered && outcome != once.Declined && c.ctx.Err() == nil && !errors.As(err, &refused)
+}
+
 // begin checks directly before the first byte whether the key and the charge
 // still count; the process may have been paused since they were checked.
 func (c *completion) begin() *problem {
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -258,9 +258,6 @@
 			RetryAfter: 2 * time.Second,
 		}, false
 	}
-	if p := c.begin(); p != nil {
-		return nil, p, false
-	}
 	if c.attempts == 0 {
 		c.opts.Routes.Start(choice, req)
 	} else {
@@ -274,15 +271,21 @@
 		Header:    c.r.Header,
 		Body:      c.body,
 		RequestID: c.id,
+		Check:     checked(c.begin),
 	})
+	var refused *refusal
+	isRefused := errors.As(err, &refused)
 	outcome := outcomeOf(err)
 	if err == nil && answer.Status >= http.StatusInternalServerError {
 		outcome = once.Faulted
 	}
 	c.opts.Routes.Finish(choice, route.Outcome{
 		Now:    c.opts.Clock.Now(),
-		Failed: outcome != once.Answered && c.ctx.Err() == nil,
+		Failed: outcome != once.Answered && c.ctx.Err() == nil && !isRefused,
 	})
+	if isRefused {
+		return nil, refused.problem, false
+	}
 	return c.judge(answer, outcome, choice)
 }
 
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -65,3 +65,25 @@
 	data := append([]byte("event: error\ndata: "), p.body(requestID)...)
 	_, _ = w.Write(append(data, '\n'))
 }
+
+// refusal is a problem as the error of a check before the first byte.
+type refusal struct {
+	problem *problem
+}
+
+// Error implements error.
+func (r *refusal) Error() string {
+	return r.problem.Message
+}
+
+// checked turns a check of this package into one of package engine.
+func checked(check func() *problem) func() error {
+	return func() error {
+		if p := check(); p != nil {
+			return &refusal{
+				problem: p,
+			}
+		}
+		return nil
+	}
+}
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -79,6 +79,7 @@
 		Header:    header,
 		Body:      c.body,
 		RequestID: c.id,
+		Check:     checked(c.begin),
 	}
 	if c.in.Stream {
 		return c.sendStream(call)
