route: leave out endpoints that cannot be reached

Cause: a model whose only replicas were behind a partition was still routed there, so that its requests failed and nobody asked for it to be loaded in the own domain. The planner also counted those replicas as near.

Change: isolated domains are no candidates and no remote replicas; a model that is only there counts as not resident. The fuzz of the manager draws LRU swapping in half of its runs, and the benchmark of a step reports the size of layouts.

--- a/internal/place/bench_test.go
+++ b/internal/place/bench_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"trefoildale.example/trefoildale/internal/engine"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
@@ -119,6 +121,23 @@
 			}
 			runtime.GC()
 			runtime.ReadMemStats(&after)
+			full, err := cbor.Marshal(m.Reply(engine.Fence{}, 0))
+			if err != nil {
+				b.Fatal(err)
+			}
+			held, deltas := m.Layout(), 0
+			for range 60 {
+				now = now.Add(time.Second)
+				m.Step(now, next())
+				data, err := cbor.Marshal(m.Reply(held.Term, held.Seq))
+				if err != nil {
+					b.Fatal(err)
+				}
+				deltas += len(data)
+				held = m.Layout()
+			}
+			b.ReportMetric(float64(len(full)), "full-layout-B")
+			b.ReportMetric(float64(deltas)/60, "delta-B/s")
 			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB-held")
 			runtime.KeepAlive(m)
 		})
--- a/internal/place/fuzz_test.go
+++ b/internal/place/fuzz_test.go
@@ -84,6 +84,11 @@
 			slow++
 			return []time.Duration{0, time.Second, 5 * time.Second, 0, 40 * time.Second}[slow%5]
 		})
+		if rapid.Bool().Draw(t, "lru") {
+			// Swapping in LRU order moves more and protects nothing.
+			w.set.Policy = NewLRU()
+			w.procs = []*process{w.join(), w.join()}
+		}
 		names := []string{"e0", "e1", "e2", "e3"}
 		check := func() {
 			if s := w.overcommitted(); s != "" {
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -19,7 +19,8 @@
 	// ErrNotResident means that no endpoint has the model. The caller reports
 	// it as wanted and waits within the model's on-demand bound.
 	ErrNotResident = errors.New("route: model is not resident")
-	// ErrNoEndpoint means that every endpoint that could serve is leaving or excluded.
+	// ErrNoEndpoint means that every endpoint that could serve is leaving or
+	// excluded. The caller reports the model as wanted as well.
 	ErrNoEndpoint = errors.New("route: no endpoint takes new work")
 )
 
@@ -247,7 +248,11 @@
 	for i := range list {
 		c := &list[i]
 		e := c.end
+		d := e.dom.Load()
 		switch {
+		case d.isolated.Load():
+			out.Unhealthy++
+			continue
 		case e.leaving():
 			out.Leaving++
 			continue
@@ -276,7 +281,6 @@
 		if r.Adapter != "" && !slices.Contains(c.adapters, r.Adapter) {
 			x.base += adapterCost
 		}
-		d := e.dom.Load()
 		x.base += d.distance.Seconds()
 		if d.unhealthy() {
 			out.Unhealthy++
@@ -294,9 +298,14 @@
 		Candidates: len(list),
 	}
 	t.filter(r, list, nil, &out)
+	isolated := 0
 	var best *candidate
 	for i := range list {
 		c := &list[i]
+		if c.end.dom.Load().isolated.Load() {
+			isolated++
+			continue
+		}
 		if c.end.leaving() || slices.Contains(r.Exclude, c.end.spec.Name) {
 			continue
 		}
@@ -304,6 +313,9 @@
 			best = c
 		}
 	}
+	if isolated == len(list) {
+		return Choice{}, fmt.Errorf("%w: %s%s is only in domains that cannot be reached", ErrNotResident, r.Model, r.Service)
+	}
 	if best == nil {
 		return Choice{}, fmt.Errorf("%w: %s%s has %d endpoints, %d leaving, %d excluded", ErrNoEndpoint, r.Model, r.Service, len(list), out.Leaving, out.Excluded)
 	}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -159,10 +159,10 @@
 	size     int32
 }
 
-// unhealthy reports whether the domain is avoided: it was reported as
-// unreachable, or at least half of three or more endpoints there are ejected.
+// unhealthy reports whether the domain is avoided while others can serve: at
+// least half of three or more endpoints there are ejected.
 func (d *domain) unhealthy() bool {
-	return d.isolated.Load() || d.size >= 3 && d.ejected.Load()*2 >= d.size
+	return d.size >= 3 && d.ejected.Load()*2 >= d.size
 }
 
 // NewTable returns a table without endpoints.
@@ -428,7 +428,9 @@
 	}
 }
 
-// SetIsolated takes over which domains cannot be reached from here.
+// SetIsolated takes over which domains cannot be reached from here. Their
+// endpoints are not chosen; a model that is only there counts as not resident,
+// so that it is loaded here.
 func (t *Table) SetIsolated(names map[string]bool) {
 	for name, d := range *t.domains.Load() {
 		d.isolated.Store(names[name])
@@ -459,7 +461,8 @@
 	var near []place.Layout
 	domains := *t.domains.Load()
 	for _, name := range slices.Sorted(maps.Keys(t.layouts)) {
-		if d := domains[name]; name != t.set.Domain && d != nil && d.distance < t.set.OtherRegion {
+		// What cannot be reached from here does not serve this domain's requests.
+		if d := domains[name]; name != t.set.Domain && d != nil && d.distance < t.set.OtherRegion && !d.isolated.Load() {
 			near = append(near, t.layouts[name])
 		}
 	}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -172,6 +172,10 @@
 	if c.Domain != "far" || c.Unhealthy != 3 || c.Distance != 30*time.Millisecond {
 		t.Errorf("choice %+v", c)
 	}
+	tab.SetIsolated(map[string]bool{"near": true, "far": true})
+	if _, err := tab.Pick(request(0)); !errors.Is(err, ErrNotResident) {
+		t.Errorf("error %v, want ErrNotResident for a model that cannot be reached", err)
+	}
 	tab.SetIsolated(nil)
 	if r := tab.Remote(); len(r) != 0 {
 		t.Errorf("a domain of another region counts as near: %v", r)
