peers: accept proofs only for processes known before the probe

A control loop that uses one time for a batch could learn of a process at the instant at which an earlier probe was sent, and take the late response of its predecessor for a proof of its death. A proof now needs a process that was known strictly before. Proofs are told to the own domain only. audit's record is also tested between goroutines.

--- a/internal/audit/audit_test.go
+++ b/internal/audit/audit_test.go
@@ -5,6 +5,7 @@
 	"regexp"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -16,23 +17,9 @@
 // full has every field set, to something that can be found in a sentence.
 func full(r Reason) Event {
 	return Event{
-		Reason:     r,
-		Node:       "vm-3",
-		Request:    "3-7k-19",
-		Workspace:  "lanes",
-		Model:      "mistral-7",
-		Endpoint:   "eng-4",
-		Domain:     "north",
-		Key:        "desk-2",
-		Other:      "eng-5",
-		NotRun:     true,
-		Wanted:     12345,
-		Available:  678,
-		Limit:      4096,
-		Count:      17,
-		Revision:   2026,
-		Wait:       3 * time.Second,
-		RetryAfter: 90 * time.Second,
+		Reason: r, Node: "vm-3", Request: "3-7k-19", Workspace: "lanes", Model: "mistral-7", Endpoint: "eng-4",
+		Domain: "north", Key: "desk-2", Other: "eng-5", NotRun: true, Wanted: 12345, Available: 678, Limit: 4096,
+		Count: 17, Revision: 2026, Wait: 3 * time.Second, RetryAfter: 90 * time.Second,
 	}
 }
 
@@ -98,7 +85,8 @@
 }
 
 // Guards against answers that differ from a plain list of the newest events,
-// after the ring has been overwritten several times.
+// after the ring has been overwritten several times, and events lost between
+// goroutines.
 func TestAnswersMatchAPlainList(t *testing.T) {
 	fake := clock.NewFake()
 	const size = 64
@@ -149,8 +137,19 @@
 	if len(l.requests.last) > size {
 		t.Errorf("the index holds %d requests for %d events", len(l.requests.last), size)
 	}
-	if got := l.Count(OverRate); got != 1000 {
-		t.Errorf("counted %d, want 1000", got)
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			for _, e := range kept {
+				l.Record(e)
+				l.Served(e.Workspace, false)
+				l.Answer(Query{Request: e.Request})
+			}
+		})
+	}
+	wg.Wait()
+	if got := l.Count(OverRate); got != 1000+4*size {
+		t.Errorf("counted %d, want %d", got, 1000+4*size)
 	}
 }
 
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"maps"
@@ -49,9 +50,8 @@
 // and what arrives is handled late.
 type node struct {
 	*Peers
-	paused bool
-	inbox  []func()
-	// messages and bytes count what the node sends and receives as requests.
+	paused                bool
+	inbox                 []func()
 	sent, received, bytes int
 }
 
@@ -150,16 +150,11 @@
 // wire passes a message through its encoding and its validation.
 func wire[M interface{ Validate() error }](from, to *node, m M) M {
 	data, err := cbor.Marshal(m)
-	if err != nil {
-		panic(err)
-	}
 	from.bytes += len(data)
 	to.bytes += len(data)
 	var out M
-	if err := cbor.Unmarshal(data, &out); err != nil {
-		panic(err)
-	}
-	if err := out.Validate(); err != nil {
+	err = errors.Join(err, cbor.Unmarshal(data, &out))
+	if err = errors.Join(err, out.Validate()); err != nil {
 		panic(err)
 	}
 	return out
--- a/internal/peers/step.go
+++ b/internal/peers/step.go
@@ -92,6 +92,9 @@
 		}
 		v.behind = nil
 	}
+	if to.Domain != p.set.Domain {
+		return h
+	}
 	for _, pr := range p.procs {
 		if !pr.died.IsZero() && p.now.Sub(pr.died) < tellDeaths {
 			m := pr.Member
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -324,7 +324,7 @@
 			pr.verify = false
 			continue
 		}
-		if !pr.learned.After(pb.Sent) {
+		if pr.learned.Before(pb.Sent) {
 			p.die(pr)
 		}
 	}
@@ -342,7 +342,7 @@
 	if f == Refused {
 		// The process listened when it was heard, and no longer does.
 		for _, pr := range p.procs {
-			if pr.Address == pb.To.Address && !pr.learned.After(pb.Sent) {
+			if pr.Address == pb.To.Address && pr.learned.Before(pb.Sent) {
 				p.die(pr)
 			}
 		}
