local: end a node at once

Cause: experiments need the loss of an entry VM, and only a planned stop was possible. Change: Fleet.KillNode ends a node by its name and takes its VM off the platform's list.

--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -67,6 +67,8 @@
 
 	opts  Options
 	stops []func()
+	// kills ends nodes by name.
+	kills map[string]func()
 }
 
 // startTimeout bounds the wait until the nodes are ready.
@@ -83,6 +85,7 @@
 		Services: make(map[string]*plain.Service),
 		Config:   opts.Config,
 		opts:     opts,
+		kills:    make(map[string]func()),
 	}
 	if err := f.start(); err != nil {
 		f.close()
@@ -239,6 +242,7 @@
 		f.opts.Network.place(n.PeersAddr, domain)
 	}
 	f.onClose(stop)
+	f.kills[name] = stop
 	f.Nodes = append(f.Nodes, n)
 	f.Platform.PutVM(store.VM{
 		Name:    name,
@@ -248,6 +252,19 @@
 	return n, nil
 }
 
+// KillNode ends an entry node at once, as the loss of its VM does. It stays in
+// Nodes.
+func (f *Fleet) KillNode(name string) error {
+	kill := f.kills[name]
+	if kill == nil {
+		return fmt.Errorf("kill node: no node %q", name)
+	}
+	delete(f.kills, name)
+	kill()
+	f.Platform.DeleteVM(name)
+	return nil
+}
+
 // Admin returns an operators' client of a node.
 func (f *Fleet) Admin(i int) (*admin.Client, error) {
 	return admin.New(f.Nodes[i].AdminAddr, nil)
