cost: measure what control costs a node

Change: trefload cost starts fleets without requests and prints processor time, memory, messages and platform requests for each size.

--- a/internal/cmds/trefload.go
+++ b/internal/cmds/trefload.go
@@ -20,6 +20,7 @@
 	loadRunCommand,
 	loadReportCommand,
 	loadOverheadCommand,
+	loadCostCommand,
 }
 
 // Trefload returns the program for load and experiments.
