feed: state the limit of leaving out silent nodes

Cause: a trial of the withdrawal fuzz with Members.Live in place of the fixed list of nodes found one sequence in 60,000 in which a node was fresh for 9.9 s after a higher revision was acknowledged: every node that knew of it had been restarted or paused for more than 10 s.

The fuzz keeps the fixed list, under which no node is left out.

--- a/internal/feed/fleet.go
+++ b/internal/feed/fleet.go
@@ -100,8 +100,11 @@
 // silentAfter is how long a node may give no word before it is left out of the
 // word of its domain. Until then its silence keeps every domain from vouching.
 // A revision that was acknowledged has spread to at least two other nodes, which
-// pass it on several times a second, so that after this time it is lost only if
-// all of them fell silent at once.
+// pass it on several times a second. It is forgotten only if all that heard of
+// it die, or stay silent for this long, before they pass it on, and the table
+// stops responding before another node reads it. A caller that does not accept
+// this leaves out Live and waits for proof of death; a paused node then keeps
+// all domains from vouching while the table is down.
 const silentAfter = 10 * time.Second
 
 type member struct {
