place: bound the reads of states under way

Cause: a takeover read the states of all 87 endpoints of a domain at once, about 170 KB against 5 KB/s of control traffic.

Change: at most 16 reads are under way; endpoints that do not answer are asked less and less often, and each step starts at another endpoint.

Result: TestDeadEndpoints reads the last of 21 endpoints within 10 s while 20 do not answer.

--- a/internal/place/drive.go
+++ b/internal/place/drive.go
@@ -73,11 +73,13 @@
 func (m *Manager) drive(now time.Time, e *endpoint, out []Action) []Action {
 	if !e.readAsked.IsZero() && now.Sub(e.readAsked) >= m.set.AnswerWait {
 		e.readAsked = time.Time{}
-		e.fails++
+		m.reads--
+		m.unread(now, e)
 		m.counters.LostAnswers++
 	}
-	if e.readAsked.IsZero() && (e.wantRead || !now.Before(e.nextRead)) && (e.fails == 0 || !now.Before(e.nextRead)) {
+	if m.reads < m.set.Reads && e.readAsked.IsZero() && (e.wantRead || !now.Before(e.nextRead)) && (e.fails == 0 || !now.Before(e.nextRead)) {
 		e.readAsked, e.wantRead = now, false
+		m.reads++
 		e.nextRead = now.Add(m.set.AnswerWait)
 		out = append(out, ReadState{
 			Endpoint: e.Name,
@@ -94,6 +96,13 @@
 	return m.driveMove(now, e, out)
 }
 
+// unread notes that an endpoint did not give its state. It is asked less and
+// less often, so that dead endpoints do not hold up the others.
+func (m *Manager) unread(now time.Time, e *endpoint) {
+	e.fails++
+	e.nextRead = now.Add(min(m.set.StateEvery, m.set.AnswerWait<<min(e.fails-1, 6)))
+}
+
 // driveOrders asks about orders without a final word and sends them again when
 // the endpoint has not seen them.
 func (m *Manager) driveOrders(now time.Time, e *endpoint, out []Action) []Action {
--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -33,6 +33,9 @@
 	// StateEvery is the time between two reads of an endpoint's state while
 	// nothing happens there (default 30 s: 87 endpoints of 2 KB at 5 KB/s).
 	StateEvery time.Duration
+	// Reads bounds the reads of states under way at once, so that a takeover is
+	// no burst of all endpoints' states (default 16).
+	Reads int
 	// PlanEvery is the time between two plans (default 1 s).
 	PlanEvery time.Duration
 	// Drain is the time between taking an item out of the layout and unloading
@@ -74,6 +77,9 @@
 	if s.StateEvery <= 0 {
 		s.StateEvery = 30 * time.Second
 	}
+	if s.Reads <= 0 {
+		s.Reads = 16
+	}
 	if s.PlanEvery <= 0 {
 		s.PlanEvery = time.Second
 	}
@@ -97,7 +103,8 @@
 	}
 }
 
-// Authority is what allows a manager to give orders. The zero value allows nothing.
+// Authority is what allows a manager to give orders. The zero value allows
+// nothing. The first three fields come from the domain's lease.
 type Authority struct {
 	// Until is the end of the lease's validity on the manager's clock.
 	Until time.Time
@@ -285,6 +292,8 @@
 	begun    bool
 	nextPlan time.Time
 	nextID   int64
+	reads    int // states being read
+	turn     int
 	loadTime time.Duration
 
 	seq       int64
@@ -354,8 +363,17 @@
 		return nil
 	}
 	var out []Action
-	for _, name := range m.names {
-		out = m.drive(now, m.eps[name], out)
+	m.reads = 0
+	for _, e := range m.eps {
+		if !e.readAsked.IsZero() {
+			m.reads++
+		}
+	}
+	// Each step starts at another endpoint, so that none is always the last to
+	// be read.
+	m.turn++
+	for i := range m.names {
+		out = m.drive(now, m.eps[m.names[(i+m.turn)%len(m.names)]], out)
 	}
 	if !now.Before(m.nextPlan) {
 		m.nextPlan = now.Add(m.set.PlanEvery)
--- a/internal/place/place_test.go
+++ b/internal/place/place_test.go
@@ -325,3 +325,43 @@
 		t.Errorf("three endpoints are divided: %v", moves)
 	}
 }
+
+// Guards against dead endpoints that keep a manager from reading the others.
+func TestDeadEndpoints(t *testing.T) {
+	cfg := fuzzConfig()
+	for i := range 21 {
+		cfg.Endpoints = append(cfg.Endpoints, spec.Endpoint{
+			Name:      fmt.Sprintf("e%02d", i),
+			Service:   "chat",
+			Domain:    "north",
+			MemoryMiB: 100,
+		})
+	}
+	m := NewManager(Settings{
+		Domain: "north",
+		Node:   1,
+	})
+	now := time.Unix(1_000_000, 0)
+	in := Inputs{
+		Config: cfg,
+	}
+	for range 20 {
+		in.Authority = Authority{
+			Until: now.Add(10 * time.Second),
+			Since: time.Unix(1_000_000, 0),
+			Epoch: 1,
+		}
+		actions := m.Step(now, in)
+		if len(actions) > 16 {
+			t.Fatalf("%d reads at once", len(actions))
+		}
+		for _, a := range actions {
+			if a.(ReadState).Endpoint == "e20" {
+				return
+			}
+		}
+		in = Inputs{}
+		now = now.Add(500 * time.Millisecond)
+	}
+	t.Error("20 endpoints that do not answer keep the last one from being read for 10 s")
+}
--- a/internal/place/result.go
+++ b/internal/place/result.go
@@ -18,8 +18,7 @@
 		e.readAsked = time.Time{}
 	}
 	if r.Err != nil {
-		e.fails++
-		e.nextRead = now.Add(m.set.AnswerWait)
+		m.unread(now, e)
 		return
 	}
 	before := e.ledger.Incarnation()
