peers: stop asking for a list that was pushed

A list that arrived inside a request stayed in the set of lists to ask for until some response carried it, so that it was transferred twice.

--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -620,6 +620,7 @@
 
 // adopt takes a list that replaces the one held.
 func (p *Peers) adopt(l List) {
+	delete(p.want, l.Domain)
 	if !p.kept(l.Domain) {
 		return
 	}
--- a/internal/peers/sync.go
+++ b/internal/peers/sync.go
@@ -237,7 +237,6 @@
 		p.compare(v, w.Heads)
 	}
 	for _, l := range w.Lists {
-		delete(p.want, l.Domain)
 		p.adopt(l)
 	}
 	p.publish()
