fair: keep a configured reserve when the limit changes

Cause: SetLimit replaced the reserve with the default one. Change: the default is computed when it is used. The skew test of quota also runs with one or two known nodes of each other domain, which pass draws on.

--- a/internal/fair/queue.go
+++ b/internal/fair/queue.go
@@ -33,7 +33,8 @@
 	Limit int
 	// Reserve is the part of Limit that a workspace above its fair part may not
 	// use while others are active. Running requests are not interrupted, so
-	// without it every arrival of the others waits for one of them to end.
+	// without it every arrival of the others waits for one of them to end. The
+	// default is an eighth of Limit.
 	Reserve int
 	// MaxQueue bounds the waiting requests.
 	MaxQueue int
@@ -117,9 +118,6 @@
 	if opts.Limit <= 0 {
 		opts.Limit = DefaultLimit
 	}
-	if opts.Reserve <= 0 {
-		opts.Reserve = defaultReserve(opts.Limit)
-	}
 	if opts.MaxQueue <= 0 {
 		opts.MaxQueue = DefaultMaxQueue
 	}
@@ -138,18 +136,21 @@
 	}
 }
 
-func defaultReserve(limit int) int {
-	return limit / 8
+// reserve is Options.Reserve, or an eighth of the limit.
+func (q *Queue) reserve() int {
+	if q.opts.Reserve > 0 {
+		return min(q.opts.Reserve, q.opts.Limit-1)
+	}
+	return q.opts.Limit / 8
 }
 
 // SetLimit changes how many requests the endpoint gets at once. Running
 // requests go on when it is lowered.
 func (q *Queue) SetLimit(limit int) {
 	q.opts.Limit = max(1, limit)
-	q.opts.Reserve = defaultReserve(q.opts.Limit)
 }
 
-// Waiting and Running are the numbers of requests in each state.
+// Waiting is the number of requests in the queue.
 func (q *Queue) Waiting() int { return q.waiting }
 
 // Running is the number of requests at the endpoint.
@@ -247,7 +248,7 @@
 		if lowest < 0 || f.start < lowest {
 			lowest = f.start
 		}
-		if active > 1 && q.running >= q.opts.Limit-q.opts.Reserve &&
+		if active > 1 && q.running >= q.opts.Limit-q.reserve() &&
 			f.start >= q.virtual && float64(f.running) >= float64(q.opts.Limit)*f.weight/weights {
 			continue
 		}
--- a/internal/quota/fleet_test.go
+++ b/internal/quota/fleet_test.go
@@ -33,6 +33,8 @@
 	unknown    float64 // probability that a table answer is lost
 	rows       map[string]store.Row
 
+	relays int // known nodes of each other domain; 0 means all
+
 	messages, bytes int
 	size            func(v any) int
 }
@@ -316,7 +318,7 @@
 	for _, o := range seen {
 		if o.domain == s.domain {
 			local = append(local, o.name)
-		} else {
+		} else if s.f.relays == 0 || len(pools[o.domain]) < s.f.relays {
 			pools[o.domain] = append(pools[o.domain], o.name)
 		}
 	}
--- a/internal/quota/skew_test.go
+++ b/internal/quota/skew_test.go
@@ -172,6 +172,8 @@
 	for hot := range 3 {
 		fl := newFleet(uint64(hot)+7, 3, 3, &faults{})
 		fl.nodes = fl.nodes[:8]
+		// Of other domains all nodes, one or two are known; the latter pass draws on.
+		fl.relays = hot
 		cfg := &spec.Config{
 			Revision:   1,
 			Workspaces: workspaces,
