--- a/internal/cmds/trefload.go
+++ b/internal/cmds/trefload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"fmt"
 	"io"
 	"os"
@@ -112,8 +113,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("open the log of the fleet: %w", err)
 	}
-	klog.LogToStderr(false)
-	klog.SetOutput(f)
+	setLogOutput(f)
 	return func() {
 		klog.Flush()
 		klog.SetOutput(io.Discard)
@@ -121,6 +121,16 @@
 	}, nil
 }
 
+func setLogOutput(w io.Writer) {
+	klog.LogToStderr(false)
+	// Otherwise lines about errors go to stderr as well.
+	fs := flag.NewFlagSet("klog", flag.ContinueOnError)
+	klog.InitFlags(fs)
+	_ = fs.Set("logtostderr", "false")
+	_ = fs.Set("stderrthreshold", "FATAL")
+	klog.SetOutput(w)
+}
+
 func loadReportCommand() *cli.Command {
 	return &cli.Command{
 		Name:      "report",
@@ -195,8 +205,7 @@
 	if opts.Rate <= 0 || opts.DirectRate <= 0 || opts.Duration <= 0 || opts.Duration > time.Minute || opts.Engines < 1 || opts.Tokens < 1 {
 		return Usagef("%s: rates, engines and tokens must be above 0, and the duration at most 1m", cmd.FullName())
 	}
-	klog.LogToStderr(false)
-	klog.SetOutput(io.Discard)
+	setLogOutput(io.Discard)
 	o, err := load.MeasureOverhead(ctx, opts)
 	if err != nil {
 		return err
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -122,6 +122,10 @@
 	if key := c.keys[a.Workspace]; key != "" {
 		req.Header.Set("Authorization", "Bearer "+key)
 	}
+	if c.keys == nil {
+		// An engine wants the id that an entry node would send.
+		req.Header.Set("X-Request-Id", a.ID)
+	}
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Priority", string(a.Class))
 	return c.client.Do(req)
--- a/internal/load/ideal.go
+++ b/internal/load/ideal.go
@@ -9,8 +9,31 @@
 	at                 time.Duration
 }
 
-func newBucket(rate float64, burst int64) *bucket {
-	return &bucket{rate: rate, burst: float64(burst), level: float64(burst)}
+func newBucket(rate float64, burst int64, level float64) *bucket {
+	return &bucket{
+		rate:  rate,
+		burst: float64(burst),
+		level: level,
+	}
+}
+
+// allowance bounds what a workspace is entitled to. Nobody outside the fleet
+// knows the level at the start of a run: the low bucket, which decides about
+// refusals, starts empty, and the high one, which decides about excess, full.
+type allowance struct {
+	low, high *bucket
+}
+
+func newAllowance(rate float64, burst int64) allowance {
+	return allowance{
+		low:  newBucket(rate, burst, 0),
+		high: newBucket(rate, burst, float64(burst)),
+	}
+}
+
+func (a allowance) take(at time.Duration, tokens int64) {
+	a.low.take(at, tokens)
+	a.high.take(at, tokens)
 }
 
 // refill brings the level up to an instant; earlier instants change nothing.
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -4,13 +4,16 @@
 	"cmp"
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"time"
 
 	hdr "github.com/HdrHistogram/hdrhistogram-go"
 
+	"trefoildale.example/trefoildale/internal/limit"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
 
@@ -47,6 +50,9 @@
 	Events   []Event        `json:"events,omitempty"`
 	Compared []QuietCompare `json:"compared-without,omitempty"`
 	Without  string         `json:"without,omitempty"`
+
+	// requests is the table of all requests.
+	requests string
 }
 
 // Group holds the latencies of a workspace and class, or of a class.
@@ -243,11 +249,14 @@
 	fateFailed
 )
 
+var fateNames = []string{"served", "over-rate", "wrongly-refused", "other-refused", "failed"}
+
 // rateCodes are the codes of refusals on account of the rate.
 var rateCodes = []string{"over-rate", "over-burst", "rate-unreachable"}
 
 // fates decides about each request. A refusal for the rate is wrong when an
-// ideal bucket, charged with what the fleet really admitted, held the tokens.
+// ideal bucket, charged with what the fleet really admitted, held the tokens
+// from the sending until the refusal.
 func fates(records []Record, workspaces []spec.Workspace) (out []fate, overspent map[string]int64) {
 	out = make([]fate, len(records))
 	overspent = map[string]int64{}
@@ -264,18 +273,24 @@
 		changes = append(changes, change{at: r.Sent, record: i}, change{at: r.Sent + r.Total, record: i, end: true})
 	}
 	slices.SortStableFunc(changes, func(a, b change) int { return cmp.Compare(a.at, b.at) })
-	buckets := map[string]*bucket{}
+	allowances := map[string]allowance{}
 	for _, w := range workspaces {
-		buckets[w.Name] = newBucket(w.RateTokensPerSecond, w.BurstTokens)
+		allowances[w.Name] = newAllowance(w.RateTokensPerSecond, w.BurstTokens)
 	}
 	for _, c := range changes {
 		r := &records[c.record]
-		b := buckets[r.Arrival.Workspace]
+		b, known := allowances[r.Arrival.Workspace]
 		tokens := r.Arrival.Tokens()
 		refused := slices.Contains(rateCodes, r.Code)
 		switch {
-		case b == nil:
-		case c.end && !refused && !r.Served:
+		case !known:
+		case c.end && refused:
+			// The fleet may wait for tokens before it refuses, and the bucket may
+			// have been emptied in the meantime.
+			if out[c.record] == fateWrongly && !b.low.holds(c.at, tokens) {
+				out[c.record] = fateOverRate
+			}
+		case c.end && !r.Served:
 			used := int64(0)
 			if r.Tokens > 0 {
 				used = r.Arrival.PromptTokens + r.Tokens
@@ -284,13 +299,15 @@
 		case c.end:
 		case refused:
 			out[c.record] = fateOverRate
-			if b.holds(c.at, tokens) {
+			if b.low.holds(c.at, tokens) {
 				out[c.record] = fateWrongly
 			}
 		default:
 			out[c.record] = fateOf(r)
 			b.take(c.at, tokens)
-			overspent[r.Arrival.Workspace] = max(overspent[r.Arrival.Workspace], int64(-b.level))
+			// The fleet may have admitted the request this much later.
+			waited := b.high.rate * limit.DefaultMaxWait.Seconds()
+			overspent[r.Arrival.Workspace] = max(overspent[r.Arrival.Workspace], int64(-b.high.level-waited))
 		}
 	}
 	return out, overspent
@@ -300,7 +317,7 @@
 	switch {
 	case r.Served:
 		return fateServed
-	case r.NotRun:
+	case r.NotRun, r.Status == http.StatusConflict, r.Status == http.StatusServiceUnavailable:
 		return fateOther
 	}
 	return fateFailed
@@ -391,6 +408,7 @@
 	res.SendLag = latencyOf(lag)
 	r.readStands(res)
 	res.Timeline = r.timeline()
+	res.requests = r.writeRequests(fate)
 	return res
 }
 
@@ -413,6 +431,8 @@
 	switch {
 	case r.Code != "":
 		return r.Code
+	case r.Status == http.StatusOK:
+		return "answer-cut-off"
 	case r.Status != 0:
 		return fmt.Sprintf("status-%d", r.Status)
 	}
@@ -532,8 +552,26 @@
 	}
 }
 
-// ResultFile is the name of the file with the result of a run.
-const ResultFile = "result.json"
+// writeRequests writes a line for each request, for closer looks.
+func (r *run) writeRequests(fate []fate) string {
+	var b strings.Builder
+	b.WriteString("sent-ms,workspace,class,model,adapter,path,tokens,fate,status,code,first-token-ms,total-ms,resent,error\n")
+	for i := range r.records {
+		rec := &r.records[i]
+		a := rec.Arrival
+		fmt.Fprintf(&b, "%d,%s,%s,%s,%s,%s,%d,%s,%d,%s,%.1f,%.1f,%d,%q\n",
+			(rec.Sent - time.Duration(r.s.WarmUp)).Milliseconds(), a.Workspace, a.Class, a.Model, a.Adapter, a.Path, a.Tokens(),
+			fateNames[fate[i]], rec.Status, rec.Code, float64(rec.FirstToken.Microseconds())/1000,
+			float64(rec.Total.Microseconds())/1000, rec.Resent, rec.Error)
+	}
+	return b.String()
+}
+
+// The files of a run's directory.
+const (
+	ResultFile   = "result.json"
+	requestsFile = "requests.csv"
+)
 
 // Write writes the result into a directory.
 func (res *Result) Write(dir string) error {
@@ -547,6 +585,12 @@
 	if err := os.WriteFile(filepath.Join(dir, ResultFile), append(data, '\n'), 0o644); err != nil {
 		return fmt.Errorf("write result: %w", err)
 	}
+	if res.requests == "" {
+		return nil
+	}
+	if err := os.WriteFile(filepath.Join(dir, requestsFile), []byte(res.requests), 0o644); err != nil {
+		return fmt.Errorf("write result: %w", err)
+	}
 	return nil
 }
 
