place: release memory only when no copy of an order can arrive

Cause: a higher fence counted as proof that a lost order is dead, but an endpoint may forget its fence and the orders' ids when it restarts. A late copy of a replaced model's load then runs beside its successor.

Change: only a state that was read after an order's deadline and margin releases it. Fencing endpoints get orders that live for 5 s, so that this costs little, and a new holder waits that long there before it loads. The evicting policies leave out items whose memory is still booked.

--- a/internal/place/adapter.go
+++ b/internal/place/adapter.go
@@ -146,7 +146,7 @@
 	if len(e.dropping) == 0 || !m.mayOrder(now, e) {
 		return out
 	}
-	if e.ledger.Fencing() && (!e.fenced() || m.unanswered(now, e)) {
+	if e.ledger.Fencing() && !e.fenced() {
 		return out
 	}
 	var due []Item
@@ -161,17 +161,12 @@
 		return out
 	}
 	refs := m.demand.refs()[e.Name]
-	raised := false
 	for _, i := range due {
 		if refs[Item{Model: i.Model, Adapter: i.Adapter}] > 0 {
 			// A node that had not seen the layout yet uses it.
 			delete(e.dropping, i)
 			continue
 		}
-		if e.ledger.Fencing() && !raised {
-			m.raise(e)
-			raised = true
-		}
 		o := m.order(now, e, engine.OrderUnloadAdapter, i, 0)
 		if next, err := m.send(now, e, o, out); err == nil {
 			out = next
--- a/internal/place/baseline.go
+++ b/internal/place/baseline.go
@@ -165,7 +165,7 @@
 				continue
 			}
 			items := slices.DeleteFunc(slices.Clone(e.Items), func(it ItemView) bool {
-				return it.Adapter != "" || !it.Ready
+				return it.Adapter != "" || !it.Ready || v.Now.Sub(it.Since) < e.Hold
 			})
 			slices.SortStableFunc(items, func(a, b ItemView) int { return lastUse(a).Compare(lastUse(b)) })
 			free := e.FreeMiB
--- a/internal/place/drive.go
+++ b/internal/place/drive.go
@@ -58,17 +58,6 @@
 	}
 }
 
-// unanswered reports whether loads are under way of which the endpoint has not
-// said that it received them. A higher fence would make it refuse them.
-func (m *Manager) unanswered(now time.Time, e *endpoint) bool {
-	for _, s := range e.orders {
-		if takesMemory(s.order.Kind) && s.phase != engine.OrderRunning && now.Sub(s.at) < 3*m.set.AnswerWait {
-			return true
-		}
-	}
-	return false
-}
-
 // drive does what an endpoint needs apart from new plans.
 func (m *Manager) drive(now time.Time, e *endpoint, out []Action) []Action {
 	if !e.readAsked.IsZero() && now.Sub(e.readAsked) >= m.set.AnswerWait {
@@ -149,21 +138,11 @@
 	if e.own == (engine.Fence{}) || e.own.Less(seen) {
 		// Another holder has ordered something. Without a lease the other one
 		// has the same right, and both taking turns would help nobody.
-		if !now.Before(m.auth.Until) && !e.claimed.IsZero() && now.Sub(e.claimed) < m.quiet() {
+		if !now.Before(m.auth.Until) && !e.claimed.IsZero() && now.Sub(e.claimed) < m.quiet(true) {
 			return out
 		}
 		e.claimed = now
 		m.raise(e)
-	} else if e.fenced() {
-		for _, s := range e.orders {
-			lost := s.phase != engine.OrderRunning && now.Sub(s.at) >= 3*m.set.AnswerWait
-			if lost && takesMemory(s.order.Kind) {
-				// A higher fence proves sooner than the deadline that the order
-				// can no longer arrive.
-				m.raise(e)
-				break
-			}
-		}
 	}
 	if e.fenced() {
 		return out
@@ -295,13 +274,8 @@
 	if now.Before(mv.retryAt) || !e.readAsked.IsZero() || e.wantRead {
 		return out, false
 	}
-	if e.ledger.Fencing() {
-		if !e.fenced() || m.unanswered(now, e) {
-			return out, false
-		}
-		// The raised fence proves, once a state shows it, that no copy of the
-		// evicted model's load can run again.
-		m.raise(e)
+	if e.ledger.Fencing() && !e.fenced() {
+		return out, false
 	}
 	mv.tries++
 	if mv.tries > 3 {
--- a/internal/place/ledger.go
+++ b/internal/place/ledger.go
@@ -92,29 +92,26 @@
 	Fencing   bool
 	// Margin is added to the time until an order's deadline, as a part of it.
 	Margin float64
-	// Quiet is how long the orders of an earlier holder can still arrive.
-	Quiet time.Duration
 }
 
 // Ledger guards the memory of one endpoint. Memory is booked when an order is
-// decided. It is released only by a state of the endpoint that proves that no
-// copy of the order can take effect any more:
+// decided, and released only by a state of the endpoint that was read after the
+// order's deadline and margin and does not show the order as running: no copy
+// of the order can take effect any more.
 //
-//   - the state was read after the order's deadline and margin, or
-//   - the endpoint checks fences and the state shows a higher fence than the
-//     order's, so that the endpoint refuses every copy of it.
+// Nothing else releases. The endpoint's word on an order ("done", "failed") and
+// a higher fence hold only until the endpoint restarts: it then forgets both,
+// and a late copy of a finished or refused order may run. The word makes the
+// manager read the state. Endpoints that check neither deadline nor fence are
+// assumed to get no order later than its deadline, and loading an item that is
+// resident or loading is assumed to take no second copy.
 //
-// The endpoint's word on an order ("done", "failed") makes the manager read the
-// state, but alone releases nothing: the endpoint forgets order ids when it
-// restarts, and a late copy of a finished order may then run again. A fencing
-// endpoint is assumed to keep its highest fence across restarts; one that is
-// seen with a lower fence than before is treated as not fencing from then on.
-// Loading an item that is resident or loading is assumed to take no second copy.
-//
-// A load carries only a fence that a state has shown as the endpoint's own. Had
-// another holder ordered something after that state, the endpoint's fence would
-// be higher and the load refused. So the ledger knows of all memory that is in
-// use when its load is accepted.
+// A load for a fencing endpoint carries only a fence that a state has shown as
+// the endpoint's own. Had another holder ordered something after that state, the
+// endpoint's fence would be higher and the load refused. So the ledger knows of
+// all memory that is in use when its load is accepted. This does not cover two
+// holders that both order during an outage while the endpoint restarts and
+// forgets its fence; there the endpoint's own check of its memory remains.
 type Ledger struct {
 	set      LedgerSettings
 	memory   int64 // as the configuration has it
@@ -128,10 +125,8 @@
 	running     map[string]engine.Order // orders that the last state showed as running
 	entries     map[string]*entry
 	fence       engine.Fence // as the last state had it
-	forgetful   bool
 
-	// quiet is when no order of an earlier holder can arrive any more. It
-	// matters for endpoints without fencing.
+	// quiet is when no order of an earlier holder can arrive any more.
 	quiet   time.Time
 	settled bool
 }
@@ -151,8 +146,8 @@
 // it and the endpoint's own figure counts.
 func (l *Ledger) SetMemory(mib int64) { l.memory = mib }
 
-// Fencing reports whether the endpoint's fence can be relied on.
-func (l *Ledger) Fencing() bool { return l.set.Fencing && !l.forgetful }
+// Fencing reports whether the endpoint checks fences.
+func (l *Ledger) Fencing() bool { return l.set.Fencing }
 
 // Begin starts the work of a new holder. Orders of earlier holders can arrive
 // until quiet.
@@ -277,13 +272,6 @@
 	if l.read && asked.Before(l.readUntil) {
 		return false
 	}
-	if l.set.Fencing && !l.forgetful && l.read && st.Fence.Less(l.fence) {
-		// Orders that the lost fence refused can arrive again.
-		l.forgetful, l.settled = true, false
-		if again := received.Add(l.set.Quiet); l.quiet.Before(again) {
-			l.quiet = again
-		}
-	}
 	l.read, l.readUntil = true, received
 	l.incarnation, l.reported, l.fence = st.Incarnation, st.MemoryMiB, st.Fence
 
@@ -292,8 +280,7 @@
 		l.running[o.ID] = o
 	}
 	for id, e := range l.entries {
-		refused := l.Fencing() && e.order.Fence.Less(st.Fence)
-		if refused || !asked.Before(e.gone) {
+		if !asked.Before(e.gone) {
 			delete(l.entries, id)
 		}
 	}
@@ -313,6 +300,6 @@
 		l.resident[i] += mib
 	}
 	l.order = slices.SortedFunc(maps.Keys(l.resident), compareItems)
-	l.settled = l.Fencing() || l.settled || !asked.Before(l.quiet)
+	l.settled = l.settled || !asked.Before(l.quiet)
 	return true
 }
--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -22,7 +22,8 @@
 	// OrderDeadline is the life of an order to an endpoint without fencing. No
 	// order may be delayed longer on its way there (default 30 s).
 	OrderDeadline time.Duration
-	// FencedOrderDeadline is the same for endpoints with fencing (default 10 s).
+	// FencedOrderDeadline is the same for endpoints with fencing (default 5 s).
+	// There it matters only when an endpoint restarts and forgets its fence.
 	FencedOrderDeadline time.Duration
 	// Margin covers clocks that run at different rates (default 0.1).
 	Margin float64
@@ -63,7 +64,7 @@
 		s.OrderDeadline = 30 * time.Second
 	}
 	if s.FencedOrderDeadline <= 0 {
-		s.FencedOrderDeadline = 10 * time.Second
+		s.FencedOrderDeadline = 5 * time.Second
 	}
 	if s.Margin <= 0 {
 		s.Margin = 0.1
@@ -404,8 +405,13 @@
 	return now.Before(m.auth.Until) && e.ledger.Settled()
 }
 
-func (m *Manager) quiet() time.Duration {
-	return m.set.OrderDeadline + time.Duration(float64(m.set.OrderDeadline)*m.set.Margin)
+// quiet is how long after its decision an order can still take effect.
+func (m *Manager) quiet(fencing bool) time.Duration {
+	life := m.set.OrderDeadline
+	if fencing {
+		life = m.set.FencedOrderDeadline
+	}
+	return life + time.Duration(float64(life)*m.set.Margin)
 }
 
 // authorise takes over the authority and begins a new holding.
@@ -418,7 +424,7 @@
 	}
 	// Standing in during an outage is not a holding of the lease: endpoints
 	// without fencing keep the quiet time of the last one.
-	begins := !m.begun || valid && !a.Since.Equal(m.held) || !valid && !m.outage
+	begins := !m.begun || valid && !a.Since.Equal(m.held) || m.outage == valid
 	m.outage = !valid
 	if !begins {
 		return
@@ -437,8 +443,12 @@
 	}
 	for _, name := range m.names {
 		e := m.eps[name]
-		if fresh {
-			e.ledger.Begin(a.Since.Add(m.quiet()))
+		switch {
+		case fresh:
+			e.ledger.Begin(a.Since.Add(m.quiet(e.Fencing)))
+		case e.Fencing:
+			// Another node may have stood in until now.
+			e.ledger.Begin(now.Add(m.quiet(true)))
 		}
 		e.wantRead = true
 		// What an earlier holding had under way is seen in the states; the
@@ -533,7 +543,6 @@
 			MemoryMiB: c.MemoryMiB,
 			Fencing:   c.Fencing,
 			Margin:    m.set.Margin,
-			Quiet:     m.quiet(),
 		}),
 		wantRead: true,
 		orders:   map[string]*sentOrder{},
@@ -543,7 +552,7 @@
 	}
 	// The endpoint may have been removed and added again, with orders under way
 	// from before, so the wait starts anew.
-	e.ledger.Begin(now.Add(m.quiet()))
+	e.ledger.Begin(now.Add(m.quiet(c.Fencing)))
 	return e
 }
 
--- a/internal/place/policy.go
+++ b/internal/place/policy.go
@@ -48,8 +48,8 @@
 	Items []ItemView
 	// Idle is true when the endpoint can start a move now.
 	Idle bool
-	// Hold is how long the memory of an item stays booked after it was loaded,
-	// even if it is unloaded before. It is short where fences are checked.
+	// Hold is how long the memory of an item stays booked after its load was
+	// decided, even if it is unloaded before.
 	Hold time.Duration
 }
 
--- a/internal/place/view.go
+++ b/internal/place/view.go
@@ -50,10 +50,8 @@
 			FreeMiB:   e.ledger.FreeMiB(),
 			Speed:     e.Speed,
 			Role:      e.role,
-			Idle:      e.move == nil && m.mayOrder(now, e) && (!e.ledger.Fencing() || e.fenced()),
-		}
-		if !e.ledger.Fencing() {
-			ev.Hold = m.quiet()
+			Idle:      e.move == nil && m.mayOrder(now, e) && e.ledger.Settled() && (!e.ledger.Fencing() || e.fenced()),
+			Hold:      m.quiet(e.ledger.Fencing()),
 		}
 		possible := e.ledger.possible()
 		if e.move != nil && e.move.Load != (Item{}) && possible[e.move.Load] == 0 {
