place: keep an item out of the layout until its unload is over

Cause: an endpoint waits for running streams before it unloads. A move that was given up meanwhile put the item back into the layout as ready, and nodes sent requests that the endpoint refuses.

Change: an unload that was sent, or that a state shows as running, keeps its item and the adapters of a model out of the layout until it is over.

--- a/internal/place/adapter.go
+++ b/internal/place/adapter.go
@@ -152,7 +152,7 @@
 	var due []Item
 	for _, i := range e.ledger.Resident() {
 		since, ok := e.dropping[i]
-		if !ok || now.Sub(since) < m.set.Drain || m.unloading(e, i) {
+		if !ok || now.Sub(since) < m.set.Drain || e.unloading(i) {
 			continue
 		}
 		due = append(due, i)
@@ -174,13 +174,3 @@
 	}
 	return out
 }
-
-// unloading reports whether an unload of the item is under way.
-func (m *Manager) unloading(e *endpoint, i Item) bool {
-	for _, s := range e.orders {
-		if !takesMemory(s.order.Kind) && itemOf(s.order) == i {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/place/drive.go
+++ b/internal/place/drive.go
@@ -257,7 +257,7 @@
 	var rest []Item
 	for _, i := range e.ledger.Resident() {
 		for _, gone := range mv.Evict {
-			if i.Model == gone.Model && i.Version == gone.Version && (gone.Adapter == "" || gone.Adapter == i.Adapter) {
+			if covers(gone, i) {
 				rest = append(rest, i)
 				break
 			}
--- a/internal/place/view.go
+++ b/internal/place/view.go
@@ -4,6 +4,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"trefoildale.example/trefoildale/internal/engine"
 )
 
 // usable reports whether an endpoint may be given new models.
@@ -11,22 +13,47 @@
 	return !e.leaving && !e.listed && e.fails < 3 && e.ledger.Incarnation() != ""
 }
 
-// evicting reports whether an item is about to be unloaded.
+// evicting reports whether an item is about to be unloaded. An unload that was
+// sent counts until it is over, even if its move was given up: an endpoint may
+// wait for long streams to end before it carries it out.
 func (e *endpoint) evicting(i Item) bool {
 	if _, ok := e.dropping[i]; ok {
 		return true
 	}
-	if e.move == nil {
-		return false
+	if e.move != nil {
+		for _, gone := range e.move.Evict {
+			if covers(gone, i) {
+				return true
+			}
+		}
+	}
+	return e.unloading(i)
+}
+
+// unloading reports whether an unload of the item is under way.
+func (e *endpoint) unloading(i Item) bool {
+	for _, s := range e.orders {
+		if isUnload(s.order.Kind) && covers(itemOf(s.order), i) {
+			return true
+		}
 	}
-	for _, gone := range e.move.Evict {
-		if i.Model == gone.Model && i.Version == gone.Version && (gone.Adapter == "" || gone.Adapter == i.Adapter) {
+	for _, o := range e.ledger.running {
+		if isUnload(o.Kind) && covers(itemOf(o), i) {
 			return true
 		}
 	}
 	return false
 }
 
+func isUnload(k engine.OrderKind) bool {
+	return k == engine.OrderUnload || k == engine.OrderUnloadAdapter
+}
+
+// covers reports whether unloading one item takes another one with it.
+func covers(gone, i Item) bool {
+	return i.Model == gone.Model && i.Version == gone.Version && (gone.Adapter == "" || gone.Adapter == i.Adapter)
+}
+
 // View is the picture that the policy decides on.
 func (m *Manager) View(now time.Time) *View {
 	v := &View{
