place: stand in only when no lease can be valid

Change: Authority.Outage is the time since when the table has answered no node, and the manager stands in only after the lease's term and margin. A new holder of the lease waits 5 s longer at fencing endpoints, in which a node that stands in learns that the outage is over.

--- a/internal/place/fuzz_test.go
+++ b/internal/place/fuzz_test.go
@@ -218,7 +218,7 @@
 				w.procs[i] = w.join()
 			},
 			"outage": func(*rapid.T) {
-				w.outage = !w.outage
+				w.outage, w.outAt = !w.outage, w.now
 				slices.Reverse(w.procs)
 			},
 			"resize": func(t *rapid.T) {
--- a/internal/place/ledger.go
+++ b/internal/place/ledger.go
@@ -110,8 +110,9 @@
 // the endpoint's own. Had another holder ordered something after that state, the
 // endpoint's fence would be higher and the load refused. So the ledger knows of
 // all memory that is in use when its load is accepted. This does not cover two
-// holders that both order during an outage while the endpoint restarts and
-// forgets its fence; there the endpoint's own check of its memory remains.
+// nodes that stand in at the same time during an outage while the endpoint
+// restarts and forgets its fence; there the endpoint's own check of its memory
+// remains.
 type Ledger struct {
 	set      LedgerSettings
 	memory   int64 // as the configuration has it
--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -25,6 +25,12 @@
 	// FencedOrderDeadline is the same for endpoints with fencing (default 5 s).
 	// There it matters only when an endpoint restarts and forgets its fence.
 	FencedOrderDeadline time.Duration
+	// LeaseWait is the lease's term with its margin: how long after the begin of
+	// an outage a lease may still be valid (default 11 s).
+	LeaseWait time.Duration
+	// OutageLag is how long a node that stands in may not know that an outage is
+	// over (default 5 s).
+	OutageLag time.Duration
 	// Margin covers clocks that run at different rates (default 0.1).
 	Margin float64
 	// AnswerWait is when an answer counts as lost (default 2 s).
@@ -66,6 +72,12 @@
 	if s.FencedOrderDeadline <= 0 {
 		s.FencedOrderDeadline = 5 * time.Second
 	}
+	if s.LeaseWait <= 0 {
+		s.LeaseWait = 11 * time.Second
+	}
+	if s.OutageLag <= 0 {
+		s.OutageLag = 5 * time.Second
+	}
 	if s.Margin <= 0 {
 		s.Margin = 0.1
 	}
@@ -114,9 +126,10 @@
 	// Epoch is the lease's epoch. During an outage it is above the counter of
 	// the last layout's term that the node has seen.
 	Epoch int64
-	// Outage means that the platform's table answers no node and that this node
-	// stands in as planner. Only fencing endpoints are ordered then.
-	Outage bool
+	// Outage is since when the platform's table has answered no node, as far as
+	// this node can know, if it is to stand in as planner; zero otherwise. It
+	// acts once no lease can be valid any more, and orders only fencing endpoints.
+	Outage time.Time
 }
 
 // Action is what the manager wants done: SendOrder, ReadState or ReadOrder.
@@ -392,7 +405,12 @@
 
 // mayRead reports whether the manager acts at all.
 func (m *Manager) mayRead(now time.Time) bool {
-	return now.Before(m.auth.Until) || m.auth.Outage
+	return now.Before(m.auth.Until) || m.standsIn(now)
+}
+
+// standsIn reports whether this node stands in during an outage.
+func (m *Manager) standsIn(now time.Time) bool {
+	return !m.auth.Outage.IsZero() && now.Sub(m.auth.Outage) >= m.set.LeaseWait
 }
 
 // mayOrder reports whether an endpoint may be given orders now. Endpoints
@@ -418,7 +436,7 @@
 func (m *Manager) authorise(now time.Time, a Authority) {
 	m.auth = a
 	valid := now.Before(a.Until)
-	if !valid && !a.Outage {
+	if !valid && !m.standsIn(now) {
 		m.outage = false
 		return
 	}
@@ -445,7 +463,11 @@
 		e := m.eps[name]
 		switch {
 		case fresh:
-			e.ledger.Begin(a.Since.Add(m.quiet(e.Fencing)))
+			wait := m.quiet(e.Fencing)
+			if e.Fencing {
+				wait += m.set.OutageLag
+			}
+			e.ledger.Begin(a.Since.Add(wait))
 		case e.Fencing:
 			// Another node may have stood in until now.
 			e.ledger.Begin(now.Add(m.quiet(true)))
--- a/internal/place/world_test.go
+++ b/internal/place/world_test.go
@@ -220,6 +220,7 @@
 	holder  *process
 	epoch   int64
 	outage  bool
+	outAt   time.Time
 	alone   bool // only the first process stands in during an outage
 	net     []message
 	hold    bool // loads on their way to endpoints are held up
@@ -265,7 +266,9 @@
 	in := p.in
 	p.in = Inputs{}
 	in.Authority = p.auth
-	in.Authority.Outage = w.outage && (!w.alone || p == w.procs[0])
+	if w.outage && (!w.alone || p == w.procs[0]) {
+		in.Authority.Outage = w.outAt
+	}
 	for _, a := range p.m.Step(w.now, in) {
 		w.net = append(w.net, message{
 			to:     p,
