--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -22,8 +22,15 @@
 	// OrderDeadline is the life of an order to an endpoint without fencing. No
 	// order may be delayed longer on its way there (default 30 s).
 	OrderDeadline time.Duration
-	// FencedOrderDeadline is the same for endpoints with fencing (default 10 s).
+	// FencedOrderDeadline is the same for endpoints with fencing (default 5 s).
+	// There it matters only when an endpoint restarts and forgets its fence.
 	FencedOrderDeadline time.Duration
+	// LeaseWait is the lease's term with its margin: how long after the begin of
+	// an outage a lease may still be valid (default 11 s).
+	LeaseWait time.Duration
+	// OutageLag is how long a node that stands in may not know that an outage is
+	// over (default 5 s).
+	OutageLag time.Duration
 	// Margin covers clocks that run at different rates (default 0.1).
 	Margin float64
 	// AnswerWait is when an answer counts as lost (default 2 s).
@@ -63,7 +70,13 @@
 		s.OrderDeadline = 30 * time.Second
 	}
 	if s.FencedOrderDeadline <= 0 {
-		s.FencedOrderDeadline = 10 * time.Second
+		s.FencedOrderDeadline = 5 * time.Second
+	}
+	if s.LeaseWait <= 0 {
+		s.LeaseWait = 11 * time.Second
+	}
+	if s.OutageLag <= 0 {
+		s.OutageLag = 5 * time.Second
 	}
 	if s.Margin <= 0 {
 		s.Margin = 0.1
@@ -113,9 +126,10 @@
 	// Epoch is the lease's epoch. During an outage it is above the counter of
 	// the last layout's term that the node has seen.
 	Epoch int64
-	// Outage means that the platform's table answers no node and that this node
-	// stands in as planner. Only fencing endpoints are ordered then.
-	Outage bool
+	// Outage is since when the platform's table has answered no node, as far as
+	// this node can know, if it is to stand in as planner; zero otherwise. It
+	// acts once no lease can be valid any more, and orders only fencing endpoints.
+	Outage time.Time
 }
 
 // Action is what the manager wants done: SendOrder, ReadState or ReadOrder.
@@ -391,7 +405,12 @@
 
 // mayRead reports whether the manager acts at all.
 func (m *Manager) mayRead(now time.Time) bool {
-	return now.Before(m.auth.Until) || m.auth.Outage
+	return now.Before(m.auth.Until) || m.standsIn(now)
+}
+
+// standsIn reports whether this node stands in during an outage.
+func (m *Manager) standsIn(now time.Time) bool {
+	return !m.auth.Outage.IsZero() && now.Sub(m.auth.Outage) >= m.set.LeaseWait
 }
 
 // mayOrder reports whether an endpoint may be given orders now. Endpoints
@@ -404,21 +423,26 @@
 	return now.Before(m.auth.Until) && e.ledger.Settled()
 }
 
-func (m *Manager) quiet() time.Duration {
-	return m.set.OrderDeadline + time.Duration(float64(m.set.OrderDeadline)*m.set.Margin)
+// quiet is how long after its decision an order can still take effect.
+func (m *Manager) quiet(fencing bool) time.Duration {
+	life := m.set.OrderDeadline
+	if fencing {
+		life = m.set.FencedOrderDeadline
+	}
+	return life + time.Duration(float64(life)*m.set.Margin)
 }
 
 // authorise takes over the authority and begins a new holding.
 func (m *Manager) authorise(now time.Time, a Authority) {
 	m.auth = a
 	valid := now.Before(a.Until)
-	if !valid && !a.Outage {
+	if !valid && !m.standsIn(now) {
 		m.outage = false
 		return
 	}
 	// Standing in during an outage is not a holding of the lease: endpoints
 	// without fencing keep the quiet time of the last one.
-	begins := !m.begun || valid && !a.Since.Equal(m.held) || !valid && !m.outage
+	begins := !m.begun || valid && !a.Since.Equal(m.held) || m.outage == valid
 	m.outage = !valid
 	if !begins {
 		return
@@ -437,8 +461,16 @@
 	}
 	for _, name := range m.names {
 		e := m.eps[name]
-		if fresh {
-			e.ledger.Begin(a.Since.Add(m.quiet()))
+		switch {
+		case fresh:
+			wait := m.quiet(e.Fencing)
+			if e.Fencing {
+				wait += m.set.OutageLag
+			}
+			e.ledger.Begin(a.Since.Add(wait))
+		case e.Fencing:
+			// Another node may have stood in until now.
+			e.ledger.Begin(now.Add(m.quiet(true)))
 		}
 		e.wantRead = true
 		// What an earlier holding had under way is seen in the states; the
@@ -533,7 +565,6 @@
 			MemoryMiB: c.MemoryMiB,
 			Fencing:   c.Fencing,
 			Margin:    m.set.Margin,
-			Quiet:     m.quiet(),
 		}),
 		wantRead: true,
 		orders:   map[string]*sentOrder{},
@@ -543,7 +574,7 @@
 	}
 	// The endpoint may have been removed and added again, with orders under way
 	// from before, so the wait starts anew.
-	e.ledger.Begin(now.Add(m.quiet()))
+	e.ledger.Begin(now.Add(m.quiet(c.Fencing)))
 	return e
 }
 
