node: take requests only after the membership has settled

Cause: a node that had just joined was ready before it knew its domain, and as the pool of a workspace it refused the first requests: 8 of 2,420 in one of two rolling replacements.

Change: a node waits 3 s after its start. The pool before this one is found again while the list of members still grows.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -261,7 +261,8 @@
 	if l.leaving || l.node.entry.Ready() || l.view.Revision() == 0 {
 		return
 	}
-	if now.Sub(l.started) < readyWait && !l.hasShares() {
+	age := now.Sub(l.started)
+	if age < settleWait || age < readyWait && !l.hasShares() {
 		return
 	}
 	l.node.entry.SetReady(true)
@@ -283,8 +284,13 @@
 	return l.failing || l.view.AsOf().IsZero() || now.Sub(l.view.AsOf()) > limit
 }
 
-// readyWait bounds the wait for slots after the start.
-const readyWait = 6 * time.Second
+const (
+	// settleWait is how long a node learns who is there before it takes
+	// requests. A pool that does not know its members yet refuses them.
+	settleWait = 3 * time.Second
+	// readyWait bounds the wait for slots after the start.
+	readyWait = 6 * time.Second
+)
 
 func (l *loop) hasShares() bool {
 	ctx, cancel := context.WithTimeout(l.ctx, tickEvery)
--- a/internal/quota/node.go
+++ b/internal/quota/node.go
@@ -388,14 +388,18 @@
 // nodes that have not deposited here, so this node can ask it for tokens until
 // they end.
 func (n *Node) setHome(now time.Time, sp *space) {
-	home, before := rank.First(sp.name, n.members), sp.home
+	home := rank.First(sp.name, n.members)
+	if home == sp.home && (home != n.self.node || sp.before != "" && now.After(sp.beforeBy)) {
+		return
+	}
+	before := sp.home
 	if before == "" || before == n.self.node {
-		// A node that has just joined takes the place of the next one.
+		// A node that has just joined takes the place of the next one. It learns
+		// of the others bit by bit, so the next one may change.
 		others := slices.DeleteFunc(slices.Clone(n.members), func(m string) bool { return m == n.self.node })
 		before = rank.First(sp.name, others)
 	}
-	// A node learns of the others only after it has started.
-	if home == sp.home && (sp.before != "" || before == "") {
+	if home == sp.home && before == sp.before {
 		return
 	}
 	sp.home, sp.before, sp.beforeBy = home, before, now.Add(ResumeAfter+DepositTerm)
