--- a/internal/node/place.go
+++ b/internal/node/place.go
@@ -142,7 +142,9 @@
 	if relays := l.peers.Relays(own.Domain); len(relays) > 0 {
 		first = relays[0].Name
 	}
-	down := l.failing && now.Sub(l.lastPoll) > standInAfter && !l.lastPoll.IsZero()
+	// The last read of any node that this one heard of.
+	since := l.view.AsOf()
+	down := l.failing && !since.IsZero() && now.Sub(since) > standInAfter
 	if l.leaving || !down || first != own.Name {
 		l.standIn = place.Authority{}
 		return l.standIn
@@ -155,7 +157,7 @@
 		l.standIn = place.Authority{
 			Since:  now,
 			Epoch:  epoch + 1,
-			Outage: true,
+			Outage: since,
 		}
 	}
 	l.standIn.Until = now.Add(leaseTerm)
