local: run the tests of a fleet in parallel

Cause: the package took 213 s on the shared machine, mostly waiting.

Change: the tests run in parallel.

TestLeavingEndpointGetsNoNewWork failed in this run: the model of a leaving endpoint was not loaded elsewhere within 30 s; looked into next.

--- a/internal/local/change_test.go
+++ b/internal/local/change_test.go
@@ -19,6 +19,7 @@
 // Guards against an accepted change that takes longer than 2 s to be in force
 // on 8 nodes, that reverts, or that two racing operators both believe they won.
 func TestChangesAreInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	f, _ := testFleet(t, Options{
 		Config:         testConfig(4),
 		NodesPerDomain: 2,
@@ -85,6 +86,7 @@
 // Guards against a booking that runs twice when its caller repeats it on other
 // nodes while answers get lost between node and service.
 func TestBookingsRunAtMostOnce(t *testing.T) {
+	t.Parallel()
 	f, keys := testFleet(t, Options{
 		Config:         testConfig(2),
 		NodesPerDomain: 2,
@@ -135,6 +137,7 @@
 // Guards against new work for an endpoint more than 3 s after the platform
 // listed its VM as leaving.
 func TestLeavingEndpointGetsNoNewWork(t *testing.T) {
+	t.Parallel()
 	f, keys := testFleet(t, Options{
 		Config:         testConfig(2),
 		NodesPerDomain: 2,
@@ -172,6 +175,7 @@
 // Guards against a planned replacement of VMs that cuts or refuses a request:
 // every node is replaced, one after another, under load.
 func TestRollingReplacementLosesNothing(t *testing.T) {
+	t.Parallel()
 	f, keys := testFleet(t, Options{
 		Config:         testConfig(2),
 		NodesPerDomain: 2,
--- a/internal/local/limit_test.go
+++ b/internal/local/limit_test.go
@@ -19,6 +19,7 @@
 // Guards against nodes that together admit more than a workspace's rate and
 // burst, and against a fleet that refuses most of what is inside them.
 func TestRateAndBurstHoldOverAllNodes(t *testing.T) {
+	t.Parallel()
 	const (
 		rate  = 2000
 		burst = 6000
@@ -92,6 +93,7 @@
 // Guards against refusing a workspace that stays inside its rate because its
 // requests reach few of the VMs: 9 of 10 go to one node.
 func TestSkewedTrafficInsideTheRateIsNotRefused(t *testing.T) {
+	t.Parallel()
 	const rate = 10_000
 	f, keys := testFleet(t, Options{
 		Config: testConfig(3, spec.Workspace{
--- a/internal/local/outage_test.go
+++ b/internal/local/outage_test.go
@@ -23,6 +23,7 @@
 // Guards against refusing valid keys, or requests inside the rate, because the
 // platform's table answers nobody.
 func TestOutageOfThePlatformAloneRefusesNothing(t *testing.T) {
+	t.Parallel()
 	f, keys := testFleet(t, Options{
 		Config:         testConfig(3),
 		NodesPerDomain: 2,
@@ -57,6 +58,7 @@
 // Guards against honouring a withdrawn key, through a domain that is cut off
 // from the platform, from the other domains, or from both.
 func TestWithdrawnKeyStopsEverywhere(t *testing.T) {
+	t.Parallel()
 	for _, tc := range []struct {
 		name string
 		cuts [][2]string
