--- a/internal/fair/fair_test.go
+++ b/internal/fair/fair_test.go
@@ -1,7 +1,7 @@
 package fair
 
 import (
-	"container/heap"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -24,19 +24,6 @@
 	run func()
 }
 
-type events []event
-
-func (e events) Len() int           { return len(e) }
-func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
-func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	old := *e
-	x := old[len(old)-1]
-	*e = old[:len(old)-1]
-	return x
-}
-
 // simulate offers Poisson arrivals to an endpoint that serves 32 requests at
 // once, each for 1 s on average, and returns the p95 times from the arrival to
 // the start and to the first token, over all workspaces but w0.
@@ -46,12 +33,14 @@
 	q := NewQueue(opts)
 	rng := rand.New(rand.NewPCG(seed, 2))
 	var now time.Duration
-	var pending events
+	var pending []event // the latest first
 	after := func(d float64, run func()) {
-		heap.Push(&pending, event{
+		e := event{
 			at:  now + time.Duration(d*float64(time.Second)),
 			run: run,
-		})
+		}
+		i, _ := slices.BinarySearchFunc(pending, e.at, func(o event, at time.Duration) int { return cmp.Compare(at, o.at) })
+		pending = slices.Insert(pending, i, e)
 	}
 	var waits, firsts []time.Duration
 	arrived := make(map[*Ticket]time.Duration)
@@ -90,7 +79,8 @@
 		next()
 	}
 	for now < 20*time.Minute {
-		e := heap.Pop(&pending).(event)
+		e := pending[len(pending)-1]
+		pending = pending[:len(pending)-1]
 		now = e.at
 		e.run()
 		start()
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -113,9 +113,7 @@
 		}},
 	}
 	for _, d := range domains {
-		c.Domains = append(c.Domains, spec.Domain{
-			Name: d,
-		})
+		c.Domains = append(c.Domains, spec.Domain{Name: d})
 	}
 	return c
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -36,9 +36,7 @@
 		},
 	}
 	for _, d := range f.domains {
-		cfg.Domains = append(cfg.Domains, spec.Domain{
-			Name: d,
-		})
+		cfg.Domains = append(cfg.Domains, spec.Domain{Name: d})
 	}
 	for i := range 2 {
 		cfg.Workspaces = append(cfg.Workspaces, spec.Workspace{
@@ -375,10 +373,7 @@
 
 // Guards against messages from a faulty peer that would be booked.
 func TestValidate(t *testing.T) {
-	id := ID{
-		Node: "n",
-		Seq:  1,
-	}
+	id := ID{Node: "n", Seq: 1}
 	tests := []struct {
 		name string
 		msg  interface{ Validate() error }
--- a/internal/quota/share_test.go
+++ b/internal/quota/share_test.go
@@ -21,9 +21,7 @@
 			Revision: int64(len(configs) + 1),
 		}
 		for _, d := range all[:rapid.IntRange(1, len(all)).Draw(t, "domains")] {
-			cfg.Domains = append(cfg.Domains, spec.Domain{
-				Name: d,
-			})
+			cfg.Domains = append(cfg.Domains, spec.Domain{Name: d})
 		}
 		if len(configs) == 0 || rapid.IntRange(0, 3).Draw(t, "removed") > 0 {
 			cfg.Workspaces = []spec.Workspace{{
--- a/internal/quota/skew_test.go
+++ b/internal/quota/skew_test.go
@@ -22,7 +22,6 @@
 	admitted int
 	refused  map[string]int
 	denied   map[string]denied
-	reasons  map[Reason]int
 }
 
 // denied refuses requests of no fewer tokens until then.
@@ -46,7 +45,6 @@
 		prefetch: make(map[string]time.Time),
 		refused:  make(map[string]int),
 		denied:   make(map[string]denied),
-		reasons:  make(map[Reason]int),
 	}
 	s.granted = func(ws string) {
 		c.drawing[ws] = false
@@ -62,7 +60,6 @@
 		wait := max(0, d.Retry.Sub(s.clock()))
 		if s.f.now+wait >= q[0].end {
 			c.refused[ws]++
-			c.reasons[d.Reason]++
 			c.denied[ws] = denied{
 				tokens: q[0].tokens,
 				until:  s.f.now + min(250*time.Millisecond, wait-maxWait), // as limit.denialCounts
@@ -179,9 +176,7 @@
 			Workspaces: workspaces,
 		}
 		for _, d := range fl.domains {
-			cfg.Domains = append(cfg.Domains, spec.Domain{
-				Name: d,
-			})
+			cfg.Domains = append(cfg.Domains, spec.Domain{Name: d})
 		}
 		fl.configs = append(fl.configs, cfg)
 		fl.startAll()
@@ -222,9 +217,6 @@
 			for ws, n := range c.refused {
 				refused[ws] += n
 			}
-			if len(c.reasons) > 0 {
-				t.Logf("hot %d, refused at %s: %v", hot, c.s.name, c.reasons)
-			}
 		}
 		t.Logf("hot %d: offered %v, refused %v", hot, offered, refused)
 		for ws, n := range refused {
@@ -247,9 +239,7 @@
 		Revision: 1,
 	}
 	for _, d := range fl.domains {
-		cfg.Domains = append(cfg.Domains, spec.Domain{
-			Name: d,
-		})
+		cfg.Domains = append(cfg.Domains, spec.Domain{Name: d})
 	}
 	for i := range count {
 		cfg.Workspaces = append(cfg.Workspaces, spec.Workspace{
