place: begin anew after a lapsed holding

The endpoint had restarted and forgotten its fence, so that it accepted both: at 5m2s: e1 (fencing true) holds 111 of 100 MiB: resident m0 36, m1 25, m5 20 by node 3 under fence 1.3, m3 30 by node 4 under 104.4

Change: when a holding lapsed, or a node that stands in was paused, fencing endpoints are claimed and read again after the wait. Endpoints without fencing keep their wait, since only the lease's holder orders them.

--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -301,6 +301,7 @@
 
 	auth     Authority
 	held     time.Time // Since of the holding that was begun
+	stepped  time.Time
 	term     engine.Fence
 	outage   bool
 	begun    bool
@@ -434,15 +435,20 @@
 
 // authorise takes over the authority and begins a new holding.
 func (m *Manager) authorise(now time.Time, a Authority) {
-	m.auth = a
 	valid := now.Before(a.Until)
+	// A holding that lapsed, or a pause while standing in, is begun again:
+	// another node may have stood in meanwhile, and an endpoint that restarted
+	// does not remember its fence.
+	lapsed := valid && !m.outage && !now.Before(m.auth.Until)
+	paused := !valid && m.outage && now.Sub(m.stepped) > m.set.AnswerWait
+	m.auth, m.stepped = a, now
 	if !valid && !m.standsIn(now) {
 		m.outage = false
 		return
 	}
 	// Standing in during an outage is not a holding of the lease: endpoints
 	// without fencing keep the quiet time of the last one.
-	begins := !m.begun || valid && !a.Since.Equal(m.held) || m.outage == valid
+	begins := !m.begun || valid && !a.Since.Equal(m.held) || m.outage == valid || lapsed || paused
 	m.outage = !valid
 	if !begins {
 		return
@@ -469,8 +475,8 @@
 			}
 			e.ledger.Begin(a.Since.Add(wait))
 		case e.Fencing:
-			// Another node may have stood in until now.
-			e.ledger.Begin(now.Add(m.quiet(true)))
+			// Another node may have stood in until now, or still do so.
+			e.ledger.Begin(now.Add(m.quiet(true) + m.set.OutageLag))
 		}
 		e.wantRead = true
 		// What an earlier holding had under way is seen in the states; the
