load: tell wrong refusals from unreachable tokens

Cause: a workspace above its rate had every refusal counted as wrong whenever an ideal bucket held the tokens. Change: a refusal is wrong only while the workspace sends within its rate; the others are counted as unreachable.

--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -49,6 +49,8 @@
 	// Resent is how often the caller turned to another node.
 	Resent int
 	Error  string
+	// Node is the address of the node that was asked last.
+	Node string
 }
 
 // onTarget tells whether the request met the target of its class.
@@ -96,6 +98,7 @@
 	sent := time.Now()
 	for try := range tries {
 		r.Resent = try
+		r.Node = c.target(a, try)
 		var err error
 		if a.Path != "" {
 			err = c.call(ctx, a, &r, sent, try)
--- a/internal/load/ideal.go
+++ b/internal/load/ideal.go
@@ -18,19 +18,34 @@
 }
 
 // allowance bounds what a workspace is entitled to. Nobody outside the fleet
-// knows the level at the start of a run: the low bucket, which decides about
-// refusals, starts empty, and the high one, which decides about excess, full.
+// knows the level at the start of a run: the buckets that decide about refusals
+// start empty, the one that decides about excess starts full.
 type allowance struct {
+	// offered is charged with everything that was sent, and so empty while a
+	// workspace sends more than its rate.
+	offered *bucket
+	// low and high are charged with what the fleet admitted.
 	low, high *bucket
 }
 
 func newAllowance(rate float64, burst int64) allowance {
 	return allowance{
-		low:  newBucket(rate, burst, 0),
-		high: newBucket(rate, burst, float64(burst)),
+		offered: newBucket(rate, burst, 0),
+		low:     newBucket(rate, burst, 0),
+		high:    newBucket(rate, burst, float64(burst)),
 	}
 }
 
+// offer charges a request that was sent and tells whether it is within the rate.
+func (a allowance) offer(at time.Duration, tokens int64) bool {
+	within := a.offered.holds(at, tokens)
+	a.offered.take(at, tokens)
+	// Without the floor, an overload would count against the workspace long
+	// after its end.
+	a.offered.level = max(0, a.offered.level)
+	return within
+}
+
 func (a allowance) take(at time.Duration, tokens int64) {
 	a.low.take(at, tokens)
 	a.high.take(at, tokens)
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -179,8 +179,8 @@
 		}
 	}
 	out = append(out,
-		fmt.Sprintf("%s refused for the rate although the workspace was within it. %s refused because the workspace had used up its rate.",
-			requestsWere(t.WronglyRefused), requestsWere(t.OverRate)),
+		fmt.Sprintf("%s refused for the rate although the workspace was within it. %s refused while the workspace sent more than its rate; an ideal limit would have admitted %d of them.",
+			requestsWere(t.WronglyRefused), requestsWere(t.OverRate), t.Unreachable),
 		fmt.Sprintf("%s refused for other reasons, for example because a model could not be loaded in time. %d broke off or ended with an error.",
 			requestsWere(t.OtherRefused), t.Failed))
 	if t.Overspent > 0 {
@@ -241,6 +241,7 @@
 	})
 	row("wrongly refused", func(r *Result) string { return fmt.Sprint(r.Total.WronglyRefused) })
 	row("refused over the rate", func(r *Result) string { return fmt.Sprint(r.Total.OverRate) })
+	row("of these, an ideal limit admits", func(r *Result) string { return fmt.Sprint(r.Total.Unreachable) })
 	row("other refusals", func(r *Result) string { return fmt.Sprint(r.Total.OtherRefused) })
 	row("failed", func(r *Result) string { return fmt.Sprint(r.Total.Failed) })
 	for _, class := range []spec.Class{spec.ClassInteractive, spec.ClassNormal, spec.ClassDeferrable} {
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -94,9 +94,11 @@
 	Attained   int64   `json:"attained"`
 	Attainment float64 `json:"attainment"`
 	Served     int64   `json:"served"`
-	// OverRate were refused and not within the rate, WronglyRefused refused for
-	// the rate although within it.
+	// OverRate were refused while the workspace sent more than its rate;
+	// Unreachable is how many of them an ideal bucket would have admitted.
+	// WronglyRefused were refused for the rate although within it.
 	OverRate       int64 `json:"over-rate"`
+	Unreachable    int64 `json:"unreachable"`
 	WronglyRefused int64 `json:"wrongly-refused"`
 	// OtherRefused were refused for other reasons, Failed broke.
 	OtherRefused int64 `json:"other-refused"`
@@ -244,19 +246,21 @@
 const (
 	fateServed fate = iota
 	fateOverRate
+	fateUnreachable
 	fateWrongly
 	fateOther
 	fateFailed
 )
 
-var fateNames = []string{"served", "over-rate", "wrongly-refused", "other-refused", "failed"}
+var fateNames = []string{"served", "over-rate", "unreachable", "wrongly-refused", "other-refused", "failed"}
 
 // rateCodes are the codes of refusals on account of the rate.
 var rateCodes = []string{"over-rate", "over-burst", "rate-unreachable"}
 
-// fates decides about each request. A refusal for the rate is wrong when an
-// ideal bucket, charged with what the fleet really admitted, held the tokens
-// from the sending until the refusal.
+// fates decides about each request. A refusal for the rate is wrong when the
+// workspace was within its rate with all that it had sent. Otherwise it still
+// counts as unreachable if an ideal bucket, charged with what the fleet
+// admitted, held the tokens from the sending until the refusal.
 func fates(records []Record, workspaces []spec.Workspace) (out []fate, overspent map[string]int64) {
 	out = make([]fate, len(records))
 	overspent = map[string]int64{}
@@ -281,13 +285,14 @@
 		r := &records[c.record]
 		b, known := allowances[r.Arrival.Workspace]
 		tokens := r.Arrival.Tokens()
+		within := known && !c.end && b.offer(c.at, tokens)
 		refused := slices.Contains(rateCodes, r.Code)
 		switch {
 		case !known:
 		case c.end && refused:
 			// The fleet may wait for tokens before it refuses, and the bucket may
 			// have been emptied in the meantime.
-			if out[c.record] == fateWrongly && !b.low.holds(c.at, tokens) {
+			if !b.low.holds(c.at, tokens) {
 				out[c.record] = fateOverRate
 			}
 		case c.end && !r.Served:
@@ -299,8 +304,12 @@
 		case c.end:
 		case refused:
 			out[c.record] = fateOverRate
-			if b.low.holds(c.at, tokens) {
+			switch {
+			case !b.low.holds(c.at, tokens):
+			case within:
 				out[c.record] = fateWrongly
+			default:
+				out[c.record] = fateUnreachable
 			}
 		default:
 			out[c.record] = fateOf(r)
@@ -331,6 +340,10 @@
 	case fateOverRate:
 		w.OverRate++
 		return
+	case fateUnreachable:
+		w.OverRate++
+		w.Unreachable++
+		return
 	case fateWrongly:
 		w.WronglyRefused++
 	case fateOther:
@@ -381,7 +394,7 @@
 		if !rec.Served {
 			codes[codeOf(rec)]++
 		}
-		if fate[i] == fateOverRate {
+		if fate[i] == fateOverRate || fate[i] == fateUnreachable {
 			continue
 		}
 		kind := kindModel
@@ -555,14 +568,18 @@
 // writeRequests writes a line for each request, for closer looks.
 func (r *run) writeRequests(fate []fate) string {
 	var b strings.Builder
-	b.WriteString("sent-ms,workspace,class,model,adapter,path,tokens,fate,status,code,first-token-ms,total-ms,resent,error\n")
+	b.WriteString("sent-ms,workspace,class,model,adapter,path,tokens,fate,status,code,first-token-ms,total-ms,resent,node,error\n")
+	nodes := map[string]string{}
+	for _, n := range r.nodes {
+		nodes[n.node.CallersAddr] = n.name
+	}
 	for i := range r.records {
 		rec := &r.records[i]
 		a := rec.Arrival
-		fmt.Fprintf(&b, "%d,%s,%s,%s,%s,%s,%d,%s,%d,%s,%.1f,%.1f,%d,%q\n",
+		fmt.Fprintf(&b, "%d,%s,%s,%s,%s,%s,%d,%s,%d,%s,%.1f,%.1f,%d,%s,%q\n",
 			(rec.Sent - time.Duration(r.s.WarmUp)).Milliseconds(), a.Workspace, a.Class, a.Model, a.Adapter, a.Path, a.Tokens(),
 			fateNames[fate[i]], rec.Status, rec.Code, float64(rec.FirstToken.Microseconds())/1000,
-			float64(rec.Total.Microseconds())/1000, rec.Resent, rec.Error)
+			float64(rec.Total.Microseconds())/1000, rec.Resent, nodes[rec.Node], rec.Error)
 	}
 	return b.String()
 }
