cmds: test planned stops, deaths, suspension and outages with real processes

Cause: the scripts covered only the undisturbed path of the separate programs. Change: scripts stop, kill and outage, with commands that signal processes, run callers in the background and put the fault-injecting proxy in front of a process. The command term, which no script used, is replaced by signal.

--- a/internal/cmds/script_test.go
+++ b/internal/cmds/script_test.go
@@ -39,14 +39,30 @@
 func TestScripts(t *testing.T) {
 	testscript.Run(t, testscript.Params{
 		Dir: "testdata/script",
+		Setup: func(env *testscript.Env) error {
+			env.Values[worldKey{}] = newWorld(env)
+			data, err := os.ReadFile("testdata/fleet.yaml")
+			if err != nil {
+				return err
+			}
+			return os.WriteFile(filepath.Join(env.WorkDir, "small.yaml"), data, 0o600)
+		},
 		Cmds: map[string]func(ts *testscript.TestScript, neg bool, args []string){
-			"start":  start,
-			"render": render,
-			"call":   call,
-			"await":  await,
-			"term":   term,
-			"port":   port,
-			"secret": secret,
+			"nodes":   startNodes,
+			"signal":  signal,
+			"exited":  exited,
+			"later":   later,
+			"steady":  steady,
+			"book":    book,
+			"collect": collect,
+			"proxy":   proxy,
+			"link":    link,
+			"start":   start,
+			"render":  render,
+			"call":    call,
+			"await":   await,
+			"port":    port,
+			"secret":  secret,
 		},
 	})
 }
@@ -68,15 +84,27 @@
 	out, err := cmd.StdoutPipe()
 	ts.Check(err)
 	ts.Check(cmd.Start())
+	p := &process{
+		cmd:  cmd,
+		done: make(chan struct{}),
+	}
+	worldOf(ts).processes[name] = p
 	ts.Defer(func() {
 		_ = cmd.Process.Kill()
-		_ = cmd.Wait()
+		<-p.done
 	})
 	lines := 1
 	if args[1] == "trefoild" {
 		lines = 3
 	}
 	r := bufio.NewReader(out)
+	defer func() {
+		go func() {
+			_, _ = io.Copy(io.Discard, r)
+			p.err = cmd.Wait()
+			close(p.done)
+		}()
+	}()
 	for range lines {
 		line, err := r.ReadString('\n')
 		if err != nil {
@@ -86,8 +114,6 @@
 		kind, address, _ := strings.Cut(strings.TrimSpace(line), " ")
 		ts.Setenv(name+"_"+kind, address)
 	}
-	go func() { _, _ = io.Copy(io.Discard, r) }()
-	ts.Setenv(name+"_pid", fmt.Sprint(cmd.Process.Pid))
 }
 
 // render replaces ${name} variables in a file: render FROM TO.
@@ -136,12 +162,6 @@
 	return res.StatusCode, string(body)
 }
 
-// term sends SIGTERM to a process by its id and waits for its exit: term NAME.
-func term(ts *testscript.TestScript, _ bool, args []string) {
-	pid := ts.Getenv(args[0] + "_pid")
-	ts.Check(exec.Command("kill", "-TERM", pid).Run())
-}
-
 // port sets a variable to a free port: port NAME.
 func port(ts *testscript.TestScript, _ bool, args []string) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
