entry: answer a wrong method on a known path with 405

Cause: GET /v1/completions fell through to the plain services and was answered with 404 service-unknown. Change: known paths refuse other methods as method-unknown, not run.

--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -182,6 +182,9 @@
 	mux.HandleFunc("POST /v1/chat/completions", s.track(s.complete))
 	mux.HandleFunc("POST /v1/completions", s.track(s.complete))
 	mux.HandleFunc("GET /v1/models", s.track(s.listModels))
+	for _, path := range []string{"/v1/chat/completions", "/v1/completions", "/v1/models"} {
+		mux.HandleFunc(path, s.track(wrongMethod))
+	}
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = w.Write([]byte("ok\n"))
 	})
@@ -190,6 +193,16 @@
 	return mux
 }
 
+// wrongMethod answers a known path that was asked with another method.
+func wrongMethod(q *request) {
+	q.refuse(problem{
+		Status:  http.StatusMethodNotAllowed,
+		Reason:  audit.MethodUnknown,
+		Message: q.r.URL.Path + " does not offer " + q.r.Method,
+		NotRun:  true,
+	}, audit.Event{})
+}
+
 func (s *Server) readyz(w http.ResponseWriter, _ *http.Request) {
 	if !s.ready.Load() {
 		http.Error(w, "not ready", http.StatusServiceUnavailable)
