place: read the state of an endpoint when the wait of a new holder ends

Change: an unsettled endpoint is read as soon as the wait is over. Domains count as isolated by the age of their word, which all relays of a domain share, instead of the relay's own exchange, which only one of them has.

--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -354,7 +354,7 @@
 		}
 	}
 	pools := make(map[string][]string)
-	isolated := make(map[string]bool)
+	isolated := l.isolated(now)
 	for _, d := range l.peers.Domains() {
 		if d.Name == own {
 			continue
@@ -368,7 +368,6 @@
 				addresses[m.Name] = m.Address
 			}
 		}
-		isolated[d.Name] = l.peers.IsRelay() && !d.Heard.IsZero() && now.Sub(d.Heard) > 3*peers.RelayEvery
 	}
 	l.node.trans.addresses.Store(&addresses)
 	l.node.limiter.SetMembers(local, pools)
@@ -377,6 +376,23 @@
 	l.noteDead()
 }
 
+// isolatedAfter is how old the word of a domain may be before its endpoints get
+// no work from here: two exchanges and the way of the word between relays.
+const isolatedAfter = 3 * peers.RelayEvery
+
+// isolated are the domains that no relay of this domain has heard lately. Other
+// nodes leave it to the failures of their requests.
+func (l *loop) isolated(now time.Time) map[string]bool {
+	out := make(map[string]bool)
+	if !l.peers.IsRelay() {
+		return out
+	}
+	for _, s := range l.relay.Fleet.States(now) {
+		out[s.Domain] = s.Domain != l.node.set.Node.Domain && s.Age > isolatedAfter
+	}
+	return out
+}
+
 // noteMembers records who joined and who fell silent.
 func (l *loop) noteMembers(local []string) {
 	live := make(map[string]bool, len(local))
--- a/internal/place/drive.go
+++ b/internal/place/drive.go
@@ -66,6 +66,11 @@
 		m.unread(now, e)
 		m.counters.LostAnswers++
 	}
+	// A state read after the wait settles the ledger; without it the first load
+	// would come with the next regular read.
+	if e.ledger.SettlesBy(now) && e.fails == 0 {
+		e.wantRead = true
+	}
 	if m.reads < m.set.Reads && e.readAsked.IsZero() && (e.wantRead || !now.Before(e.nextRead)) && (e.fails == 0 || !now.Before(e.nextRead)) {
 		e.readAsked, e.wantRead = now, false
 		m.reads++
--- a/internal/place/ledger.go
+++ b/internal/place/ledger.go
@@ -147,6 +147,11 @@
 // it and the endpoint's own figure counts.
 func (l *Ledger) SetMemory(mib int64) { l.memory = mib }
 
+// SettlesBy reports whether a state that is asked for at now settles the ledger.
+func (l *Ledger) SettlesBy(now time.Time) bool {
+	return !l.settled && !now.Before(l.quiet)
+}
+
 // Fencing reports whether the endpoint checks fences.
 func (l *Ledger) Fencing() bool { return l.set.Fencing }
 
