--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -21,8 +21,8 @@
 )
 
 const (
-	// completionDeadline bounds a completion with its retries. At 48 ms a token
-	// it allows an answer of 12,000 tokens.
+	// completionDeadline is when a completion is no longer tried again. At 48 ms
+	// a token an answer of 12,000 tokens has come by then.
 	completionDeadline = 10 * time.Minute
 	// defaultOnDemand bounds the wait for a model whose configuration names none.
 	defaultOnDemand = 30 * time.Second
@@ -467,6 +467,9 @@
 		return &k
 	case errors.Is(cause, errCancelled):
 		p.Message = "the request was cancelled"
+	case errors.Is(cause, errSlowClient):
+		p.Reason = audit.SlowClient
+		p.Message = "the caller took the answer too slowly"
 	}
 	return &p
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -16,6 +16,7 @@
 	"trefoildale.example/trefoildale/internal/lease"
 	"trefoildale.example/trefoildale/internal/peers"
 	"trefoildale.example/trefoildale/internal/place"
+	"trefoildale.example/trefoildale/internal/rank"
 	"trefoildale.example/trefoildale/internal/store"
 	"trefoildale.example/trefoildale/internal/wire"
 	"trefoildale.example/trefoildale/pkg/spec"
@@ -75,6 +76,11 @@
 	leaving   bool
 	drained   chan struct{}
 
+	sweepDue    time.Time
+	rotateDue   time.Time
+	expireDue   time.Time
+	expireAfter string
+
 	lease     *lease.Lease
 	leaseBusy bool
 	leaseDue  time.Time
@@ -240,9 +246,61 @@
 	l.stepReport(now)
 	l.stepLoads(now)
 	l.stepReady(now)
+	l.stepUpkeep(now)
 	l.refreshStatus(now)
 }
 
+const (
+	// sweepEvery is how often outcomes of calls that could not be stored are
+	// tried again; other nodes report such a call as in progress until then.
+	sweepEvery = 3 * time.Second
+	// expireEvery and expirePage bound the removal of old call rows to a few
+	// writes a second; the planner of one domain does it.
+	expireEvery  = time.Minute
+	expirePage   = 100
+	rotateEvery  = time.Minute
+	expireBudget = 30 * time.Second
+)
+
+// stepUpkeep runs the work that is due now and then.
+func (l *loop) stepUpkeep(now time.Time) {
+	if !now.Before(l.sweepDue) && l.node.once.Pending() > 0 {
+		l.sweepDue = now.Add(sweepEvery)
+		l.spawn(sweepEvery, func(ctx context.Context) message {
+			// What stays is tried again.
+			_ = l.node.once.Sweep(ctx)
+			return nil
+		})
+	}
+	if !now.Before(l.rotateDue) {
+		l.rotateDue = now.Add(rotateEvery)
+		l.node.stats.Rotate()
+	}
+	one := rank.First("expire", l.relay.Domains) == l.node.set.Node.Domain
+	if one && !now.Before(l.expireDue) && l.lease.Valid(now) {
+		l.expireDue = now.Add(expireEvery)
+		after := l.expireAfter
+		l.spawn(expireBudget, func(ctx context.Context) message {
+			next, _, err := l.node.once.Expire(ctx, after, expirePage)
+			if err != nil {
+				return nil
+			}
+			return expired{
+				next: next,
+			}
+		})
+	}
+}
+
+// expired tells how far the removal of old call rows has come.
+type expired struct {
+	next string
+}
+
+func (m expired) handle(l *loop) {
+	l.expireAfter = m.next
+}
+
 // aliveNodes are the nodes of the domain that are not proved dead: a silent one
 // may still be alive and hold a configuration.
 func (l *loop) aliveNodes() []string {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -302,6 +302,10 @@
 		}
 	}
 	n.giveBack()
+	n.audit.Record(audit.Event{
+		Reason: audit.ShutdownDone,
+		Node:   n.set.Node.Name,
+	})
 	klog.InfoS("Shutdown done", "node", n.set.Node.Name, "cut", len(cut))
 	n.close()
 	return cut
--- a/internal/node/operator.go
+++ b/internal/node/operator.go
@@ -6,6 +6,7 @@
 	"expvar"
 	"fmt"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -135,20 +136,11 @@
 		query.From = query.To.Add(-time.Duration(q.Last))
 	}
 	answer := o.node.find(ctx, query)
-	sentences := make([]string, 0, len(answer.Events)+1)
-	for _, e := range answer.Events {
-		sentences = append(sentences, e.Time.UTC().Format(time.TimeOnly)+"  "+audit.Sentence(e))
+	if q.Request != "" && len(answer.Events) == 0 {
+		return []string{o.nothing(q, answer)}, nil
 	}
-	if q.Request == "" {
-		sentences = append(sentences, audit.Summary(answer))
-	}
-	if len(sentences) == 0 {
-		sentences = append(sentences, o.nothing(q, answer))
-	}
-	if len(answer.Missing) > 0 {
-		sentences = append(sentences, fmt.Sprintf("These VMs did not answer, so something may be missing: %v.", answer.Missing))
-	}
-	return sentences, nil
+	text := audit.Explain(query, answer, time.UTC)
+	return strings.Split(strings.TrimSpace(text), "\n"), nil
 }
 
 func (o *operator) nothing(q admin.Query, answer audit.Answer) string {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -268,6 +268,41 @@
 		Reason:   audit.ConfigApplied,
 		Revision: cfg.Revision,
 	})
+	if old.Revision() > 0 {
+		l.noteKeys(old.Config, cfg)
+	}
+}
+
+// noteKeys records which keys came and went.
+func (l *loop) noteKeys(old, next *spec.Config) {
+	before, after := keysOf(old), keysOf(next)
+	for id, k := range after {
+		if _, ok := before[id]; !ok {
+			l.record(keyEvent(audit.KeyAdded, k, next.Revision))
+		}
+	}
+	for id, k := range before {
+		if _, ok := after[id]; !ok {
+			l.record(keyEvent(audit.KeyRemoved, k, next.Revision))
+		}
+	}
+}
+
+func keysOf(c *spec.Config) map[string]spec.Key {
+	out := make(map[string]spec.Key, len(c.Keys))
+	for _, k := range c.Keys {
+		out[k.ID] = k
+	}
+	return out
+}
+
+func keyEvent(r audit.Reason, k spec.Key, revision int64) audit.Event {
+	return audit.Event{
+		Reason:    r,
+		Key:       k.ID,
+		Workspace: k.Workspace,
+		Revision:  revision,
+	}
 }
 
 // confirm takes over the revision that every node holds at least.
