entry: give the charge back while a request waits

Requests that wait for a model held a charge whose tokens expire after 3 s, lost them, and were charged a second time when the model was ready.

Change: a request gives its charge back before it waits for a model or in a queue, and is admitted again directly before it is sent, with up to three waits for tokens.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -240,10 +240,8 @@
 	c.retries.Budget.Request()
 	c.opts.Demand.Arrived(c.spec.Name, c.workspaceName(), c.adapter, c.tokens)
 	defer func() {
-		if c.charge != nil {
-			c.charge.Settle(c.used)
-			c.opts.Stats.Add(stats.TokensCharged, c.used)
-		}
+		c.settle(c.used)
+		c.opts.Stats.Add(stats.TokensCharged, c.used)
 	}()
 	for {
 		p, again := c.attempt()
@@ -286,11 +284,18 @@
 		workspace = c.workspace.Name
 		weight = max(c.workspace.Weight, 0.001)
 	}
-	release, err := c.queue(choice.Endpoint).Acquire(c.ctx, workspace, weight, c.class, c.tokens)
+	queue := c.queue(choice.Endpoint)
+	if _, waiting := queue.Load(); waiting > 0 {
+		c.settle(0)
+	}
+	release, err := queue.Acquire(c.ctx, workspace, weight, c.class, c.tokens)
 	if err != nil {
 		return c.queueProblem(err), false
 	}
 	defer release()
+	if p := c.readmit(); p != nil {
+		return p, false
+	}
 	req := c.routeRequest()
 	if c.attempts == 0 {
 		c.opts.Routes.Start(choice, req)
@@ -329,6 +334,40 @@
 	return c.judge(err, outcome, choice)
 }
 
+// settle ends the charge. Tokens that were not spent go back. A request that has
+// to wait gives its charge back first: the tokens of a charge expire within 3 s,
+// and charging twice refuses workspaces that are inside their rate.
+func (c *completion) settle(used int64) {
+	if c.charge != nil {
+		c.charge.Settle(used)
+		c.charge = nil
+	}
+}
+
+// readmitTries bounds the waits for tokens of a request that was admitted
+// before and has waited since.
+const readmitTries = 3
+
+// readmit charges a request whose charge was given back while it waited.
+func (c *completion) readmit() *problem {
+	if c.workspace == nil || c.charge != nil {
+		return nil
+	}
+	var err error
+	for range readmitTries {
+		var charge limit.Charge
+		if charge, err = c.opts.Admitter.Admit(c.ctx, c.workspace.Name, c.tokens); err == nil {
+			c.charge = &charge
+			return nil
+		}
+		if c.ctx.Err() != nil {
+			return c.endProblem()
+		}
+	}
+	p, _ := c.admitProblem(err)
+	return &p
+}
+
 // blames reports whether the endpoint is to blame for the error of an attempt.
 func (c *completion) blames(err error, outcome once.Outcome) bool {
 	var refused *refusal
@@ -348,12 +387,11 @@
 	if c.charge.Check() == nil {
 		return nil
 	}
-	charge, err := c.opts.Admitter.Admit(c.ctx, c.workspace.Name, c.tokens)
-	if err == nil {
-		c.charge = &charge
-		err = c.charge.Check()
+	c.charge = nil
+	if p := c.readmit(); p != nil {
+		return p
 	}
-	if err != nil {
+	if err := c.charge.Check(); err != nil {
 		p, _ := c.admitProblem(err)
 		return &p
 	}
@@ -401,6 +439,7 @@
 
 // awaitResident waits until an endpoint has what the request needs.
 func (c *completion) awaitResident() *problem {
+	c.settle(0)
 	defer c.opts.Demand.Wait(c.spec.Name, c.adapter)()
 	for {
 		// The channel is fetched before the layout is looked at, so that no
