--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -159,12 +159,6 @@
 func (ReadState) action() {}
 func (ReadOrder) action() {}
 
-// Codes with which endpoints refuse orders.
-const (
-	RefusedStaleFence = "stale-fence"
-	RefusedNoMemory   = "no-memory"
-)
-
 // StateResult is the outcome of a ReadState.
 type StateResult struct {
 	Endpoint string
--- a/internal/place/result.go
+++ b/internal/place/result.go
@@ -82,7 +82,7 @@
 	}
 	s.silent = 0
 	if r.Refused != "" {
-		if r.Refused == RefusedStaleFence {
+		if r.Refused == engine.CodeStaleFence {
 			m.counters.StaleFence++
 		}
 		m.settle(now, e, s, false)
--- a/internal/place/world_test.go
+++ b/internal/place/world_test.go
@@ -78,7 +78,7 @@
 		return engine.OrderStatus{ID: o.ID, Phase: p}, ""
 	}
 	if f.fencing && o.Fence.Less(f.fence) {
-		return engine.OrderStatus{}, RefusedStaleFence
+		return engine.OrderStatus{}, engine.CodeStaleFence
 	}
 	if f.deadline && !now.Before(o.Deadline) {
 		return engine.OrderStatus{}, "deadline"
