node: publish the status with the membership, not at each tick

Cause: a read of the whole change showed that the control loop built the status text for operators, with a line for each endpoint, ten times a second, although nobody reads it that often.

Change: it is built every 500 ms with the membership. The hash that picks the domain for the removal of old rows is computed only when the removal is due.

Result: the scripts path and TestTrefoil and TestChangesAreInForceEverywhere pass; processor time was not measured again.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -247,7 +247,6 @@
 	l.stepLoads(now)
 	l.stepReady(now)
 	l.stepUpkeep(now)
-	l.refreshStatus(now)
 }
 
 const (
@@ -276,8 +275,8 @@
 		l.rotateDue = now.Add(rotateEvery)
 		l.node.stats.Rotate()
 	}
-	one := rank.First("expire", l.relay.Domains) == l.node.set.Node.Domain
-	if one && !now.Before(l.expireDue) && l.lease.Valid(now) {
+	due := !now.Before(l.expireDue) && l.lease.Valid(now)
+	if due && rank.First("expire", l.relay.Domains) == l.node.set.Node.Domain {
 		l.expireDue = now.Add(expireEvery)
 		after := l.expireAfter
 		l.spawn(expireBudget, func(ctx context.Context) message {
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -106,6 +106,7 @@
 	l.node.routes.SetIsolated(isolated)
 	l.noteMembers(local)
 	l.noteDead()
+	l.refreshStatus(now)
 }
 
 // isolatedAfter is how old the word of a domain may be before its endpoints get
