local: do not read the list of nodes while it grows

All tests that ran at that time were marked as failed; none failed an assertion of its own.

Change: that test sends to the address of the node that it holds. Its assertions are the same.

--- a/internal/local/change_test.go
+++ b/internal/local/change_test.go
@@ -195,14 +195,14 @@
 				if !target.Ready() {
 					continue
 				}
-				i := indexOf(f, &mu, target)
-				a := ask(t, f, i, keys["club"], 200)
+				a := doAt(t, target.CallersAddr, http.MethodPost, "/v1/completions", keys["club"],
+					`{"model":"lane-rules","prompt":"x","max_tokens":200}`)
 				if a.status == http.StatusOK {
 					served.Add(1)
 					continue
 				}
 				failed.Add(1)
-				t.Errorf("node %d: %d %s", i, a.status, a.body)
+				t.Errorf("node at %s: %d %s", target.CallersAddr, a.status, a.body)
 			}
 		})
 	}
@@ -237,14 +237,3 @@
 		t.Error("no request was served")
 	}
 }
-
-func indexOf(f *Fleet, mu *sync.Mutex, n *node.Node) int {
-	mu.Lock()
-	defer mu.Unlock()
-	for i, x := range f.Nodes {
-		if x == n {
-			return i
-		}
-	}
-	return 0
-}
--- a/internal/local/fleet_test.go
+++ b/internal/local/fleet_test.go
@@ -146,10 +146,17 @@
 
 // do sends one request to a node.
 func do(t *testing.T, f *Fleet, node int, method, path, key, body string, headers ...string) answer {
+	t.Helper()
+	return doAt(t, f.Nodes[node].CallersAddr, method, path, key, body, headers...)
+}
+
+// doAt sends one request to an address. Tests that add nodes meanwhile use it,
+// since the list of nodes changes.
+func doAt(t *testing.T, address, method, path, key, body string, headers ...string) answer {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), 40*time.Second)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+f.Nodes[node].CallersAddr+path, bytes.NewBufferString(body))
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, bytes.NewBufferString(body))
 	if err != nil {
 		t.Fatal(err)
 	}
