--- a/internal/cmds/trefoild.go
+++ b/internal/cmds/trefoild.go
@@ -26,12 +26,13 @@
 		ArgsUsage: " ",
 		Flags: []cli.Flag{
 			&cli.StringFlag{
-				Name:     "settings",
-				Usage:    "YAML file with the settings of this process",
-				Required: true,
+				Name:  "settings",
+				Usage: "YAML file with the settings of this process",
+				Local: true,
 			},
 		},
-		Action: runTrefoild,
+		Commands: []*cli.Command{fleetCommand()},
+		Action:   runTrefoild,
 	}
 }
 
@@ -39,6 +40,9 @@
 	if cmd.Args().Present() {
 		return Usagef("trefoild: unexpected argument %q", cmd.Args().First())
 	}
+	if !cmd.IsSet("settings") {
+		return Usagef("trefoild: Required flag \"settings\" not set")
+	}
 	set, err := conf.Load(cmd.String("settings"))
 	var findings conf.Findings
 	if errors.As(err, &findings) {
--- /dev/null
+++ b/internal/cmds/trefoild_fleet.go
@@ -0,0 +1,69 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"trefoildale.example/trefoildale/internal/conf"
+	"trefoildale.example/trefoildale/internal/proc"
+	"trefoildale.example/trefoildale/platform"
+)
+
+// fleetCommand runs the entry process on the users' platform.
+func fleetCommand() *cli.Command {
+	return &cli.Command{
+		Name:      "fleet",
+		Usage:     "serve callers on the users' platform",
+		ArgsUsage: " ",
+		Flags: []cli.Flag{
+			&cli.StringFlag{
+				Name:     "settings",
+				Usage:    "YAML file with the settings of this process",
+				Sources:  cli.EnvVars(platform.SettingsVariable),
+				Required: true,
+			},
+		},
+		Action: runFleet,
+	}
+}
+
+func loadFleetSettings(file string) (*conf.Fleet, error) {
+	set, err := conf.LoadFleet(file)
+	var findings conf.Findings
+	if errors.As(err, &findings) {
+		return nil, Usagef("--settings:\n%w", findings)
+	}
+	if err != nil {
+		return nil, Usagef("--settings: %w", err)
+	}
+	return set, nil
+}
+
+func runFleet(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return Usagef("trefoild fleet: unexpected argument %q", cmd.Args().First())
+	}
+	file := cmd.String("settings")
+	set, err := loadFleetSettings(file)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	p, release, err := proc.New(set, cmd.Root().Writer)
+	if err != nil {
+		return err
+	}
+	defer release()
+	p.Run(ctx, signals, func() error {
+		_, err := loadFleetSettings(file)
+		return err
+	})
+	return nil
+}
--- a/internal/conf/conf.go
+++ b/internal/conf/conf.go
@@ -37,20 +37,17 @@
 	return Decode(file, data)
 }
 
+// section is a part of the settings that checks itself.
+type section struct {
+	path string
+	part interface{ check(*checker) }
+}
+
 // Decode reads settings from YAML, fills in the defaults and checks them. The
 // error is of type Findings; name stands for the file in it.
 func Decode(name string, data []byte) (*Settings, error) {
 	s := new(Settings)
-	places, found := strict.Decode(data, s)
-	broken := map[string]bool{}
-	for _, f := range found {
-		broken[f.Path] = true
-	}
-	c := &checker{}
-	for _, section := range []struct {
-		path string
-		part interface{ check(*checker) }
-	}{
+	err := decode(name, data, s, []section{
 		{path: "node", part: &s.Node},
 		{path: "listen", part: &s.Listen},
 		{path: "platform", part: &s.Platform},
@@ -58,9 +55,24 @@
 		{path: "limits", part: &s.Limits},
 		{path: "shutdown", part: &s.Shutdown},
 		{path: "log", part: &s.Log},
-	} {
-		c.path = section.path
-		section.part.check(c)
+	})
+	if err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// decode fills out from YAML and checks its sections.
+func decode(name string, data []byte, out any, sections []section) error {
+	places, found := strict.Decode(data, out)
+	broken := map[string]bool{}
+	for _, f := range found {
+		broken[f.Path] = true
+	}
+	c := &checker{}
+	for _, s := range sections {
+		c.path = s.path
+		s.part.check(c)
 	}
 	for _, f := range c.found {
 		// A value that did not parse is not reported again as missing.
@@ -70,7 +82,7 @@
 		}
 	}
 	if len(found) == 0 {
-		return s, nil
+		return nil
 	}
 	slices.SortStableFunc(found, func(a, b strict.Finding) int {
 		if a.Line != b.Line {
@@ -86,7 +98,7 @@
 		}
 		all = append(all, line+f.Text)
 	}
-	return nil, all
+	return all
 }
 
 // checker collects findings.
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -39,6 +39,8 @@
 	Dial Dial
 	// DialTimeout bounds opening a connection; the default is 2 s.
 	DialTimeout time.Duration
+	// IdleTimeout closes kept connections that are not used; the default is 90 s.
+	IdleTimeout time.Duration
 	// MaxIdlePerHost bounds the idle connections kept for one server; the default is 64.
 	MaxIdlePerHost int
 }
@@ -64,6 +66,10 @@
 	if idle == 0 {
 		idle = 64
 	}
+	idleTimeout := opts.IdleTimeout
+	if idleTimeout == 0 {
+		idleTimeout = 90 * time.Second
+	}
 	base := &http.Transport{
 		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
 			ctx, cancel := context.WithTimeout(ctx, timeout)
@@ -78,7 +84,7 @@
 		MaxIdleConnsPerHost: idle,
 		// The default of 10 MiB would let one endpoint exhaust a small VM.
 		MaxResponseHeaderBytes: 64 << 10,
-		IdleConnTimeout:        90 * time.Second,
+		IdleConnTimeout:        idleTimeout,
 	}
 	return &Transport{base: base}, base.CloseIdleConnections
 }
--- /dev/null
+++ b/internal/depot/plan.go
@@ -0,0 +1,432 @@
+package depot
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/fleet"
+)
+
+// Step returns the orders that are due at now.
+func (d *Depot) Step(now time.Time) []Order {
+	var out []Order
+	for _, e := range d.sorted() {
+		if o := d.drive(now, e); o != nil {
+			out = append(out, *o)
+		}
+	}
+	if now.Before(d.nextPlan) {
+		return out
+	}
+	d.nextPlan = now.Add(planEvery)
+	for _, s := range d.services {
+		d.plan(now, s)
+	}
+	return out
+}
+
+func (d *Depot) sorted() []*engine {
+	out := make([]*engine, 0, len(d.engines))
+	for _, e := range d.engines {
+		if d.services[e.Service] != nil {
+			out = append(out, e)
+		}
+	}
+	slices.SortFunc(out, func(a, b *engine) int { return strings.Compare(a.ID, b.ID) })
+	return out
+}
+
+// drive takes the next step that was planned for an engine.
+func (d *Depot) drive(now time.Time, e *engine) *Order {
+	if len(e.todo) == 0 {
+		return nil
+	}
+	if e.Leaving || now.Sub(e.todoFrom) > planTimeout {
+		e.todo = nil
+		return nil
+	}
+	if !e.settled(now) {
+		return nil
+	}
+	for len(e.todo) > 0 && e.done(e.todo[0]) {
+		e.todo = e.todo[1:]
+	}
+	if len(e.todo) == 0 {
+		return nil
+	}
+	next := e.todo[0]
+	if !next.load {
+		if now.Sub(e.todoFrom) < unloadAhead {
+			return nil
+		}
+		o := d.send(now, e, Order{
+			Model:  next.model,
+			Reason: e.reason,
+		})
+		return &o
+	}
+	s := d.services[e.Service]
+	m, ok := e.class.Models[next.model]
+	if !ok || e.size()+m.MB > e.class.WeightsMB {
+		// Something else was loaded meanwhile; the next plan starts from there.
+		e.todo = nil
+		return nil
+	}
+	fromStore := e.fromStore(next.model)
+	if fromStore && !s.mayLoad(now) {
+		return nil
+	}
+	o := d.send(now, e, Order{
+		Load:      true,
+		Model:     next.model,
+		FromStore: fromStore,
+		Reason:    e.reason,
+	})
+	return &o
+}
+
+// fromStore reports whether a load takes the weights from the weight store.
+func (e *engine) fromStore(name string) bool {
+	return !slices.Contains(e.report.InMemory, name) && !slices.Contains(e.report.OnDisk, name)
+}
+
+func (e *engine) done(s step) bool {
+	return s.load == (fleet.Find(e.models, s.model) != nil)
+}
+
+// refill adds the loads that the weight store allows meanwhile.
+func (s *service) refill(now time.Time) {
+	if dt := now.Sub(s.loadsAt); dt > 0 {
+		s.loads = min(ceilingBurst, s.loads+dt.Seconds()*s.class.StoreLoadsPerSecond*ceilingUse)
+		s.loadsAt = now
+	}
+}
+
+// mayLoad takes one load from the weight store's allowance.
+func (s *service) mayLoad(now time.Time) bool {
+	s.refill(now)
+	if s.loads < 1 {
+		return false
+	}
+	s.loads--
+	return true
+}
+
+// layout is what a service's engines hold or are about to hold, with the load
+// that follows from it.
+type layout struct {
+	engines []*engine
+	models  []*model
+	holders map[string]int
+	loads   []float64
+}
+
+func (d *Depot) layout(now time.Time, s *service) *layout {
+	l := &layout{
+		holders: map[string]int{},
+	}
+	for _, e := range d.sorted() {
+		if e.Service == s.name && !e.Leaving && !e.reported.IsZero() && now.Sub(e.reported) < 2*reportMaxAge {
+			l.engines = append(l.engines, e)
+		}
+	}
+	for _, m := range s.models {
+		m.decay(now)
+		l.models = append(l.models, m)
+	}
+	slices.SortFunc(l.models, func(a, b *model) int { return strings.Compare(a.Name, b.Name) })
+	for _, e := range l.engines {
+		for _, name := range e.future() {
+			l.holders[name]++
+		}
+	}
+	l.loads = make([]float64, len(l.engines))
+	for i, e := range l.engines {
+		for _, name := range e.future() {
+			if m := s.models[name]; m != nil {
+				l.loads[i] += m.demand / float64(l.holders[name])
+			}
+		}
+	}
+	return l
+}
+
+// future is what the engine holds once its planned steps are done.
+func (e *engine) future() []string {
+	out := make([]string, 0, len(e.models)+1)
+	for _, r := range e.models {
+		if !slices.Contains(e.todo, step{model: r.Model}) {
+			out = append(out, r.Model)
+		}
+	}
+	if s := e.last; s != nil && s.order.Adapter == "" && s.order.Load && e.orders <= s.order.Expected+1 && !slices.Contains(out, s.order.Model) && (!s.answered || s.answer == Accepted) {
+		out = append(out, s.order.Model)
+	}
+	for _, t := range e.todo {
+		if t.load && !slices.Contains(out, t.model) {
+			out = append(out, t.model)
+		}
+	}
+	return out
+}
+
+// free reports whether new steps can be planned for an engine.
+func (e *engine) free(now time.Time) bool { return len(e.todo) == 0 && e.settled(now) }
+
+// plan decides on at most one change for each model that lacks a copy, and one
+// more copy for the model that gains most.
+func (d *Depot) plan(now time.Time, s *service) {
+	s.refill(now)
+	l := d.layout(now, s)
+	if len(l.engines) == 0 {
+		return
+	}
+	var absent []*model
+	for _, m := range l.models {
+		if l.holders[m.Name] == 0 && (m.waiting > 0 || now.Sub(m.last) < idleAfter && !m.last.IsZero()) {
+			absent = append(absent, m)
+		}
+	}
+	slices.SortStableFunc(absent, func(a, b *model) int { return cmp.Compare(b.waiting, a.waiting) })
+	for _, m := range absent {
+		if d.bring(now, s, l, m, "demand-absent", true) {
+			l = d.layout(now, s)
+		}
+	}
+	for range 2 {
+		if !d.spread(now, s, l) {
+			break
+		}
+		l = d.layout(now, s)
+	}
+	d.preload(now, s, l)
+}
+
+// option is a way to bring a model to an engine.
+type option struct {
+	engine *engine
+	evict  []string
+	cost   float64
+}
+
+// bring plans to load a model at the engine where that costs least.
+func (d *Depot) bring(now time.Time, s *service, l *layout, m *model, reason string, must bool) bool {
+	var best *option
+	for i, e := range l.engines {
+		if !e.free(now) || fleet.Find(e.models, m.Name) != nil {
+			continue
+		}
+		evict, lost, ok := d.room(now, s, l, e, m, must)
+		if !ok {
+			continue
+		}
+		cost := l.loads[i] + lost
+		if e.fromStore(m.Name) {
+			cost += l.mean() * 0.5
+			if s.loads < 1 {
+				cost += l.mean() * 2
+			}
+		}
+		if len(evict) > 0 {
+			cost += l.mean() * 0.2
+		}
+		if best == nil || cost < best.cost {
+			best = &option{
+				engine: e,
+				evict:  evict,
+				cost:   cost,
+			}
+		}
+	}
+	if best == nil {
+		return false
+	}
+	d.start(now, best.engine, best.evict, m.Name, reason)
+	return true
+}
+
+func (l *layout) mean() float64 {
+	var sum float64
+	for _, x := range l.loads {
+		sum += x
+	}
+	return sum/float64(len(l.loads)) + 1
+}
+
+func (d *Depot) start(now time.Time, e *engine, evict []string, load, reason string) {
+	e.todo = e.todo[:0]
+	for _, name := range evict {
+		e.todo = append(e.todo, step{
+			model: name,
+		})
+	}
+	if load != "" {
+		e.todo = append(e.todo, step{
+			load:  true,
+			model: load,
+		})
+	}
+	e.todoFrom, e.reason = now, reason
+}
+
+// room chooses the models that make room for m at an engine, those with the
+// least demand there first. A model that is in use and has no other copy stays,
+// unless must is set and nobody has asked for it lately.
+func (d *Depot) room(now time.Time, s *service, l *layout, e *engine, m *model, must bool) (evict []string, lost float64, ok bool) {
+	free := e.class.WeightsMB - e.size()
+	if free >= m.MB {
+		return nil, 0, true
+	}
+	type candidate struct {
+		name string
+		mb   float64
+		lost float64
+	}
+	var list []candidate
+	for _, r := range e.models {
+		x := s.models[r.Model]
+		if x == nil {
+			mb := e.class.Models[r.Model].MB
+			list = append(list, candidate{name: r.Model, mb: mb})
+			continue
+		}
+		others := l.holders[r.Model] - 1
+		idle := now.Sub(x.last) > idleAfter && x.waiting == 0
+		if others < 1 && !idle {
+			continue
+		}
+		runs := float64(d.running[runKey{key: e.Key(), item: r.Model}])
+		cost := x.demand/float64(max(1, others)) + runs*l.mean()*0.02
+		if others < 1 && !must {
+			cost += l.mean() * 0.1
+		}
+		list = append(list, candidate{
+			name: r.Model,
+			mb:   x.MB + float64(len(r.Adapters))*x.AdapterMB,
+			lost: cost,
+		})
+	}
+	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.lost, b.lost) })
+	for _, c := range list {
+		if free >= m.MB {
+			break
+		}
+		evict = append(evict, c.name)
+		free += c.mb
+		lost += c.lost
+	}
+	return evict, lost, free >= m.MB
+}
+
+// spread gives one more copy to a model where that evens out the load of the
+// engines. It reports whether it planned one.
+func (d *Depot) spread(now time.Time, s *service, l *layout) bool {
+	var best *option
+	var bestModel *model
+	var bestGain float64
+	total := sumSquares(l.loads)
+	if total <= 0 {
+		return false
+	}
+	hot := slices.Clone(l.models)
+	slices.SortStableFunc(hot, func(a, b *model) int { return cmp.Compare(l.perCopy(b), l.perCopy(a)) })
+	for _, m := range hot[:min(len(hot), hotModels)] {
+		if l.holders[m.Name] == 0 || m.demand <= 0 {
+			continue
+		}
+		for i, e := range l.engines {
+			if !e.free(now) || fleet.Find(e.models, m.Name) != nil {
+				continue
+			}
+			if e.fromStore(m.Name) && s.loads < 1 {
+				continue
+			}
+			evict, _, ok := d.room(now, s, l, e, m, false)
+			if !ok {
+				continue
+			}
+			after := l.without(s, i, evict, m)
+			gain := (total - sumSquares(after)) / total
+			if len(evict) > 0 {
+				gain -= gainLeast / 2
+			}
+			if e.fromStore(m.Name) {
+				gain -= gainLeast / 2
+			}
+			if gain > gainLeast && gain > bestGain {
+				bestGain, bestModel = gain, m
+				best = &option{
+					engine: e,
+					evict:  evict,
+				}
+			}
+		}
+	}
+	if best == nil {
+		return false
+	}
+	d.start(now, best.engine, best.evict, bestModel.Name, "demand-spread")
+	return true
+}
+
+// hotModels is how many models are considered for another copy in one plan.
+const hotModels = 6
+
+func (l *layout) perCopy(m *model) float64 {
+	return m.demand / float64(max(1, l.holders[m.Name]))
+}
+
+// without returns the loads of the engines after models made room for another
+// copy of m at engine at.
+func (l *layout) without(s *service, at int, evict []string, m *model) []float64 {
+	out := slices.Clone(l.loads)
+	shift := func(name string, before, after float64, add bool) {
+		x := s.models[name]
+		if x == nil {
+			return
+		}
+		for i, e := range l.engines {
+			holds := slices.Contains(e.future(), name)
+			switch {
+			case i == at && add:
+				out[i] += x.demand / after
+			case i == at:
+				out[i] -= x.demand / before
+			case holds:
+				out[i] += x.demand/max(after, 1) - x.demand/before
+			}
+		}
+	}
+	for _, name := range evict {
+		n := float64(l.holders[name])
+		shift(name, n, n-1, false)
+	}
+	n := float64(l.holders[m.Name])
+	shift(m.Name, n, n+1, true)
+	return out
+}
+
+func sumSquares(loads []float64) float64 {
+	var sum float64
+	for _, x := range loads {
+		sum += x * x
+	}
+	return sum
+}
+
+// preload brings models that no engine holds into memory that is free.
+func (d *Depot) preload(now time.Time, s *service, l *layout) {
+	for _, m := range l.models {
+		if l.holders[m.Name] > 0 || s.loads < 1 {
+			continue
+		}
+		for _, e := range l.engines {
+			if e.free(now) && e.size()+m.MB <= e.class.WeightsMB {
+				d.start(now, e, nil, m.Name, "coverage")
+				return
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/endpoint.go
@@ -0,0 +1,71 @@
+package fleet
+
+import "slices"
+
+// Resident is a model that an engine holds.
+type Resident struct {
+	Model    string   `cbor:"1,keyasint"`
+	Version  int64    `cbor:"2,keyasint,omitempty"`
+	Adapters []string `cbor:"3,keyasint,omitempty"`
+}
+
+// Has reports whether an adapter is held with the model.
+func (r *Resident) Has(adapter string) bool {
+	return adapter == "" || slices.Contains(r.Adapters, adapter)
+}
+
+// Endpoint is a process that serves requests, as it registered itself.
+type Endpoint struct {
+	ID string
+	// Born tells incarnations with the same ID apart: the start in Unix milliseconds.
+	Born    int64
+	Service string
+	Address string
+	Domain  string
+	Slots   int
+	Leaving bool
+	Models  []Resident
+	// Orders is how many orders this incarnation has accepted.
+	Orders int64
+}
+
+// Key identifies an incarnation of an endpoint.
+type Key struct {
+	ID   string `cbor:"1,keyasint"`
+	Born int64  `cbor:"2,keyasint"`
+}
+
+// Key returns the identity of the incarnation.
+func (e *Endpoint) Key() Key {
+	return Key{
+		ID:   e.ID,
+		Born: e.Born,
+	}
+}
+
+// Report is what an engine says of itself at a moment.
+type Report struct {
+	Key    Key        `cbor:"1,keyasint"`
+	Models []Resident `cbor:"2,keyasint,omitempty"`
+	// Pending are adapters on their way, as MODEL/NAME.
+	Pending []string `cbor:"3,keyasint,omitempty"`
+	// Busy tells that an order is being carried out.
+	Busy       bool     `cbor:"4,keyasint,omitempty"`
+	Orders     int64    `cbor:"5,keyasint,omitempty"`
+	Queued     int      `cbor:"6,keyasint,omitempty"`
+	Active     int      `cbor:"7,keyasint,omitempty"`
+	CacheUsed  int      `cbor:"8,keyasint,omitempty"`
+	CacheTotal int      `cbor:"9,keyasint,omitempty"`
+	InMemory   []string `cbor:"10,keyasint,omitempty"`
+	OnDisk     []string `cbor:"11,keyasint,omitempty"`
+}
+
+// Find returns the resident entry of a model, or nil.
+func Find(models []Resident, name string) *Resident {
+	for i := range models {
+		if models[i].Model == name {
+			return &models[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/grant/wallet.go
@@ -0,0 +1,245 @@
+package grant
+
+import (
+	"math"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// ContactLost is how long after the last answer of the coordinator a node
+	// admits by itself. The coordinator reserves the node's fraction earlier.
+	ContactLost = 900 * time.Millisecond
+	// ReserveAfter is how long after the last message of a node the coordinator
+	// keeps its fraction back. It is shorter than ContactLost, which counts from
+	// before the message was sent.
+	ReserveAfter = 700 * time.Millisecond
+	// stock is how much of a second's demand a node holds ahead of need.
+	stock = 300 * time.Millisecond
+	// demandTime is the time constant of the demand that sizes the stock.
+	demandTime = 700 * time.Millisecond
+	// localBurst is how long a node without contact saves up its fraction.
+	localBurst = 300 * time.Millisecond
+	// localLeast is the least number of tokens that a node without contact may
+	// save up, so that a request of usual size fits at all.
+	localLeast = 900
+)
+
+// Draw asks the coordinator for tokens.
+type Draw struct {
+	Workspace string  `cbor:"1,keyasint"`
+	Want      float64 `cbor:"2,keyasint"`
+	// Need is the size of the request that waits, 0 when none does.
+	Need float64 `cbor:"3,keyasint,omitempty"`
+}
+
+// Loan is what the coordinator issued.
+type Loan struct {
+	Workspace string  `cbor:"1,keyasint"`
+	Tokens    float64 `cbor:"2,keyasint"`
+}
+
+// Wallet is what one node may admit. It is not safe for concurrent use.
+type Wallet struct {
+	limits   map[string]Limit
+	purses   map[string]*purse
+	contact  time.Time
+	fraction float64
+}
+
+type purse struct {
+	batches []batch
+	demand  float64 // tokens per second
+	seen    time.Time
+	waiting float64
+	need    float64
+	local   float64
+	filled  time.Time
+}
+
+type batch struct {
+	tokens  float64
+	spendBy time.Time
+}
+
+// NewWallet returns an empty wallet.
+func NewWallet() *Wallet {
+	return &Wallet{
+		limits: make(map[string]Limit),
+		purses: make(map[string]*purse),
+	}
+}
+
+// SetLimits takes over the limits of all workspaces. A workspace that is not
+// named has no limit.
+func (w *Wallet) SetLimits(limits map[string]Limit) {
+	for name, l := range limits {
+		old, ok := w.limits[name]
+		if ok && (l.Rate < old.Rate || l.Burst < old.Burst) {
+			// What was issued under the higher limit is not spent under the lower.
+			if p := w.purses[name]; p != nil {
+				p.batches = nil
+				p.local = 0
+			}
+		}
+	}
+	w.limits = limits
+}
+
+// SetFraction gives a node that never heard the coordinator its fraction, which
+// the node had before its restart and others have told it of.
+func (w *Wallet) SetFraction(fraction float64) {
+	if w.contact.IsZero() {
+		w.fraction = fraction
+	}
+}
+
+func (w *Wallet) purse(name string) *purse {
+	p := w.purses[name]
+	if p == nil {
+		p = &purse{}
+		w.purses[name] = p
+	}
+	return p
+}
+
+// InTouch reports whether the coordinator answered lately.
+func (w *Wallet) InTouch(now time.Time) bool {
+	return !w.contact.IsZero() && now.Sub(w.contact) < ContactLost
+}
+
+// Arrived counts the tokens of a request towards the workspace's demand.
+func (w *Wallet) Arrived(now time.Time, workspace string, tokens float64) {
+	if _, limited := w.limits[workspace]; !limited {
+		return
+	}
+	p := w.purse(workspace)
+	p.decay(now)
+	p.demand += tokens / demandTime.Seconds()
+}
+
+func (p *purse) decay(now time.Time) {
+	if d := now.Sub(p.seen); d > 0 {
+		p.demand *= math.Exp(-d.Seconds() / demandTime.Seconds())
+		p.seen = now
+	}
+}
+
+// Take spends the tokens of a request. It reports false when the wallet holds
+// too few.
+func (w *Wallet) Take(now time.Time, workspace string, tokens float64) bool {
+	limit, limited := w.limits[workspace]
+	if !limited {
+		return true
+	}
+	p := w.purse(workspace)
+	if !w.InTouch(now) {
+		return w.takeLocal(now, p, limit, tokens)
+	}
+	p.filled = time.Time{}
+	p.expire(now)
+	var held float64
+	for _, b := range p.batches {
+		held += b.tokens
+	}
+	if held+1e-9 < tokens {
+		return false
+	}
+	for tokens > 0 && len(p.batches) > 0 {
+		b := &p.batches[0]
+		part := min(tokens, b.tokens)
+		b.tokens -= part
+		tokens -= part
+		if b.tokens <= 0 {
+			p.batches = p.batches[1:]
+		}
+	}
+	return true
+}
+
+// takeLocal spends from the node's own fraction of the rate.
+func (w *Wallet) takeLocal(now time.Time, p *purse, limit Limit, tokens float64) bool {
+	p.batches = nil
+	if p.filled.IsZero() {
+		p.filled, p.local = now, 0
+	}
+	rate := limit.Rate * w.fraction
+	most := max(rate*localBurst.Seconds(), min(localLeast, limit.Burst))
+	p.local = min(most, p.local+now.Sub(p.filled).Seconds()*rate)
+	p.filled = now
+	if p.local < min(tokens, most) || p.local <= 0 {
+		return false
+	}
+	// A request larger than what can be saved up is owed for afterwards.
+	p.local -= tokens
+	return true
+}
+
+func (p *purse) expire(now time.Time) {
+	p.batches = slices.DeleteFunc(p.batches, func(b batch) bool { return !now.Before(b.spendBy) })
+}
+
+// Wait notes a request that waits for tokens until done is called.
+func (w *Wallet) Wait(workspace string, tokens float64) (done func()) {
+	p := w.purse(workspace)
+	p.waiting += tokens
+	if p.need == 0 || tokens < p.need {
+		p.need = tokens
+	}
+	return func() {
+		p.waiting -= tokens
+		if p.waiting <= 0 {
+			p.waiting, p.need = 0, 0
+		}
+	}
+}
+
+// Draws returns what to ask the coordinator for.
+func (w *Wallet) Draws(now time.Time) []Draw {
+	var out []Draw
+	for name, p := range w.purses {
+		if _, limited := w.limits[name]; !limited {
+			continue
+		}
+		p.decay(now)
+		p.expire(now)
+		var held float64
+		for _, b := range p.batches {
+			// Tokens about to expire do not count as stock.
+			if b.spendBy.Sub(now) > Term/3 {
+				held += b.tokens
+			}
+		}
+		want := p.demand*stock.Seconds() + p.waiting - held
+		if want < 1 {
+			continue
+		}
+		out = append(out, Draw{
+			Workspace: name,
+			Want:      want,
+			Need:      p.need,
+		})
+	}
+	slices.SortFunc(out, func(a, b Draw) int { return strings.Compare(a.Workspace, b.Workspace) })
+	return out
+}
+
+// Receive takes over the coordinator's answer to a message that was sent at a
+// time of this node's clock.
+func (w *Wallet) Receive(sent time.Time, loans []Loan, fraction float64) {
+	if sent.After(w.contact) {
+		w.contact, w.fraction = sent, fraction
+	}
+	for _, l := range loans {
+		if l.Tokens <= 0 {
+			continue
+		}
+		p := w.purse(l.Workspace)
+		p.batches = append(p.batches, batch{
+			tokens:  l.Tokens,
+			spendBy: sent.Add(Term),
+		})
+		slices.SortStableFunc(p.batches, func(a, b batch) int { return a.spendBy.Compare(b.spendBy) })
+	}
+}
--- /dev/null
+++ b/internal/lead/coordinator.go
@@ -0,0 +1,538 @@
+package lead
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"slices"
+	"strings"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/depot"
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/grant"
+)
+
+const (
+	// tick is how often the coordinator looks at what is due.
+	tick = 20 * time.Millisecond
+	// reportEvery is the time between two reports of an engine.
+	reportEvery = 300 * time.Millisecond
+	// reportTimeout is when a report counts as lost, orderTimeout an answer to an order.
+	reportTimeout = 400 * time.Millisecond
+	orderTimeout  = 1200 * time.Millisecond
+	// adapterSettle is how long a loaded adapter takes to be usable: the longest
+	// usual load of an adapter and the way of the order.
+	adapterSettle = 14 * time.Millisecond
+	// fetchTimeout is how long a wait for an adapter lasts at the coordinator.
+	fetchTimeout = 550 * time.Millisecond
+	// memberGone is when a silent node no longer holds a fraction. It is above the
+	// longest cut that is expected, because a node that is cut off keeps admitting.
+	memberGone = 25 * time.Second
+	// orderMargin is how long before the end of its lease a coordinator stops
+	// giving orders; the order must arrive within the lease.
+	orderMargin = 300 * time.Millisecond
+)
+
+// Tenure is a holding of the coordinator's lease.
+type Tenure struct {
+	// Until is the end of its validity, zero when it is not held.
+	Until time.Time
+	// Since is when it began.
+	Since time.Time
+	// Fence is larger than that of every earlier tenure.
+	Fence int64
+	// First tells that nobody held the lease before.
+	First bool
+	// Own tells that this node held it last before this tenure as well.
+	Own bool
+}
+
+type member struct {
+	Member
+	incarnation string
+	heard       time.Time
+	waiting     []depot.Waiting
+	running     []depot.Running
+}
+
+// Coordinator is the state of the node that holds the lease. All of it belongs
+// to the goroutine of run.
+type Coordinator struct {
+	node      string
+	clock     clock.Clock
+	engines   Engines
+	log       *slog.Logger
+	head      float64
+	leaseWait time.Duration
+	inbox     chan message
+
+	config  *fleet.Config
+	list    []fleet.Endpoint
+	tenure  Tenure
+	active  bool
+	members map[string]*member
+	issuer  *grant.Issuer
+	depot   *depot.Depot
+	reports map[fleet.Key]*polled
+	fetches []*fetch
+}
+
+type polled struct {
+	endpoint fleet.Endpoint
+	report   fleet.Report
+	asked    time.Time // of the newest report
+	next     time.Time
+	asking   bool
+	failed   bool
+}
+
+type fetch struct {
+	Fetch
+	by    time.Time
+	reply chan<- Fetched
+}
+
+// message is something that the coordinator's goroutine has to deal with.
+type message interface {
+	apply(ctx context.Context, c *Coordinator, now time.Time)
+}
+
+type configChanged struct{ config *fleet.Config }
+
+type endpointsChanged struct{ list []fleet.Endpoint }
+
+type tenureChanged struct{ tenure Tenure }
+
+type membersKnown struct{ list []Member }
+
+type exchanged struct {
+	x     *Exchange
+	reply chan<- Reply
+}
+
+type reported struct {
+	key   fleet.Key
+	asked time.Time
+	took  time.Duration
+	r     fleet.Report
+	err   error
+}
+
+type ordered struct {
+	order  depot.Order
+	answer depot.Answer
+	err    error
+}
+
+func newCoordinator(o Options) *Coordinator {
+	return &Coordinator{
+		node:      o.Node,
+		clock:     o.Clock,
+		engines:   o.Engines,
+		log:       o.Log,
+		head:      o.QuotaHead,
+		leaseWait: o.LeaseWait,
+		inbox:     make(chan message, 256),
+		members:   make(map[string]*member),
+		reports:   make(map[fleet.Key]*polled),
+	}
+}
+
+func (c *Coordinator) run(ctx context.Context) {
+	t := time.NewTicker(tick)
+	defer t.Stop()
+	for {
+		select {
+		case m := <-c.inbox:
+			m.apply(ctx, c, c.clock.Now())
+		case <-t.C:
+			if c.active {
+				c.step(ctx, c.clock.Now())
+			}
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Coordinator) post(ctx context.Context, m message) {
+	select {
+	case c.inbox <- m:
+	case <-ctx.Done():
+	}
+}
+
+func (m configChanged) apply(_ context.Context, c *Coordinator, now time.Time) {
+	c.config = m.config
+	if c.active {
+		c.issuer.SetLimits(now, Limits(c.config))
+		c.depot.SetConfig(now, c.config)
+		c.setEndpoints()
+	}
+}
+
+func (m endpointsChanged) apply(_ context.Context, c *Coordinator, _ time.Time) {
+	c.list = m.list
+	if c.active {
+		c.setEndpoints()
+	}
+}
+
+func (m membersKnown) apply(_ context.Context, c *Coordinator, now time.Time) {
+	if c.active {
+		return
+	}
+	c.members = make(map[string]*member, len(m.list))
+	for _, x := range m.list {
+		c.members[x.Node] = &member{
+			Member: x,
+			heard:  now,
+		}
+	}
+}
+
+func (m tenureChanged) apply(_ context.Context, c *Coordinator, now time.Time) {
+	c.tenure = m.tenure
+	valid := now.Before(c.tenure.Until)
+	switch {
+	case valid && !c.active:
+		c.begin(now)
+	case !valid && c.active:
+		c.end("lease not renewed")
+	}
+}
+
+// begin starts a tenure with fresh buckets: what an earlier coordinator issued
+// may still be spent.
+func (c *Coordinator) begin(now time.Time) {
+	c.active = true
+	c.issuer = grant.NewIssuer(c.head, c.tenure.First)
+	c.depot = depot.New()
+	c.reports = make(map[fleet.Key]*polled)
+	if c.config != nil {
+		c.issuer.SetLimits(now, Limits(c.config))
+		c.depot.SetConfig(now, c.config)
+	}
+	c.setEndpoints()
+	for _, m := range c.members {
+		m.heard = now
+	}
+	c.log.Info("coordinator begins", "fence", c.tenure.Fence, "first", c.tenure.First, "members", len(c.members),
+		"orders-from", c.ordersFrom().Sub(now).Milliseconds())
+}
+
+func (c *Coordinator) end(why string) {
+	c.active = false
+	c.failFetches("this node is no longer the coordinator")
+	c.log.Warn("coordinator ends", "why", why, "fence", c.tenure.Fence)
+}
+
+// ordersFrom is when this tenure may give its first order. Engines do not check
+// fences, so the last order of an earlier holder must be a lease time ago.
+func (c *Coordinator) ordersFrom() time.Time {
+	if c.tenure.First || c.tenure.Own {
+		return c.tenure.Since
+	}
+	return c.tenure.Since.Add(c.leaseWait)
+}
+
+func (c *Coordinator) setEndpoints() {
+	c.depot.SetEndpoints(c.list)
+	seen := make(map[fleet.Key]bool, len(c.list))
+	for _, e := range c.list {
+		if c.config == nil || c.config.Services[e.Service] == nil || c.config.Services[e.Service].Engine == nil {
+			continue
+		}
+		seen[e.Key()] = true
+		if p := c.reports[e.Key()]; p != nil {
+			p.endpoint = e
+			continue
+		}
+		c.reports[e.Key()] = &polled{
+			endpoint: e,
+		}
+	}
+	for k := range c.reports {
+		if !seen[k] {
+			delete(c.reports, k)
+		}
+	}
+}
+
+// step does what is due.
+func (c *Coordinator) step(ctx context.Context, now time.Time) {
+	if !now.Before(c.tenure.Until) {
+		c.end("lease expired")
+		return
+	}
+	c.issuer.SetReserved(now, c.reserved(now))
+	for key, p := range c.reports {
+		if !p.asking && !now.Before(p.next) {
+			p.asking = true
+			p.next = now.Add(reportEvery)
+			go c.poll(ctx, key, p.endpoint, now)
+		}
+	}
+	c.depot.SetWaiting(now, c.waiting())
+	if c.mayOrder(now) {
+		for _, o := range c.depot.Step(now) {
+			c.give(ctx, o)
+		}
+	}
+	c.driveFetches(ctx, now)
+}
+
+func (c *Coordinator) mayOrder(now time.Time) bool {
+	return !now.Before(c.ordersFrom()) && now.Before(c.tenure.Until.Add(-orderMargin))
+}
+
+// reserved is the sum of the fractions of nodes without contact.
+func (c *Coordinator) reserved(now time.Time) float64 {
+	var sum float64
+	for name, m := range c.members {
+		silent := now.Sub(m.heard)
+		if silent > memberGone {
+			delete(c.members, name)
+			c.log.Warn("member removed", "member", name, "silent-ms", silent.Milliseconds())
+			continue
+		}
+		if silent > grant.ReserveAfter {
+			sum += m.Fraction
+		}
+	}
+	return sum
+}
+
+func (c *Coordinator) waiting() []depot.Waiting {
+	sums := map[modelKey]int{}
+	for _, m := range c.members {
+		for _, w := range m.waiting {
+			sums[modelKey{service: w.Service, model: w.Model}] += w.Count
+		}
+	}
+	out := make([]depot.Waiting, 0, len(sums))
+	for k, n := range sums {
+		out = append(out, depot.Waiting{
+			Service: k.service,
+			Model:   k.model,
+			Count:   n,
+		})
+	}
+	return out
+}
+
+func (c *Coordinator) poll(ctx context.Context, key fleet.Key, e fleet.Endpoint, asked time.Time) {
+	bounded, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	r, err := c.engines.Report(bounded, e)
+	c.post(ctx, reported{
+		key:   key,
+		asked: asked,
+		r:     r,
+		err:   err,
+	})
+}
+
+func (m reported) apply(ctx context.Context, c *Coordinator, now time.Time) {
+	p := c.reports[m.key]
+	if p == nil {
+		return
+	}
+	p.asking = false
+	if failed := m.err != nil; failed != p.failed {
+		p.failed = failed
+		if failed {
+			c.log.Warn("engine gives no report", "endpoint", m.key.ID, "error", m.err.Error())
+		} else {
+			c.log.Info("engine reports again", "endpoint", m.key.ID)
+		}
+	}
+	if m.err != nil || m.r.Key.Born != m.key.Born || !c.active {
+		return
+	}
+	m.r.Key = m.key
+	p.report, p.asked = m.r, m.asked
+	c.depot.SetReport(m.asked, m.r)
+	if c.mayOrder(now) {
+		for _, o := range c.depot.Step(now) {
+			c.give(ctx, o)
+		}
+	}
+	c.driveFetches(ctx, now)
+}
+
+// give sends an order to an engine.
+func (c *Coordinator) give(ctx context.Context, o depot.Order) {
+	c.log.Info("order given", "endpoint", o.Key.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter,
+		"expected", o.Expected, "from-store", o.FromStore, "reason", o.Reason, "fence", c.tenure.Fence)
+	until := c.tenure.Until
+	fence := c.tenure.Fence
+	go func() {
+		out := ordered{
+			order: o,
+		}
+		if c.clock.Now().Before(until) {
+			bounded, cancel := context.WithTimeout(ctx, orderTimeout)
+			out.answer, out.err = c.engines.Order(bounded, o, c.node, fence)
+			cancel()
+		} else {
+			out.answer, out.err = depot.Refused, fmt.Errorf("lead: the lease ended before the order was sent")
+		}
+		c.post(ctx, out)
+	}()
+}
+
+func (m ordered) apply(ctx context.Context, c *Coordinator, now time.Time) {
+	if m.err != nil || m.answer != depot.Accepted {
+		text := ""
+		if m.err != nil {
+			text = m.err.Error()
+		}
+		c.log.Warn("order answered", "endpoint", m.order.Key.ID, "model", m.order.Model, "adapter", m.order.Adapter,
+			"load", m.order.Load, "expected", m.order.Expected, "answer", m.answer.String(), "error", text)
+	}
+	if !c.active {
+		return
+	}
+	c.depot.Answered(m.order, m.answer)
+	if p := c.reports[m.order.Key]; p != nil {
+		// The engine's state is wanted soon after an order.
+		p.next = now.Add(reportEvery / 3)
+	}
+	c.driveFetches(ctx, now)
+}
+
+// driveFetches goes on with the adapters that are waited for.
+func (c *Coordinator) driveFetches(ctx context.Context, now time.Time) {
+	c.fetches = slices.DeleteFunc(c.fetches, func(f *fetch) bool {
+		if !now.Before(f.by) {
+			f.reply <- Fetched{
+				Problem: "not in time",
+			}
+			return true
+		}
+		if !c.mayOrder(now) {
+			return false
+		}
+		o, err := c.depot.Adapter(now, f.Key, f.Model, f.Adapter)
+		switch {
+		case err == depot.ErrGone:
+			f.reply <- Fetched{
+				Problem: err.Error(),
+			}
+			return true
+		case err != nil:
+			return false
+		case o != nil:
+			c.give(ctx, *o)
+			return false
+		}
+		reply := f.reply
+		time.AfterFunc(adapterSettle, func() { reply <- Fetched{} })
+		return true
+	})
+}
+
+func (c *Coordinator) failFetches(why string) {
+	for _, f := range c.fetches {
+		f.reply <- Fetched{
+			Problem: why,
+		}
+	}
+	c.fetches = nil
+}
+
+func (f *fetch) apply(ctx context.Context, c *Coordinator, now time.Time) {
+	if !c.active {
+		f.reply <- Fetched{
+			Problem: "this node is not the coordinator",
+		}
+		return
+	}
+	f.by = now.Add(fetchTimeout)
+	c.fetches = append(c.fetches, f)
+	c.driveFetches(ctx, now)
+}
+
+func (m exchanged) apply(_ context.Context, c *Coordinator, now time.Time) {
+	if !c.active || !now.Before(c.tenure.Until) {
+		m.reply <- Reply{}
+		return
+	}
+	x := m.x
+	if x.Leaving {
+		delete(c.members, x.Node)
+		m.reply <- Reply{
+			Coordinator: true,
+		}
+		return
+	}
+	mem := c.members[x.Node]
+	if mem == nil {
+		mem = &member{}
+		c.members[x.Node] = mem
+		c.log.Info("member joined", "member", x.Node, "address", x.Address, "members", len(c.members))
+	}
+	if mem.incarnation != x.Incarnation && mem.incarnation != "" {
+		c.log.Info("member restarted", "member", x.Node, "incarnation", x.Incarnation)
+	}
+	mem.Node, mem.Address, mem.incarnation, mem.heard = x.Node, x.Address, x.Incarnation, now
+	mem.waiting, mem.running = x.Waiting, x.Running
+	mem.Fraction = 1 / float64(len(c.members))
+	for _, w := range x.Work {
+		c.depot.Arrived(now, w.Service, w.Model, w.Tokens)
+	}
+	for _, r := range x.Running {
+		if r.Adapter != "" {
+			c.depot.AdapterUsed(now, r.Key, r.Model, r.Adapter)
+		}
+	}
+	c.depot.SetRunning(c.running())
+	r := Reply{
+		Coordinator: true,
+		Fraction:    mem.Fraction,
+		Members:     c.memberList(),
+	}
+	for _, d := range x.Draws {
+		if got := c.issuer.Issue(now, d.Workspace, d.Want, d.Need); got > 0 {
+			r.Loans = append(r.Loans, grant.Loan{
+				Workspace: d.Workspace,
+				Tokens:    got,
+			})
+		}
+	}
+	for _, p := range c.reports {
+		if !p.asked.IsZero() {
+			r.Reports = append(r.Reports, TimedReport{
+				Report: p.report,
+				Age:    now.Sub(p.asked),
+			})
+		}
+	}
+	for key, models := range c.depot.Closing() {
+		r.Closing = append(r.Closing, Closing{
+			Key:    key,
+			Models: models,
+		})
+	}
+	m.reply <- r
+}
+
+func (c *Coordinator) running() []depot.Running {
+	var out []depot.Running
+	for _, m := range c.members {
+		out = append(out, m.running...)
+	}
+	return out
+}
+
+func (c *Coordinator) memberList() []Member {
+	out := make([]Member, 0, len(c.members))
+	for _, m := range c.members {
+		out = append(out, m.Member)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Node, b.Node) })
+	return out
+}
--- /dev/null
+++ b/internal/lead/desk.go
@@ -0,0 +1,123 @@
+package lead
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/grant"
+)
+
+// retryOverRate is when a caller over its rate should come back.
+const retryOverRate = 500 * time.Millisecond
+
+// Desk admits requests within the rates of their workspaces.
+type Desk struct {
+	clock clock.Clock
+	kick  chan struct{}
+
+	mu      sync.Mutex
+	wallet  *grant.Wallet
+	changed chan struct{}
+}
+
+// NewDesk returns a desk with an empty wallet. It signals on kick when tokens
+// are needed at once.
+func NewDesk(clk clock.Clock, kick chan struct{}) *Desk {
+	return &Desk{
+		clock:   clk,
+		kick:    kick,
+		wallet:  grant.NewWallet(),
+		changed: make(chan struct{}),
+	}
+}
+
+// Limits returns the limits of the workspaces that have one.
+func Limits(c *fleet.Config) map[string]grant.Limit {
+	out := make(map[string]grant.Limit, len(c.Workspaces))
+	for name, w := range c.Workspaces {
+		if w.Rate > 0 {
+			out[name] = grant.Limit{
+				Rate:  w.Rate,
+				Burst: max(w.Burst, w.Rate*leastBurst.Seconds()),
+			}
+		}
+	}
+	return out
+}
+
+// leastBurst is the burst of a workspace without one: what its rate brings
+// between two exchanges with the coordinator.
+const leastBurst = 250 * time.Millisecond
+
+// SetConfig takes over the limits of a configuration.
+func (d *Desk) SetConfig(c *fleet.Config) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.wallet.SetLimits(Limits(c))
+}
+
+// Admit implements serve.Admission.
+func (d *Desk) Admit(ctx context.Context, workspace string, tokens float64, wait time.Duration) (time.Duration, bool) {
+	now := d.clock.Now()
+	until := now.Add(wait)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.wallet.Arrived(now, workspace, tokens)
+	if d.wallet.Take(now, workspace, tokens) {
+		return 0, true
+	}
+	done := d.wallet.Wait(workspace, tokens)
+	defer done()
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	for {
+		changed := d.changed
+		d.mu.Unlock()
+		select {
+		case d.kick <- struct{}{}:
+		default:
+		}
+		var over bool
+		select {
+		case <-changed:
+		case <-t.C:
+			over = true
+		case <-ctx.Done():
+			over = true
+		}
+		d.mu.Lock()
+		now = d.clock.Now()
+		if ctx.Err() == nil && d.wallet.Take(now, workspace, tokens) {
+			return 0, true
+		}
+		if over || !now.Before(until) {
+			return retryOverRate, false
+		}
+	}
+}
+
+// draws returns what to ask the coordinator for.
+func (d *Desk) draws(now time.Time) []grant.Draw {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.wallet.Draws(now)
+}
+
+// receive takes over the coordinator's answer.
+func (d *Desk) receive(sent time.Time, loans []grant.Loan, fraction float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.wallet.Receive(sent, loans, fraction)
+	close(d.changed)
+	d.changed = make(chan struct{})
+}
+
+// setFraction passes on what other nodes said of this node's fraction.
+func (d *Desk) setFraction(fraction float64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.wallet.SetFraction(fraction)
+}
--- /dev/null
+++ b/internal/lead/message.go
@@ -0,0 +1,153 @@
+// Package lead joins the nodes of a fleet: one of them, the coordinator, holds a
+// lease in the platform's store. The others exchange demand, grants, load
+// reports and, where the store does not answer them, the configuration and the
+// list of endpoints with it.
+package lead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/depot"
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/grant"
+)
+
+// Work is the demand for a model since the last message.
+type Work struct {
+	Service string  `cbor:"1,keyasint"`
+	Model   string  `cbor:"2,keyasint"`
+	Tokens  float64 `cbor:"3,keyasint"`
+}
+
+// Document is a configuration as the platform's store holds it.
+type Document struct {
+	Version int64  `cbor:"1,keyasint"`
+	Raw     []byte `cbor:"2,keyasint"`
+}
+
+// Listing is the list of endpoints as of a version of the store.
+type Listing struct {
+	Version   int64            `cbor:"1,keyasint"`
+	Endpoints []fleet.Endpoint `cbor:"2,keyasint"`
+}
+
+// Exchange is what a node tells the coordinator, or another node while there is
+// no coordinator.
+type Exchange struct {
+	Node        string `cbor:"1,keyasint"`
+	Address     string `cbor:"2,keyasint"`
+	Domain      string `cbor:"3,keyasint"`
+	Incarnation string `cbor:"4,keyasint"`
+	// Leaving tells that the node stops.
+	Leaving bool `cbor:"5,keyasint,omitempty"`
+	// ConfigVersion is the version in force at the sender.
+	ConfigVersion int64 `cbor:"6,keyasint,omitempty"`
+	// Config is set when the receiver is known to have an older one.
+	Config *Document `cbor:"7,keyasint,omitempty"`
+	// WantListing is set while the store does not answer the sender.
+	WantListing bool            `cbor:"8,keyasint,omitempty"`
+	ListingFrom int64           `cbor:"9,keyasint,omitempty"`
+	Listing     *Listing        `cbor:"10,keyasint,omitempty"`
+	Draws       []grant.Draw    `cbor:"11,keyasint,omitempty"`
+	Work        []Work          `cbor:"12,keyasint,omitempty"`
+	Waiting     []depot.Waiting `cbor:"13,keyasint,omitempty"`
+	Running     []depot.Running `cbor:"14,keyasint,omitempty"`
+}
+
+// maxItems bounds the lists of a message.
+const maxItems = 1 << 14
+
+// Validate checks a decoded message.
+func (x *Exchange) Validate() error {
+	if x.Node == "" || x.Address == "" {
+		return errors.New("lead: exchange without a node or address")
+	}
+	if len(x.Draws)+len(x.Work)+len(x.Waiting)+len(x.Running) > maxItems {
+		return fmt.Errorf("lead: exchange of node %.64q is too long", x.Node)
+	}
+	return nil
+}
+
+// TimedReport is an engine's report with its age when the message was sent.
+type TimedReport struct {
+	Report fleet.Report  `cbor:"1,keyasint"`
+	Age    time.Duration `cbor:"2,keyasint"`
+}
+
+// Member is a node as the coordinator knows it.
+type Member struct {
+	Node     string  `cbor:"1,keyasint"`
+	Address  string  `cbor:"2,keyasint"`
+	Fraction float64 `cbor:"3,keyasint"`
+}
+
+// Closing are models that are about to be unloaded at an engine.
+type Closing struct {
+	Key    fleet.Key `cbor:"1,keyasint"`
+	Models []string  `cbor:"2,keyasint"`
+}
+
+// Reply answers an Exchange.
+type Reply struct {
+	// Coordinator tells that the sender holds the lease; without it only the
+	// members, the configuration and the listing are given.
+	Coordinator bool   `cbor:"1,keyasint,omitempty"`
+	Leader      string `cbor:"2,keyasint,omitempty"`
+	// Fraction is what the node may admit of each rate while it cannot reach the
+	// coordinator.
+	Fraction      float64       `cbor:"3,keyasint,omitempty"`
+	Loans         []grant.Loan  `cbor:"4,keyasint,omitempty"`
+	Members       []Member      `cbor:"5,keyasint,omitempty"`
+	ConfigVersion int64         `cbor:"6,keyasint,omitempty"`
+	Config        *Document     `cbor:"7,keyasint,omitempty"`
+	WantListing   bool          `cbor:"8,keyasint,omitempty"`
+	ListingFrom   int64         `cbor:"9,keyasint,omitempty"`
+	Listing       *Listing      `cbor:"10,keyasint,omitempty"`
+	Reports       []TimedReport `cbor:"11,keyasint,omitempty"`
+	Closing       []Closing     `cbor:"12,keyasint,omitempty"`
+}
+
+// Validate checks a decoded message.
+func (r *Reply) Validate() error {
+	if r.Fraction < 0 || r.Fraction > 1 {
+		return fmt.Errorf("lead: fraction %v is not between 0 and 1", r.Fraction)
+	}
+	return nil
+}
+
+// Fetch asks the coordinator to have an adapter loaded at an engine.
+type Fetch struct {
+	Key     fleet.Key `cbor:"1,keyasint"`
+	Model   string    `cbor:"2,keyasint"`
+	Adapter string    `cbor:"3,keyasint"`
+}
+
+// Validate checks a decoded message.
+func (f *Fetch) Validate() error {
+	if f.Key.ID == "" || f.Model == "" || f.Adapter == "" {
+		return errors.New("lead: fetch without an engine, model or adapter")
+	}
+	return nil
+}
+
+// Fetched answers a Fetch. Problem is empty when the adapter is there.
+type Fetched struct {
+	Problem string `cbor:"1,keyasint,omitempty"`
+}
+
+// Peers calls other nodes.
+type Peers interface {
+	Exchange(ctx context.Context, address string, x *Exchange) (*Reply, error)
+	Fetch(ctx context.Context, address string, f *Fetch) (*Fetched, error)
+	// Forget closes the connection to an address that does not answer.
+	Forget(address string)
+}
+
+// Engines talks to engines.
+type Engines interface {
+	Report(ctx context.Context, e fleet.Endpoint) (fleet.Report, error)
+	Order(ctx context.Context, o depot.Order, holder string, fence int64) (depot.Answer, error)
+}
--- /dev/null
+++ b/internal/lead/usage.go
@@ -0,0 +1,109 @@
+package lead
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+
+	"trefoildale.example/trefoildale/internal/depot"
+	"trefoildale.example/trefoildale/internal/fleet"
+)
+
+// usage collects what this node's requests ask for between two exchanges.
+type usage struct {
+	mu      sync.Mutex
+	work    map[modelKey]float64
+	waiting map[modelKey]int
+	running map[placeKey]int
+}
+
+type modelKey struct {
+	service string
+	model   string
+}
+
+type placeKey struct {
+	key     fleet.Key
+	model   string
+	adapter string
+}
+
+func newUsage() *usage {
+	return &usage{
+		work:    make(map[modelKey]float64),
+		waiting: make(map[modelKey]int),
+		running: make(map[placeKey]int),
+	}
+}
+
+func (u *usage) arrived(service, model string, tokens float64) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.work[modelKey{service: service, model: model}] += tokens
+}
+
+func (u *usage) wait(service, model string) (done func()) {
+	k := modelKey{
+		service: service,
+		model:   model,
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.waiting[k]++
+	return func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if u.waiting[k]--; u.waiting[k] <= 0 {
+			delete(u.waiting, k)
+		}
+	}
+}
+
+func (u *usage) run(key fleet.Key, model, adapter string) (done func()) {
+	k := placeKey{
+		key:     key,
+		model:   model,
+		adapter: adapter,
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running[k]++
+	return func() {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if u.running[k]--; u.running[k] <= 0 {
+			delete(u.running, k)
+		}
+	}
+}
+
+// fill puts the collected numbers into a message. The work is taken: after a
+// lost message it is missing, which a few hundred milliseconds of demand may be.
+func (u *usage) fill(x *Exchange) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for k, tokens := range u.work {
+		x.Work = append(x.Work, Work{
+			Service: k.service,
+			Model:   k.model,
+			Tokens:  tokens,
+		})
+	}
+	clear(u.work)
+	for k, n := range u.waiting {
+		x.Waiting = append(x.Waiting, depot.Waiting{
+			Service: k.service,
+			Model:   k.model,
+			Count:   n,
+		})
+	}
+	for k, n := range u.running {
+		x.Running = append(x.Running, depot.Running{
+			Key:     k.key,
+			Model:   k.model,
+			Adapter: k.adapter,
+			Count:   n,
+		})
+	}
+	slices.SortFunc(x.Work, func(a, b Work) int { return cmp.Compare(a.Model, b.Model) })
+}
--- /dev/null
+++ b/internal/mirror/mirror.go
@@ -0,0 +1,137 @@
+// Package mirror keeps a local copy of a table of the platform's store.
+//
+// A copy follows the table's change feed. When the feed has lost its history,
+// the table is read as a whole. Each call has a time limit, because a
+// connection to the store can fall silent without an error.
+package mirror
+
+import (
+	"context"
+	"errors"
+	"time"
+)
+
+// ErrCompacted means that the changes after a version are no longer available.
+var ErrCompacted = errors.New("mirror: history is no longer available")
+
+// Row is a row of a table. Deleted rows appear in changes only.
+type Row struct {
+	Key     string
+	Value   []byte
+	Version int64
+	Deleted bool
+}
+
+// Source reads a table.
+type Source interface {
+	// List returns all rows and the version that they are as of.
+	List(ctx context.Context, table string) ([]Row, int64, error)
+	// Changes returns the rows that changed after a version, waiting for the
+	// first change, and the version to continue from.
+	Changes(ctx context.Context, table string, after int64, wait time.Duration) ([]Row, int64, error)
+}
+
+// Options are the settings of a Mirror.
+type Options struct {
+	Table string
+	// Wait is how long a call waits for a change.
+	Wait time.Duration
+	// Pace is the least time between the starts of two calls.
+	Pace time.Duration
+	// Timeout is how long an answer may take beyond Wait.
+	Timeout time.Duration
+	// Backoff is the pause after a failed call.
+	Backoff time.Duration
+	// Apply takes over changed rows. After a full read, complete is set and
+	// rows that are not named no longer exist.
+	Apply func(rows []Row, complete bool)
+	// State is told when the store stops or starts to answer.
+	State func(err error)
+}
+
+// Mirror follows one table.
+type Mirror struct {
+	opts   Options
+	source Source
+	failed bool
+}
+
+// New returns a Mirror that has read nothing.
+func New(source Source, opts Options) *Mirror {
+	return &Mirror{
+		opts:   opts,
+		source: source,
+	}
+}
+
+// Run follows the table until the context ends.
+func (m *Mirror) Run(ctx context.Context) {
+	after := int64(-1)
+	for ctx.Err() == nil {
+		began := time.Now()
+		next, err := m.step(ctx, after)
+		if ctx.Err() != nil {
+			return
+		}
+		m.tell(err)
+		pause := m.opts.Pace - time.Since(began)
+		switch {
+		case errors.Is(err, ErrCompacted):
+			after, pause = -1, 0
+		case err != nil:
+			pause = m.opts.Backoff
+		default:
+			if after < 0 {
+				// The feed is asked at once: the full read may be old already.
+				pause = 0
+			}
+			after = next
+		}
+		sleep(ctx, pause)
+	}
+}
+
+// tell reports the first failure and the first success after failures. A full
+// read after lost history is part of normal work.
+func (m *Mirror) tell(err error) {
+	failed := err != nil && !errors.Is(err, ErrCompacted)
+	if failed != m.failed && m.opts.State != nil {
+		m.opts.State(err)
+	}
+	m.failed = failed
+}
+
+func (m *Mirror) step(ctx context.Context, after int64) (int64, error) {
+	if after < 0 {
+		ctx, cancel := context.WithTimeout(ctx, m.opts.Timeout)
+		defer cancel()
+		rows, version, err := m.source.List(ctx, m.opts.Table)
+		if err != nil {
+			return 0, err
+		}
+		m.opts.Apply(rows, true)
+		return version, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, m.opts.Wait+m.opts.Timeout)
+	defer cancel()
+	rows, version, err := m.source.Changes(ctx, m.opts.Table, after, m.opts.Wait)
+	if err != nil {
+		return 0, err
+	}
+	if len(rows) > 0 {
+		m.opts.Apply(rows, false)
+	}
+	return max(version, after), nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/proc/proc.go
@@ -0,0 +1,364 @@
+// Package proc assembles the entry process on the users' platform.
+package proc
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/conf"
+	"trefoildale.example/trefoildale/internal/conn"
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/lead"
+	"trefoildale.example/trefoildale/internal/mirror"
+	"trefoildale.example/trefoildale/internal/serve"
+	"trefoildale.example/trefoildale/internal/steer"
+	"trefoildale.example/trefoildale/internal/trail"
+	"trefoildale.example/trefoildale/internal/wire"
+	"trefoildale.example/trefoildale/platform"
+)
+
+const (
+	// configWait is how long a call for changes of the configuration waits, and
+	// endpointWait the same for endpoints. A connection that has fallen silent is
+	// noticed after the wait and the time limit.
+	configWait   = 800 * time.Millisecond
+	endpointWait = 500 * time.Millisecond
+	// endpointPace is the least time between two reads of the endpoints, whose
+	// entries change with every heartbeat.
+	endpointPace = 400 * time.Millisecond
+	configPace   = 50 * time.Millisecond
+	// storeTimeout is how long the store may take beyond the wait. It answers in
+	// a few milliseconds, and in a few hundred when it is slow.
+	storeTimeout = 600 * time.Millisecond
+	storeBackoff = 250 * time.Millisecond
+	// silence is when a connection without an answer is given up.
+	silence = 6 * time.Second
+	// headerTime is how long a caller may take to send the head of a request.
+	headerTime = 5 * time.Second
+	// leaseTerm is the coordinator's lease: half of what must lie between the
+	// orders of two holders leaves time for three renewals.
+	leaseTerm = 2 * time.Second
+	// leaseWaitMargin is added to the bound on the orders of two holders.
+	leaseWaitMargin = 200 * time.Millisecond
+	// quotaHeadPart is the part of the allowed excess that a new coordinator
+	// issues at once.
+	quotaHeadPart = 0.3
+	// drainLeast is how long a stopping process goes on taking requests: the
+	// balancer notices after two checks a second apart.
+	drainLeast = 2500 * time.Millisecond
+	// drainMargin is how long before the kill a stopping process ends.
+	drainMargin = 300 * time.Millisecond
+	// softMemoryPart is the part of the process's memory limit at which the
+	// garbage collector works harder.
+	softMemory = 160 << 20
+)
+
+// Process is an entry process on the users' platform.
+type Process struct {
+	set      *conf.Fleet
+	log      *trail.Log
+	clock    clock.Clock
+	store    *platform.Store
+	table    *steer.Table
+	server   *serve.Server
+	node     *lead.Node
+	callers  *http.Server
+	ready    *http.Server
+	metrics  *http.Server
+	stopping atomic.Bool
+	idle     idleConns
+	stopRPC  func()
+}
+
+// New returns a process that listens, and a function that releases what it holds.
+func New(set *conf.Fleet, out io.Writer) (*Process, func(), error) {
+	debug.SetMemoryLimit(softMemory)
+	log, closeLog := trail.New(out, "node", set.Node.Name)
+	clk := clock.NewReal()
+	incarnation := strconv.FormatInt(clk.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
+	dial := conn.NewDialer(silence)
+	store, closeStore := platform.NewStore(set.Store.Address, dial)
+	ends, closeEnds := platform.NewEndpoints(dial)
+	peers, closePeers := wire.NewClient(new(wire.Meter), dial)
+	p := &Process{
+		set:   set,
+		log:   log,
+		clock: clk,
+		store: store,
+		table: steer.NewTable(set.Node.Domain),
+	}
+	lazy := &lateNode{}
+	p.server = serve.New(serve.Options{
+		Clock:     clk,
+		Table:     p.table,
+		Sender:    ends,
+		Admission: lazy,
+		Demand:    lazy,
+		Log:       log.Logger,
+		Retries: serve.RetryRule{
+			Ratio:  set.Bounds.RetryRatio,
+			Slack:  set.Bounds.RetrySlack,
+			Window: time.Duration(set.Bounds.RetryWindow),
+		},
+		Observe: newObserver(),
+	})
+	p.node = lead.New(lead.Options{
+		Node:        set.Node.Name,
+		Address:     set.Listen.Peers,
+		Domain:      set.Node.Domain,
+		Incarnation: incarnation,
+		Clock:       clk,
+		Log:         log.Logger,
+		Rows:        store.Rows(platform.OwnTable),
+		Peers:       peers,
+		Engines:     ends,
+		Table:       p.table,
+		Seeds:       set.Seeds,
+		Decode:      platform.DecodeConfig,
+		Server:      p.server,
+		LeaseTerm:   leaseTerm,
+		LeaseWait:   time.Duration(set.Bounds.Lease) + leaseWaitMargin,
+		QuotaHead:   set.Bounds.QuotaSlack * quotaHeadPart,
+	})
+	lazy.Node = p.node
+	release := func() {
+		closePeers()
+		closeEnds()
+		closeStore()
+		closeLog()
+	}
+	if err := p.listen(); err != nil {
+		release()
+		return nil, nil, err
+	}
+	return p, release, nil
+}
+
+// lateNode lets the server be made before the node that it uses.
+type lateNode struct{ *lead.Node }
+
+// Admit implements serve.Admission.
+func (l *lateNode) Admit(ctx context.Context, workspace string, tokens float64, wait time.Duration) (time.Duration, bool) {
+	return l.Desk.Admit(ctx, workspace, tokens, wait)
+}
+
+func (p *Process) listen() error {
+	peers, err := net.Listen("tcp", p.set.Listen.Peers)
+	if err != nil {
+		return err
+	}
+	p.stopRPC = wire.ServeFleet(peers, p.node, new(wire.Meter))
+	p.callers = &http.Server{
+		Handler:           platform.NewFront(p.server, p.clock, p.stopping.Load),
+		ReadHeaderTimeout: headerTime,
+		ConnState:         p.idle.state,
+		ErrorLog:          nil,
+	}
+	p.idle.limit = func() time.Duration { return platform.IdleLimit(p.server.Config()) }
+	p.ready = &http.Server{
+		Handler: platform.NewReady(func() bool { return !p.stopping.Load() && p.node.Ready() }),
+	}
+	p.metrics = &http.Server{
+		Handler: expvar.Handler(),
+	}
+	for _, s := range []struct {
+		server  *http.Server
+		address string
+	}{
+		{server: p.callers, address: p.set.Listen.Callers},
+		{server: p.ready, address: p.set.Listen.Ready},
+		{server: p.metrics, address: p.set.Listen.Metrics},
+	} {
+		l, err := net.Listen("tcp", s.address)
+		if err != nil {
+			return err
+		}
+		go func() {
+			if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+				p.log.Error("listener ended", "address", s.address, "error", err.Error())
+			}
+		}()
+	}
+	return nil
+}
+
+// Run serves until a signal to stop, then lets running requests finish. SIGHUP
+// has the settings read again by reload.
+func (p *Process) Run(ctx context.Context, signals <-chan os.Signal, reload func() error) {
+	ctx, cancel := context.WithCancel(ctx)
+	var wg sync.WaitGroup
+	defer func() {
+		cancel()
+		wg.Wait()
+	}()
+	p.log.Info("process started", "domain", p.set.Node.Domain, "callers", p.set.Listen.Callers,
+		"store", p.set.Store.Address, "seeds", len(p.set.Seeds))
+	wg.Go(func() { p.node.Run(ctx) })
+	wg.Go(func() { p.configMirror(ctx).Run(ctx) })
+	wg.Go(func() { p.endpointMirror(ctx).Run(ctx) })
+	for {
+		select {
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				p.reload(reload)
+				continue
+			}
+			p.log.Info("stop requested", "signal", s.String(), "active", p.server.Active())
+		case <-ctx.Done():
+		}
+		break
+	}
+	p.drain(signals)
+}
+
+// reload checks changed settings. All of them name the process itself or bound
+// it from its start, so that a change is in force after a restart.
+func (p *Process) reload(read func() error) {
+	if err := read(); err != nil {
+		p.log.Error("settings not usable, the former ones stay in force", "error", err.Error())
+		return
+	}
+	p.log.Info("settings read again, changes are in force after a restart")
+}
+
+// drain takes the process out of the balancer, lets running requests finish and
+// ends before the kill.
+func (p *Process) drain(signals <-chan os.Signal) {
+	began := p.clock.Now()
+	kill := began.Add(time.Duration(p.set.Bounds.Grace) - drainMargin)
+	p.stopping.Store(true)
+	p.node.Stop()
+	p.idle.stop()
+	for {
+		now := p.clock.Now()
+		if now.Sub(began) >= drainLeast && p.server.Active() == 0 || !now.Before(kill) {
+			break
+		}
+		select {
+		case <-signals:
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+	p.log.Info("process ends", "active", p.server.Active(), "after-ms", p.clock.Now().Sub(began).Milliseconds())
+}
+
+func (p *Process) configMirror(ctx context.Context) *mirror.Mirror {
+	return mirror.New(p.store, mirror.Options{
+		Table:   platform.ConfigTable,
+		Wait:    configWait,
+		Pace:    configPace,
+		Timeout: storeTimeout,
+		Backoff: storeBackoff,
+		Apply: func(rows []mirror.Row, _ bool) {
+			for _, r := range rows {
+				if r.Key != platform.ConfigKey || r.Deleted {
+					continue
+				}
+				if err := p.node.SetDocument(ctx, r.Value, "store"); err != nil {
+					p.log.Error("configuration not usable, the former one stays in force", "row-version", r.Version, "error", err.Error())
+				}
+			}
+		},
+		State: func(err error) {
+			p.storeState("configuration", err)
+		},
+	})
+}
+
+func (p *Process) endpointMirror(ctx context.Context) *mirror.Mirror {
+	return mirror.New(p.store, mirror.Options{
+		Table:   platform.EndpointTable,
+		Wait:    endpointWait,
+		Pace:    endpointPace,
+		Timeout: storeTimeout,
+		Backoff: storeBackoff,
+		Apply: func(rows []mirror.Row, complete bool) {
+			changes := make([]fleet.Change, len(rows))
+			for i, r := range rows {
+				changes[i] = fleet.Change{
+					Name:    r.Key,
+					Version: r.Version,
+				}
+				if r.Deleted {
+					continue
+				}
+				e, err := platform.DecodeEndpoint(r.Key, r.Value)
+				if err != nil {
+					p.log.Warn("entry names no endpoint", "entry", r.Key, "row-version", r.Version, "error", err.Error())
+					continue
+				}
+				changes[i].Endpoint = e
+			}
+			p.node.SetEndpoints(ctx, changes, complete)
+		},
+		State: func(err error) {
+			p.node.SetStore(err)
+			p.storeState("endpoints", err)
+		},
+	})
+}
+
+func (p *Process) storeState(what string, err error) {
+	if err != nil {
+		p.log.Warn("store lost", "reader", what, "error", err.Error())
+		return
+	}
+	p.log.Info("store regained", "reader", what)
+}
+
+// idleConns closes callers' connections that are idle for longer than the
+// configuration in force allows.
+type idleConns struct {
+	limit func() time.Duration
+
+	mu      sync.Mutex
+	timers  map[net.Conn]*time.Timer
+	stopped bool
+}
+
+func (i *idleConns) state(c net.Conn, s http.ConnState) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	if t := i.timers[c]; t != nil {
+		t.Stop()
+		delete(i.timers, c)
+	}
+	if s != http.StateIdle {
+		return
+	}
+	limit := i.limit()
+	if i.stopped {
+		limit = time.Millisecond
+	}
+	if limit <= 0 {
+		return
+	}
+	if i.timers == nil {
+		i.timers = make(map[net.Conn]*time.Timer)
+	}
+	i.timers[c] = time.AfterFunc(limit, func() { _ = c.Close() })
+}
+
+// stop closes the connections that are idle, now and later.
+func (i *idleConns) stop() {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.stopped = true
+	for c, t := range i.timers {
+		if t.Stop() {
+			_ = c.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/steer/table.go
@@ -0,0 +1,436 @@
+// Package steer chooses the endpoint for each request of the pipeline and
+// judges endpoints by how requests fare there.
+package steer
+
+import (
+	"errors"
+	"sync"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/rank"
+)
+
+// Errors of Pick.
+var (
+	// ErrNotResident means that no endpoint in service holds the model.
+	ErrNotResident = errors.New("steer: no endpoint holds the model")
+	// ErrNoEndpoint means that no endpoint of the service takes new requests.
+	ErrNoEndpoint = errors.New("steer: no endpoint takes new requests")
+)
+
+const (
+	// silentAfter is how long an endpoint may owe answers without sending a
+	// byte before others are preferred. Twice the longest usual step of an engine.
+	silentAfter = 700 * time.Millisecond
+	// unreachable is how long an endpoint that took no connection is left alone
+	// at first; each further failure doubles it up to unreachableMost.
+	unreachable     = 500 * time.Millisecond
+	unreachableMost = 4 * time.Second
+	// fullFor is how long an endpoint that turned a request away is avoided.
+	fullFor = 150 * time.Millisecond
+	// failWeight is the weight of one outcome in the failure rate.
+	failWeight = 0.15
+	// failCost is how much a failure rate of 1 multiplies the cost.
+	failCost = 12
+	// farCost is what another failure domain adds, relative to an idle endpoint.
+	farCost = 0.25
+	// affinityGain is how much the endpoint that sessions of the same prompt
+	// part share is preferred, relative to an idle endpoint.
+	affinityGain = 0.3
+	// idleLoad is the load that an idle endpoint counts as, so that relative
+	// speeds matter there too.
+	idleLoad = 4
+	// reportMaxAge is when a load report no longer counts.
+	reportMaxAge = 1500 * time.Millisecond
+	// paceWeight is the weight of one sample in an endpoint's pace.
+	paceWeight = 0.05
+	// queueCost is what each request waiting at an engine adds, in requests:
+	// a queue means that its slots or its memory are taken.
+	queueCost = 3
+	// memoryHigh is the part of an engine's cache memory above which running
+	// requests begin to be preempted.
+	memoryHigh = 0.85
+)
+
+// Query is what a choice depends on.
+type Query struct {
+	Service string
+	Model   string
+	Adapter string
+	// Session identifies the prompt part that requests share.
+	Session string
+	Exclude map[fleet.Key]bool
+}
+
+// Choice is a chosen endpoint with the inputs of the choice.
+type Choice struct {
+	Endpoint   fleet.Endpoint
+	HasAdapter bool
+	// Load is the estimated number of requests there, Candidates how many
+	// endpoints could have served, and ReportAge how old the load report was.
+	Load       float64
+	Candidates int
+	ReportAge  time.Duration
+}
+
+// Table holds what one node knows of the endpoints.
+type Table struct {
+	mu     sync.Mutex
+	domain string
+	nodes  int
+	ends   map[string]*end
+	// closing are models that the coordinator is about to unload.
+	closing map[closingKey]bool
+	changed chan struct{}
+}
+
+type closingKey struct {
+	key   fleet.Key
+	model string
+}
+
+type end struct {
+	fleet.Endpoint
+	report   fleet.Report
+	reported time.Time
+
+	running  int
+	sends    []time.Time // since the report was taken
+	lastByte time.Time
+	owed     time.Time // oldest send since the last byte, zero when none
+
+	failRate  float64
+	fullUntil time.Time
+	awayUntil time.Time
+	awayFor   time.Duration
+	pace      float64 // relative time for a unit of work, learned
+}
+
+// NewTable returns a table without endpoints for a node of a failure domain.
+func NewTable(domain string) *Table {
+	return &Table{
+		domain:  domain,
+		nodes:   1,
+		ends:    make(map[string]*end),
+		closing: make(map[closingKey]bool),
+		changed: make(chan struct{}),
+	}
+}
+
+// SetNodes tells how many nodes send to the endpoints.
+func (t *Table) SetNodes(n int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nodes = max(1, n)
+}
+
+// Changed is closed when endpoints or what they hold change next.
+func (t *Table) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+func (t *Table) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// SetEndpoints takes over all registered endpoints.
+func (t *Table) SetEndpoints(list []fleet.Endpoint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	seen := make(map[string]bool, len(list))
+	for i := range list {
+		n := &list[i]
+		seen[n.ID] = true
+		e := t.ends[n.ID]
+		switch {
+		case e == nil || e.Born < n.Born || e.Address != n.Address:
+			t.ends[n.ID] = &end{
+				Endpoint: *n,
+				pace:     1,
+			}
+		case e.Born == n.Born:
+			// A report may be newer than the entry.
+			if n.Orders >= e.report.Orders {
+				e.Models = n.Models
+			}
+			e.Leaving, e.Slots, e.Service, e.Domain = n.Leaving, n.Slots, n.Service, n.Domain
+			e.Orders = max(e.Orders, n.Orders)
+		}
+	}
+	for id := range t.ends {
+		if !seen[id] {
+			delete(t.ends, id)
+		}
+	}
+	t.notify()
+}
+
+// SetReport takes over an engine's report that was taken at a time.
+func (t *Table) SetReport(taken time.Time, r fleet.Report) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.ends[r.Key.ID]
+	if e == nil || e.Born != r.Key.Born || taken.Before(e.reported) {
+		return
+	}
+	if r.Orders >= e.Orders {
+		e.Orders = r.Orders
+		e.Models = r.Models
+	}
+	e.report, e.reported = r, taken
+	for len(e.sends) > 0 && !e.sends[0].After(taken.Add(-reportLag)) {
+		e.sends = e.sends[1:]
+	}
+	t.notify()
+}
+
+// reportLag is how far an engine's report is behind the moment of the answer.
+const reportLag = 150 * time.Millisecond
+
+// SetClosing takes over which models are about to be unloaded where.
+func (t *Table) SetClosing(models map[fleet.Key][]string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	clear(t.closing)
+	for key, names := range models {
+		for _, name := range names {
+			t.closing[closingKey{key: key, model: name}] = true
+		}
+	}
+}
+
+// Endpoints returns all endpoints that are known.
+func (t *Table) Endpoints() []fleet.Endpoint {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]fleet.Endpoint, 0, len(t.ends))
+	for _, e := range t.ends {
+		out = append(out, e.Endpoint)
+	}
+	return out
+}
+
+// Pick chooses an endpoint and counts the request there until Done.
+func (t *Table) Pick(now time.Time, q Query) (Choice, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var best *end
+	var bestCost float64
+	out := Choice{}
+	holders, served := 0, 0
+	affinity := t.affinity(q)
+	for _, e := range t.ends {
+		if e.Service != q.Service || e.Leaving {
+			continue
+		}
+		served++
+		var r *fleet.Resident
+		if q.Model != "" {
+			if r = fleet.Find(e.Models, q.Model); r == nil {
+				continue
+			}
+		}
+		holders++
+		if q.Exclude[e.Key()] || now.Before(e.awayUntil) {
+			continue
+		}
+		out.Candidates++
+		cost := t.cost(now, e, &q, r, e.ID == affinity)
+		if best == nil || cost < bestCost {
+			best, bestCost = e, cost
+		}
+	}
+	switch {
+	case best != nil:
+	case q.Model != "" && holders == 0 && served > 0:
+		return Choice{}, ErrNotResident
+	default:
+		return Choice{}, ErrNoEndpoint
+	}
+	out.Endpoint = best.Endpoint
+	out.Load = best.load(now, t.nodes)
+	out.HasAdapter = true
+	if q.Adapter != "" {
+		r := fleet.Find(best.Models, q.Model)
+		out.HasAdapter = r.Has(q.Adapter)
+	}
+	if !best.reported.IsZero() {
+		out.ReportAge = now.Sub(best.reported)
+	}
+	best.running++
+	best.sends = append(best.sends, now)
+	if best.owed.IsZero() {
+		best.owed = now
+	}
+	return out, nil
+}
+
+// affinity names the endpoint that requests of the same session prefer.
+func (t *Table) affinity(q Query) string {
+	if q.Session == "" {
+		return ""
+	}
+	best, bestScore := "", uint64(0)
+	for _, e := range t.ends {
+		if e.Service != q.Service || e.Leaving || fleet.Find(e.Models, q.Model) == nil {
+			continue
+		}
+		if s := rank.Score(q.Session, e.ID); best == "" || s > bestScore {
+			best, bestScore = e.ID, s
+		}
+	}
+	return best
+}
+
+// load estimates the requests at an endpoint of all nodes.
+func (e *end) load(now time.Time, nodes int) float64 {
+	if !e.reported.IsZero() && now.Sub(e.reported) < reportMaxAge {
+		return max(float64(e.running), float64(e.report.Active+e.report.Queued+len(e.sends)))
+	}
+	return float64(e.running * nodes)
+}
+
+func (t *Table) cost(now time.Time, e *end, q *Query, r *fleet.Resident, preferred bool) float64 {
+	load := e.load(now, t.nodes)
+	base := float64(idleLoad)
+	cost := base + load
+	if e.Domain != t.domain {
+		cost += base * farCost
+	}
+	if preferred {
+		cost -= base * affinityGain
+	}
+	if r != nil && !r.Has(q.Adapter) {
+		cost += base
+	}
+	if fresh := now.Sub(e.reported) < reportMaxAge; fresh && !e.reported.IsZero() {
+		cost += queueCost * float64(e.report.Queued)
+		if total := e.report.CacheTotal; total > 0 {
+			if used := float64(e.report.CacheUsed) / float64(total); used > memoryHigh {
+				cost *= 1 + 4*(used-memoryHigh)
+			}
+		}
+	}
+	if slots := float64(e.Slots); slots > 0 && load >= slots {
+		cost += 2 * (load - slots + 1)
+	}
+	cost *= e.pace
+	cost *= 1 + failCost*e.failRate
+	if now.Before(e.fullUntil) {
+		cost = cost*4 + 100
+	}
+	if e.silent(now) {
+		cost = cost*10 + 1000
+	}
+	if t.closing[closingKey{key: e.Key(), model: q.Model}] {
+		cost = cost*6 + 500
+	}
+	return cost
+}
+
+func (e *end) silent(now time.Time) bool {
+	return !e.owed.IsZero() && now.Sub(e.owed) > silentAfter
+}
+
+// Byte notes that an endpoint sent a part of an answer.
+func (t *Table) Byte(now time.Time, key fleet.Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.find(key)
+	if e == nil {
+		return
+	}
+	e.lastByte = now
+	e.owed = time.Time{}
+	if e.running > 0 {
+		e.owed = now
+	}
+}
+
+func (t *Table) find(key fleet.Key) *end {
+	e := t.ends[key.ID]
+	if e == nil || e.Born != key.Born {
+		return nil
+	}
+	return e
+}
+
+// Outcome is how an attempt at an endpoint ended.
+type Outcome int
+
+// The outcomes of an attempt.
+const (
+	// Served means that the endpoint answered in full.
+	Served Outcome = iota
+	// Faulted means an error of the endpoint's own, or an answer that broke off.
+	Faulted
+	// Unreachable means that no connection could be opened.
+	Unreachable
+	// Full means that the endpoint turned the request away.
+	Full
+	// Missing means that the endpoint does not hold the model or adapter.
+	Missing
+	// Ended means that the attempt says nothing about the endpoint.
+	Ended
+)
+
+// String returns the name that logs use.
+func (o Outcome) String() string {
+	return [...]string{"served", "faulted", "unreachable", "full", "missing", "ended"}[o]
+}
+
+// Done ends an attempt.
+func (t *Table) Done(now time.Time, key fleet.Key, o Outcome) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.find(key)
+	if e == nil {
+		return
+	}
+	e.running = max(0, e.running-1)
+	if e.running == 0 {
+		e.owed = time.Time{}
+	}
+	if n := len(e.sends); n > 0 && (o == Unreachable || o == Full || o == Missing) {
+		e.sends = e.sends[:n-1]
+	}
+	switch o {
+	case Served:
+		e.failRate *= 1 - failWeight
+		e.awayFor = 0
+	case Faulted:
+		e.failRate += (1 - e.failRate) * failWeight
+	case Unreachable:
+		e.awayFor = min(unreachableMost, max(unreachable, 2*e.awayFor))
+		e.awayUntil = now.Add(e.awayFor)
+	case Full:
+		e.fullUntil = now.Add(fullFor)
+	case Missing, Ended:
+	}
+}
+
+// Pace learns how long an endpoint took for a unit of work, relative to the
+// mean of all endpoints of its service.
+func (t *Table) Pace(key fleet.Key, relative float64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.find(key); e != nil {
+		e.pace += (min(3, max(0.3, relative)) - e.pace) * paceWeight
+	}
+}
+
+// Healthy reports whether any endpoint could take a request now.
+func (t *Table) Healthy(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, e := range t.ends {
+		if !e.Leaving && !now.Before(e.awayUntil) {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/wire/client.go
+++ b/internal/wire/client.go
@@ -106,12 +106,16 @@
 }
 
 func call[Q, R any](ctx context.Context, c *Client, address, method string, req *Q) (*R, error) {
+	return invoke[Q, R](ctx, c, address, serviceName, method, req)
+}
+
+func invoke[Q, R any](ctx context.Context, c *Client, address, service, method string, req *Q) (*R, error) {
 	conn, err := c.conn(address)
 	if err != nil {
 		return nil, err
 	}
 	reply := new(R)
-	err = conn.Invoke(ctx, "/"+serviceName+"/"+method, req, reply)
+	err = conn.Invoke(ctx, "/"+service+"/"+method, req, reply)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/wire/server.go
+++ b/internal/wire/server.go
@@ -14,7 +14,7 @@
 const serviceName = "trefoildale.Peer"
 
 // method describes one unary method of the service.
-func method[Q, R any](name string, call func(Handler, context.Context, *Q) (*R, error)) grpc.MethodDesc {
+func method[H, Q, R any](name string, call func(H, context.Context, *Q) (*R, error)) grpc.MethodDesc {
 	return grpc.MethodDesc{
 		MethodName: name,
 		Handler: func(srv any, ctx context.Context, dec func(any) error, _ grpc.UnaryServerInterceptor) (any, error) {
@@ -22,7 +22,7 @@
 			if err := dec(req); err != nil {
 				return nil, err
 			}
-			return call(srv.(Handler), ctx, req)
+			return call(srv.(H), ctx, req)
 		},
 	}
 }
@@ -30,6 +30,15 @@
 // Serve answers peers on the listener until the returned function is called,
 // which waits for running calls.
 func Serve(l net.Listener, h Handler, meter *Meter) (stop func()) {
+	return serve(l, &serviceDesc, h, meter)
+}
+
+// ServeFleet answers the nodes that share a coordinator, like Serve.
+func ServeFleet(l net.Listener, h FleetHandler, meter *Meter) (stop func()) {
+	return serve(l, &fleetDesc, h, meter)
+}
+
+func serve(l net.Listener, desc *grpc.ServiceDesc, h any, meter *Meter) (stop func()) {
 	srv := grpc.NewServer(
 		grpc.StatsHandler(meter),
 		grpc.MaxRecvMsgSize(maxMessageBytes),
@@ -38,7 +47,7 @@
 			PermitWithoutStream: true,
 		}),
 	)
-	srv.RegisterService(&serviceDesc, h)
+	srv.RegisterService(desc, h)
 	done := make(chan error, 1)
 	go func() {
 		done <- eris.Wrapf(srv.Serve(l), "serve peers on %s", l.Addr())
