serve: refuse requests that a stopping process could not finish

Requests that arrive 2.9 s after the signal or later are now refused as not run. Ruled out: closing the listener, which resets callers that the balancer still sends.

--- /dev/null
+++ b/internal/depot/depot_test.go
@@ -0,0 +1,338 @@
+package depot
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"trefoildale.example/trefoildale/internal/fleet"
+)
+
+// fakeEngine carries orders out like an engine that checks no fences.
+type fakeEngine struct {
+	fleet.Endpoint
+	class    *fleet.EngineClass
+	models   map[string][]string
+	disk     map[string]bool
+	orders   int64
+	busyTill time.Time
+	pending  *Order
+	late     []lateOrder
+}
+
+type lateOrder struct {
+	order Order
+	at    time.Time
+}
+
+type world struct {
+	t       *rapid.T
+	now     time.Time
+	depot   *Depot
+	config  *fleet.Config
+	engines []*fakeEngine
+	loads   []time.Time // from the weight store
+}
+
+func testConfig(models int) *fleet.Config {
+	class := &fleet.EngineClass{
+		Slots:               64,
+		WeightsMB:           200000,
+		AdapterSlots:        4,
+		StoreLoadsPerSecond: 1.6,
+		Models:              map[string]fleet.Model{},
+	}
+	for i := range models {
+		name := fmt.Sprintf("m%d", i)
+		class.Models[name] = fleet.Model{
+			Name:      name,
+			MB:        []float64{65100, 72700, 34300}[i%3],
+			AdapterMB: 66,
+			Adapters:  10,
+		}
+	}
+	return &fleet.Config{
+		Version: 1,
+		Services: map[string]*fleet.Service{
+			"lm": {
+				Name:   "lm",
+				Engine: class,
+			},
+		},
+	}
+}
+
+func newWorld(t *rapid.T, engines, models int) *world {
+	w := &world{
+		t:      t,
+		now:    time.Unix(1000, 0),
+		config: testConfig(models),
+	}
+	for i := range engines {
+		w.engines = append(w.engines, &fakeEngine{
+			Endpoint: fleet.Endpoint{
+				ID:      fmt.Sprintf("e%d", i),
+				Born:    1,
+				Service: "lm",
+				Address: "10.0.0.1:80",
+			},
+			class:  w.config.Services["lm"].Engine,
+			models: map[string][]string{},
+			disk:   map[string]bool{},
+		})
+	}
+	w.takeOver()
+	return w
+}
+
+// takeOver replaces the coordinator.
+func (w *world) takeOver() {
+	w.depot = New()
+	w.depot.SetConfig(w.now, w.config)
+	w.list()
+}
+
+func (w *world) list() {
+	var list []fleet.Endpoint
+	for _, e := range w.engines {
+		list = append(list, e.Endpoint)
+	}
+	w.depot.SetEndpoints(list)
+}
+
+func (e *fakeEngine) size() float64 {
+	var mb float64
+	for name, adapters := range e.models {
+		mb += e.class.Models[name].MB + float64(len(adapters))*e.class.Models[name].AdapterMB
+	}
+	return mb
+}
+
+func (e *fakeEngine) adapters() int {
+	n := 0
+	for _, a := range e.models {
+		n += len(a)
+	}
+	return n
+}
+
+// carryOut applies an order as the engine does when it begins to.
+func (w *world) carryOut(e *fakeEngine, o Order) Answer {
+	if w.now.Before(e.busyTill) || e.orders != o.Expected {
+		return Refused
+	}
+	adapters, held := e.models[o.Model]
+	if o.Adapter != "" {
+		if !held {
+			return Refused
+		}
+		e.orders++
+		at := slices.Index(adapters, o.Adapter)
+		switch {
+		case o.Load && at < 0:
+			e.models[o.Model] = append(slices.Clone(adapters), o.Adapter)
+			if e.adapters() > e.class.AdapterSlots || e.size() > e.class.WeightsMB {
+				w.t.Fatalf("%s was ordered to hold %d adapters in %.0f MB", e.ID, e.adapters(), e.size())
+			}
+			return Accepted
+		case !o.Load && at >= 0:
+			e.models[o.Model] = slices.Delete(slices.Clone(adapters), at, at+1)
+		}
+		return Holds
+	}
+	if o.Load == held {
+		return Holds
+	}
+	e.orders++
+	if o.Load {
+		if !e.disk[o.Model] {
+			w.loads = append(w.loads, w.now)
+			e.disk[o.Model] = true
+		}
+		e.models[o.Model] = nil
+		if e.size() > e.class.WeightsMB {
+			w.t.Fatalf("%s was ordered to hold %.0f MB of %.0f", e.ID, e.size(), e.class.WeightsMB)
+		}
+	} else {
+		delete(e.models, o.Model)
+	}
+	e.busyTill = w.now.Add(700 * time.Millisecond)
+	return Accepted
+}
+
+func (w *world) send(o Order, fate int) {
+	i := slices.IndexFunc(w.engines, func(e *fakeEngine) bool { return e.ID == o.Key.ID })
+	e := w.engines[i]
+	switch {
+	case fate < 2:
+		// The order is carried out late and not answered.
+		e.late = append(e.late, lateOrder{
+			order: o,
+			at:    w.now.Add(time.Duration(2+fate*5) * time.Second),
+		})
+		w.depot.Answered(o, Lost)
+	case fate < 4:
+		// The order is carried out and the answer is lost.
+		w.carryOut(e, o)
+		w.depot.Answered(o, Lost)
+	case e.Born != o.Key.Born:
+		w.depot.Answered(o, Refused)
+	default:
+		w.depot.Answered(o, w.carryOut(e, o))
+	}
+}
+
+func (e *fakeEngine) report(now time.Time) fleet.Report {
+	r := fleet.Report{
+		Key:    e.Key(),
+		Busy:   now.Before(e.busyTill),
+		Orders: e.orders,
+	}
+	for name, adapters := range e.models {
+		r.Models = append(r.Models, fleet.Resident{
+			Model:    name,
+			Adapters: slices.Clone(adapters),
+		})
+	}
+	for name := range e.disk {
+		r.OnDisk = append(r.OnDisk, name)
+	}
+	return r
+}
+
+// TestNeverOvercommitted guards against orders that overcommit an engine's
+// memory or adapter slots, or exceed the weight store's rate, while orders and
+// answers are lost or late, engines restart and coordinators change.
+func TestNeverOvercommitted(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := newWorld(t, rapid.IntRange(1, 4).Draw(t, "engines"), rapid.IntRange(3, 8).Draw(t, "models"))
+		for range rapid.IntRange(50, 400).Draw(t, "steps") {
+			w.now = w.now.Add(time.Duration(rapid.IntRange(20, 200).Draw(t, "ms")) * time.Millisecond)
+			for _, e := range w.engines {
+				e.late = slices.DeleteFunc(e.late, func(l lateOrder) bool {
+					if w.now.Before(l.at) {
+						return false
+					}
+					if l.order.Key.Born == e.Born {
+						w.carryOut(e, l.order)
+					}
+					return true
+				})
+			}
+			switch rapid.IntRange(0, 60).Draw(t, "event") {
+			case 0:
+				e := w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "restart")]
+				e.Born++
+				e.orders, e.busyTill, e.models = 0, time.Time{}, map[string][]string{}
+				w.list()
+			case 1:
+				w.takeOver()
+			default:
+			}
+			model := fmt.Sprintf("m%d", rapid.IntRange(0, len(w.config.Services["lm"].Engine.Models)-1).Draw(t, "model"))
+			w.depot.Arrived(w.now, "lm", model, rapid.Float64Range(0, 5000).Draw(t, "work"))
+			w.depot.SetWaiting(w.now, []Waiting{{
+				Service: "lm",
+				Model:   model,
+				Count:   rapid.IntRange(0, 2).Draw(t, "waiting"),
+			}})
+			for _, e := range w.engines {
+				if rapid.IntRange(0, 3).Draw(t, "reports") > 0 {
+					w.depot.SetReport(w.now, e.report(w.now))
+				}
+			}
+			for _, o := range w.depot.Step(w.now) {
+				w.send(o, rapid.IntRange(0, 12).Draw(t, "fate"))
+			}
+			e := w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")]
+			adapter := fmt.Sprintf("a%d", rapid.IntRange(1, 9).Draw(t, "adapter"))
+			if o, err := w.depot.Adapter(w.now, e.Key(), model, adapter); err == nil && o != nil {
+				w.send(*o, rapid.IntRange(0, 12).Draw(t, "fate"))
+			}
+			w.checkCeiling()
+		}
+	})
+}
+
+// checkCeiling compares the loads of the last window with the stated bound.
+func (w *world) checkCeiling() {
+	const window = 5 * time.Second
+	n := 0
+	for _, at := range w.loads {
+		if w.now.Sub(at) <= window {
+			n++
+		}
+	}
+	if bound := 1.6*window.Seconds()*1.1 + 3; float64(n) > bound {
+		w.t.Fatalf("%d loads began within %v, the bound is %.1f", n, window, bound)
+	}
+}
+
+// TestWaitingModelIsLoaded guards against a model that nobody holds staying
+// unreachable: an idle one makes room for it.
+func TestWaitingModelIsLoaded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New()
+	d.SetConfig(now, testConfig(6))
+	e := fleet.Endpoint{
+		ID:      "e0",
+		Born:    1,
+		Service: "lm",
+	}
+	d.SetEndpoints([]fleet.Endpoint{e})
+	held := map[string]bool{"m0": true, "m1": true}
+	orders := int64(0)
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		r := fleet.Report{
+			Key:    e.Key(),
+			Orders: orders,
+			OnDisk: []string{"m0", "m1", "m4"},
+		}
+		for _, name := range []string{"m0", "m1", "m4"} {
+			if held[name] {
+				r.Models = append(r.Models, fleet.Resident{Model: name})
+			}
+		}
+		d.SetReport(now, r)
+		d.SetWaiting(now, []Waiting{{Service: "lm", Model: "m4", Count: 1}})
+		for _, o := range d.Step(now) {
+			held[o.Model] = o.Load
+			orders++
+			d.Answered(o, Accepted)
+		}
+		if held["m4"] {
+			return
+		}
+	}
+	t.Error("the model that requests wait for was not loaded within 10 s")
+}
+
+// TestSpread guards against leaving a busy model on one engine while another
+// engine has room.
+func TestSpread(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New()
+	d.SetConfig(now, testConfig(3))
+	ends := []fleet.Endpoint{
+		{ID: "e0", Born: 1, Service: "lm"},
+		{ID: "e1", Born: 1, Service: "lm"},
+	}
+	d.SetEndpoints(ends)
+	for range 30 {
+		now = now.Add(100 * time.Millisecond)
+		d.Arrived(now, "lm", "m0", 1000)
+		d.SetReport(now, fleet.Report{Key: ends[0].Key(), Models: []fleet.Resident{{Model: "m0"}}})
+		d.SetReport(now, fleet.Report{Key: ends[1].Key(), Models: []fleet.Resident{{Model: "m1"}, {Model: "m2"}}})
+		for _, o := range d.Step(now) {
+			if o.Load && o.Model == "m0" && o.Key.ID == "e1" {
+				return
+			}
+			d.Answered(o, Refused)
+		}
+	}
+	t.Error("no copy of the busy model was ordered within 3 s")
+}
--- /dev/null
+++ b/internal/grant/grant_test.go
@@ -0,0 +1,240 @@
+package grant
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const testWindow = 8 * time.Second
+
+// oracle is one workspace on several nodes, with the tokens admitted when.
+type oracle struct {
+	t        *rapid.T
+	now      time.Time
+	limit    Limit
+	slack    float64
+	issuer   *Issuer
+	members  map[int]*oracleMember
+	wallets  []*Wallet
+	cut      []bool
+	admitted []oracleCharge
+}
+
+type oracleMember struct {
+	fraction float64
+	heard    time.Time
+}
+
+type oracleCharge struct {
+	at     time.Time
+	tokens float64
+}
+
+func (o *oracle) reserved() float64 {
+	var sum float64
+	for _, m := range o.members {
+		if o.now.Sub(m.heard) > ReserveAfter {
+			sum += m.fraction
+		}
+	}
+	return sum
+}
+
+func (o *oracle) exchange(i int) {
+	if o.issuer == nil || o.cut[i] {
+		return
+	}
+	m := o.members[i]
+	if m == nil {
+		m = &oracleMember{}
+		o.members[i] = m
+	}
+	m.heard, m.fraction = o.now, 1/float64(len(o.wallets))
+	o.issuer.SetReserved(o.now, o.reserved())
+	var loans []Loan
+	for _, d := range o.wallets[i].Draws(o.now) {
+		if got := o.issuer.Issue(o.now, d.Workspace, d.Want, d.Need); got > 0 {
+			loans = append(loans, Loan{
+				Workspace: d.Workspace,
+				Tokens:    got,
+			})
+		}
+	}
+	o.wallets[i].Receive(o.now, loans, m.fraction)
+}
+
+func (o *oracle) request(i int, tokens float64) {
+	w := o.wallets[i]
+	w.Arrived(o.now, "w", tokens)
+	ok := w.Take(o.now, "w", tokens)
+	if !ok {
+		done := w.Wait("w", tokens)
+		o.exchange(i)
+		done()
+		ok = w.Take(o.now, "w", tokens)
+	}
+	if ok {
+		o.admitted = append(o.admitted, oracleCharge{
+			at:     o.now,
+			tokens: tokens,
+		})
+	}
+}
+
+// check compares every window that ends now with the stated bound.
+func (o *oracle) check() {
+	var sum float64
+	for i := len(o.admitted) - 1; i >= 0 && o.now.Sub(o.admitted[i].at) <= testWindow; i-- {
+		sum += o.admitted[i].tokens
+	}
+	bound := (o.limit.Rate*testWindow.Seconds()+o.limit.Burst)*1.1 + o.slack
+	if sum > bound {
+		o.t.Fatalf("%.0f tokens admitted within %v, the bound is %.0f", sum, testWindow, bound)
+	}
+}
+
+func (o *oracle) begin(full bool) {
+	o.issuer = NewIssuer(0.3*o.slack, full)
+	o.issuer.SetLimits(o.now, map[string]Limit{"w": o.limit})
+	for _, m := range o.members {
+		m.heard = o.now
+	}
+}
+
+// TestWithinRate guards against admitting more than the rate, burst and allowed
+// excess in any window, through cuts, restarts and changes of the coordinator.
+func TestWithinRate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 8).Draw(t, "nodes")
+		rate := rapid.SampledFrom([]float64{1900, 14000, 90000}).Draw(t, "rate")
+		o := &oracle{
+			t:     t,
+			now:   time.Unix(1000, 0),
+			limit: Limit{Rate: rate, Burst: rate},
+			// The smaller of the bounds of the two deployments.
+			slack:   7400,
+			members: map[int]*oracleMember{},
+			cut:     make([]bool, nodes),
+		}
+		for range nodes {
+			w := NewWallet()
+			w.SetLimits(map[string]Limit{"w": o.limit})
+			o.wallets = append(o.wallets, w)
+		}
+		o.begin(true)
+		steps := rapid.IntRange(50, 300).Draw(t, "steps")
+		for range steps {
+			switch rapid.IntRange(0, 19).Draw(t, "event") {
+			case 0:
+				i := rapid.IntRange(0, nodes-1).Draw(t, "cut")
+				o.cut[i] = !o.cut[i]
+			case 1:
+				// The node restarts and is told its former fraction by others.
+				i := rapid.IntRange(0, nodes-1).Draw(t, "restart")
+				w := NewWallet()
+				w.SetLimits(map[string]Limit{"w": o.limit})
+				if m := o.members[i]; m != nil {
+					w.SetFraction(m.fraction)
+				}
+				o.wallets[i] = w
+			case 2:
+				o.issuer = nil
+			case 3:
+				if o.issuer == nil {
+					o.begin(false)
+				}
+			default:
+			}
+			for i := range o.wallets {
+				n := rapid.IntRange(0, 6).Draw(t, "requests")
+				for range n {
+					o.request(i, rapid.Float64Range(200, 2700).Draw(t, "tokens"))
+				}
+				o.exchange(i)
+			}
+			o.check()
+			o.now = o.now.Add(time.Duration(rapid.IntRange(20, 400).Draw(t, "ms")) * time.Millisecond)
+		}
+	})
+}
+
+// TestUnevenDemand guards against refusing requests inside the rate because
+// they arrive at one node.
+func TestUnevenDemand(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limit := Limit{Rate: 10000, Burst: 10000}
+	issuer := NewIssuer(2000, true)
+	issuer.SetLimits(now, map[string]Limit{"w": limit})
+	w := NewWallet()
+	w.SetLimits(map[string]Limit{"w": limit})
+	refused := 0
+	for range 200 {
+		w.Arrived(now, "w", 900)
+		if !w.Take(now, "w", 900) {
+			done := w.Wait("w", 900)
+			var loans []Loan
+			for _, d := range w.Draws(now) {
+				loans = append(loans, Loan{
+					Workspace: d.Workspace,
+					Tokens:    issuer.Issue(now, d.Workspace, d.Want, d.Need),
+				})
+			}
+			w.Receive(now, loans, 0.125)
+			done()
+			if !w.Take(now, "w", 900) {
+				refused++
+			}
+		}
+		now = now.Add(100 * time.Millisecond)
+	}
+	if refused > 0 {
+		t.Errorf("%d of 200 requests at nine tenths of the rate were refused", refused)
+	}
+}
+
+// TestLargerThanBurst guards against refusing for good a request that is larger
+// than its workspace's burst.
+func TestLargerThanBurst(t *testing.T) {
+	now := time.Unix(1000, 0)
+	issuer := NewIssuer(0, false)
+	issuer.SetLimits(now, map[string]Limit{"w": {Rate: 1900, Burst: 1900}})
+	now = now.Add(2 * time.Second)
+	if got := issuer.Issue(now, "w", 2700, 2700); got != 2700 {
+		t.Fatalf("issued %v tokens from a full bucket, want 2700", got)
+	}
+	if level := issuer.Level(now, "w"); level != -800 {
+		t.Errorf("the bucket holds %v tokens afterwards, want -800", level)
+	}
+	if got := issuer.Issue(now.Add(time.Second), "w", 2700, 2700); got != 0 {
+		t.Errorf("issued %v tokens from a bucket that owes, want 0", got)
+	}
+}
+
+// TestLoweredLimit guards against spending tokens that were issued under a
+// higher limit.
+func TestLoweredLimit(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWallet()
+	w.SetLimits(map[string]Limit{"w": {Rate: 1000, Burst: 1000}})
+	w.Receive(now, []Loan{{Workspace: "w", Tokens: 500}}, 0.5)
+	w.SetLimits(map[string]Limit{"w": {Rate: 100, Burst: 100}})
+	if w.Take(now, "w", 400) {
+		t.Error("tokens of the former limit were spent")
+	}
+}
+
+// TestExpiry guards against hoarding: issued tokens are spent within their term.
+func TestExpiry(t *testing.T) {
+	now := time.Unix(1000, 0)
+	w := NewWallet()
+	w.SetLimits(map[string]Limit{"w": {Rate: 1000, Burst: 1000}})
+	w.Receive(now, []Loan{{Workspace: "w", Tokens: 500}}, 0.5)
+	if !w.Take(now.Add(Term-time.Millisecond), "w", 100) {
+		t.Error("tokens were not usable within their term")
+	}
+	if w.Take(now.Add(Term), "w", 100) {
+		t.Error("tokens were spent after their term")
+	}
+}
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -58,6 +58,9 @@
 	// drainLeast is how long a stopping process goes on taking requests: the
 	// balancer notices after two checks a second apart.
 	drainLeast = 2500 * time.Millisecond
+	// drainAccept is how long a stopping process takes requests. What is taken
+	// later might not be finished before the kill.
+	drainAccept = 2900 * time.Millisecond
 	// drainMargin is how long before the kill a stopping process ends.
 	drainMargin = 300 * time.Millisecond
 	// softMemoryPart is the part of the process's memory limit at which the
@@ -239,6 +242,7 @@
 	began := p.clock.Now()
 	kill := began.Add(time.Duration(p.set.Bounds.Grace) - drainMargin)
 	p.stopping.Store(true)
+	p.server.RefuseFrom(began.Add(drainAccept))
 	p.node.Stop()
 	p.idle.stop()
 	for {
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -89,6 +89,15 @@
 
 // accept finds the route, checks the key and sets the time limit.
 func (c *call) accept() *Problem {
+	if from := c.refuseFrom.Load(); from != nil && !c.q.Arrived.Before(*from) {
+		return &Problem{
+			Status:     http.StatusServiceUnavailable,
+			Code:       "stopping",
+			Message:    "this node is about to stop",
+			NotRun:     true,
+			RetryAfter: retryStopping,
+		}
+	}
 	if c.config == nil {
 		return &Problem{
 			Status:     http.StatusServiceUnavailable,
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -36,6 +36,8 @@
 	// retrySoon and retryLater are when a refused caller should come back.
 	retrySoon  = 300 * time.Millisecond
 	retryLater = 800 * time.Millisecond
+	// retryStopping sends a caller to another node at once.
+	retryStopping = 20 * time.Millisecond
 	// maxWhole is the largest answer that is collected before it is passed on,
 	// so that one that breaks off can still be tried elsewhere.
 	maxWhole = 1 << 20
@@ -87,6 +89,8 @@
 	opts   Options
 	config atomic.Pointer[fleet.Config]
 	active atomic.Int64
+	// refuseFrom is when a stopping process takes no more requests.
+	refuseFrom atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	nodes   int
@@ -123,6 +127,10 @@
 // Active returns the number of requests under way.
 func (s *Server) Active() int64 { return s.active.Load() }
 
+// RefuseFrom has requests refused from a time on, because the process stops and
+// they could not be finished.
+func (s *Server) RefuseFrom(t time.Time) { s.refuseFrom.Store(&t) }
+
 // SetNodes tells how many nodes share the retry budget.
 func (s *Server) SetNodes(n int) {
 	s.mu.Lock()
