depot: count an adapter that is unloaded while in use until it is gone

Cause: an engine accepts the unloading of an adapter that requests still use and carries it out later. Adapters that a report names as on their way now count as well, which a new coordinator needs.

--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -249,6 +249,11 @@
 			delete(e.pending, adapterName(m.Model, a))
 		}
 	}
+	for _, item := range r.Pending {
+		// A report names adapters on their way as MODEL/NAME@VERSION.
+		name, _, _ := strings.Cut(item, "@")
+		e.pending[name] = asked.Add(answerWait)
+	}
 }
 
 func adapterName(model, adapter string) string { return model + "/" + adapter }
@@ -336,8 +341,11 @@
 		return
 	}
 	switch {
+	case a == Accepted && !o.Load:
+		// The adapter is in use and takes its place until its requests have ended.
+		e.orders = max(e.orders, o.Expected+1)
 	case a == Accepted, a == Holds && !o.Load:
-		// Adapter orders take effect at once, so the state is known without a report.
+		// The order takes effect at once, so the state is known without a report.
 		e.orders = max(e.orders, o.Expected+1)
 		e.setAdapter(o.Model, o.Adapter, o.Load)
 		e.last = nil
--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -19,8 +21,9 @@
 	disk     map[string]bool
 	orders   int64
 	busyTill time.Time
-	pending  *Order
 	late     []lateOrder
+	// inUse has adapters whose unloading waits, and until when.
+	inUse map[string]time.Time
 }
 
 type lateOrder struct {
@@ -82,6 +85,7 @@
 			class:  w.config.Services["lm"].Engine,
 			models: map[string][]string{},
 			disk:   map[string]bool{},
+			inUse:  map[string]time.Time{},
 		})
 	}
 	w.takeOver()
@@ -138,6 +142,9 @@
 				w.t.Fatalf("%s was ordered to hold %d adapters in %.0f MB", e.ID, e.adapters(), e.size())
 			}
 			return Accepted
+		case !o.Load && at >= 0 && rapid.Bool().Draw(w.t, "in use"):
+			e.inUse[o.Model+"/"+o.Adapter] = w.now.Add(time.Second)
+			return Accepted
 		case !o.Load && at >= 0:
 			e.models[o.Model] = slices.Delete(slices.Clone(adapters), at, at+1)
 		}
@@ -185,6 +192,20 @@
 	}
 }
 
+// release drops adapters whose requests have ended.
+func (e *fakeEngine) release(now time.Time) {
+	for item, until := range e.inUse {
+		if now.Before(until) {
+			continue
+		}
+		delete(e.inUse, item)
+		model, adapter, _ := strings.Cut(item, "/")
+		if adapters, ok := e.models[model]; ok {
+			e.models[model] = slices.DeleteFunc(slices.Clone(adapters), func(a string) bool { return a == adapter })
+		}
+	}
+}
+
 func (e *fakeEngine) report(now time.Time) fleet.Report {
 	r := fleet.Report{
 		Key:    e.Key(),
@@ -212,6 +233,7 @@
 		for range rapid.IntRange(50, 400).Draw(t, "steps") {
 			w.now = w.now.Add(time.Duration(rapid.IntRange(20, 200).Draw(t, "ms")) * time.Millisecond)
 			for _, e := range w.engines {
+				e.release(w.now)
 				e.late = slices.DeleteFunc(e.late, func(l lateOrder) bool {
 					if w.now.Before(l.at) {
 						return false
@@ -248,9 +270,16 @@
 				w.send(o, rapid.IntRange(0, 12).Draw(t, "fate"))
 			}
 			e := w.engines[rapid.IntRange(0, len(w.engines)-1).Draw(t, "engine")]
-			adapter := fmt.Sprintf("a%d", rapid.IntRange(1, 9).Draw(t, "adapter"))
-			if o, err := w.depot.Adapter(w.now, e.Key(), model, adapter); err == nil && o != nil {
-				w.send(*o, rapid.IntRange(0, 12).Draw(t, "fate"))
+			for range rapid.IntRange(0, 4).Draw(t, "adapters") {
+				held := slices.Sorted(maps.Keys(e.models))
+				if len(held) == 0 {
+					break
+				}
+				model := rapid.SampledFrom(held).Draw(t, "of")
+				adapter := fmt.Sprintf("a%d", rapid.IntRange(1, 9).Draw(t, "adapter"))
+				if o, err := w.depot.Adapter(w.now, e.Key(), model, adapter); err == nil && o != nil {
+					w.send(*o, rapid.IntRange(0, 12).Draw(t, "fate"))
+				}
 			}
 			w.checkCeiling()
 		}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -35,6 +35,8 @@
 	// Write numbers the writes of one incarnation. A read that shows it settles
 	// which of several writes without an answer took effect.
 	Write int64 `cbor:"4,keyasint"`
+	// Note is what the holder wants its successors to know.
+	Note []byte `cbor:"5,keyasint,omitempty"`
 }
 
 // Validate reports what is wrong with a record.
@@ -59,6 +61,11 @@
 	// Renew is the time between two writes of the holder, and between two reads
 	// of a candidate.
 	Renew time.Duration
+	// Reclaim tells that an earlier incarnation of the holder is dead for sure,
+	// for example because this one listens on the address that names the holder.
+	Reclaim bool
+	// Note is written with each renewal; it may be nil.
+	Note func() []byte
 }
 
 // OpKind is a request to the table.
@@ -169,6 +176,47 @@
 // Holder names the holder that the row showed last, "" when it is free.
 func (l *Lease) Holder() string { return l.rec.Holder }
 
+// Note is what the holder of the row that was seen last wrote for its successors.
+func (l *Lease) Note() []byte { return l.rec.Note }
+
+// Row returns the row as it was seen last, for candidates that hear of it from
+// the holder instead of the table.
+func (l *Lease) Row() (store.Row, bool) {
+	if !l.exists {
+		return store.Row{}, false
+	}
+	value, err := cbor.Marshal(l.rec)
+	if err != nil {
+		// The record has only strings, bytes and integers, which always encode.
+		panic("lease: encode record: " + err.Error())
+	}
+	return store.Row{
+		Key:     l.set.Key,
+		Value:   value,
+		Version: l.version,
+	}, true
+}
+
+// Heard takes over a row that the holder told of. It counts like a read, and
+// the next read is due one renewal later.
+func (l *Lease) Heard(now time.Time, row store.Row) (Event, error) {
+	if l.held || l.mustRead || row.Version < l.version {
+		return Event{}, nil
+	}
+	ev, err := l.onRead(now, row, nil)
+	if err == nil && !l.held && l.rec.Holder != "" {
+		l.next = now.Add(l.set.Renew)
+	}
+	return ev, err
+}
+
+// Recheck makes a read due at once, for a candidate that has lost the holder.
+func (l *Lease) Recheck() {
+	if !l.held {
+		l.next = time.Time{}
+	}
+}
+
 // Release ends the use of the lease at once; the next operations give the row back.
 func (l *Lease) Release() { l.quit = true }
 
@@ -222,6 +270,9 @@
 	if !l.exists || l.rec.Holder == "" {
 		return true
 	}
+	if l.set.Reclaim && l.rec.Holder == l.set.Holder && l.rec.Incarnation != l.set.Incarnation {
+		return true
+	}
 	return !now.Before(l.seenAt.Add(wait(l.rec)))
 }
 
@@ -241,6 +292,9 @@
 	if release {
 		rec.Holder = ""
 	}
+	if l.set.Note != nil {
+		rec.Note = l.set.Note()
+	}
 	value, err := cbor.Marshal(rec)
 	if err != nil {
 		// The record has only strings and integers, which always encode.
