lead: have the coordinator read the store for all nodes

Now a machine reclaims the lease that its earlier process held, the lease names the members, so that a process that starts knows its fraction, and nodes take configuration, endpoints and the lease from the coordinator's answers while they are as new as their own reads would be. Ruled out: shorter terms alone, which leave the refusals of the term.

--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -16,17 +16,17 @@
 
 // Endpoint is a process that serves requests, as it registered itself.
 type Endpoint struct {
-	ID string
+	ID string `cbor:"1,keyasint"`
 	// Born tells incarnations with the same ID apart: the start in Unix milliseconds.
-	Born    int64
-	Service string
-	Address string
-	Domain  string
-	Slots   int
-	Leaving bool
-	Models  []Resident
+	Born    int64      `cbor:"2,keyasint"`
+	Service string     `cbor:"3,keyasint"`
+	Address string     `cbor:"4,keyasint"`
+	Domain  string     `cbor:"5,keyasint"`
+	Slots   int        `cbor:"6,keyasint,omitempty"`
+	Leaving bool       `cbor:"7,keyasint,omitempty"`
+	Models  []Resident `cbor:"8,keyasint,omitempty"`
 	// Orders is how many orders this incarnation has accepted.
-	Orders int64
+	Orders int64 `cbor:"9,keyasint,omitempty"`
 }
 
 // Key identifies an incarnation of an endpoint.
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -14,9 +15,9 @@
 // Change is a change of one endpoint's entry. Endpoint is nil where the entry
 // is gone or names no endpoint.
 type Change struct {
-	Name     string
-	Version  int64
-	Endpoint *Endpoint
+	Name     string    `cbor:"1,keyasint"`
+	Version  int64     `cbor:"2,keyasint"`
+	Endpoint *Endpoint `cbor:"3,keyasint"`
 }
 
 // Registry holds the registered endpoints. It is not safe for concurrent use.
@@ -43,53 +44,70 @@
 // entries may have expired although their endpoints live.
 func (r *Registry) Recovered(now time.Time) { r.graceUntil = now.Add(returnGrace) }
 
-// Version is the newest version of an entry that was taken over.
+// Version is that of the store at the last change of what List returns.
 func (r *Registry) Version() int64 { return r.version }
 
-// Apply takes over changes. With complete set, endpoints that are not named
-// have no entry any more.
-func (r *Registry) Apply(now time.Time, changes []Change, complete bool) {
+// Apply takes over changes as of a version of the store. With complete set,
+// endpoints that are not named have no entry any more. It reports whether List
+// has changed.
+func (r *Registry) Apply(now time.Time, changes []Change, version int64, complete bool) bool {
+	changed := false
 	named := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		named[c.Name] = true
-		r.version = max(r.version, c.Version)
-		e := r.entries[c.Name]
-		switch {
-		case c.Endpoint == nil:
-			r.remove(now, c.Name)
-		case e == nil:
-			r.entries[c.Name] = &entry{
-				endpoint: *c.Endpoint,
-				version:  c.Version,
+		if r.change(now, c) {
+			changed = true
+		}
+	}
+	if complete {
+		for name := range r.entries {
+			if !named[name] && r.remove(now, name) {
+				changed = true
 			}
-		case c.Version < e.version || c.Endpoint.Born < e.endpoint.Born:
-			// A late write of an earlier incarnation changes nothing.
-		default:
-			e.endpoint, e.version, e.missingAt = *c.Endpoint, c.Version, time.Time{}
 		}
 	}
-	if !complete {
-		return
+	if changed {
+		r.version = max(r.version+1, version)
 	}
-	for name := range r.entries {
-		if !named[name] {
-			r.remove(now, name)
+	return changed
+}
+
+func (r *Registry) change(now time.Time, c Change) bool {
+	e := r.entries[c.Name]
+	switch {
+	case e != nil && c.Version < e.version:
+		// Another reader has told of a later state.
+		return false
+	case c.Endpoint == nil:
+		return r.remove(now, c.Name)
+	case e == nil:
+		r.entries[c.Name] = &entry{
+			endpoint: *c.Endpoint,
+			version:  c.Version,
 		}
+		return true
+	case c.Endpoint.Born < e.endpoint.Born:
+		// A late write of an earlier incarnation changes nothing.
+		return false
 	}
+	changed := !reflect.DeepEqual(e.endpoint, *c.Endpoint)
+	e.endpoint, e.version, e.missingAt = *c.Endpoint, c.Version, time.Time{}
+	return changed
 }
 
-func (r *Registry) remove(now time.Time, name string) {
+func (r *Registry) remove(now time.Time, name string) bool {
 	e := r.entries[name]
 	if e == nil {
-		return
+		return false
 	}
 	if now.Before(r.graceUntil) && !e.endpoint.Leaving {
 		if e.missingAt.IsZero() {
 			e.missingAt = now
 		}
-		return
+		return false
 	}
 	delete(r.entries, name)
+	return true
 }
 
 // Expire removes endpoints whose entries did not come back. It reports whether
@@ -102,9 +120,27 @@
 			changed = true
 		}
 	}
+	if changed {
+		r.version++
+	}
 	return changed
 }
 
+// Changes returns all entries as changes, for another registry.
+func (r *Registry) Changes() []Change {
+	out := make([]Change, 0, len(r.entries))
+	for name, e := range r.entries {
+		end := e.endpoint
+		out = append(out, Change{
+			Name:     name,
+			Version:  e.version,
+			Endpoint: &end,
+		})
+	}
+	slices.SortFunc(out, func(a, b Change) int { return strings.Compare(a.Name, b.Name) })
+	return out
+}
+
 // List returns the endpoints in the order of their IDs.
 func (r *Registry) List() []Endpoint {
 	out := make([]Endpoint, 0, len(r.entries))
--- a/internal/lead/desk.go
+++ b/internal/lead/desk.go
@@ -13,6 +13,9 @@
 // retryOverRate is when a caller over its rate should come back.
 const retryOverRate = 500 * time.Millisecond
 
+// localRetry is how often a waiting request looks at the node's own fraction.
+const localRetry = 20 * time.Millisecond
+
 // Desk admits requests within the rates of their workspaces.
 type Desk struct {
 	clock clock.Clock
@@ -73,6 +76,9 @@
 	defer done()
 	t := time.NewTimer(wait)
 	defer t.Stop()
+	// Without contact tokens come with time, not with an answer.
+	again := time.NewTicker(localRetry)
+	defer again.Stop()
 	for {
 		changed := d.changed
 		d.mu.Unlock()
@@ -83,6 +89,7 @@
 		var over bool
 		select {
 		case <-changed:
+		case <-again.C:
 		case <-t.C:
 			over = true
 		case <-ctx.Done():
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -30,8 +30,16 @@
 
 // Listing is the list of endpoints as of a version of the store.
 type Listing struct {
-	Version   int64            `cbor:"1,keyasint"`
-	Endpoints []fleet.Endpoint `cbor:"2,keyasint"`
+	Version int64          `cbor:"1,keyasint"`
+	Entries []fleet.Change `cbor:"2,keyasint"`
+}
+
+// LeaseRow is the row of the coordinator's lease as the coordinator knows it.
+type LeaseRow struct {
+	Value   []byte `cbor:"1,keyasint"`
+	Version int64  `cbor:"2,keyasint"`
+	// Valid tells that the coordinator holds the lease now.
+	Valid bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Exchange is what a node tells the coordinator, or another node while there is
@@ -47,8 +55,7 @@
 	ConfigVersion int64 `cbor:"6,keyasint,omitempty"`
 	// Config is set when the receiver is known to have an older one.
 	Config *Document `cbor:"7,keyasint,omitempty"`
-	// WantListing is set while the store does not answer the sender.
-	WantListing bool            `cbor:"8,keyasint,omitempty"`
+	// ListingFrom is the version of the sender's list of endpoints.
 	ListingFrom int64           `cbor:"9,keyasint,omitempty"`
 	Listing     *Listing        `cbor:"10,keyasint,omitempty"`
 	Draws       []grant.Draw    `cbor:"11,keyasint,omitempty"`
@@ -103,11 +110,13 @@
 	Members       []Member      `cbor:"5,keyasint,omitempty"`
 	ConfigVersion int64         `cbor:"6,keyasint,omitempty"`
 	Config        *Document     `cbor:"7,keyasint,omitempty"`
-	WantListing   bool          `cbor:"8,keyasint,omitempty"`
 	ListingFrom   int64         `cbor:"9,keyasint,omitempty"`
 	Listing       *Listing      `cbor:"10,keyasint,omitempty"`
 	Reports       []TimedReport `cbor:"11,keyasint,omitempty"`
 	Closing       []Closing     `cbor:"12,keyasint,omitempty"`
+	Lease         *LeaseRow     `cbor:"13,keyasint,omitempty"`
+	// StoreAge is how long ago the store last answered the sender.
+	StoreAge time.Duration `cbor:"14,keyasint,omitempty"`
 }
 
 // Validate checks a decoded message.
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/lease"
@@ -30,6 +32,15 @@
 	electEvery = 100 * time.Millisecond
 	// electTimeout bounds one call to the store for the lease.
 	electTimeout = 700 * time.Millisecond
+	// relayAge is when a node reads the store itself because it has not heard of
+	// it from the coordinator, and relayStore how old the coordinator's own view
+	// may be: a little more than its longest wait for a change.
+	relayAge   = 600 * time.Millisecond
+	relayStore = 1300 * time.Millisecond
+	// competeAfter is how long the store must have answered a node before it
+	// competes with a coordinator that answers but did not renew its lease. The
+	// coordinator itself renews sooner once the store answers it.
+	competeAfter = 900 * time.Millisecond
 	// gossipEvery is how often another node is asked while there is no
 	// coordinator, or the store does not answer.
 	gossipEvery = 400 * time.Millisecond
@@ -81,8 +92,29 @@
 	members  []Member
 	touched  time.Time // last answer of the coordinator
 	leaving  bool
+	// seen is when the store last answered each reader of this node, and
+	// answering since when it does.
+	seen      [readers]time.Time
+	answering time.Time
+	// relayed is when the coordinator's view of the store was last as new as
+	// this node's own would be.
+	relayed time.Time
+	// heard is the lease as the coordinator told it; own is this node's view.
+	heard *LeaseRow
+	own   *LeaseRow
+	lost  bool // the coordinator did not answer
 }
 
+// Reader names what reads a table of the store.
+type Reader int
+
+// The readers of the store.
+const (
+	ConfigReader Reader = iota
+	EndpointReader
+	readers
+)
+
 // New returns a Node that has read nothing.
 func New(o Options) *Node {
 	n := &Node{
@@ -133,12 +165,14 @@
 }
 
 // SetEndpoints takes over changes of the endpoints' entries from the store.
-func (n *Node) SetEndpoints(ctx context.Context, changes []fleet.Change, complete bool) {
+func (n *Node) SetEndpoints(ctx context.Context, changes []fleet.Change, version int64, complete bool) {
 	n.mu.Lock()
-	n.registry.Apply(n.opts.Clock.Now(), changes, complete)
+	changed := n.registry.Apply(n.opts.Clock.Now(), changes, version, complete)
 	list := n.registry.List()
 	n.mu.Unlock()
-	n.spreadList(ctx, list)
+	if changed {
+		n.spreadList(ctx, list)
+	}
 }
 
 func (n *Node) spreadList(ctx context.Context, list []fleet.Endpoint) {
@@ -155,9 +189,37 @@
 	n.silent = err != nil
 	if err == nil {
 		n.registry.Recovered(n.opts.Clock.Now())
+	} else {
+		n.answering = time.Time{}
+	}
+}
+
+// StoreSeen notes an answer of the store.
+func (n *Node) StoreSeen(r Reader) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seen[r] = n.opts.Clock.Now()
+	if n.answering.IsZero() {
+		n.answering = n.seen[r]
 	}
 }
 
+// storeAge is how long ago the store last answered all readers. The lock is held.
+func (n *Node) storeAge(now time.Time) time.Duration {
+	age := time.Duration(0)
+	for _, at := range n.seen {
+		age = max(age, now.Sub(at))
+	}
+	return age
+}
+
+// Relayed reports whether the coordinator reads the store for this node.
+func (n *Node) Relayed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return !n.holds && !n.relayed.IsZero() && n.opts.Clock.Now().Sub(n.relayed) < relayAge
+}
+
 // expire drops endpoints whose entries did not come back after an outage.
 func (n *Node) expire(ctx context.Context) {
 	for wait(ctx, gossipEvery) {
@@ -197,53 +259,154 @@
 		Incarnation: n.opts.Node + "/" + n.opts.Incarnation,
 		Term:        n.opts.LeaseTerm,
 		Renew:       n.opts.LeaseTerm / 3,
+		Reclaim:     true,
+		Note:        n.note,
 	})
-	var tenure Tenure
-	before := "" // the holder that the row showed last
-	known := false
-	failed := false
-	for wait(ctx, electEvery) {
-		n.mu.Lock()
-		leaving := n.leaving
-		n.mu.Unlock()
-		if leaving && !k.Released() {
-			k.Release()
+	e := election{
+		Node: n,
+		k:    k,
+	}
+	for {
+		e.step(ctx)
+		if !wait(ctx, electEvery) {
+			return
 		}
-		held := !tenure.Until.IsZero()
+	}
+}
+
+// election is this node's part in the election.
+type election struct {
+	*Node
+	k      *lease.Keeper
+	tenure Tenure
+	noted  bool // the note of the first row was read
+	failed bool
+}
+
+func (e *election) step(ctx context.Context) {
+	now := e.opts.Clock.Now()
+	competes := e.prepare(now)
+	held := !e.tenure.Until.IsZero()
+	event := lease.EventNone
+	if competes && e.k.Next(now).Kind != lease.OpNone {
 		bounded, cancel := context.WithTimeout(ctx, electTimeout)
-		ev, err := k.Step(bounded, n.opts.Clock.Now())
+		ev, err := e.k.Step(bounded, e.opts.Clock.Now())
 		cancel()
-		if (err != nil) != failed {
-			failed = err != nil
-			if failed {
-				n.opts.Log.Warn("lease not reached", "error", err.Error())
-			} else {
-				n.opts.Log.Info("lease reached again", "holder", k.Holder())
-			}
+		event = ev.Kind
+		e.report(err)
+	}
+	until := e.k.Until()
+	switch {
+	case !until.IsZero() && !held:
+		former, followed := e.k.Former()
+		e.tenure = Tenure{
+			Since: e.k.Since(),
+			Fence: e.k.Epoch(),
+			First: !followed,
+			Own:   former == e.opts.Address,
 		}
-		until := k.Until()
-		switch {
-		case ev.Kind == lease.EventTaken || !until.IsZero() && !held:
-			tenure = Tenure{
-				Since: k.Since(),
-				Fence: k.Epoch(),
-				First: !known,
-				Own:   before == n.opts.Address,
-			}
-		case until.IsZero() && held:
-			n.opts.Log.Info("lease ended", "event", string(ev.Kind), "holder", k.Holder())
+	case until.IsZero() && held:
+		e.opts.Log.Info("lease ended", "event", string(event), "holder", e.k.Holder())
+	}
+	e.tenure.Until = until
+	e.readNote(ctx)
+	e.coord.post(ctx, tenureChanged{
+		tenure: e.tenure,
+	})
+	now = e.opts.Clock.Now()
+	e.mu.Lock()
+	e.own = nil
+	if row, ok := e.k.Row(); ok {
+		e.own = &LeaseRow{
+			Value:   row.Value,
+			Version: row.Version,
+			Valid:   e.k.Valid(now),
+		}
+	}
+	e.mu.Unlock()
+	e.setLeader(e.k.Holder(), !until.IsZero() && now.Before(until))
+}
+
+// prepare takes over what was heard, and reports whether to use the store.
+func (e *election) prepare(now time.Time) bool {
+	e.mu.Lock()
+	leaving, heard, lost := e.leaving, e.heard, e.lost
+	touch := now.Sub(e.touched) < relayAge
+	answering := !e.answering.IsZero() && now.Sub(e.answering) > competeAfter
+	e.heard, e.lost = nil, false
+	e.mu.Unlock()
+	if leaving {
+		if !e.k.Released() {
+			e.k.Release()
+		}
+		return true
+	}
+	if !e.k.Until().IsZero() {
+		return true
+	}
+	if heard != nil {
+		row := store.Row{
+			Key:     leaseKey,
+			Value:   heard.Value,
+			Version: heard.Version,
 		}
-		tenure.Until = until
-		n.coord.post(ctx, tenureChanged{
-			tenure: tenure,
-		})
-		if h := k.Holder(); h != "" {
-			before, known = h, true
+		if _, err := e.k.Heard(now, row); err != nil {
+			e.opts.Log.Warn("lease of the coordinator not readable", "error", err.Error())
+		}
+	}
+	if lost {
+		e.k.Recheck()
+	}
+	if touch && (heard == nil || heard.Valid || !answering) {
+		return false
+	}
+	return true
+}
+
+func (e *election) report(err error) {
+	if failed := err != nil; failed != e.failed {
+		e.failed = failed
+		if failed {
+			e.opts.Log.Warn("lease not reached", "error", err.Error())
+		} else {
+			e.opts.Log.Info("lease reached again", "holder", e.k.Holder())
 		}
-		n.setLeader(k.Holder(), !until.IsZero() && n.opts.Clock.Now().Before(until))
 	}
 }
 
+// readNote learns the members from the first row that is seen: a process that
+// starts while there is no coordinator knows its fraction from it.
+func (e *election) readNote(ctx context.Context) {
+	note := e.k.Note()
+	if e.noted || len(note) == 0 {
+		return
+	}
+	e.noted = true
+	var members []Member
+	if err := cbor.Unmarshal(note, &members); err != nil {
+		e.opts.Log.Warn("note of the lease not readable", "error", err.Error())
+		return
+	}
+	e.know(ctx, members)
+	for _, m := range members {
+		if m.Node == e.opts.Node {
+			e.Desk.setFraction(m.Fraction)
+		}
+	}
+}
+
+// note is what a coordinator leaves to its successors: the members.
+func (n *Node) note() []byte {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	b, err := cbor.Marshal(n.members)
+	if err != nil {
+		// Members have only strings and numbers, which always encode.
+		panic("lead: encode members: " + err.Error())
+	}
+	return b
+}
+
 func (n *Node) setLeader(address string, own bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -251,6 +414,15 @@
 	if address != "" && address != n.leader {
 		n.opts.Log.Info("coordinator known", "address", address, "before", n.leader)
 		n.leader = address
+		n.hurry()
+	}
+}
+
+// hurry has the next exchange begin at once.
+func (n *Node) hurry() {
+	select {
+	case n.kick <- struct{}{}:
+	default:
 	}
 }
 
@@ -262,6 +434,11 @@
 		if ctx.Err() != nil {
 			return
 		}
+		if err != nil {
+			n.mu.Lock()
+			n.lost = true
+			n.mu.Unlock()
+		}
 		if (err != nil) != lost {
 			lost = err != nil
 			if lost {
@@ -312,7 +489,10 @@
 		return errNoCoordinator
 	}
 	n.mu.Lock()
-	n.touched = sent
+	n.touched, n.heard = sent, r.Lease
+	if r.StoreAge < relayStore {
+		n.relayed = sent
+	}
 	n.mu.Unlock()
 	n.Desk.receive(sent, r.Loans, r.Fraction)
 	return n.push(ctx, address, own, r)
@@ -326,7 +506,7 @@
 		doc := n.doc
 		x.Config = &doc
 	}
-	if r.WantListing && !n.silent && r.ListingFrom < n.registry.Version() {
+	if r.ListingFrom < n.registry.Version() {
 		x.Listing = n.listing()
 	}
 	n.mu.Unlock()
@@ -352,7 +532,6 @@
 		Incarnation:   n.opts.Incarnation,
 		Leaving:       n.leaving,
 		ConfigVersion: n.doc.Version,
-		WantListing:   n.silent,
 		ListingFrom:   n.registry.Version(),
 		Draws:         draws,
 	}
@@ -361,8 +540,8 @@
 // listing returns the endpoints for another node. The lock is held.
 func (n *Node) listing() *Listing {
 	return &Listing{
-		Version:   n.registry.Version(),
-		Endpoints: n.registry.List(),
+		Version: n.registry.Version(),
+		Entries: n.registry.Changes(),
 	}
 }
 
@@ -388,16 +567,7 @@
 		}
 	}
 	n.takeListing(ctx, r.Listing, source)
-	if len(r.Members) > 0 {
-		n.mu.Lock()
-		n.members = r.Members
-		n.mu.Unlock()
-		n.coord.post(ctx, membersKnown{
-			list: r.Members,
-		})
-		n.opts.Server.SetNodes(len(r.Members))
-		n.opts.Table.SetNodes(len(r.Members))
-	}
+	n.know(ctx, r.Members)
 	if !r.Coordinator {
 		return
 	}
@@ -411,28 +581,35 @@
 	n.opts.Table.SetClosing(closing)
 }
 
+// know takes over the members of the fleet.
+func (n *Node) know(ctx context.Context, members []Member) {
+	if len(members) == 0 {
+		return
+	}
+	n.mu.Lock()
+	n.members = members
+	n.mu.Unlock()
+	n.coord.post(ctx, membersKnown{
+		list: members,
+	})
+	n.opts.Server.SetNodes(len(members))
+	n.opts.Table.SetNodes(len(members))
+}
+
 func (n *Node) takeListing(ctx context.Context, l *Listing, source string) {
 	if l == nil {
 		return
 	}
 	n.mu.Lock()
-	if l.Version <= n.registry.Version() || !n.silent {
+	if l.Version <= n.registry.Version() {
 		n.mu.Unlock()
 		return
 	}
-	changes := make([]fleet.Change, len(l.Endpoints))
-	for i := range l.Endpoints {
-		changes[i] = fleet.Change{
-			Name:     l.Endpoints[i].ID,
-			Version:  l.Version,
-			Endpoint: &l.Endpoints[i],
-		}
-	}
-	n.registry.Apply(n.opts.Clock.Now(), changes, true)
+	n.registry.Apply(n.opts.Clock.Now(), l.Entries, l.Version, true)
 	list := n.registry.List()
 	n.mu.Unlock()
 	n.spreadList(ctx, list)
-	n.opts.Log.Info("endpoints taken from another node", "source", source, "version", l.Version, "endpoints", len(l.Endpoints))
+	n.opts.Log.Info("endpoints taken from another node", "source", source, "version", l.Version, "endpoints", len(list))
 }
 
 // HandleExchange answers an exchange of another node, or of this one.
@@ -465,10 +642,11 @@
 		doc := n.doc
 		r.Config = &doc
 	}
-	r.WantListing, r.ListingFrom = n.silent, n.registry.Version()
-	if x.WantListing && x.ListingFrom < n.registry.Version() {
+	r.ListingFrom = n.registry.Version()
+	if x.ListingFrom < n.registry.Version() {
 		r.Listing = n.listing()
 	}
+	r.Lease, r.StoreAge = n.own, n.storeAge(n.opts.Clock.Now())
 	return &r, nil
 }
 
@@ -557,10 +735,7 @@
 // Wait implements serve.Demand. The coordinator is told at once.
 func (n *Node) Wait(service, model string) (done func()) {
 	done = n.usage.wait(service, model)
-	select {
-	case n.kick <- struct{}{}:
-	default:
-	}
+	n.hurry()
 	return done
 }
 
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -42,9 +42,13 @@
 	Timeout time.Duration
 	// Backoff is the pause after a failed call.
 	Backoff time.Duration
-	// Apply takes over changed rows. After a full read, complete is set and
-	// rows that are not named no longer exist.
-	Apply func(rows []Row, complete bool)
+	// Apply takes over changed rows as of a version. After a full read, complete
+	// is set and rows that are not named no longer exist.
+	Apply func(rows []Row, version int64, complete bool)
+	// Skip tells that the table is known from elsewhere for now.
+	Skip func() bool
+	// Seen is told of each answer of the store.
+	Seen func()
 	// State is told when the store stops or starts to answer.
 	State func(err error)
 }
@@ -68,6 +72,10 @@
 func (m *Mirror) Run(ctx context.Context) {
 	after := int64(-1)
 	for ctx.Err() == nil {
+		if m.opts.Skip != nil && m.opts.Skip() {
+			sleep(ctx, skipPause)
+			continue
+		}
 		began := time.Now()
 		next, err := m.step(ctx, after)
 		if ctx.Err() != nil {
@@ -91,10 +99,16 @@
 	}
 }
 
+// skipPause is how often a mirror that skips looks whether it still should.
+const skipPause = 50 * time.Millisecond
+
 // tell reports the first failure and the first success after failures. A full
 // read after lost history is part of normal work.
 func (m *Mirror) tell(err error) {
 	failed := err != nil && !errors.Is(err, ErrCompacted)
+	if !failed && m.opts.Seen != nil {
+		m.opts.Seen()
+	}
 	if failed != m.failed && m.opts.State != nil {
 		m.opts.State(err)
 	}
@@ -109,7 +123,7 @@
 		if err != nil {
 			return 0, err
 		}
-		m.opts.Apply(rows, true)
+		m.opts.Apply(rows, version, true)
 		return version, nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, m.opts.Wait+m.opts.Timeout)
@@ -119,7 +133,7 @@
 		return 0, err
 	}
 	if len(rows) > 0 {
-		m.opts.Apply(rows, false)
+		m.opts.Apply(rows, version, false)
 	}
 	return max(version, after), nil
 }
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -265,7 +265,9 @@
 		Pace:    configPace,
 		Timeout: storeTimeout,
 		Backoff: storeBackoff,
-		Apply: func(rows []mirror.Row, _ bool) {
+		Skip:    p.node.Relayed,
+		Seen:    func() { p.node.StoreSeen(lead.ConfigReader) },
+		Apply: func(rows []mirror.Row, _ int64, _ bool) {
 			for _, r := range rows {
 				if r.Key != platform.ConfigKey || r.Deleted {
 					continue
@@ -288,7 +290,9 @@
 		Pace:    endpointPace,
 		Timeout: storeTimeout,
 		Backoff: storeBackoff,
-		Apply: func(rows []mirror.Row, complete bool) {
+		Skip:    p.node.Relayed,
+		Seen:    func() { p.node.StoreSeen(lead.EndpointReader) },
+		Apply: func(rows []mirror.Row, version int64, complete bool) {
 			changes := make([]fleet.Change, len(rows))
 			for i, r := range rows {
 				changes[i] = fleet.Change{
@@ -305,7 +309,7 @@
 				}
 				changes[i].Endpoint = e
 			}
-			p.node.SetEndpoints(ctx, changes, complete)
+			p.node.SetEndpoints(ctx, changes, version, complete)
 		},
 		State: func(err error) {
 			p.node.SetStore(err)
