lead, steer, depot: choose engines by their pace, hand the coordinator over

Each node now learns the pace of an engine from pauses between events; the coordinator places models by it. After a change of coordinator no orders were given for 3 to 8 s; a new coordinator now asks the former one to resign and to tell when each engine was given its last order. A coordinator cut off from the store goes on with all but orders until another node holds the lease.

--- a/internal/depot/adapter.go
+++ b/internal/depot/adapter.go
@@ -45,7 +45,7 @@
 			delete(e.pending, n)
 		}
 	}
-	if len(e.todo) > 0 || !e.settled(now) {
+	if len(e.todo) > 0 || !e.settled(now) || !d.mayOrder(now, e) {
 		return nil, ErrLater
 	}
 	m := e.class.Models[modelName]
--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -66,7 +66,7 @@
 	demandTime = 1500 * time.Millisecond
 	// idleAfter is how long nobody must have asked for the only copy of a model
 	// before it makes room for others.
-	idleAfter = 2500 * time.Millisecond
+	idleAfter = 4 * time.Second
 	// ceilingUse is the part of the weight store's rate that is used, and
 	// ceilingBurst how many loads may begin at once.
 	ceilingUse   = 0.9
@@ -110,6 +110,9 @@
 	todoFrom time.Time
 	reason   string
 
+	// pace is how long the engine takes for a unit of work, relative to others.
+	pace float64
+
 	used    map[string]time.Time // by MODEL/ADAPTER, last request
 	pending map[string]time.Time // adapters ordered, until when they count as on their way
 }
@@ -136,7 +139,12 @@
 	engines  map[string]*engine
 	running  map[runKey]int
 	nextPlan time.Time
-	started  bool
+	// begun is when the depot began to see demand.
+	begun time.Time
+	// hold is when engines may be given orders that are not known otherwise.
+	hold   time.Time
+	holds  map[fleet.Key]time.Time
+	issued map[fleet.Key]time.Time
 }
 
 // runKey is a model, or an adapter as MODEL/ADAPTER, at an engine.
@@ -145,16 +153,58 @@
 	item string
 }
 
-// New returns a Depot that knows no engines. Its allowance of loads from the
-// weight store begins empty, since another coordinator may have used it.
-func New() *Depot {
+// New returns a Depot that knows no engines and gives no orders before a time.
+// Its allowance of loads from the weight store begins empty, since another
+// coordinator may have used it.
+func New(now, ordersFrom time.Time) *Depot {
 	return &Depot{
 		services: make(map[string]*service),
 		engines:  make(map[string]*engine),
 		running:  make(map[runKey]int),
+		begun:    now,
+		hold:     ordersFrom,
+		holds:    make(map[fleet.Key]time.Time),
+		issued:   make(map[fleet.Key]time.Time),
+	}
+}
+
+// Hold replaces the time before which no orders are given by one for each
+// engine. An engine that is not named may be given orders from others on.
+func (d *Depot) Hold(others time.Time, engines map[fleet.Key]time.Time) {
+	d.hold, d.holds = others, engines
+}
+
+// Issued returns when each engine was given its last order. An order that is
+// still on its way counts as given now.
+func (d *Depot) Issued(now time.Time) map[fleet.Key]time.Time {
+	for key := range d.issued {
+		if e := d.engines[key.ID]; e != nil && e.Key() == key && e.last != nil && !e.last.answered {
+			d.issued[key] = now
+		}
 	}
+	return d.issued
 }
 
+// mayOrder reports whether an engine may be given an order yet.
+func (d *Depot) mayOrder(now time.Time, e *engine) bool {
+	from := d.hold
+	if at, ok := d.holds[e.Key()]; ok {
+		from = at
+	}
+	return !now.Before(from)
+}
+
+// SetPace takes over how long an engine takes for a unit of work, relative to
+// others.
+func (d *Depot) SetPace(key fleet.Key, pace float64) {
+	if e := d.engines[key.ID]; e != nil && e.Born == key.Born && pace > 0 {
+		e.pace += (pace - e.pace) * paceWeight
+	}
+}
+
+// paceWeight is the weight of what one node tells of an engine's pace.
+const paceWeight = 0.1
+
 // SetConfig takes over a configuration.
 func (d *Depot) SetConfig(now time.Time, c *fleet.Config) {
 	seen := map[string]bool{}
@@ -212,6 +262,7 @@
 		if e == nil || e.Born != n.Born {
 			e = &engine{
 				Endpoint: n,
+				pace:     1,
 				used:     make(map[string]time.Time),
 				pending:  make(map[string]time.Time),
 			}
@@ -432,6 +483,7 @@
 func (d *Depot) send(now time.Time, e *engine, o Order) Order {
 	o.Key, o.Address = e.Key(), e.Address
 	o.Expected = e.orders
+	d.issued[e.Key()] = now
 	e.last = &sent{
 		order: o,
 		at:    now,
@@ -439,11 +491,14 @@
 	return o
 }
 
-// Closing returns the models that are about to be unloaded, so that new
-// requests go elsewhere.
+// Closing returns, for each engine with planned changes, the models that are
+// about to be unloaded, so that new requests go elsewhere.
 func (d *Depot) Closing() map[fleet.Key][]string {
 	out := map[fleet.Key][]string{}
 	for _, e := range d.engines {
+		if len(e.todo) > 0 {
+			out[e.Key()] = nil
+		}
 		for _, s := range e.todo {
 			if !s.load {
 				out[e.Key()] = append(out[e.Key()], s.model)
--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -94,7 +94,7 @@
 
 // takeOver replaces the coordinator.
 func (w *world) takeOver() {
-	w.depot = New()
+	w.depot = New(w.now, w.now)
 	w.depot.SetConfig(w.now, w.config)
 	w.list()
 }
@@ -304,7 +304,7 @@
 // unreachable: an idle one makes room for it.
 func TestWaitingModelIsLoaded(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := New()
+	d := New(now, now)
 	d.SetConfig(now, testConfig(6))
 	e := fleet.Endpoint{
 		ID:      "e0",
@@ -321,7 +321,7 @@
 			Orders: orders,
 			OnDisk: []string{"m0", "m1", "m4"},
 		}
-		for _, name := range []string{"m0", "m1", "m4"} {
+		for _, name := range slices.Sorted(maps.Keys(held)) {
 			if held[name] {
 				r.Models = append(r.Models, fleet.Resident{Model: name})
 			}
@@ -344,7 +344,7 @@
 // engine has room.
 func TestSpread(t *testing.T) {
 	now := time.Unix(1000, 0)
-	d := New()
+	d := New(now, now)
 	d.SetConfig(now, testConfig(3))
 	ends := []fleet.Endpoint{
 		{ID: "e0", Born: 1, Service: "lm"},
--- a/internal/depot/plan.go
+++ b/internal/depot/plan.go
@@ -47,7 +47,7 @@
 		e.todo = nil
 		return nil
 	}
-	if !e.settled(now) {
+	if !e.settled(now) || !d.mayOrder(now, e) {
 		return nil
 	}
 	for len(e.todo) > 0 && e.done(e.todo[0]) {
@@ -120,12 +120,16 @@
 	engines []*engine
 	models  []*model
 	holders map[string]int
-	loads   []float64
+	// speed is the sum of the speeds of a model's holders.
+	speed map[string]float64
+	// loads are relative to the speed of the engines.
+	loads []float64
 }
 
 func (d *Depot) layout(now time.Time, s *service) *layout {
 	l := &layout{
 		holders: map[string]int{},
+		speed:   map[string]float64{},
 	}
 	for _, e := range d.sorted() {
 		if e.Service == s.name && !e.Leaving && !e.reported.IsZero() && now.Sub(e.reported) < 2*reportMaxAge {
@@ -140,19 +144,25 @@
 	for _, e := range l.engines {
 		for _, name := range e.future() {
 			l.holders[name]++
+			l.speed[name] += e.speed()
 		}
 	}
 	l.loads = make([]float64, len(l.engines))
 	for i, e := range l.engines {
 		for _, name := range e.future() {
 			if m := s.models[name]; m != nil {
-				l.loads[i] += m.demand / float64(l.holders[name])
+				// Requests go to the holders by their speed, so that the work of a
+				// model loads all of them alike.
+				l.loads[i] += m.demand / l.speed[name]
 			}
 		}
 	}
 	return l
 }
 
+// speed is the reciprocal of the engine's pace.
+func (e *engine) speed() float64 { return 1 / e.pace }
+
 // future is what the engine holds once its planned steps are done.
 func (e *engine) future() []string {
 	out := make([]string, 0, len(e.models)+1)
@@ -293,12 +303,12 @@
 			continue
 		}
 		others := l.holders[r.Model] - 1
-		idle := now.Sub(x.last) > idleAfter && x.waiting == 0
+		idle := now.Sub(x.last) > idleAfter && now.Sub(d.begun) > idleAfter && x.waiting == 0
 		if others < 1 && !idle {
 			continue
 		}
 		runs := float64(d.running[runKey{key: e.Key(), item: r.Model}])
-		cost := x.demand/float64(max(1, others)) + runs*l.mean()*0.02
+		cost := x.demand/max(1/paceMost, l.speed[r.Model]-e.speed()) - x.demand/l.speed[r.Model] + runs*l.mean()*0.02
 		if others < 1 && !must {
 			cost += l.mean() * 0.1
 		}
@@ -326,7 +336,7 @@
 	var best *option
 	var bestModel *model
 	var bestGain float64
-	total := sumSquares(l.loads)
+	total := l.pressure(l.loads)
 	if total <= 0 {
 		return false
 	}
@@ -348,7 +358,7 @@
 				continue
 			}
 			after := l.without(s, i, evict, m)
-			gain := (total - sumSquares(after)) / total
+			gain := (total - l.pressure(after)) / total
 			if len(evict) > 0 {
 				gain -= gainLeast / 2
 			}
@@ -371,47 +381,53 @@
 	return true
 }
 
+// paceMost bounds how much slower than others an engine counts as.
+const paceMost = 4
+
 // hotModels is how many models are considered for another copy in one plan.
 const hotModels = 6
 
 func (l *layout) perCopy(m *model) float64 {
-	return m.demand / float64(max(1, l.holders[m.Name]))
+	return m.demand / max(l.speed[m.Name], 1/paceMost)
 }
 
 // without returns the loads of the engines after models made room for another
 // copy of m at engine at.
 func (l *layout) without(s *service, at int, evict []string, m *model) []float64 {
 	out := slices.Clone(l.loads)
-	shift := func(name string, before, after float64, add bool) {
+	shift := func(name string, add bool) {
 		x := s.models[name]
 		if x == nil {
 			return
 		}
+		before := l.speed[name]
+		after := before - l.engines[at].speed()
+		if add {
+			after = before + l.engines[at].speed()
+		}
 		for i, e := range l.engines {
-			holds := slices.Contains(e.future(), name)
 			switch {
 			case i == at && add:
 				out[i] += x.demand / after
 			case i == at:
 				out[i] -= x.demand / before
-			case holds:
-				out[i] += x.demand/max(after, 1) - x.demand/before
+			case slices.Contains(e.future(), name):
+				out[i] += x.demand/max(after, 1/paceMost) - x.demand/before
 			}
 		}
 	}
 	for _, name := range evict {
-		n := float64(l.holders[name])
-		shift(name, n, n-1, false)
+		shift(name, false)
 	}
-	n := float64(l.holders[m.Name])
-	shift(m.Name, n, n+1, true)
+	shift(m.Name, true)
 	return out
 }
 
-func sumSquares(loads []float64) float64 {
+// pressure is lowest when the engines are loaded alike for their speed.
+func (l *layout) pressure(loads []float64) float64 {
 	var sum float64
-	for _, x := range loads {
-		sum += x * x
+	for i, x := range loads {
+		sum += x * x * l.engines[i].speed()
 	}
 	return sum
 }
--- a/internal/lead/coordinator.go
+++ b/internal/lead/coordinator.go
@@ -45,8 +45,8 @@
 	Fence int64
 	// First tells that nobody held the lease before.
 	First bool
-	// Own tells that this node held it last before this tenure as well.
-	Own bool
+	// Former is the address of the node that held it before.
+	Former string
 }
 
 type member struct {
@@ -61,6 +61,7 @@
 // to the goroutine of run.
 type Coordinator struct {
 	node      string
+	address   string
 	clock     clock.Clock
 	engines   Engines
 	log       *slog.Logger
@@ -68,15 +69,17 @@
 	leaseWait time.Duration
 	inbox     chan message
 
-	config  *fleet.Config
-	list    []fleet.Endpoint
-	tenure  Tenure
-	active  bool
-	members map[string]*member
-	issuer  *grant.Issuer
-	depot   *depot.Depot
-	reports map[fleet.Key]*polled
-	fetches []*fetch
+	config *fleet.Config
+	list   []fleet.Endpoint
+	tenure Tenure
+	active bool
+	// resigned is the highest fence of another holder that asked to resign.
+	resigned int64
+	members  map[string]*member
+	issuer   *grant.Issuer
+	depot    *depot.Depot
+	reports  map[fleet.Key]*polled
+	fetches  []*fetch
 }
 
 type polled struct {
@@ -129,6 +132,7 @@
 func newCoordinator(o Options) *Coordinator {
 	return &Coordinator{
 		node:      o.Node,
+		address:   o.Address,
 		clock:     o.Clock,
 		engines:   o.Engines,
 		log:       o.Log,
@@ -194,13 +198,18 @@
 }
 
 func (m tenureChanged) apply(_ context.Context, c *Coordinator, now time.Time) {
+	if m.tenure.Fence <= c.resigned && !m.tenure.Until.IsZero() {
+		return
+	}
+	fresh := !m.tenure.Since.Equal(c.tenure.Since)
 	c.tenure = m.tenure
-	valid := now.Before(c.tenure.Until)
 	switch {
-	case valid && !c.active:
+	case now.Before(c.tenure.Until) && (!c.active || fresh):
 		c.begin(now)
-	case !valid && c.active:
-		c.end("lease not renewed")
+	case c.tenure.Until.IsZero() && c.active:
+		// A lease that lapsed is not enough: until another node holds it, this one
+		// goes on with everything but orders.
+		c.end("lease lost")
 	}
 }
 
@@ -209,7 +218,7 @@
 func (c *Coordinator) begin(now time.Time) {
 	c.active = true
 	c.issuer = grant.NewIssuer(c.head, c.tenure.First)
-	c.depot = depot.New()
+	c.depot = depot.New(now, c.ordersFrom())
 	c.reports = make(map[fleet.Key]*polled)
 	if c.config != nil {
 		c.issuer.SetLimits(now, Limits(c.config))
@@ -219,8 +228,8 @@
 	for _, m := range c.members {
 		m.heard = now
 	}
-	c.log.Info("coordinator begins", "fence", c.tenure.Fence, "first", c.tenure.First, "members", len(c.members),
-		"orders-from", c.ordersFrom().Sub(now).Milliseconds())
+	c.log.Info("coordinator begins", "fence", c.tenure.Fence, "first", c.tenure.First, "former", c.tenure.Former,
+		"members", len(c.members), "orders-in-ms", c.ordersFrom().Sub(now).Milliseconds())
 }
 
 func (c *Coordinator) end(why string) {
@@ -232,7 +241,7 @@
 // ordersFrom is when this tenure may give its first order. Engines do not check
 // fences, so the last order of an earlier holder must be a lease time ago.
 func (c *Coordinator) ordersFrom() time.Time {
-	if c.tenure.First || c.tenure.Own {
+	if c.tenure.First || c.tenure.Former == c.address {
 		return c.tenure.Since
 	}
 	return c.tenure.Since.Add(c.leaseWait)
@@ -263,10 +272,6 @@
 
 // step does what is due.
 func (c *Coordinator) step(ctx context.Context, now time.Time) {
-	if !now.Before(c.tenure.Until) {
-		c.end("lease expired")
-		return
-	}
 	c.issuer.SetReserved(now, c.reserved(now))
 	for key, p := range c.reports {
 		if !p.asking && !now.Before(p.next) {
@@ -285,7 +290,49 @@
 }
 
 func (c *Coordinator) mayOrder(now time.Time) bool {
-	return !now.Before(c.ordersFrom()) && now.Before(c.tenure.Until.Add(-orderMargin))
+	return now.Before(c.tenure.Until.Add(-orderMargin))
+}
+
+// resign ends this node's orders for a new holder, and tells it when each
+// engine may be given orders.
+func (c *Coordinator) resign(now time.Time, fence int64) *Handover {
+	if c.depot == nil || fence <= c.tenure.Fence {
+		return nil
+	}
+	c.resigned = max(c.resigned, fence)
+	if c.active {
+		c.end("another node holds the lease")
+	}
+	h := &Handover{
+		Others: max(0, c.ordersFrom().Sub(now)),
+	}
+	for key, at := range c.depot.Issued(now) {
+		h.Engines = append(h.Engines, EngineHold{
+			Key: key,
+			In:  max(0, at.Add(c.leaseWait).Sub(now), h.Others),
+		})
+	}
+	return h
+}
+
+// handedOver is the answer of the former holder.
+type handedOver struct {
+	fence    int64
+	at       time.Time
+	handover *Handover
+}
+
+func (m handedOver) apply(_ context.Context, c *Coordinator, now time.Time) {
+	if !c.active || c.tenure.Fence != m.fence {
+		return
+	}
+	engines := make(map[fleet.Key]time.Time, len(m.handover.Engines))
+	for _, e := range m.handover.Engines {
+		engines[e.Key] = m.at.Add(e.In)
+	}
+	c.depot.Hold(m.at.Add(m.handover.Others), engines)
+	c.log.Info("former coordinator resigned", "former", c.tenure.Former, "engines", len(engines),
+		"others-in-ms", m.at.Add(m.handover.Others).Sub(now).Milliseconds())
 }
 
 // reserved is the sum of the fractions of nodes without contact.
@@ -457,11 +504,17 @@
 }
 
 func (m exchanged) apply(_ context.Context, c *Coordinator, now time.Time) {
-	if !c.active || !now.Before(c.tenure.Until) {
+	x := m.x
+	if x.Resign != 0 {
+		m.reply <- Reply{
+			Handover: c.resign(now, x.Resign),
+		}
+		return
+	}
+	if !c.active {
 		m.reply <- Reply{}
 		return
 	}
-	x := m.x
 	if x.Leaving {
 		delete(c.members, x.Node)
 		m.reply <- Reply{
@@ -489,6 +542,9 @@
 			c.depot.AdapterUsed(now, r.Key, r.Model, r.Adapter)
 		}
 	}
+	for _, p := range x.Paces {
+		c.depot.SetPace(p.Key, p.Pace)
+	}
 	c.depot.SetRunning(c.running())
 	r := Reply{
 		Coordinator: true,
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -62,6 +62,28 @@
 	Work        []Work          `cbor:"12,keyasint,omitempty"`
 	Waiting     []depot.Waiting `cbor:"13,keyasint,omitempty"`
 	Running     []depot.Running `cbor:"14,keyasint,omitempty"`
+	Paces       []Pace          `cbor:"15,keyasint,omitempty"`
+	// Resign asks the receiver to give no further orders, because the sender
+	// holds the lease with this fence.
+	Resign int64 `cbor:"16,keyasint,omitempty"`
+}
+
+// Pace is how long an engine takes for a unit of work, relative to others.
+type Pace struct {
+	Key  fleet.Key `cbor:"1,keyasint"`
+	Pace float64   `cbor:"2,keyasint"`
+}
+
+// Handover tells a new coordinator when engines may be given orders.
+type Handover struct {
+	Engines []EngineHold  `cbor:"1,keyasint,omitempty"`
+	Others  time.Duration `cbor:"2,keyasint"`
+}
+
+// EngineHold is in what time an engine may be given orders.
+type EngineHold struct {
+	Key fleet.Key     `cbor:"1,keyasint"`
+	In  time.Duration `cbor:"2,keyasint"`
 }
 
 // maxItems bounds the lists of a message.
@@ -117,6 +139,8 @@
 	Lease         *LeaseRow     `cbor:"13,keyasint,omitempty"`
 	// StoreAge is how long ago the store last answered the sender.
 	StoreAge time.Duration `cbor:"14,keyasint,omitempty"`
+	// Handover answers Resign: the sender gives no orders any more.
+	Handover *Handover `cbor:"15,keyasint,omitempty"`
 }
 
 // Validate checks a decoded message.
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -171,12 +172,17 @@
 	list := n.registry.List()
 	n.mu.Unlock()
 	if changed {
-		n.spreadList(ctx, list)
+		n.spreadList(ctx, list, "store")
 	}
 }
 
-func (n *Node) spreadList(ctx context.Context, list []fleet.Endpoint) {
-	n.opts.Table.SetEndpoints(list)
+// spreadList hands a list of endpoints to all who use it.
+func (n *Node) spreadList(ctx context.Context, list []fleet.Endpoint, source string) {
+	added, removed, leaving := n.opts.Table.SetEndpoints(list)
+	if len(added)+len(removed)+len(leaving) > 0 {
+		n.opts.Log.Info("endpoints changed", "source", source, "added", added, "removed", removed, "leaving", leaving,
+			"endpoints", len(list))
+	}
 	n.coord.post(ctx, endpointsChanged{
 		list: list,
 	})
@@ -198,10 +204,11 @@
 func (n *Node) StoreSeen(r Reader) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.seen[r] = n.opts.Clock.Now()
-	if n.answering.IsZero() {
-		n.answering = n.seen[r]
+	now := n.opts.Clock.Now()
+	if n.answering.IsZero() || now.Sub(n.seen[r]) > relayStore {
+		n.answering = now
 	}
+	n.seen[r] = now
 }
 
 // storeAge is how long ago the store last answered all readers. The lock is held.
@@ -228,7 +235,7 @@
 		list := n.registry.List()
 		n.mu.Unlock()
 		if changed {
-			n.spreadList(ctx, list)
+			n.spreadList(ctx, list, "not back after an outage")
 		}
 	}
 }
@@ -256,7 +263,7 @@
 	k := lease.NewKeeper(n.opts.Rows, n.opts.Clock, lease.Settings{
 		Key:         leaseKey,
 		Holder:      n.opts.Address,
-		Incarnation: n.opts.Node + "/" + n.opts.Incarnation,
+		Incarnation: n.opts.Address + "/" + n.opts.Incarnation,
 		Term:        n.opts.LeaseTerm,
 		Renew:       n.opts.LeaseTerm / 3,
 		Reclaim:     true,
@@ -280,6 +287,7 @@
 	k      *lease.Keeper
 	tenure Tenure
 	noted  bool // the note of the first row was read
+	valid  bool // the coordinator held the lease when it last told of it
 	failed bool
 }
 
@@ -298,12 +306,15 @@
 	until := e.k.Until()
 	switch {
 	case !until.IsZero() && !held:
-		former, followed := e.k.Former()
+		former, _, _ := strings.Cut(e.k.Former(), "/")
 		e.tenure = Tenure{
-			Since: e.k.Since(),
-			Fence: e.k.Epoch(),
-			First: !followed,
-			Own:   former == e.opts.Address,
+			Since:  e.k.Since(),
+			Fence:  e.k.Epoch(),
+			First:  former == "",
+			Former: former,
+		}
+		if former != "" && former != e.opts.Address {
+			go e.askHandover(ctx, e.tenure)
 		}
 	case until.IsZero() && held:
 		e.opts.Log.Info("lease ended", "event", string(event), "holder", e.k.Holder())
@@ -324,7 +335,34 @@
 		}
 	}
 	e.mu.Unlock()
-	e.setLeader(e.k.Holder(), !until.IsZero() && now.Before(until))
+	e.setLeader(e.k.Holder(), !until.IsZero())
+}
+
+// handoverTries is how often the former holder is asked to resign.
+const handoverTries = 3
+
+// askHandover asks the former holder to resign, so that this node need not wait
+// for orders that the other may still have given.
+func (n *Node) askHandover(ctx context.Context, t Tenure) {
+	for range handoverTries {
+		sent := n.opts.Clock.Now()
+		x := n.message(sent)
+		x.Draws, x.Resign = nil, t.Fence
+		r, err := n.ask(ctx, t.Former, false, x)
+		if err == nil && r.Handover != nil {
+			// Counted from the answer, which is later than the other's clock.
+			n.coord.post(ctx, handedOver{
+				fence:    t.Fence,
+				at:       n.opts.Clock.Now(),
+				handover: r.Handover,
+			})
+			return
+		}
+		if !wait(ctx, exchangeEvery) {
+			return
+		}
+	}
+	n.opts.Log.Warn("former coordinator did not resign", "former", t.Former, "fence", t.Fence)
 }
 
 // prepare takes over what was heard, and reports whether to use the store.
@@ -332,7 +370,7 @@
 	e.mu.Lock()
 	leaving, heard, lost := e.leaving, e.heard, e.lost
 	touch := now.Sub(e.touched) < relayAge
-	answering := !e.answering.IsZero() && now.Sub(e.answering) > competeAfter
+	answering := !e.answering.IsZero() && now.Sub(e.answering) > competeAfter && e.storeAge(now) < relayStore
 	e.heard, e.lost = nil, false
 	e.mu.Unlock()
 	if leaving {
@@ -345,6 +383,9 @@
 		return true
 	}
 	if heard != nil {
+		e.valid = heard.Valid
+	}
+	if heard != nil && heard.Valid {
 		row := store.Row{
 			Key:     leaseKey,
 			Value:   heard.Value,
@@ -357,10 +398,7 @@
 	if lost {
 		e.k.Recheck()
 	}
-	if touch && (heard == nil || heard.Valid || !answering) {
-		return false
-	}
-	return true
+	return !touch || !e.valid && answering
 }
 
 func (e *election) report(err error) {
@@ -523,6 +561,7 @@
 // message returns what every exchange says.
 func (n *Node) message(now time.Time) *Exchange {
 	draws := n.Desk.draws(now)
+	paces := n.paces()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return &Exchange{
@@ -534,7 +573,20 @@
 		ConfigVersion: n.doc.Version,
 		ListingFrom:   n.registry.Version(),
 		Draws:         draws,
+		Paces:         paces,
+	}
+}
+
+// paces returns what this node has learned of the engines.
+func (n *Node) paces() []Pace {
+	var out []Pace
+	for key, pace := range n.opts.Table.Paces() {
+		out = append(out, Pace{
+			Key:  key,
+			Pace: pace,
+		})
 	}
+	return out
 }
 
 // listing returns the endpoints for another node. The lock is held.
@@ -608,8 +660,7 @@
 	n.registry.Apply(n.opts.Clock.Now(), l.Entries, l.Version, true)
 	list := n.registry.List()
 	n.mu.Unlock()
-	n.spreadList(ctx, list)
-	n.opts.Log.Info("endpoints taken from another node", "source", source, "version", l.Version, "endpoints", len(list))
+	n.spreadList(ctx, list, source)
 }
 
 // HandleExchange answers an exchange of another node, or of this one.
--- a/internal/lease/heard_test.go
+++ b/internal/lease/heard_test.go
@@ -51,8 +51,8 @@
 			if string(l.Note()) != "note" {
 				t.Errorf("the note is %q", l.Note())
 			}
-			if former, ok := l.Former(); !ok || former != "10.0.0.1:80" {
-				t.Errorf("the former holder is %q, %v", former, ok)
+			if former := l.Former(); former != "before" {
+				t.Errorf("the former holder is %q", former)
 			}
 			if got := l.Next(now.Add(310 * time.Millisecond)).Kind; tc.want == lease.OpUpdate && got != lease.OpUpdate || tc.want == lease.OpNone && got == lease.OpUpdate {
 				t.Errorf("the next operation is %v, want %v", got, tc.want)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -125,10 +125,8 @@
 	// happened earlier.
 	seenAt time.Time
 
-	// followed tells that another incarnation wrote the row before this one, and
-	// former is the holder that it named last.
-	followed bool
-	former   string
+	// former is the last other incarnation that wrote the row.
+	former string
 
 	epoch  int64
 	until  time.Time
@@ -181,9 +179,9 @@
 // Holder names the holder that the row showed last, "" when it is free.
 func (l *Lease) Holder() string { return l.rec.Holder }
 
-// Former is the holder before this candidate, "" when it gave the lease back.
-// It reports false when this candidate is the first one ever.
-func (l *Lease) Former() (holder string, ok bool) { return l.former, l.followed }
+// Former is the last other incarnation that held the lease, "" when this
+// candidate is the first one ever.
+func (l *Lease) Former() string { return l.former }
 
 // Note is what the holder of the row that was seen last wrote for its successors.
 func (l *Lease) Note() []byte { return l.rec.Note }
@@ -401,7 +399,7 @@
 	wasHeld := l.held
 	l.known, l.exists, l.version, l.rec = true, true, version, rec
 	if rec.Incarnation != l.set.Incarnation {
-		l.followed, l.former = true, rec.Holder
+		l.former = rec.Incarnation
 		l.held, l.until = false, time.Time{}
 		l.settle(version)
 		if wasHeld {
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -164,10 +164,10 @@
 	}
 	p.stopRPC = wire.ServeFleet(peers, p.node, new(wire.Meter))
 	p.callers = &http.Server{
-		Handler:           platform.NewFront(p.server, p.clock, p.stopping.Load),
+		Handler:           p.idle.guard(platform.NewFront(p.server, p.clock, p.stopping.Load)),
 		ReadHeaderTimeout: headerTime,
 		ConnState:         p.idle.state,
-		ErrorLog:          nil,
+		ConnContext:       p.idle.context,
 	}
 	p.idle.limit = func() time.Duration { return platform.IdleLimit(p.server.Config()) }
 	p.ready = &http.Server{
@@ -325,48 +325,3 @@
 	}
 	p.log.Info("store regained", "reader", what)
 }
-
-// idleConns closes callers' connections that are idle for longer than the
-// configuration in force allows.
-type idleConns struct {
-	limit func() time.Duration
-
-	mu      sync.Mutex
-	timers  map[net.Conn]*time.Timer
-	stopped bool
-}
-
-func (i *idleConns) state(c net.Conn, s http.ConnState) {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	if t := i.timers[c]; t != nil {
-		t.Stop()
-		delete(i.timers, c)
-	}
-	if s != http.StateIdle {
-		return
-	}
-	limit := i.limit()
-	if i.stopped {
-		limit = time.Millisecond
-	}
-	if limit <= 0 {
-		return
-	}
-	if i.timers == nil {
-		i.timers = make(map[net.Conn]*time.Timer)
-	}
-	i.timers[c] = time.AfterFunc(limit, func() { _ = c.Close() })
-}
-
-// stop closes the connections that are idle, now and later.
-func (i *idleConns) stop() {
-	i.mu.Lock()
-	defer i.mu.Unlock()
-	i.stopped = true
-	for c, t := range i.timers {
-		if t.Stop() {
-			_ = c.Close()
-		}
-	}
-}
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -31,10 +31,14 @@
 	ran        int // attempts that may have run
 	rejections int
 	unsent     int
+	fetching   time.Duration // spent on adapters
 	exclude    map[fleet.Key]bool
 	begun      bool   // a part of a stream was passed on
 	lastEvent  string // the last event that the caller has
 	events     int
+	firstByte  time.Duration // from the arrival
+	lastAt     time.Time     // of the last event
+	maxPause   time.Duration // between events
 	last       steer.Choice
 	lastError  string
 }
@@ -446,6 +450,8 @@
 func (c *call) served(status int) {
 	now := c.opts.Clock.Now()
 	c.opts.Log.Info("request served", "request", c.q.ID, "status", status, "endpoint", c.last.Endpoint.ID,
-		"sent", c.sent, "events", c.events, "total-ms", now.Sub(c.q.Arrived).Milliseconds())
+		"route", c.route.Name, "model", c.q.Model, "adapter", c.q.Adapter, "sent", c.sent, "events", c.events,
+		"first-ms", c.firstByte.Milliseconds(), "max-pause-ms", c.maxPause.Milliseconds(),
+		"total-ms", now.Sub(c.q.Arrived).Milliseconds())
 	c.opts.Observe.Ended(c.route.Name, "served", now.Sub(c.q.Arrived))
 }
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -78,9 +78,12 @@
 
 // fetchAdapter has the adapter loaded at the chosen endpoint.
 func (c *call) fetchAdapter(ctx context.Context, choice steer.Choice) (again bool, p *Problem) {
-	bounded, cancel := context.WithTimeout(ctx, adapterWait)
+	left := adapterWait - c.fetching
+	bounded, cancel := context.WithTimeout(ctx, left)
 	defer cancel()
+	began := c.opts.Clock.Now()
 	err := c.opts.Demand.FetchAdapter(bounded, choice.Endpoint, c.q.Model, c.q.Adapter)
+	c.fetching += c.opts.Clock.Now().Sub(began)
 	if err == nil {
 		return false, nil
 	}
@@ -93,6 +96,9 @@
 		return false, c.ended(ctx)
 	}
 	c.excludeEndpoint(key)
+	if c.fetching >= adapterWait-recheck {
+		return false, c.unavailable("the adapter could not be loaded in time")
+	}
 	c.unsent++
 	if c.unsent >= maxUnsent {
 		return false, c.unavailable("the adapter could not be loaded")
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -39,7 +39,8 @@
 	if c.begun {
 		return c.afterLoss(ctx, "the endpoint refused to resume the stream")
 	}
-	c.opts.Observe.FirstByte(c.route.Name, now.Sub(c.q.Arrived))
+	c.firstByte = now.Sub(c.q.Arrived)
+	c.opts.Observe.FirstByte(c.route.Name, c.firstByte)
 	c.caller.Respond(reply.Status, reply.Header, body)
 	c.served(reply.Status)
 	return false, nil
@@ -120,11 +121,9 @@
 			events++
 			if first.IsZero() {
 				first = now
-				if c.events == 1 {
-					c.opts.Observe.FirstByte(c.route.Name, now.Sub(c.q.Arrived))
-				}
 			}
 			last = now
+			c.timeEvent(now)
 		}
 		if len(s.rest) > maxEvent {
 			err = errors.New("serve: an event is larger than allowed")
@@ -170,6 +169,17 @@
 	return true, nil
 }
 
+// timeEvent measures the time to the first event and the pauses between events.
+func (c *call) timeEvent(now time.Time) {
+	if c.events == 1 {
+		c.firstByte = now.Sub(c.q.Arrived)
+		c.opts.Observe.FirstByte(c.route.Name, c.firstByte)
+	} else {
+		c.maxPause = max(c.maxPause, now.Sub(c.lastAt))
+	}
+	c.lastAt = now
+}
+
 // begin sends the head of the first endpoint's answer, once. Until then a
 // request whose stream breaks off can still get another answer.
 func (c *call) begin(reply *Reply) error {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -26,9 +26,10 @@
 	// endpointWait is the longest wait for an endpoint of a plain service, or
 	// for one that can be reached.
 	endpointWait = 400 * time.Millisecond
-	// adapterWait is how long the load of an adapter may take before the request
-	// is refused.
-	adapterWait = 600 * time.Millisecond
+	// adapterWait is how long loads of an adapter may take, at all endpoints that
+	// are tried, before the request is refused. A new coordinator may give orders
+	// at once when the former one resigned.
+	adapterWait = 1200 * time.Millisecond
 	// maxRejections bounds how many endpoints may turn one request away.
 	maxRejections = 2
 	// maxUnsent bounds how many connections may fail for one request.
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -33,18 +33,28 @@
 	failWeight = 0.15
 	// failCost is how much a failure rate of 1 multiplies the cost.
 	failCost = 12
-	// farCost is what another failure domain adds, relative to an idle endpoint.
-	farCost = 0.25
+	// farCost is what another failure domain adds, in requests.
+	farCost = 4
 	// affinityGain is how much the endpoint that sessions of the same prompt
-	// part share is preferred, relative to an idle endpoint.
-	affinityGain = 0.3
-	// idleLoad is the load that an idle endpoint counts as, so that relative
-	// speeds matter there too.
-	idleLoad = 4
+	// part share is preferred, in requests.
+	affinityGain = 5
+	// fetchCost is what loading an adapter first adds, in requests.
+	fetchCost = 8
+	// busyCost is added where that load would wait for the load of a model.
+	busyCost = 150
+	// idleLoad is the load that an idle engine counts as. The longest pause
+	// between the events of a stream grows by half from 5 requests to 20.
+	idleLoad = 20
+	// idlePlain is the same for an endpoint of a plain service, which serves
+	// few requests at once.
+	idlePlain = 2
 	// reportMaxAge is when a load report no longer counts.
 	reportMaxAge = 1500 * time.Millisecond
 	// paceWeight is the weight of one sample in an endpoint's pace.
 	paceWeight = 0.05
+	// paceLeast and paceMost bound how much endpoints differ.
+	paceLeast = 0.3
+	paceMost  = 4
 	// queueCost is what each request waiting at an engine adds, in requests:
 	// a queue means that its slots or its memory are taken.
 	queueCost = 3
@@ -82,6 +92,8 @@
 	ends   map[string]*end
 	// closing are models that the coordinator is about to unload.
 	closing map[closingKey]bool
+	// busy are engines that are about to be given orders about models.
+	busy    map[fleet.Key]bool
 	changed chan struct{}
 }
 
@@ -105,6 +117,7 @@
 	awayUntil time.Time
 	awayFor   time.Duration
 	pace      float64 // relative time for a unit of work, learned
+	paced     int     // samples of it
 }
 
 // NewTable returns a table without endpoints for a node of a failure domain.
@@ -114,6 +127,7 @@
 		nodes:   1,
 		ends:    make(map[string]*end),
 		closing: make(map[closingKey]bool),
+		busy:    make(map[fleet.Key]bool),
 		changed: make(chan struct{}),
 	}
 }
@@ -137,8 +151,9 @@
 	t.changed = make(chan struct{})
 }
 
-// SetEndpoints takes over all registered endpoints.
-func (t *Table) SetEndpoints(list []fleet.Endpoint) {
+// SetEndpoints takes over all registered endpoints. It returns the names of
+// those that are new, gone, and newly leaving.
+func (t *Table) SetEndpoints(list []fleet.Endpoint) (added, removed, leaving []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen := make(map[string]bool, len(list))
@@ -148,6 +163,7 @@
 		e := t.ends[n.ID]
 		switch {
 		case e == nil || e.Born < n.Born || e.Address != n.Address:
+			added = append(added, n.ID)
 			t.ends[n.ID] = &end{
 				Endpoint: *n,
 				pace:     1,
@@ -157,6 +173,9 @@
 			if n.Orders >= e.report.Orders {
 				e.Models = n.Models
 			}
+			if n.Leaving && !e.Leaving {
+				leaving = append(leaving, n.ID)
+			}
 			e.Leaving, e.Slots, e.Service, e.Domain = n.Leaving, n.Slots, n.Service, n.Domain
 			e.Orders = max(e.Orders, n.Orders)
 		}
@@ -164,9 +183,11 @@
 	for id := range t.ends {
 		if !seen[id] {
 			delete(t.ends, id)
+			removed = append(removed, id)
 		}
 	}
 	t.notify()
+	return added, removed, leaving
 }
 
 // SetReport takes over an engine's report that was taken at a time.
@@ -196,7 +217,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	clear(t.closing)
+	clear(t.busy)
 	for key, names := range models {
+		t.busy[key] = true
 		for _, name := range names {
 			t.closing[closingKey{key: key, model: name}] = true
 		}
@@ -296,16 +319,24 @@
 
 func (t *Table) cost(now time.Time, e *end, q *Query, r *fleet.Resident, preferred bool) float64 {
 	load := e.load(now, t.nodes)
-	base := float64(idleLoad)
-	cost := base + load
-	if e.Domain != t.domain {
-		cost += base * farCost
-	}
-	if preferred {
-		cost -= base * affinityGain
+	cost := idlePlain + load
+	if r != nil {
+		cost = idleLoad + load
+		if preferred {
+			cost -= affinityGain
+		}
+		if !r.Has(q.Adapter) {
+			cost += fetchCost
+			if e.report.Busy || t.busy[e.Key()] {
+				cost += busyCost
+			}
+		}
 	}
-	if r != nil && !r.Has(q.Adapter) {
-		cost += base
+	if e.Domain != t.domain {
+		cost += farCost * idlePlain / 4
+		if r != nil {
+			cost += farCost
+		}
 	}
 	if fresh := now.Sub(e.reported) < reportMaxAge; fresh && !e.reported.IsZero() {
 		cost += queueCost * float64(e.report.Queued)
@@ -418,9 +449,26 @@
 func (t *Table) Pace(key fleet.Key, relative float64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e := t.find(key); e != nil {
-		e.pace += (min(3, max(0.3, relative)) - e.pace) * paceWeight
+	e := t.find(key)
+	if e == nil {
+		return
 	}
+	e.paced++
+	weight := max(paceWeight, 1/float64(e.paced+1))
+	e.pace += (min(paceMost, max(paceLeast, relative)) - e.pace) * weight
+}
+
+// Paces returns the learned pace of each endpoint.
+func (t *Table) Paces() map[fleet.Key]float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make(map[fleet.Key]float64)
+	for _, e := range t.ends {
+		if e.paced > 0 {
+			out[e.Key()] = e.pace
+		}
+	}
+	return out
 }
 
 // Healthy reports whether any endpoint could take a request now.
