--- /dev/null
+++ b/internal/fleet/registry_test.go
@@ -0,0 +1,175 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+)
+
+func entryOf(id string, born int64, leaving bool) *Endpoint {
+	return &Endpoint{
+		ID:      id,
+		Born:    born,
+		Service: "s",
+		Address: "10.0.0.1:80",
+		Leaving: leaving,
+	}
+}
+
+func ids(r *Registry) string {
+	out := ""
+	for _, e := range r.List() {
+		out += e.ID
+		if e.Leaving {
+			out += "!"
+		}
+		out += " "
+	}
+	return out
+}
+
+// TestRegistry guards against using endpoints that are gone or leaving, and
+// against dropping those whose entries expired only because the store was down.
+func TestRegistry(t *testing.T) {
+	start := time.Unix(1000, 0)
+	type step struct {
+		after     time.Duration
+		recovered bool
+		changes   []Change
+		complete  bool
+		expire    bool
+		want      string
+	}
+	for _, tc := range []struct {
+		name  string
+		steps []step
+	}{
+		{
+			name: "an entry that is deleted",
+			steps: []step{
+				{changes: []Change{{Name: "a", Version: 1, Endpoint: entryOf("a", 1, false)}, {Name: "b", Version: 2, Endpoint: entryOf("b", 1, false)}}, complete: true, want: "a b "},
+				{changes: []Change{{Name: "a", Version: 3}}, want: "b "},
+			},
+		},
+		{
+			name: "an entry that cannot be read names no endpoint",
+			steps: []step{
+				{changes: []Change{{Name: "a", Version: 1, Endpoint: entryOf("a", 1, false)}}, complete: true, want: "a "},
+				{changes: []Change{{Name: "a", Version: 2}}, want: ""},
+				{changes: []Change{{Name: "a", Version: 3, Endpoint: entryOf("a", 1, false)}}, want: "a "},
+			},
+		},
+		{
+			name: "entries missing right after an outage come back",
+			steps: []step{
+				{changes: []Change{{Name: "a", Version: 1, Endpoint: entryOf("a", 1, false)}, {Name: "b", Version: 1, Endpoint: entryOf("b", 1, false)}}, complete: true, want: "a b "},
+				{after: 4 * time.Second, recovered: true, complete: true, want: "a b "},
+				{after: time.Second, changes: []Change{{Name: "a", Version: 9, Endpoint: entryOf("a", 1, false)}}, expire: true, want: "a b "},
+				{after: 1400 * time.Millisecond, expire: true, want: "a "},
+			},
+		},
+		{
+			name: "a leaving endpoint is not kept by the grace",
+			steps: []step{
+				{changes: []Change{{Name: "a", Version: 1, Endpoint: entryOf("a", 1, true)}}, complete: true, want: "a! "},
+				{recovered: true, complete: true, want: ""},
+			},
+		},
+		{
+			name: "a late write of an earlier incarnation",
+			steps: []step{
+				{changes: []Change{{Name: "a", Version: 5, Endpoint: entryOf("a", 7, false)}}, complete: true, want: "a "},
+				{changes: []Change{{Name: "a", Version: 6, Endpoint: entryOf("a", 3, true)}}, want: "a "},
+			},
+		},
+		{
+			name: "an older row heard from another node",
+			steps: []step{
+				{changes: []Change{{Name: "a", Version: 5, Endpoint: entryOf("a", 1, true)}}, complete: true, want: "a! "},
+				{changes: []Change{{Name: "a", Version: 4, Endpoint: entryOf("a", 1, false)}}, want: "a! "},
+			},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := NewRegistry()
+			now := start
+			for i, s := range tc.steps {
+				now = now.Add(s.after)
+				if s.recovered {
+					r.Recovered(now)
+				}
+				if s.expire {
+					r.Expire(now)
+				}
+				if s.changes != nil || s.complete {
+					r.Apply(now, s.changes, int64(10*i+10), s.complete)
+				}
+				if got := ids(r); got != s.want {
+					t.Fatalf("step %d: endpoints %q, want %q", i, got, s.want)
+				}
+			}
+		})
+	}
+}
+
+// TestRegistryVersion guards against telling other nodes of heartbeats that
+// change nothing.
+func TestRegistryVersion(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistry()
+	r.Apply(now, []Change{{Name: "a", Version: 1, Endpoint: entryOf("a", 1, false)}}, 1, true)
+	v := r.Version()
+	if r.Apply(now, []Change{{Name: "a", Version: 2, Endpoint: entryOf("a", 1, false)}}, 2, false) || r.Version() != v {
+		t.Errorf("a heartbeat changed the version from %d to %d", v, r.Version())
+	}
+	if !r.Apply(now, []Change{{Name: "a", Version: 3, Endpoint: entryOf("a", 1, true)}}, 3, false) || r.Version() <= v {
+		t.Errorf("a leaving endpoint left the version at %d", r.Version())
+	}
+}
+
+// TestMatch guards against sending a request by a route with a shorter prefix,
+// and against matching a path whose segment only begins like the prefix.
+func TestMatch(t *testing.T) {
+	c := &Config{
+		Services: map[string]*Service{"s": {Name: "s"}},
+		Routes: []Route{
+			{Name: "short", Host: "a.example", Prefix: "/x/", Targets: []Target{{Service: "s", Weight: 1}}},
+			{Name: "long", Host: "a.example", Prefix: "/x/y/", Targets: []Target{{Service: "s", Weight: 1}}},
+		},
+	}
+	if err := c.Prepare(); err != nil {
+		t.Fatal(err)
+	}
+	for _, tc := range []struct{ host, path, want string }{
+		{host: "a.example", path: "/x/1", want: "short"},
+		{host: "a.example", path: "/x/y/1", want: "long"},
+		{host: "A.example:80", path: "/x/y/", want: "long"},
+		{host: "a.example", path: "/x/yy", want: "short"},
+		{host: "a.example", path: "/xx/", want: ""},
+		{host: "b.example", path: "/x/1", want: ""},
+	} {
+		got := ""
+		if r := c.Match(tc.host, tc.path); r != nil {
+			got = r.Name
+		}
+		if got != tc.want {
+			t.Errorf("%s%s matches route %q, want %q", tc.host, tc.path, got, tc.want)
+		}
+	}
+}
+
+// TestTarget guards against splitting requests against the weights, and against
+// moving one request between services.
+func TestTarget(t *testing.T) {
+	r := Route{Targets: []Target{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}, {Service: "c", Weight: 0}}}
+	counts := map[string]int{}
+	for i := range 10000 {
+		id := string(rune('a'+i%26)) + time.Unix(int64(i), 0).String()
+		if r.Target(id) != r.Target(id) {
+			t.Fatal("the same request got two services")
+		}
+		counts[r.Target(id)]++
+	}
+	if counts["c"] > 0 || counts["b"] < 800 || counts["b"] > 1200 {
+		t.Errorf("of 10,000 requests the services got %v", counts)
+	}
+}
--- /dev/null
+++ b/internal/lead/lead_test.go
@@ -0,0 +1,493 @@
+package lead
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/depot"
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/serve"
+	"trefoildale.example/trefoildale/internal/steer"
+	"trefoildale.example/trefoildale/internal/store"
+)
+
+const (
+	testTerm = 600 * time.Millisecond
+	testWait = 900 * time.Millisecond
+)
+
+// testTable is the platform's table, which may be down for some nodes.
+type testTable struct {
+	mu   sync.Mutex
+	rows map[string]store.Row
+	next int64
+}
+
+// view is the table as one node reaches it.
+type view struct {
+	*testTable
+	down *bool
+}
+
+func (v view) Get(_ context.Context, key string) (store.Row, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if *v.down {
+		return store.Row{}, store.ErrUnavailable
+	}
+	r, ok := v.rows[key]
+	if !ok {
+		return store.Row{}, store.ErrAbsent
+	}
+	return r, nil
+}
+
+func (v view) Insert(ctx context.Context, key string, value []byte) (store.Row, error) {
+	return v.Update(ctx, key, value, 0)
+}
+
+func (v view) Update(_ context.Context, key string, value []byte, version int64) (store.Row, error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if *v.down {
+		return store.Row{}, store.ErrUnavailable
+	}
+	if v.rows[key].Version != version {
+		return store.Row{}, store.ErrConflict
+	}
+	v.next++
+	v.rows[key] = store.Row{
+		Key:     key,
+		Value:   value,
+		Version: v.next,
+	}
+	return v.rows[key], nil
+}
+
+func (v view) Delete(context.Context, string, int64) error { return errors.New("not used") }
+
+func (v view) Scan(context.Context, string, string, int) ([]store.Row, error) {
+	return nil, errors.New("not used")
+}
+
+// testFleet is a fleet in one process.
+type testFleet struct {
+	t      *testing.T
+	table  *testTable
+	engine *testEngine
+
+	mu    sync.Mutex
+	nodes map[string]*testNode
+}
+
+type testNode struct {
+	*Node
+	fleet  *testFleet
+	down   bool // the store does not answer the node
+	cut    bool // other nodes do not reach the node, nor it them
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// Exchange implements Peers.
+func (n *testNode) Exchange(ctx context.Context, address string, x *Exchange) (*Reply, error) {
+	to, err := n.reach(address)
+	if err != nil {
+		return nil, err
+	}
+	return to.HandleExchange(ctx, x)
+}
+
+// Fetch implements Peers.
+func (n *testNode) Fetch(ctx context.Context, address string, f *Fetch) (*Fetched, error) {
+	to, err := n.reach(address)
+	if err != nil {
+		return nil, err
+	}
+	return to.HandleFetch(ctx, f)
+}
+
+// Forget implements Peers.
+func (*testNode) Forget(string) {}
+
+func (n *testNode) reach(address string) (*Node, error) {
+	n.fleet.mu.Lock()
+	defer n.fleet.mu.Unlock()
+	to := n.fleet.nodes[address]
+	if to == nil || to.cut || n.cut {
+		return nil, errors.New("not reached")
+	}
+	return to.Node, nil
+}
+
+// testEngine records who gave orders when.
+type testEngine struct {
+	mu     sync.Mutex
+	orders []testOrder
+	models map[string]bool
+	count  int64
+}
+
+type testOrder struct {
+	holder string
+	fence  int64
+	at     time.Time
+}
+
+func (e *testEngine) Report(context.Context, fleet.Endpoint) (fleet.Report, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r := fleet.Report{
+		Key:    fleet.Key{ID: "e", Born: 1},
+		Orders: e.count,
+		OnDisk: []string{"m0", "m1", "m2"},
+	}
+	for name := range e.models {
+		r.Models = append(r.Models, fleet.Resident{Model: name})
+	}
+	return r, nil
+}
+
+func (e *testEngine) Order(_ context.Context, o depot.Order, holder string, fence int64) (depot.Answer, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.orders = append(e.orders, testOrder{
+		holder: holder,
+		fence:  fence,
+		at:     time.Now(),
+	})
+	if o.Expected != e.count {
+		return depot.Refused, nil
+	}
+	e.count++
+	if o.Load {
+		e.models[o.Model] = true
+	} else {
+		delete(e.models, o.Model)
+	}
+	return depot.Accepted, nil
+}
+
+func newTestFleet(t *testing.T) *testFleet {
+	return &testFleet{
+		t:      t,
+		table:  &testTable{rows: map[string]store.Row{}},
+		engine: &testEngine{models: map[string]bool{}},
+		nodes:  map[string]*testNode{},
+	}
+}
+
+// testDocument decodes to a configuration with the version that it names, and
+// models that do not all fit the engine.
+func testDocument(raw []byte) (*fleet.Config, error) {
+	var version int64
+	if _, err := fmt.Sscan(string(raw), &version); err != nil {
+		return nil, err
+	}
+	class := &fleet.EngineClass{
+		WeightsMB:           100,
+		StoreLoadsPerSecond: 10,
+		Models:              map[string]fleet.Model{},
+	}
+	for _, name := range []string{"m0", "m1", "m2"} {
+		class.Models[name] = fleet.Model{Name: name, MB: 60}
+	}
+	return &fleet.Config{
+		Version:    version,
+		Services:   map[string]*fleet.Service{"lm": {Name: "lm", Engine: class}},
+		Workspaces: map[string]*fleet.Workspace{"w": {Name: "w", Rate: 1000, Burst: 1000}},
+	}, nil
+}
+
+func (f *testFleet) start(name string) *testNode {
+	n := &testNode{fleet: f, done: make(chan struct{})}
+	table := steer.NewTable("north")
+	log := slog.New(slog.DiscardHandler)
+	clk := clock.NewReal()
+	n.Node = New(Options{
+		Node:        name,
+		Address:     name,
+		Domain:      "north",
+		Incarnation: fmt.Sprint(time.Now().UnixNano()),
+		Clock:       clk,
+		Log:         log,
+		Rows:        view{testTable: f.table, down: &n.down},
+		Peers:       n,
+		Engines:     f.engine,
+		Table:       table,
+		Decode:      testDocument,
+		Server:      serve.New(serve.Options{Clock: clk, Table: table, Log: log}),
+		LeaseTerm:   testTerm,
+		LeaseWait:   testWait,
+		QuotaHead:   1000,
+	})
+	f.mu.Lock()
+	f.nodes[name] = n
+	f.mu.Unlock()
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
+	go func() {
+		n.Run(ctx)
+		close(n.done)
+	}()
+	f.t.Cleanup(n.kill)
+	// The store answers the node's readers.
+	go func() {
+		for ctx.Err() == nil {
+			f.table.mu.Lock()
+			down := n.down
+			f.table.mu.Unlock()
+			if !down {
+				n.StoreSeen(ConfigReader)
+				n.StoreSeen(EndpointReader)
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}()
+	return n
+}
+
+func (n *testNode) kill() {
+	n.fleet.mu.Lock()
+	if n.fleet.nodes[n.opts.Address] == n {
+		delete(n.fleet.nodes, n.opts.Address)
+	}
+	n.fleet.mu.Unlock()
+	n.cancel()
+	<-n.done
+}
+
+func (f *testFleet) setDown(n *testNode, down bool) {
+	f.table.mu.Lock()
+	defer f.table.mu.Unlock()
+	n.down = down
+}
+
+func (f *testFleet) eventually(what string, within time.Duration, ok func() bool) {
+	f.t.Helper()
+	for until := time.Now().Add(within); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		if ok() {
+			return
+		}
+	}
+	f.t.Fatalf("not within %v: %s", within, what)
+}
+
+// leads reports whether all given nodes follow the same one, which is returned.
+func leads(nodes ...*testNode) (string, bool) {
+	leader := ""
+	for _, n := range nodes {
+		n.mu.Lock()
+		touched := time.Since(n.touched) < time.Second && !n.touched.IsZero()
+		l := n.leader
+		n.mu.Unlock()
+		if !touched || l == "" || leader != "" && l != leader {
+			return "", false
+		}
+		leader = l
+	}
+	return leader, true
+}
+
+func (f *testFleet) settle(within time.Duration, nodes ...*testNode) *testNode {
+	f.t.Helper()
+	var name string
+	f.eventually("one coordinator that all follow", within, func() bool {
+		var ok bool
+		name, ok = leads(nodes...)
+		return ok && slices.ContainsFunc(nodes, func(n *testNode) bool { return n.opts.Address == name })
+	})
+	for _, n := range nodes {
+		if n.opts.Address == name {
+			return n
+		}
+	}
+	return nil
+}
+
+// demand has requests wait for a model that the engine drops again and again,
+// so that orders are given all the time.
+func (f *testFleet) demand(n *testNode) (stop func()) {
+	done := n.usage.wait("lm", "m0")
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		for wait(ctx, 100*time.Millisecond) {
+			f.engine.mu.Lock()
+			clear(f.engine.models)
+			f.engine.mu.Unlock()
+		}
+		done()
+	}()
+	return cancel
+}
+
+// checkTurns compares the orders with the stated bound on two holders.
+func (f *testFleet) checkTurns() {
+	f.t.Helper()
+	f.engine.mu.Lock()
+	defer f.engine.mu.Unlock()
+	for i := 1; i < len(f.engine.orders); i++ {
+		a, b := f.engine.orders[i-1], f.engine.orders[i]
+		if a.holder == b.holder {
+			continue
+		}
+		if gap := b.at.Sub(a.at); gap < testWait {
+			f.t.Errorf("order of %s came %v after one of %s, at least %v are required", b.holder, gap, a.holder, testWait)
+		}
+		if b.fence <= a.fence {
+			f.t.Errorf("fence %d of %s follows fence %d of %s", b.fence, b.holder, a.fence, a.holder)
+		}
+	}
+}
+
+func (f *testFleet) holders() int {
+	f.engine.mu.Lock()
+	defer f.engine.mu.Unlock()
+	seen := map[string]bool{}
+	for _, o := range f.engine.orders {
+		seen[o.holder] = true
+	}
+	return len(seen)
+}
+
+var testEndpoints = []fleet.Change{{
+	Name:     "e",
+	Version:  1,
+	Endpoint: &fleet.Endpoint{ID: "e", Born: 1, Service: "lm", Address: "10.0.0.1:80"},
+}}
+
+// TestOneHolder guards against orders of two holders within the bound, through
+// a kill, a stop, and a cut of the coordinator from the store.
+func TestOneHolder(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		hit  func(*testFleet, *testNode)
+	}{
+		{name: "killed", hit: func(_ *testFleet, n *testNode) { n.kill() }},
+		{name: "stopped", hit: func(_ *testFleet, n *testNode) { n.Stop() }},
+		{name: "cut off from the store", hit: func(f *testFleet, n *testNode) { f.setDown(n, true) }},
+		{name: "cut off from all", hit: func(f *testFleet, n *testNode) {
+			f.setDown(n, true)
+			f.mu.Lock()
+			n.cut = true
+			f.mu.Unlock()
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t)
+			nodes := []*testNode{f.start("a"), f.start("b"), f.start("c")}
+			for _, n := range nodes {
+				if err := n.SetDocument(context.Background(), []byte("1"), "test"); err != nil {
+					t.Fatal(err)
+				}
+				n.SetEndpoints(context.Background(), testEndpoints, 1, true)
+				defer f.demand(n)()
+			}
+			first := f.settle(5*time.Second, nodes...)
+			f.eventually("orders of the first holder", 8*time.Second, func() bool { return f.holders() == 1 })
+			tc.hit(f, first)
+			rest := slices.DeleteFunc(slices.Clone(nodes), func(n *testNode) bool { return n == first })
+			f.eventually("another coordinator", 8*time.Second, func() bool {
+				name, ok := leads(rest...)
+				return ok && name != first.opts.Address
+			})
+			f.eventually("orders of another holder", 8*time.Second, func() bool { return f.holders() == 2 })
+			time.Sleep(testWait)
+			f.checkTurns()
+		})
+	}
+}
+
+// TestConfigurationSpreads guards against a node that the store does not answer
+// staying with an old configuration or old endpoints while others know newer ones.
+func TestConfigurationSpreads(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t)
+	a, b, c := f.start("a"), f.start("b"), f.start("c")
+	f.settle(5*time.Second, a, b, c)
+	if err := c.SetDocument(context.Background(), []byte("42"), "test"); err != nil {
+		t.Fatal(err)
+	}
+	c.SetEndpoints(context.Background(), testEndpoints, 9, true)
+	for _, n := range []*testNode{a, b} {
+		f.eventually("the configuration at "+n.opts.Node, 3*time.Second, func() bool {
+			v := n.opts.Server.Config()
+			return v != nil && v.Version == 42
+		})
+		f.eventually("the endpoint at "+n.opts.Node, 3*time.Second, func() bool { return len(n.opts.Table.Endpoints()) == 1 })
+	}
+	if err := a.SetDocument(context.Background(), []byte("41"), "test"); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(2 * exchangeEvery)
+	if v := a.opts.Server.Config().Version; v != 42 {
+		t.Errorf("the configuration went back to version %d", v)
+	}
+}
+
+// TestRestartOfAll guards against refusing requests for a lease term after all
+// processes were killed: a machine reclaims the lease of its former process.
+func TestRestartOfAll(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t)
+	nodes := []*testNode{f.start("a"), f.start("b"), f.start("c")}
+	f.settle(5*time.Second, nodes...)
+	time.Sleep(testTerm)
+	for _, n := range nodes {
+		n.kill()
+	}
+	began := time.Now()
+	nodes = []*testNode{f.start("a"), f.start("b"), f.start("c")}
+	for _, n := range nodes {
+		if err := n.SetDocument(context.Background(), []byte("1"), "test"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.eventually("tokens after the restart", testTerm, func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, ok := nodes[1].Desk.Admit(ctx, "w", 10, 20*time.Millisecond)
+		return ok
+	})
+	t.Logf("tokens after %v", time.Since(began))
+}
+
+// TestAdmissionWithoutCoordinator guards against refusing all requests of a node
+// that cannot reach the coordinator: it admits its fraction of the rate.
+func TestAdmissionWithoutCoordinator(t *testing.T) {
+	t.Parallel()
+	f := newTestFleet(t)
+	nodes := []*testNode{f.start("a"), f.start("b")}
+	for _, n := range nodes {
+		if err := n.SetDocument(context.Background(), []byte("1"), "test"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first := f.settle(5*time.Second, nodes...)
+	other := nodes[0]
+	if other == first {
+		other = nodes[1]
+	}
+	f.mu.Lock()
+	other.cut = true
+	f.mu.Unlock()
+	time.Sleep(2 * time.Second)
+	admitted := 0
+	for until := time.Now().Add(time.Second); time.Now().Before(until); {
+		if _, ok := other.Desk.Admit(context.Background(), "w", 10, 30*time.Millisecond); ok {
+			admitted += 10
+		}
+	}
+	// Half of 1,000 tokens a second, with what may be saved up before.
+	if admitted < 300 || admitted > 1400 {
+		t.Errorf("%d tokens admitted in a second without contact, the fraction is 500", admitted)
+	}
+}
--- /dev/null
+++ b/internal/serve/serve_test.go
@@ -0,0 +1,505 @@
+package serve
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/conn"
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/steer"
+)
+
+// act is what an endpoint does with one attempt.
+type act int
+
+const (
+	actServe   act = iota // runs the request and answers
+	actUnsent             // takes no connection
+	actShed               // says that it did not run the request
+	actOther              // another endpoint has the address
+	actLost               // runs the request and the answer is lost
+	actForeign            // runs the request; another request's answer comes
+	actError              // runs the request and answers with an error
+	actBroken             // runs the request; the answer breaks off midway
+	acts
+)
+
+type fakeSender struct {
+	mu       sync.Mutex
+	script   []act
+	attempts []Attempt
+	runs     int
+	body     func(a Attempt) io.ReadCloser
+}
+
+func (f *fakeSender) Send(_ context.Context, a Attempt) (*Reply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if err := a.Check(); err != nil {
+		return nil, &conn.NotSentError{Err: err}
+	}
+	f.attempts = append(f.attempts, a)
+	what := actServe
+	if len(f.script) > 0 {
+		what, f.script = f.script[0], f.script[1:]
+	}
+	reply := &Reply{
+		Status: http.StatusOK,
+		Header: http.Header{"X-Signature": {a.Endpoint.ID}},
+		Body:   io.NopCloser(strings.NewReader("whole")),
+	}
+	if f.body != nil {
+		reply.Body = f.body(a)
+	}
+	switch what {
+	case actUnsent:
+		return nil, &conn.NotSentError{Err: errors.New("refused")}
+	case actShed:
+		reply.Verdict, reply.Status = TurnedAway, http.StatusServiceUnavailable
+		return reply, nil
+	case actOther:
+		reply.Verdict, reply.Status = Misdirected, http.StatusMisdirectedRequest
+		return reply, nil
+	}
+	f.runs++
+	switch what {
+	case actLost:
+		return nil, errors.New("connection reset")
+	case actForeign:
+		reply.Verdict = Foreign
+	case actError:
+		reply.Status = http.StatusInternalServerError
+	case actBroken:
+		reply.Body = io.NopCloser(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\nda"), errReader{}))
+	}
+	return reply, nil
+}
+
+type errReader struct{}
+
+func (errReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+type fakeCaller struct {
+	status  int
+	problem *Problem
+	header  http.Header
+	body    bytes.Buffer
+	answers int
+	ended   bool
+	aborted bool
+}
+
+func (c *fakeCaller) Refuse(p Problem) {
+	c.answers++
+	c.problem, c.status = &p, p.Status
+}
+
+func (c *fakeCaller) Respond(status int, header http.Header, body []byte) {
+	c.answers++
+	c.status, c.header = status, header
+	c.body.Write(body)
+}
+
+func (c *fakeCaller) Begin(status int, header http.Header) error {
+	c.answers++
+	c.status, c.header = status, header
+	return nil
+}
+
+func (c *fakeCaller) Event(data []byte) error {
+	c.body.Write(data)
+	return nil
+}
+
+func (c *fakeCaller) End() { c.ended = true }
+
+func (c *fakeCaller) Abort() { c.aborted = true }
+
+type always struct{ refuse bool }
+
+func (a always) Admit(context.Context, string, float64, time.Duration) (time.Duration, bool) {
+	return time.Second, !a.refuse
+}
+
+type noDemand struct{}
+
+func (noDemand) Arrived(string, string, string, float64) {}
+func (noDemand) Wait(string, string) func() { return func() {} }
+
+func (noDemand) Running(fleet.Key, string, string) func()                           { return func() {} }
+func (noDemand) FetchAdapter(context.Context, fleet.Endpoint, string, string) error { return nil }
+
+type noObserver struct{}
+
+func (noObserver) Ended(string, string, time.Duration) {}
+func (noObserver) FirstByte(string, time.Duration)     {}
+func (noObserver) Repeated(string)                     {}
+
+func testConfig(version int64) *fleet.Config {
+	c := &fleet.Config{
+		Version: version,
+		Services: map[string]*fleet.Service{
+			"app": {Name: "app"},
+			"lm": {Name: "lm", Engine: &fleet.EngineClass{
+				Models: map[string]fleet.Model{"m1": {Name: "m1"}},
+			}},
+		},
+		Workspaces: map[string]*fleet.Workspace{"w": {Name: "w", Rate: 100, Burst: 100, PlainTokens: 1, CountsTokens: true}},
+		Keys:       map[fleet.Digest]string{fleet.DigestOf("key"): "w"},
+	}
+	route := func(name string, kind fleet.Kind, service string, attempts int, resumable bool) fleet.Route {
+		return fleet.Route{
+			Name:        name,
+			Host:        "h",
+			Prefix:      "/" + name + "/",
+			Kind:        kind,
+			Timeout:     2 * time.Second,
+			Objective:   300 * time.Millisecond,
+			MaxPause:    150 * time.Millisecond,
+			MaxAttempts: attempts,
+			Resumable:   resumable,
+			Targets:     []fleet.Target{{Service: service, Weight: 1}},
+		}
+	}
+	c.Routes = []fleet.Route{
+		route("read", fleet.Idempotent, "app", 2, false),
+		route("book", fleet.NonIdempotent, "app", 1, false),
+		route("stream", fleet.Stream, "lm", 1, false),
+		route("resume", fleet.Stream, "lm", 2, true),
+	}
+	return c
+}
+
+type harness struct {
+	server *Server
+	sender *fakeSender
+	table  *steer.Table
+	clock  clock.Clock
+}
+
+func newHarness(t interface{ Fatal(...any) }, admission Admission) *harness {
+	h := &harness{
+		sender: &fakeSender{},
+		table:  steer.NewTable("north"),
+		clock:  clock.NewReal(),
+	}
+	var list []fleet.Endpoint
+	for i := range 4 {
+		list = append(list,
+			fleet.Endpoint{ID: fmt.Sprintf("app%d", i), Born: 1, Service: "app", Domain: "north", Slots: 6},
+			fleet.Endpoint{ID: fmt.Sprintf("lm%d", i), Born: 1, Service: "lm", Domain: "north", Slots: 64, Models: []fleet.Resident{{Model: "m1"}}})
+	}
+	h.table.SetEndpoints(list)
+	h.server = New(Options{
+		Clock:     h.clock,
+		Table:     h.table,
+		Sender:    h.sender,
+		Admission: admission,
+		Demand:    noDemand{},
+		Log:       slog.New(slog.DiscardHandler),
+		Retries:   RetryRule{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
+		Observe:   noObserver{},
+	})
+	c := testConfig(1)
+	if err := c.Prepare(); err != nil {
+		t.Fatal(err)
+	}
+	h.server.SetConfig(c)
+	return h
+}
+
+func (h *harness) request(route string) *Request {
+	return &Request{
+		ID:      "r1",
+		Method:  http.MethodPost,
+		Host:    "h",
+		Path:    "/" + route + "/x",
+		URI:     "/" + route + "/x",
+		Header:  http.Header{},
+		Arrived: h.clock.Now(),
+		Key:     "key",
+		Model:   "m1",
+	}
+}
+
+func (h *harness) serve(route string) *fakeCaller {
+	c := &fakeCaller{}
+	h.server.Serve(context.Background(), h.request(route), c)
+	return c
+}
+
+// promises are the statuses that say that a request has not run.
+var promises = map[int]bool{
+	http.StatusRequestTimeout:     true,
+	http.StatusMisdirectedRequest: true,
+	http.StatusTooManyRequests:    true,
+	http.StatusServiceUnavailable: true,
+}
+
+// TestOutcomes guards against running a request twice that may run once, against
+// a refusal that says "not run" of a request that ran, and against more runs
+// than the route allows, for every sequence of what endpoints may do.
+func TestOutcomes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		h := newHarness(t, always{})
+		route := rapid.SampledFrom([]string{"read", "book", "stream", "resume"}).Draw(t, "route")
+		for range rapid.IntRange(0, 8).Draw(t, "length") {
+			h.sender.script = append(h.sender.script, act(rapid.IntRange(0, int(acts)-1).Draw(t, "act")))
+		}
+		h.sender.body = func(Attempt) io.ReadCloser {
+			return io.NopCloser(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
+		}
+		c := h.serve(route)
+		if c.answers != 1 {
+			t.Fatalf("the caller got %d answers", c.answers)
+		}
+		limit := map[string]int{"read": 2, "book": 1, "stream": 1, "resume": 2}[route]
+		if h.sender.runs > limit {
+			t.Fatalf("the request ran %d times, the route allows %d", h.sender.runs, limit)
+		}
+		if promises[c.status] && h.sender.runs > 0 {
+			t.Fatalf("status %d after %d runs", c.status, h.sender.runs)
+		}
+		if c.problem != nil && c.problem.NotRun && h.sender.runs > 0 {
+			t.Fatalf("the answer says not run after %d runs", h.sender.runs)
+		}
+		if c.status == http.StatusOK && !c.aborted && c.problem == nil && h.sender.runs == 0 {
+			t.Fatal("a success without a run")
+		}
+		if c.aborted && c.ended {
+			t.Fatal("an answer was ended as complete and broken off")
+		}
+	})
+}
+
+// TestFinalAnswers guards against wrong statuses for each way to end.
+func TestFinalAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		route   string
+		script  []act
+		prepare func(*harness, *Request)
+		want    int
+		runs    int
+	}{
+		{name: "served", route: "book", want: 200, runs: 1},
+		{name: "no connection, then served", route: "book", script: []act{actUnsent, actUnsent}, want: 200, runs: 1},
+		{name: "no connection at all", route: "book", script: []act{actUnsent, actUnsent, actUnsent, actUnsent}, want: 503},
+		{name: "turned away, then served", route: "book", script: []act{actShed, actOther}, want: 200, runs: 1},
+		{name: "turned away everywhere", route: "book", script: []act{actShed, actShed, actShed}, want: 503},
+		{name: "answer of a booking lost", route: "book", script: []act{actLost}, want: 502, runs: 1},
+		{name: "answer of a read lost", route: "read", script: []act{actLost}, want: 200, runs: 2},
+		{name: "turned away, then lost", route: "book", script: []act{actShed, actLost}, want: 502, runs: 1},
+		{name: "lost, then turned away everywhere", route: "read", script: []act{actLost, actShed, actShed, actShed}, want: 502, runs: 1},
+		{name: "two errors of endpoints", route: "read", script: []act{actError, actError}, want: 500, runs: 2},
+		{name: "another request's answer", route: "book", script: []act{actForeign}, want: 502, runs: 1},
+		{name: "half of a booking's answer", route: "book", script: []act{actBroken}, want: 502, runs: 1},
+		{name: "unknown key", route: "book", prepare: func(_ *harness, q *Request) { q.Key = "no" }, want: 401},
+		{name: "unknown path", route: "book", prepare: func(_ *harness, q *Request) { q.Path = "/none/" }, want: 404},
+		{name: "unknown model", route: "stream", prepare: func(_ *harness, q *Request) { q.Model = "m9" }, want: 404},
+		{name: "a stopping process", route: "book", prepare: func(h *harness, q *Request) { h.server.RefuseFrom(q.Arrived) }, want: 503},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, always{})
+			h.sender.script = tc.script
+			q := h.request(tc.route)
+			if tc.prepare != nil {
+				tc.prepare(h, q)
+			}
+			c := &fakeCaller{}
+			h.server.Serve(context.Background(), q, c)
+			if c.status != tc.want || h.sender.runs != tc.runs {
+				t.Errorf("status %d after %d runs, want %d after %d", c.status, h.sender.runs, tc.want, tc.runs)
+			}
+		})
+	}
+}
+
+// TestNoConfiguration guards against a 404 or 401 from a node that knows no
+// configuration yet.
+func TestNoConfiguration(t *testing.T) {
+	s := New(Options{Clock: clock.NewReal(), Log: slog.New(slog.DiscardHandler), Observe: noObserver{}})
+	c := &fakeCaller{}
+	s.Serve(context.Background(), &Request{ID: "r"}, c)
+	if c.status != http.StatusServiceUnavailable || !c.problem.NotRun || c.problem.RetryAfter <= 0 {
+		t.Errorf("answered %+v", c.problem)
+	}
+}
+
+// TestOverRate guards against sending a request that is over its rate.
+func TestOverRate(t *testing.T) {
+	h := newHarness(t, always{refuse: true})
+	c := h.serve("book")
+	if c.status != http.StatusTooManyRequests || c.problem.RetryAfter != time.Second || len(h.sender.attempts) != 0 {
+		t.Errorf("answered %+v after %d attempts", c.problem, len(h.sender.attempts))
+	}
+}
+
+// TestConfigNeverReverts guards against an older configuration replacing a
+// newer one.
+func TestConfigNeverReverts(t *testing.T) {
+	h := newHarness(t, always{})
+	if !h.server.SetConfig(testConfig(7)) || h.server.SetConfig(testConfig(7)) || h.server.SetConfig(testConfig(3)) {
+		t.Error("an older or equal configuration was taken over")
+	}
+	if v := h.server.Config().Version; v != 7 {
+		t.Errorf("version %d is in force, want 7", v)
+	}
+}
+
+// TestKeyWithdrawnBeforeSending guards against sending a request whose key was
+// withdrawn while it waited.
+func TestKeyWithdrawnBeforeSending(t *testing.T) {
+	h := newHarness(t, always{})
+	h.server.opts.Admission = admitThen{func(s *Server) {
+		c := testConfig(2)
+		c.Keys = map[fleet.Digest]string{}
+		_ = c.Prepare()
+		s.SetConfig(c)
+	}, h.server}
+	c := h.serve("book")
+	if c.status != http.StatusUnauthorized || h.sender.runs != 0 {
+		t.Errorf("status %d after %d runs, want 401 after none", c.status, h.sender.runs)
+	}
+}
+
+// admitThen admits every request and then calls a function.
+type admitThen struct {
+	then   func(*Server)
+	server *Server
+}
+
+func (a admitThen) Admit(context.Context, string, float64, time.Duration) (time.Duration, bool) {
+	a.then(a.server)
+	return 0, true
+}
+
+// TestStreamPassedOn guards against changing a stream, and against ending one
+// as complete that broke off in the middle of an event.
+func TestStreamPassedOn(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		body    string
+		tail    io.Reader
+		want    string
+		ended   bool
+		aborted bool
+		status  int
+	}{
+		{name: "complete", body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", want: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", ended: true, status: 200},
+		{name: "carriage returns", body: "id: 1\r\ndata: a\r\n\r\n", want: "id: 1\r\ndata: a\r\n\r\n", ended: true, status: 200},
+		{name: "ends in the middle of an event", body: "id: 1\ndata: a\n\nid: 2\nda", want: "id: 1\ndata: a\n\n", aborted: true, status: 200},
+		{name: "reset after an event", body: "id: 1\ndata: a\n\n", tail: errReader{}, want: "id: 1\ndata: a\n\n", aborted: true, status: 200},
+		{name: "reset before the first event", body: "id: 1", tail: errReader{}, status: 502},
+		{name: "empty", ended: true, status: 200},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, always{})
+			h.sender.body = func(Attempt) io.ReadCloser {
+				if tc.tail == nil {
+					return io.NopCloser(strings.NewReader(tc.body))
+				}
+				return io.NopCloser(io.MultiReader(strings.NewReader(tc.body), tc.tail))
+			}
+			c := h.serve("stream")
+			if got := c.body.String(); c.problem == nil && got != tc.want {
+				t.Errorf("passed on %q, want %q", got, tc.want)
+			}
+			if c.ended != tc.ended || c.aborted != tc.aborted || c.status != tc.status {
+				t.Errorf("ended %v, aborted %v, status %d; want %v, %v, %d", c.ended, c.aborted, c.status, tc.ended, tc.aborted, tc.status)
+			}
+		})
+	}
+}
+
+// TestStreamResumed guards against missing or repeated events and against a
+// changed signature where a resumable stream goes on at another endpoint.
+func TestStreamResumed(t *testing.T) {
+	h := newHarness(t, always{})
+	first := ""
+	h.sender.body = func(a Attempt) io.ReadCloser {
+		if a.LastEvent == "" {
+			first = a.Endpoint.ID
+			return io.NopCloser(io.MultiReader(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"), errReader{}))
+		}
+		if a.LastEvent != "2" {
+			return io.NopCloser(strings.NewReader("id: 9\ndata: wrong\n\n"))
+		}
+		return io.NopCloser(strings.NewReader("id: 3\ndata: c\n\n"))
+	}
+	c := h.serve("resume")
+	if want := "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"; c.body.String() != want || !c.ended {
+		t.Errorf("passed on %q, ended %v; want %q", c.body.String(), c.ended, want)
+	}
+	if got := c.header.Get("X-Signature"); got != first || c.answers != 1 {
+		t.Errorf("signature of %q, want that of the first endpoint %q", got, first)
+	}
+	if a, b := h.sender.attempts[0], h.sender.attempts[1]; a.Endpoint.ID == b.Endpoint.ID {
+		t.Error("the stream was resumed at the endpoint that broke it off")
+	}
+}
+
+// TestTimeout guards against a request without a final answer at its route's
+// time limit, and against a promise about a request that was sent.
+func TestTimeout(t *testing.T) {
+	h := newHarness(t, always{})
+	block := make(chan struct{})
+	defer close(block)
+	h.server.opts.Sender = senderFunc(func(ctx context.Context, _ Attempt) (*Reply, error) {
+		select {
+		case <-ctx.Done():
+		case <-block:
+		}
+		return nil, ctx.Err()
+	})
+	q := h.request("book")
+	q.Wait = 80 * time.Millisecond
+	c := &fakeCaller{}
+	began := time.Now()
+	h.server.Serve(context.Background(), q, c)
+	if took := time.Since(began); c.status != http.StatusGatewayTimeout || took > 500*time.Millisecond {
+		t.Errorf("status %d after %v, want 504 after 80 ms", c.status, took)
+	}
+}
+
+type senderFunc func(ctx context.Context, a Attempt) (*Reply, error)
+
+func (f senderFunc) Send(ctx context.Context, a Attempt) (*Reply, error) { return f(ctx, a) }
+
+// FuzzSplitter guards against losing, changing or inventing bytes of a stream.
+func FuzzSplitter(f *testing.F) {
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\r\n\r\nrest"), 3)
+	f.Add([]byte("\n\n\n"), 1)
+	f.Fuzz(func(t *testing.T, data []byte, size int) {
+		if size <= 0 {
+			size = 1
+		}
+		var s splitter
+		var out []byte
+		for at := 0; at < len(data); at += size {
+			s.add(data[at:min(len(data), at+size)])
+			for e := s.next(); e != nil; e = s.next() {
+				if !bytes.HasSuffix(e, []byte("\n")) {
+					t.Fatalf("event %q has no end", e)
+				}
+				out = append(out, e...)
+				_ = eventID(e)
+			}
+		}
+		if out = append(out, s.rest...); !bytes.Equal(out, data) {
+			t.Fatalf("got %q, want %q", out, data)
+		}
+	})
+}
--- /dev/null
+++ b/internal/steer/table_test.go
@@ -0,0 +1,245 @@
+package steer
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"trefoildale.example/trefoildale/internal/fleet"
+)
+
+var t0 = time.Unix(1000, 0)
+
+func engineOf(id, model string, adapters ...string) fleet.Endpoint {
+	return fleet.Endpoint{
+		ID:      id,
+		Born:    1,
+		Service: "lm",
+		Address: "10.0.0.1:80",
+		Domain:  "north",
+		Slots:   64,
+		Models:  []fleet.Resident{{Model: model, Adapters: adapters}},
+	}
+}
+
+// TestPick guards against choosing endpoints that are leaving, unreachable,
+// silent, full or much slower while a better one is there.
+func TestPick(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		ends    []fleet.Endpoint
+		prepare func(*Table)
+		query   Query
+		want    string
+		err     error
+	}{
+		{
+			name:  "a leaving endpoint",
+			ends:  []fleet.Endpoint{{ID: "a", Born: 1, Service: "app", Leaving: true}, {ID: "b", Born: 1, Service: "app"}},
+			query: Query{Service: "app"},
+			want:  "b",
+		},
+		{
+			name:  "only leaving endpoints",
+			ends:  []fleet.Endpoint{{ID: "a", Born: 1, Service: "app", Leaving: true}},
+			query: Query{Service: "app"},
+			err:   ErrNoEndpoint,
+		},
+		{
+			name:  "a model that nobody holds",
+			ends:  []fleet.Endpoint{engineOf("a", "m1")},
+			query: Query{Service: "lm", Model: "m2"},
+			err:   ErrNotResident,
+		},
+		{
+			name:  "an excluded endpoint",
+			ends:  []fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1")},
+			query: Query{Service: "lm", Model: "m1", Exclude: map[fleet.Key]bool{{ID: "a", Born: 1}: true}},
+			want:  "b",
+		},
+		{
+			name: "an endpoint that took no connection",
+			ends: []fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1")},
+			prepare: func(tb *Table) {
+				tb.Done(t0, fleet.Key{ID: "a", Born: 1}, Unreachable)
+			},
+			query: Query{Service: "lm", Model: "m1"},
+			want:  "b",
+		},
+		{
+			name: "an endpoint that fails requests",
+			ends: []fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1")},
+			prepare: func(tb *Table) {
+				for range 5 {
+					tb.Done(t0, fleet.Key{ID: "a", Born: 1}, Faulted)
+				}
+			},
+			query: Query{Service: "lm", Model: "m1"},
+			want:  "b",
+		},
+		{
+			name: "a slow engine although it is idle",
+			ends: []fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1")},
+			prepare: func(tb *Table) {
+				for range 30 {
+					tb.Pace(fleet.Key{ID: "a", Born: 1}, 3)
+					tb.Pace(fleet.Key{ID: "b", Born: 1}, 1)
+				}
+				tb.SetReport(t0, fleet.Report{Key: fleet.Key{ID: "a", Born: 1}, Models: []fleet.Resident{{Model: "m1"}}})
+				tb.SetReport(t0, fleet.Report{Key: fleet.Key{ID: "b", Born: 1}, Models: []fleet.Resident{{Model: "m1"}}, Active: 20})
+			},
+			query: Query{Service: "lm", Model: "m1"},
+			want:  "b",
+		},
+		{
+			name:  "the engine that holds the adapter",
+			ends:  []fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1", "a3")},
+			query: Query{Service: "lm", Model: "m1", Adapter: "a3"},
+			want:  "b",
+		},
+		{
+			name: "a model that is about to be unloaded",
+			ends: []fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1")},
+			prepare: func(tb *Table) {
+				tb.SetClosing(map[fleet.Key][]string{{ID: "a", Born: 1}: {"m1"}})
+			},
+			query: Query{Service: "lm", Model: "m1"},
+			want:  "b",
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tb := NewTable("north")
+			tb.SetEndpoints(tc.ends)
+			if tc.prepare != nil {
+				tc.prepare(tb)
+			}
+			c, err := tb.Pick(t0.Add(time.Millisecond), tc.query)
+			if !errors.Is(err, tc.err) || c.Endpoint.ID != tc.want {
+				t.Errorf("chose %q, %v; want %q, %v", c.Endpoint.ID, err, tc.want, tc.err)
+			}
+		})
+	}
+}
+
+// TestSilent guards against sending more requests to an endpoint that owes
+// answers and sends nothing.
+func TestSilent(t *testing.T) {
+	tb := NewTable("north")
+	tb.SetEndpoints([]fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1")})
+	q := Query{Service: "lm", Model: "m1"}
+	first, err := tb.Pick(t0, q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The other endpoint answers at once and has many requests.
+	for range 30 {
+		c, err := tb.Pick(t0, Query{Service: "lm", Model: "m1", Exclude: map[fleet.Key]bool{first.Endpoint.Key(): true}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		tb.Byte(t0.Add(silentAfter), c.Endpoint.Key())
+	}
+	c, err := tb.Pick(t0.Add(silentAfter+time.Millisecond), q)
+	if err != nil || c.Endpoint.ID == first.Endpoint.ID {
+		t.Errorf("chose %q, %v; want the endpoint that answers", c.Endpoint.ID, err)
+	}
+}
+
+// TestIncarnation guards against what was learned of an endpoint, or its
+// models, being taken for those of a later incarnation with the same id.
+func TestIncarnation(t *testing.T) {
+	tb := NewTable("north")
+	tb.SetEndpoints([]fleet.Endpoint{engineOf("a", "m1")})
+	next := engineOf("a", "m1")
+	next.Born = 2
+	next.Models = nil
+	added, _, _ := tb.SetEndpoints([]fleet.Endpoint{next})
+	if len(added) != 1 {
+		t.Errorf("a new incarnation was not told as added")
+	}
+	if _, err := tb.Pick(t0, Query{Service: "lm", Model: "m1"}); !errors.Is(err, ErrNotResident) {
+		t.Errorf("the model of the former incarnation was found: %v", err)
+	}
+	tb.SetReport(t0, fleet.Report{Key: fleet.Key{ID: "a", Born: 1}, Models: []fleet.Resident{{Model: "m1"}}, Orders: 9})
+	if _, err := tb.Pick(t0, Query{Service: "lm", Model: "m1"}); !errors.Is(err, ErrNotResident) {
+		t.Errorf("a report of the former incarnation was used: %v", err)
+	}
+}
+
+// TestBudget guards against more repeats over all nodes than the ratio and the
+// slack allow in any window, however unevenly requests arrive.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const (
+			ratio  = 0.2
+			slack  = 52.0
+			window = 10 * time.Second
+		)
+		nodes := rapid.IntRange(1, 8).Draw(t, "nodes")
+		budgets := make([]*Budget, nodes)
+		for i := range budgets {
+			budgets[i] = NewBudget(ratio, slack/float64(nodes), window)
+		}
+		type event struct {
+			at     time.Time
+			repeat bool
+		}
+		var events []event
+		now := t0
+		for range rapid.IntRange(20, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 700).Draw(t, "ms")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, nodes-1).Draw(t, "node")]
+			for range rapid.IntRange(0, 20).Draw(t, "requests") {
+				b.Request(now)
+				events = append(events, event{at: now})
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "repeats") {
+				if b.Repeat(now) {
+					events = append(events, event{at: now, repeat: true})
+				}
+			}
+			var repeats, during, before, half float64
+			for _, e := range events {
+				age := now.Sub(e.at)
+				switch {
+				case e.repeat && age <= window:
+					repeats++
+				case e.repeat:
+				default:
+					if age <= window {
+						during++
+					}
+					if age > window && age <= 2*window {
+						before++
+					}
+					if age > window/2 && age <= 3*window/2 {
+						half++
+					}
+				}
+			}
+			if most := ratio*max(during, before, half) + slack; repeats > most {
+				t.Fatalf("%.0f repeats in a window, the bound is %.1f", repeats, most)
+			}
+		}
+	})
+}
+
+// BenchmarkPick measures a choice among the engines of a large deployment.
+func BenchmarkPick(b *testing.B) {
+	tb := NewTable("north")
+	var list []fleet.Endpoint
+	for i := range 90 {
+		list = append(list, engineOf(fmt.Sprintf("e%d", i), fmt.Sprintf("m%d", i%5)))
+	}
+	tb.SetEndpoints(list)
+	for b.Loop() {
+		c, err := tb.Pick(t0, Query{Service: "lm", Model: "m1", Session: "s"})
+		if err != nil {
+			b.Fatal(err)
+		}
+		tb.Done(t0, c.Endpoint.Key(), Served)
+	}
+}
