proc: serve counters and latency histograms in text format

The metrics address now answers in the text format of common collectors, through client_golang: requests by service and outcome, time to the first byte, total time, and gauges for the coordinator, the store, the configuration and dropped log lines. expvar stays for the operators' address of the other node.

--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -773,6 +773,27 @@
 	}
 }
 
+// Coordinates reports whether this node is the coordinator.
+func (n *Node) Coordinates() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.holds
+}
+
+// CoordinatorAge is how long ago the coordinator last answered this node.
+func (n *Node) CoordinatorAge() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.opts.Clock.Now().Sub(n.touched)
+}
+
+// StoreAge is how long ago the store last answered this node itself.
+func (n *Node) StoreAge() time.Duration {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeAge(n.opts.Clock.Now())
+}
+
 // Ready reports whether this node can serve requests.
 func (n *Node) Ready() bool {
 	return n.opts.Server.Config() != nil && n.opts.Table.Healthy(n.opts.Clock.Now())
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -4,7 +4,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"io"
 	"net"
 	"net/http"
@@ -80,6 +79,7 @@
 	callers  *http.Server
 	ready    *http.Server
 	metrics  *http.Server
+	meters   *metrics
 	stopping atomic.Bool
 	idle     idleConns
 	stopRPC  func()
@@ -96,11 +96,12 @@
 	ends, closeEnds := platform.NewEndpoints(dial)
 	peers, closePeers := wire.NewClient(new(wire.Meter), dial)
 	p := &Process{
-		set:   set,
-		log:   log,
-		clock: clk,
-		store: store,
-		table: steer.NewTable(set.Node.Domain),
+		set:    set,
+		log:    log,
+		clock:  clk,
+		store:  store,
+		table:  steer.NewTable(set.Node.Domain),
+		meters: newMetrics(),
 	}
 	lazy := &lateNode{}
 	p.server = serve.New(serve.Options{
@@ -115,7 +116,7 @@
 			Slack:  set.Bounds.RetrySlack,
 			Window: time.Duration(set.Bounds.RetryWindow),
 		},
-		Observe: newObserver(),
+		Observe: p.meters,
 	})
 	p.node = lead.New(lead.Options{
 		Node:        set.Node.Name,
@@ -136,6 +137,7 @@
 		QuotaHead:   set.Bounds.QuotaSlack * quotaHeadPart,
 	})
 	lazy.Node = p.node
+	p.addGauges()
 	release := func() {
 		closePeers()
 		closeEnds()
@@ -149,6 +151,30 @@
 	return p, release, nil
 }
 
+func (p *Process) addGauges() {
+	p.meters.gauge("trefoildale_requests_active", "Requests under way.", func() float64 { return float64(p.server.Active()) })
+	p.meters.gauge("trefoildale_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(p.log.Dropped()) })
+	p.meters.gauge("trefoildale_config_version", "Version of the configuration in force.", func() float64 {
+		if c := p.server.Config(); c != nil {
+			return float64(c.Version)
+		}
+		return 0
+	})
+	p.meters.gauge("trefoildale_coordinator", "1 where this process is the coordinator.", func() float64 {
+		if p.node.Coordinates() {
+			return 1
+		}
+		return 0
+	})
+	p.meters.gauge("trefoildale_coordinator_age_seconds", "Time since the coordinator last answered this process.", func() float64 {
+		return p.node.CoordinatorAge().Seconds()
+	})
+	p.meters.gauge("trefoildale_store_age_seconds", "Time since the store last answered this process.", func() float64 {
+		return p.node.StoreAge().Seconds()
+	})
+	p.meters.gauge("trefoildale_endpoints", "Endpoints that are registered.", func() float64 { return float64(len(p.table.Endpoints())) })
+}
+
 // lateNode lets the server be made before the node that it uses.
 type lateNode struct{ *lead.Node }
 
@@ -174,7 +200,7 @@
 		Handler: platform.NewReady(func() bool { return !p.stopping.Load() && p.node.Ready() }),
 	}
 	p.metrics = &http.Server{
-		Handler: expvar.Handler(),
+		Handler: p.meters.handler(),
 	}
 	for _, s := range []struct {
 		server  *http.Server
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -50,6 +50,13 @@
 	return c.workspace.Name
 }
 
+func (c *call) serviceName() string {
+	if c.service == nil {
+		return ""
+	}
+	return c.service.Name
+}
+
 func (c *call) routeName() string {
 	if c.route == nil {
 		return ""
@@ -432,7 +439,7 @@
 		"sent", c.sent, "ran", c.ran, "rejections", c.rejections, "unsent", c.unsent, "events", c.events,
 		"endpoint", c.last.Endpoint.ID, "error", c.lastError, "config", c.version(),
 		"total-ms", now.Sub(c.q.Arrived).Milliseconds(), "model", c.q.Model, "adapter", c.q.Adapter)
-	c.opts.Observe.Ended(c.routeName(), p.Code, now.Sub(c.q.Arrived))
+	c.opts.Observe.Ended(c.serviceName(), p.Code, now.Sub(c.q.Arrived))
 	if c.begun {
 		c.caller.Abort()
 		return
@@ -453,5 +460,5 @@
 		"route", c.route.Name, "model", c.q.Model, "adapter", c.q.Adapter, "sent", c.sent, "events", c.events,
 		"first-ms", c.firstByte.Milliseconds(), "max-pause-ms", c.maxPause.Milliseconds(),
 		"total-ms", now.Sub(c.q.Arrived).Milliseconds())
-	c.opts.Observe.Ended(c.route.Name, "served", now.Sub(c.q.Arrived))
+	c.opts.Observe.Ended(c.service.Name, "served", now.Sub(c.q.Arrived))
 }
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -40,7 +40,7 @@
 		return c.afterLoss(ctx, "the endpoint refused to resume the stream")
 	}
 	c.firstByte = now.Sub(c.q.Arrived)
-	c.opts.Observe.FirstByte(c.route.Name, c.firstByte)
+	c.opts.Observe.FirstByte(c.service.Name, c.firstByte)
 	c.caller.Respond(reply.Status, reply.Header, body)
 	c.served(reply.Status)
 	return false, nil
@@ -173,7 +173,7 @@
 func (c *call) timeEvent(now time.Time) {
 	if c.events == 1 {
 		c.firstByte = now.Sub(c.q.Arrived)
-		c.opts.Observe.FirstByte(c.route.Name, c.firstByte)
+		c.opts.Observe.FirstByte(c.service.Name, c.firstByte)
 	} else {
 		c.maxPause = max(c.maxPause, now.Sub(c.lastAt))
 	}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -78,9 +78,9 @@
 // Observer counts how requests end.
 type Observer interface {
 	// Ended is called once for each request.
-	Ended(route string, outcome string, total time.Duration)
+	Ended(service, outcome string, total time.Duration)
 	// FirstByte is called when an answer begins.
-	FirstByte(route string, after time.Duration)
+	FirstByte(service string, after time.Duration)
 	// Repeated is called for each attempt after the first.
 	Repeated(service string)
 }
