lead: shorten exchanges and let large nodes coordinate

Cause: on a deployment of 74 machines exchanges with all reports, members and paces moved 0.61 GB between zones, each node read the store itself while the coordinator could not, and a machine of 0.144 cores became coordinator, where the work takes 0.28: exchanges timed out and every workspace was refused. Exchanges for tokens are brief now, answers tell only what has changed, three deputies read the store for a coordinator without it, and larger nodes compete first. Ruled out: longer intervals, since a node silent for 0.7 s counts as lost. Open: refusals for 5 s after a change of coordinator with 74 machines.

--- a/internal/lead/coordinator.go
+++ b/internal/lead/coordinator.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"reflect"
 	"slices"
 	"strings"
 	"time"
@@ -80,9 +81,16 @@
 	depot    *depot.Depot
 	reports  map[fleet.Key]*polled
 	fetches  []*fetch
+	// seq numbers changes that nodes are told of; memberSeq is that of the last
+	// change of the members, and engineCount numbers the engines.
+	seq         int64
+	memberSeq   int64
+	engineCount int
 }
 
 type polled struct {
+	number   int
+	stateSeq int64 // of the last change of the state
 	endpoint fleet.Endpoint
 	report   fleet.Report
 	asked    time.Time // of the newest report
@@ -224,6 +232,7 @@
 		c.issuer.SetLimits(now, Limits(c.config))
 		c.depot.SetConfig(now, c.config)
 	}
+	c.memberChanged()
 	c.setEndpoints()
 	for _, m := range c.members {
 		m.heard = now
@@ -259,7 +268,9 @@
 			p.endpoint = e
 			continue
 		}
+		c.engineCount++
 		c.reports[e.Key()] = &polled{
+			number:   c.engineCount,
 			endpoint: e,
 		}
 	}
@@ -342,6 +353,7 @@
 		silent := now.Sub(m.heard)
 		if silent > memberGone {
 			delete(c.members, name)
+			c.memberChanged()
 			c.log.Warn("member removed", "member", name, "silent-ms", silent.Milliseconds())
 			continue
 		}
@@ -400,6 +412,10 @@
 		return
 	}
 	m.r.Key = m.key
+	if p.asked.IsZero() || p.report.Orders != m.r.Orders || !reflect.DeepEqual(p.report.Models, m.r.Models) {
+		c.seq++
+		p.stateSeq = c.seq
+	}
 	p.report, p.asked = m.r, m.asked
 	c.depot.SetReport(m.asked, m.r)
 	if c.mayOrder(now) {
@@ -517,6 +533,7 @@
 	}
 	if x.Leaving {
 		delete(c.members, x.Node)
+		c.memberChanged()
 		m.reply <- Reply{
 			Coordinator: true,
 		}
@@ -526,30 +543,23 @@
 	if mem == nil {
 		mem = &member{}
 		c.members[x.Node] = mem
+		c.memberChanged()
 		c.log.Info("member joined", "member", x.Node, "address", x.Address, "members", len(c.members))
 	}
 	if mem.incarnation != x.Incarnation && mem.incarnation != "" {
 		c.log.Info("member restarted", "member", x.Node, "incarnation", x.Incarnation)
 	}
 	mem.Node, mem.Address, mem.incarnation, mem.heard = x.Node, x.Address, x.Incarnation, now
-	mem.waiting, mem.running = x.Waiting, x.Running
+	mem.Capacity = x.Capacity
+	mem.waiting = x.Waiting
 	mem.Fraction = 1 / float64(len(c.members))
 	for _, w := range x.Work {
 		c.depot.Arrived(now, w.Service, w.Model, w.Tokens)
 	}
-	for _, r := range x.Running {
-		if r.Adapter != "" {
-			c.depot.AdapterUsed(now, r.Key, r.Model, r.Adapter)
-		}
-	}
-	for _, p := range x.Paces {
-		c.depot.SetPace(p.Key, p.Pace)
-	}
-	c.depot.SetRunning(c.running())
 	r := Reply{
 		Coordinator: true,
 		Fraction:    mem.Fraction,
-		Members:     c.memberList(),
+		Term:        c.tenure.Fence,
 	}
 	for _, d := range x.Draws {
 		if got := c.issuer.Issue(now, d.Workspace, d.Want, d.Need); got > 0 {
@@ -559,13 +569,60 @@
 			})
 		}
 	}
+	if !x.Brief {
+		mem.running = x.Running
+		c.tell(now, x, &r)
+	}
+	m.reply <- r
+}
+
+// memberChanged has all nodes told of the members.
+func (c *Coordinator) memberChanged() {
+	c.seq++
+	c.memberSeq = c.seq
+}
+
+// tell takes over what a full exchange says of engines, and answers with what
+// the node does not know yet.
+func (c *Coordinator) tell(now time.Time, x *Exchange, r *Reply) {
+	for _, u := range x.Running {
+		if u.Adapter != "" {
+			c.depot.AdapterUsed(now, u.Key, u.Model, u.Adapter)
+		}
+	}
+	for _, p := range x.Paces {
+		c.depot.SetPace(p.Key, p.Pace)
+	}
+	c.depot.SetRunning(c.running())
+	known := x.Seq
+	if x.Term != c.tenure.Fence {
+		known = -1
+	}
+	r.Seq = c.seq
+	if c.memberSeq > known {
+		r.Members = c.memberList()
+	}
 	for _, p := range c.reports {
-		if !p.asked.IsZero() {
-			r.Reports = append(r.Reports, TimedReport{
-				Report: p.report,
-				Age:    now.Sub(p.asked),
-			})
+		if p.asked.IsZero() {
+			continue
+		}
+		l := LoadReport{
+			Engine:    p.number,
+			Age:       now.Sub(p.asked),
+			Active:    p.report.Active,
+			Queued:    p.report.Queued,
+			CacheUsed: p.report.CacheUsed,
+			Busy:      p.report.Busy,
 		}
+		if p.stateSeq > known {
+			l.State = &EngineState{
+				Key:        p.report.Key,
+				Models:     p.report.Models,
+				Orders:     p.report.Orders,
+				CacheTotal: p.report.CacheTotal,
+			}
+		}
+		r.Reports = append(r.Reports, l)
 	}
 	for key, models := range c.depot.Closing() {
 		r.Closing = append(r.Closing, Closing{
@@ -573,7 +630,6 @@
 			Models: models,
 		})
 	}
-	m.reply <- r
 }
 
 func (c *Coordinator) running() []depot.Running {
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -215,6 +215,7 @@
 		Node:        name,
 		Address:     name,
 		Domain:      "north",
+		Capacity:    1,
 		Incarnation: fmt.Sprint(time.Now().UnixNano()),
 		Clock:       clk,
 		Log:         log,
@@ -491,3 +492,25 @@
 		t.Errorf("%d tokens admitted in a second without contact, the fraction is 500", admitted)
 	}
 }
+
+// TestDeputies guards against a small node coordinating a fleet that has larger
+// ones: with 74 nodes that took twice the processor of the smallest machines.
+func TestDeputies(t *testing.T) {
+	var members []Member
+	for i := range 20 {
+		members = append(members, Member{
+			Node:     fmt.Sprintf("n%02d", i),
+			Capacity: []float64{0.144, 0.144, 0.144, 0.8}[i%4],
+		})
+	}
+	got := deputiesOf(members)
+	if len(got) != deputies {
+		t.Fatalf("deputies %v", got)
+	}
+	for _, name := range got {
+		i := slices.IndexFunc(members, func(m Member) bool { return m.Node == name })
+		if members[i].Capacity != 0.8 {
+			t.Errorf("%s with capacity %v is a deputy", name, members[i].Capacity)
+		}
+	}
+}
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -66,6 +66,16 @@
 	// Resign asks the receiver to give no further orders, because the sender
 	// holds the lease with this fence.
 	Resign int64 `cbor:"16,keyasint,omitempty"`
+	// Brief asks for tokens only; the rest of the answer is left out.
+	Brief bool `cbor:"17,keyasint,omitempty"`
+	// Term and Seq name the last answer of the coordinator that the sender took
+	// over, so that the next one tells only what has changed since.
+	Term int64 `cbor:"18,keyasint,omitempty"`
+	Seq  int64 `cbor:"19,keyasint,omitempty"`
+	// StoreAge is how long ago the store last answered the sender itself.
+	StoreAge time.Duration `cbor:"20,keyasint,omitempty"`
+	// Capacity is the sender's part of a core.
+	Capacity float64 `cbor:"21,keyasint,omitempty"`
 }
 
 // Pace is how long an engine takes for a unit of work, relative to others.
@@ -100,10 +110,25 @@
 	return nil
 }
 
-// TimedReport is an engine's report with its age when the message was sent.
-type TimedReport struct {
-	Report fleet.Report  `cbor:"1,keyasint"`
-	Age    time.Duration `cbor:"2,keyasint"`
+// LoadReport is an engine's load with its age when the message was sent. The
+// engine is named by a number, which the coordinator gives with State.
+type LoadReport struct {
+	Engine    int           `cbor:"1,keyasint"`
+	Age       time.Duration `cbor:"2,keyasint"`
+	Active    int           `cbor:"3,keyasint,omitempty"`
+	Queued    int           `cbor:"4,keyasint,omitempty"`
+	CacheUsed int           `cbor:"5,keyasint,omitempty"`
+	Busy      bool          `cbor:"6,keyasint,omitempty"`
+	// State is set when it has changed since the answer that the node named.
+	State *EngineState `cbor:"7,keyasint,omitempty"`
+}
+
+// EngineState is what changes rarely in an engine's report.
+type EngineState struct {
+	Key        fleet.Key        `cbor:"1,keyasint"`
+	Models     []fleet.Resident `cbor:"2,keyasint,omitempty"`
+	Orders     int64            `cbor:"3,keyasint,omitempty"`
+	CacheTotal int              `cbor:"4,keyasint,omitempty"`
 }
 
 // Member is a node as the coordinator knows it.
@@ -111,6 +136,7 @@
 	Node     string  `cbor:"1,keyasint"`
 	Address  string  `cbor:"2,keyasint"`
 	Fraction float64 `cbor:"3,keyasint"`
+	Capacity float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // Closing are models that are about to be unloaded at an engine.
@@ -127,18 +153,24 @@
 	Leader      string `cbor:"2,keyasint,omitempty"`
 	// Fraction is what the node may admit of each rate while it cannot reach the
 	// coordinator.
-	Fraction      float64       `cbor:"3,keyasint,omitempty"`
-	Loans         []grant.Loan  `cbor:"4,keyasint,omitempty"`
-	Members       []Member      `cbor:"5,keyasint,omitempty"`
-	ConfigVersion int64         `cbor:"6,keyasint,omitempty"`
-	Config        *Document     `cbor:"7,keyasint,omitempty"`
-	ListingFrom   int64         `cbor:"9,keyasint,omitempty"`
-	Listing       *Listing      `cbor:"10,keyasint,omitempty"`
-	Reports       []TimedReport `cbor:"11,keyasint,omitempty"`
-	Closing       []Closing     `cbor:"12,keyasint,omitempty"`
-	Lease         *LeaseRow     `cbor:"13,keyasint,omitempty"`
+	Fraction      float64      `cbor:"3,keyasint,omitempty"`
+	Loans         []grant.Loan `cbor:"4,keyasint,omitempty"`
+	Members       []Member     `cbor:"5,keyasint,omitempty"`
+	ConfigVersion int64        `cbor:"6,keyasint,omitempty"`
+	Config        *Document    `cbor:"7,keyasint,omitempty"`
+	ListingFrom   int64        `cbor:"9,keyasint,omitempty"`
+	Listing       *Listing     `cbor:"10,keyasint,omitempty"`
+	Reports       []LoadReport `cbor:"11,keyasint,omitempty"`
+	Closing       []Closing    `cbor:"12,keyasint,omitempty"`
+	Lease         *LeaseRow    `cbor:"13,keyasint,omitempty"`
 	// StoreAge is how long ago the store last answered the sender.
 	StoreAge time.Duration `cbor:"14,keyasint,omitempty"`
+	// ViewAge is how long ago the store last confirmed what the sender knows, by
+	// the sender's own reads or those of a node that it heard.
+	ViewAge time.Duration `cbor:"16,keyasint,omitempty"`
+	// Term and Seq name this answer.
+	Term int64 `cbor:"17,keyasint,omitempty"`
+	Seq  int64 `cbor:"18,keyasint,omitempty"`
 	// Handover answers Resign: the sender gives no orders any more.
 	Handover *Handover `cbor:"15,keyasint,omitempty"`
 }
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -1,10 +1,12 @@
 package lead
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -14,6 +16,7 @@
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/lease"
+	"trefoildale.example/trefoildale/internal/rank"
 	"trefoildale.example/trefoildale/internal/serve"
 	"trefoildale.example/trefoildale/internal/steer"
 	"trefoildale.example/trefoildale/internal/store"
@@ -24,7 +27,22 @@
 	// more than exchangeNodes nodes it grows with their number, so that the
 	// coordinator's work does not.
 	exchangeEvery = 250 * time.Millisecond
-	exchangeNodes = 32
+	exchangeNodes = 24
+	// exchangeMost bounds it: a node that is silent for longer counts as lost.
+	exchangeMost = 450 * time.Millisecond
+	// paceEvery is how often a node tells the paces of engines.
+	paceEvery = 2 * time.Second
+	// deputies is how many nodes read the store and compete for the lease while
+	// the coordinator answers but the store does not answer it.
+	deputies = 3
+	// fullCapacity is the part of a core from which a node can coordinate a large
+	// fleet: the work takes 0.28 of a core with 74 nodes and 95 endpoints. Smaller
+	// nodes wait up to startDelay before they compete for the first time.
+	fullCapacity = 0.4
+	startDelay   = 800 * time.Millisecond
+	// electLater is in how many lease terms the other nodes compete when the
+	// coordinator does not answer.
+	electLater = 2
 	// exchangeTimeout is when an exchange counts as lost.
 	exchangeTimeout = 400 * time.Millisecond
 	// kickPause is the least time between two exchanges that are sent early.
@@ -62,6 +80,8 @@
 	Peers       Peers
 	Engines     Engines
 	Table       *steer.Table
+	// Capacity is this node's part of a core. Larger nodes coordinate.
+	Capacity float64
 	// Seeds are addresses of nodes that may be there.
 	Seeds []string
 	// Decode reads a configuration.
@@ -104,6 +124,17 @@
 	heard *LeaseRow
 	own   *LeaseRow
 	lost  bool // the coordinator did not answer
+	// deputy tells that this node is one of the deputies.
+	deputy bool
+	// confirmed is when the store last confirmed what this node knows, by its own
+	// reads or by those of a node that it heard.
+	confirmed time.Time
+	// term and seq name the last answer of the coordinator, numbers the engines
+	// in it.
+	term    int64
+	seq     int64
+	engines map[int]*EngineState
+	paced   time.Time
 }
 
 // Reader names what reads a table of the store.
@@ -124,6 +155,8 @@
 		coord:    newCoordinator(o),
 		kick:     make(chan struct{}, 1),
 		registry: fleet.NewRegistry(),
+		deputy:   true,
+		engines:  make(map[int]*EngineState),
 	}
 	n.Desk = NewDesk(o.Clock, n.kick)
 	return n
@@ -273,6 +306,9 @@
 		Node: n,
 		k:    k,
 	}
+	if !wait(ctx, n.startDelay()) {
+		return
+	}
 	for {
 		e.step(ctx)
 		if !wait(ctx, electEvery) {
@@ -281,6 +317,12 @@
 	}
 }
 
+// startDelay lets larger nodes that start at the same time coordinate.
+func (n *Node) startDelay() time.Duration {
+	small := max(0, fullCapacity-n.opts.Capacity) / fullCapacity
+	return time.Duration(small * float64(startDelay))
+}
+
 // election is this node's part in the election.
 type election struct {
 	*Node
@@ -368,7 +410,7 @@
 // prepare takes over what was heard, and reports whether to use the store.
 func (e *election) prepare(now time.Time) bool {
 	e.mu.Lock()
-	leaving, heard, lost := e.leaving, e.heard, e.lost
+	leaving, heard, lost, deputy := e.leaving, e.heard, e.lost, e.deputy
 	touch := now.Sub(e.touched) < relayAge
 	answering := !e.answering.IsZero() && now.Sub(e.answering) > competeAfter && e.storeAge(now) < relayStore
 	e.heard, e.lost = nil, false
@@ -398,7 +440,10 @@
 	if lost {
 		e.k.Recheck()
 	}
-	return !touch || !e.valid && answering
+	if touch {
+		return !e.valid && answering
+	}
+	return deputy || e.opts.Clock.Now().Sub(e.touched) > electLater*e.opts.LeaseTerm
 }
 
 func (e *election) report(err error) {
@@ -467,8 +512,11 @@
 // exchange talks to the coordinator, at intervals and when tokens are needed.
 func (n *Node) exchange(ctx context.Context) {
 	lost := false
+	brief := false
+	var full time.Time // when the next full exchange is due
 	for {
-		err := n.exchangeOnce(ctx)
+		began := n.opts.Clock.Now()
+		err := n.exchangeOnce(ctx, brief)
 		if ctx.Err() != nil {
 			return
 		}
@@ -485,14 +533,18 @@
 				n.opts.Log.Info("coordinator reached")
 			}
 		}
-		pause := n.interval()
+		if !brief {
+			full = began.Add(n.interval())
+		}
 		if !wait(ctx, kickPause) {
 			return
 		}
-		t := time.NewTimer(pause)
+		t := time.NewTimer(full.Sub(n.opts.Clock.Now()))
 		select {
 		case <-t.C:
+			brief = false
 		case <-n.kick:
+			brief = n.opts.Clock.Now().Before(full) && err == nil
 		case <-ctx.Done():
 		}
 		t.Stop()
@@ -502,12 +554,13 @@
 func (n *Node) interval() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return exchangeEvery * time.Duration(max(1, len(n.members)/exchangeNodes))
+	return min(exchangeMost, exchangeEvery*time.Duration(max(1, len(n.members)/exchangeNodes)))
 }
 
 var errNoCoordinator = errors.New("lead: no coordinator is known")
 
-func (n *Node) exchangeOnce(ctx context.Context) error {
+// exchangeOnce talks to the coordinator. A brief exchange is about tokens only.
+func (n *Node) exchangeOnce(ctx context.Context, brief bool) error {
 	n.mu.Lock()
 	address := n.leader
 	own := n.holds
@@ -517,7 +570,11 @@
 	}
 	sent := n.opts.Clock.Now()
 	x := n.message(sent)
+	x.Brief = brief
 	n.usage.fill(x)
+	if !brief {
+		n.addPaces(sent, x)
+	}
 	r, err := n.ask(ctx, address, own, x)
 	if err != nil {
 		return err
@@ -527,8 +584,12 @@
 		return errNoCoordinator
 	}
 	n.mu.Lock()
-	n.touched, n.heard = sent, r.Lease
-	if r.StoreAge < relayStore {
+	n.touched = sent
+	if r.Lease != nil {
+		n.heard = r.Lease
+	}
+	// Deputies read the store themselves while it does not answer the coordinator.
+	if r.StoreAge < relayStore || r.ViewAge < relayStore && !n.deputy {
 		n.relayed = sent
 	}
 	n.mu.Unlock()
@@ -561,7 +622,6 @@
 // message returns what every exchange says.
 func (n *Node) message(now time.Time) *Exchange {
 	draws := n.Desk.draws(now)
-	paces := n.paces()
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return &Exchange{
@@ -573,20 +633,30 @@
 		ConfigVersion: n.doc.Version,
 		ListingFrom:   n.registry.Version(),
 		Draws:         draws,
-		Paces:         paces,
+		Term:          n.term,
+		Seq:           n.seq,
+		Capacity:      n.opts.Capacity,
+		StoreAge:      n.storeAge(now),
 	}
 }
 
-// paces returns what this node has learned of the engines.
-func (n *Node) paces() []Pace {
-	var out []Pace
+// addPaces tells what this node has learned of the engines, now and then.
+func (n *Node) addPaces(now time.Time, x *Exchange) {
+	n.mu.Lock()
+	due := now.Sub(n.paced) > paceEvery
+	if due {
+		n.paced = now
+	}
+	n.mu.Unlock()
+	if !due {
+		return
+	}
 	for key, pace := range n.opts.Table.Paces() {
-		out = append(out, Pace{
+		x.Paces = append(x.Paces, Pace{
 			Key:  key,
 			Pace: pace,
 		})
 	}
-	return out
 }
 
 // listing returns the endpoints for another node. The lock is held.
@@ -620,12 +690,10 @@
 	}
 	n.takeListing(ctx, r.Listing, source)
 	n.know(ctx, r.Members)
-	if !r.Coordinator {
+	if !r.Coordinator || r.Seq == 0 {
 		return
 	}
-	for _, t := range r.Reports {
-		n.opts.Table.SetReport(sent.Add(-t.Age), t.Report)
-	}
+	n.takeReports(sent, r)
 	closing := make(map[fleet.Key][]string, len(r.Closing))
 	for _, c := range r.Closing {
 		closing[c.Key] = c.Models
@@ -633,6 +701,41 @@
 	n.opts.Table.SetClosing(closing)
 }
 
+// takeReports takes over the engines' loads from a full answer.
+func (n *Node) takeReports(sent time.Time, r *Reply) {
+	n.mu.Lock()
+	if r.Term != n.term {
+		clear(n.engines)
+	}
+	n.term, n.seq = r.Term, r.Seq
+	reports := make([]fleet.Report, 0, len(r.Reports))
+	ages := make([]time.Duration, 0, len(r.Reports))
+	for _, l := range r.Reports {
+		if l.State != nil {
+			n.engines[l.Engine] = l.State
+		}
+		s := n.engines[l.Engine]
+		if s == nil {
+			continue
+		}
+		reports = append(reports, fleet.Report{
+			Key:        s.Key,
+			Models:     s.Models,
+			Orders:     s.Orders,
+			CacheTotal: s.CacheTotal,
+			Busy:       l.Busy,
+			Active:     l.Active,
+			Queued:     l.Queued,
+			CacheUsed:  l.CacheUsed,
+		})
+		ages = append(ages, l.Age)
+	}
+	n.mu.Unlock()
+	for i, rep := range reports {
+		n.opts.Table.SetReport(sent.Add(-ages[i]), rep)
+	}
+}
+
 // know takes over the members of the fleet.
 func (n *Node) know(ctx context.Context, members []Member) {
 	if len(members) == 0 {
@@ -640,6 +743,7 @@
 	}
 	n.mu.Lock()
 	n.members = members
+	n.deputy = slices.Contains(deputiesOf(members), n.opts.Node)
 	n.mu.Unlock()
 	n.coord.post(ctx, membersKnown{
 		list: members,
@@ -648,6 +752,23 @@
 	n.opts.Table.SetNodes(len(members))
 }
 
+// deputiesOf names the members that stand in for the coordinator: the largest
+// ones, and among equals the first by rendezvous hashing.
+func deputiesOf(members []Member) []string {
+	order := slices.Clone(members)
+	slices.SortFunc(order, func(a, b Member) int {
+		if a.Capacity != b.Capacity {
+			return cmp.Compare(b.Capacity, a.Capacity)
+		}
+		return cmp.Compare(rank.Score(leaseKey, b.Node), rank.Score(leaseKey, a.Node))
+	})
+	var out []string
+	for _, m := range order[:min(deputies, len(order))] {
+		out = append(out, m.Node)
+	}
+	return out
+}
+
 func (n *Node) takeListing(ctx context.Context, l *Listing, source string) {
 	if l == nil {
 		return
@@ -688,6 +809,13 @@
 	if !r.Coordinator {
 		r.Members = n.members
 	}
+	now := n.opts.Clock.Now()
+	if x.ConfigVersion <= n.doc.Version && x.ListingFrom <= n.registry.Version() {
+		// The sender's reads of the store confirm what this node knows.
+		if at := now.Add(-x.StoreAge); at.After(n.confirmed) {
+			n.confirmed = at
+		}
+	}
 	r.ConfigVersion = n.doc.Version
 	if x.ConfigVersion < n.doc.Version {
 		doc := n.doc
@@ -697,7 +825,11 @@
 	if x.ListingFrom < n.registry.Version() {
 		r.Listing = n.listing()
 	}
-	r.Lease, r.StoreAge = n.own, n.storeAge(n.opts.Clock.Now())
+	r.StoreAge = n.storeAge(now)
+	r.ViewAge = min(r.StoreAge, now.Sub(n.confirmed))
+	if !x.Brief {
+		r.Lease = n.own
+	}
 	return &r, nil
 }
 
@@ -768,8 +900,9 @@
 			n.Desk.setFraction(m.Fraction)
 		}
 	}
-	if n.leader == "" && r.Leader != "" {
+	if r.Leader != "" && r.Leader != n.leader && n.opts.Clock.Now().Sub(n.touched) > relayAge {
 		n.leader = r.Leader
+		n.hurry()
 	}
 }
 
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -192,7 +192,10 @@
 	if !l.exists {
 		return store.Row{}, false
 	}
-	value, err := cbor.Marshal(l.rec)
+	rec := l.rec
+	// The note is for those who read the table.
+	rec.Note = nil
+	value, err := cbor.Marshal(rec)
 	if err != nil {
 		// The record has only strings, bytes and integers, which always encode.
 		panic("lease: encode record: " + err.Error())
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -123,6 +123,7 @@
 		Address:     set.Listen.Peers,
 		Domain:      set.Node.Domain,
 		Incarnation: incarnation,
+		Capacity:    set.Node.Capacity,
 		Clock:       clk,
 		Log:         log.Logger,
 		Rows:        store.Rows(platform.OwnTable),
