lead: hand bucket levels and followers over to a new coordinator

Cause: after a change of coordinator nodes learned the new one from the lease or by chance from another node, up to 1.5 s later, the new buckets were almost empty, and a coordinator without reports said that no engine holds a model, so that requests with adapters failed after 4 tries within 10 ms.

--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"fmt"
+	"io"
+	"os"
 	"time"
 
 	"github.com/urfave/cli/v3"
 
+	"trefoildale.example/trefoildale/internal/trail"
 	"trefoildale.example/trefoildale/pkg/admin"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
@@ -16,15 +19,55 @@
 		Name:      "explain",
 		Usage:     "tell in plain sentences what happened and why",
 		ArgsUsage: "request ID | workspace NAME | model NAME | last DURATION",
-		Action:    explain,
+		Flags: []cli.Flag{
+			&cli.StringSliceFlag{
+				Name:  "log",
+				Usage: "read a log file instead of asking a node, - for standard input; may be repeated",
+			},
+		},
+		Action: explain,
 	}
 }
 
+// explainLogs tells from log files what happened to a request.
+func explainLogs(cmd *cli.Command, kind, id string, files []string) error {
+	if kind != "request" {
+		return Usagef("explain: logs tell of a request ID only, not of a %s", kind)
+	}
+	var logs []io.Reader
+	for _, name := range files {
+		if name == "-" {
+			logs = append(logs, cmd.Root().Reader)
+			continue
+		}
+		f, err := os.Open(name)
+		if err != nil {
+			return Usagef("--log: %w", err)
+		}
+		defer f.Close()
+		logs = append(logs, f)
+	}
+	lines, err := trail.Explain(id, logs...)
+	if err != nil {
+		return err
+	}
+	if len(lines) == 0 {
+		lines = []string{"The logs have no line about request " + id + "."}
+	}
+	for _, l := range lines {
+		fmt.Fprintln(cmd.Root().Writer, l)
+	}
+	return nil
+}
+
 func explain(ctx context.Context, cmd *cli.Command) error {
 	args, err := operands(cmd, "request, workspace, model or last", "what to explain")
 	if err != nil {
 		return err
 	}
+	if files := cmd.StringSlice("log"); len(files) > 0 {
+		return explainLogs(cmd, args[0], args[1], files)
+	}
 	var q admin.Query
 	switch args[0] {
 	case "request":
--- a/internal/depot/adapter.go
+++ b/internal/depot/adapter.go
@@ -31,6 +31,10 @@
 	if e == nil || e.Born != key.Born || e.Leaving {
 		return nil, ErrGone
 	}
+	if e.reported.IsZero() {
+		// What the engine holds is not known yet.
+		return nil, ErrLater
+	}
 	r := fleet.Find(e.models, modelName)
 	if r == nil {
 		return nil, ErrGone
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -238,3 +238,29 @@
 		t.Error("tokens were spent after their term")
 	}
 }
+
+// TestHandover guards against refusals after a change of coordinator although
+// the former one had tokens left, and against issuing more than the burst.
+func TestHandover(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := map[string]Limit{"w": {Rate: 1000, Burst: 5000}}
+	former := NewIssuer(0, true)
+	former.SetLimits(now, limits)
+	if got := former.Issue(now, "w", 2000, 0); got != 2000 {
+		t.Fatalf("the former issued %v", got)
+	}
+	next := NewIssuer(500, false)
+	next.SetLimits(now, limits)
+	for name, level := range former.Levels(now) {
+		next.Inherit(now, name, level)
+	}
+	if got := next.Issue(now, "w", 9000, 0); got != 3500 {
+		t.Errorf("the next issued %v, want the 3,000 that were left and its own 500", got)
+	}
+	owing := NewIssuer(500, false)
+	owing.SetLimits(now, limits)
+	owing.Inherit(now, "w", -800)
+	if got := owing.Issue(now, "w", 100, 0); got != 0 {
+		t.Errorf("%v were issued although the former one owed more", got)
+	}
+}
--- a/internal/grant/issuer.go
+++ b/internal/grant/issuer.go
@@ -122,6 +122,25 @@
 // request larger than the burst.
 const fullEnough = 0.98
 
+// Inherit adds what a former issuer had not issued when it stopped.
+func (s *Issuer) Inherit(now time.Time, workspace string, level float64) {
+	b := s.buckets[workspace]
+	if b == nil {
+		return
+	}
+	b.fill(now, s.part)
+	b.level = min(b.limit.Burst, b.level+level)
+}
+
+// Levels returns the tokens that all buckets hold.
+func (s *Issuer) Levels(now time.Time) map[string]float64 {
+	out := make(map[string]float64, len(s.buckets))
+	for name := range s.buckets {
+		out[name] = s.Level(now, name)
+	}
+	return out
+}
+
 // Level returns the tokens that a workspace's bucket holds, for logs and tests.
 func (s *Issuer) Level(now time.Time, workspace string) float64 {
 	b := s.buckets[workspace]
--- a/internal/lead/coordinator.go
+++ b/internal/lead/coordinator.go
@@ -311,12 +311,19 @@
 		return nil
 	}
 	c.resigned = max(c.resigned, fence)
-	if c.active {
-		c.end("another node holds the lease")
-	}
 	h := &Handover{
 		Others: max(0, c.ordersFrom().Sub(now)),
 	}
+	if c.active {
+		// The levels are told once; a second question gets none.
+		for name, level := range c.issuer.Levels(now) {
+			h.Levels = append(h.Levels, grant.Loan{
+				Workspace: name,
+				Tokens:    level,
+			})
+		}
+		c.end("another node holds the lease")
+	}
 	for key, at := range c.depot.Issued(now) {
 		h.Engines = append(h.Engines, EngineHold{
 			Key: key,
@@ -342,6 +349,9 @@
 		engines[e.Key] = m.at.Add(e.In)
 	}
 	c.depot.Hold(m.at.Add(m.handover.Others), engines)
+	for _, l := range m.handover.Levels {
+		c.issuer.Inherit(now, l.Workspace, l.Tokens)
+	}
 	c.log.Info("former coordinator resigned", "former", c.tenure.Former, "engines", len(engines),
 		"others-in-ms", m.at.Add(m.handover.Others).Sub(now).Milliseconds())
 }
@@ -448,7 +458,7 @@
 }
 
 func (m ordered) apply(ctx context.Context, c *Coordinator, now time.Time) {
-	if m.err != nil || m.answer != depot.Accepted {
+	if m.answer == depot.Lost || m.answer == depot.Refused {
 		text := ""
 		if m.err != nil {
 			text = m.err.Error()
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -88,6 +88,8 @@
 type Handover struct {
 	Engines []EngineHold  `cbor:"1,keyasint,omitempty"`
 	Others  time.Duration `cbor:"2,keyasint"`
+	// Levels are what the former coordinator had not issued.
+	Levels []grant.Loan `cbor:"3,keyasint,omitempty"`
 }
 
 // EngineHold is in what time an engine may be given orders.
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -581,6 +581,7 @@
 	}
 	n.take(ctx, sent, r, "coordinator")
 	if !r.Coordinator {
+		n.follow(r.Leader, address)
 		return errNoCoordinator
 	}
 	n.mu.Lock()
@@ -597,6 +598,18 @@
 	return n.push(ctx, address, own, r)
 }
 
+// follow takes over whom a node that is no longer coordinator follows.
+func (n *Node) follow(leader, former string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if leader == "" || leader == former || n.leader != former {
+		return
+	}
+	n.opts.Log.Info("coordinator known", "address", leader, "before", former)
+	n.leader = leader
+	n.hurry()
+}
+
 // push gives the other side what it lacks.
 func (n *Node) push(ctx context.Context, address string, own bool, r *Reply) error {
 	n.mu.Lock()
@@ -805,6 +818,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if r.Handover != nil {
+		n.leader = x.Address
+	}
 	r.Leader = n.leader
 	if !r.Coordinator {
 		r.Members = n.members
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -36,7 +36,7 @@
 		if err == nil {
 			return choice, nil
 		}
-		if errors.Is(err, steer.ErrNoEndpoint) && len(q.Exclude) > 0 && c.unsent > 0 && c.ran == 0 {
+		if errors.Is(err, steer.ErrNoEndpoint) && len(q.Exclude) > 0 && (c.unsent > 0 || c.fetching > 0) && c.ran == 0 {
 			// Those that took no connection may take one now.
 			q.Exclude = nil
 		}
@@ -83,7 +83,8 @@
 	defer cancel()
 	began := c.opts.Clock.Now()
 	err := c.opts.Demand.FetchAdapter(bounded, choice.Endpoint, c.q.Model, c.q.Adapter)
-	c.fetching += c.opts.Clock.Now().Sub(began)
+	took := c.opts.Clock.Now().Sub(began)
+	c.fetching += took
 	if err == nil {
 		return false, nil
 	}
@@ -96,12 +97,13 @@
 		return false, c.ended(ctx)
 	}
 	c.excludeEndpoint(key)
+	if took < recheck {
+		// Without a coordinator every endpoint fails at once.
+		c.pause(ctx, nil, recheck)
+		c.fetching += recheck
+	}
 	if c.fetching >= adapterWait-recheck {
 		return false, c.unavailable("the adapter could not be loaded in time")
 	}
-	c.unsent++
-	if c.unsent >= maxUnsent {
-		return false, c.unavailable("the adapter could not be loaded")
-	}
 	return true, nil
 }
--- /dev/null
+++ b/internal/trail/explain.go
@@ -0,0 +1,154 @@
+package trail
+
+import (
+	"bufio"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+const (
+	// contextBefore is how long before a request's first line other lines of the
+	// same process are shown.
+	contextBefore = 3 * time.Second
+	// maxLine bounds a line of a log.
+	maxLine = 1 << 20
+)
+
+// line is one line of a log.
+type line struct {
+	Time    time.Time `json:"time"`
+	Message string    `json:"msg"`
+	Node    string    `json:"node"`
+	Request string    `json:"request"`
+
+	fields map[string]any
+}
+
+// sentences tell what a line means. A word in braces is the value of a field.
+var sentences = map[string]string{
+	"request sent":                 "{node} sent the request to {endpoint}, which had {load} requests by a report of {report-age-ms} ms before, under configuration {config}.",
+	"request served":               "{node} passed on the whole answer of {endpoint} with status {status} after {total-ms} ms.",
+	"request failed":               "{node} ended the request with status {status} ({code}): {why}. Attempts sent: {sent}; that may have run: {ran}. Last error: {error}.",
+	"request over rate":            "Workspace {workspace} had no tokens left for the {tokens} of the request; its rate is {rate} a second under configuration {config}.",
+	"request repeated":             "{node} tried again after {endpoint}: {why}. {error}",
+	"stream resumed":               "{node} resumed the stream after event {after-event}, which {endpoint} had broken off. {error}",
+	"endpoint not reached":         "{endpoint} took no connection, so nothing was sent: {error}.",
+	"endpoint turned request away": "{endpoint} answered {status} and did not run the request.",
+	"request waits for model":      "No endpoint held model {model}; the request waited for it.",
+	"adapter not loaded":           "Adapter {adapter} of model {model} was not loaded at {endpoint}: {error}.",
+	"coordinator not reached":      "{node} lost the coordinator and admitted by its own fraction of the rates: {error}.",
+	"coordinator reached":          "{node} reached the coordinator again.",
+	"coordinator known":            "{node} follows the coordinator at {address}.",
+	"coordinator begins":           "{node} became coordinator; its first order was allowed in {orders-in-ms} ms.",
+	"coordinator ends":             "{node} was no longer coordinator: {why}.",
+	"store lost":                   "The store no longer answered {node}: {error}.",
+	"store regained":               "The store answered {node} again.",
+	"configuration in force":       "Configuration {config} came into force at {node}, read from {source}.",
+	"endpoints changed":            "The list of endpoints changed at {node}: added {added}, removed {removed}, leaving {leaving}.",
+	"stop requested":               "{node} was told to stop with {active} requests under way.",
+	"process started":              "{node} started.",
+	"log lines dropped":            "{node} left {count} lines out of its log.",
+	"former coordinator resigned":  "The coordinator before resigned, so that orders need not wait.",
+	"member removed":               "{member} was silent for {silent-ms} ms and is no longer counted.",
+	"engine gives no report":       "{endpoint} gave no report: {error}.",
+	"lease not reached":            "{node} could not read or write the coordinator's lease: {error}.",
+	"configuration not usable":     "A configuration could not be used: {error}.",
+	"entry names no endpoint":      "Entry {entry} names no endpoint: {error}.",
+	"settings read again":          "{node} read its settings again.",
+	"process ends":                 "{node} ended with {active} requests under way.",
+}
+
+// Explain tells from logs what happened to a request: its own lines, and what
+// the processes that handled it noted shortly before. Lines that are no JSON
+// objects are passed over.
+func Explain(id string, logs ...io.Reader) ([]string, error) {
+	var all []line
+	for _, r := range logs {
+		in := bufio.NewScanner(r)
+		in.Buffer(nil, maxLine)
+		for in.Scan() {
+			if l, ok := parse(in.Bytes()); ok {
+				all = append(all, l)
+			}
+		}
+		if err := in.Err(); err != nil {
+			return nil, fmt.Errorf("trail: read log: %w", err)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b line) int { return a.Time.Compare(b.Time) })
+	first := map[string]time.Time{}
+	last := map[string]time.Time{}
+	for _, l := range all {
+		if l.Request != id {
+			continue
+		}
+		if _, ok := first[l.Node]; !ok {
+			first[l.Node] = l.Time
+		}
+		last[l.Node] = l.Time
+	}
+	var out []string
+	for _, l := range all {
+		from, ok := first[l.Node]
+		near := ok && l.Request == "" && l.Time.After(from.Add(-contextBefore)) && !l.Time.After(last[l.Node])
+		if l.Request == id || near && sentences[l.Message] != "" {
+			out = append(out, l.Time.Format("15:04:05.000 ")+l.sentence())
+		}
+	}
+	return out, nil
+}
+
+// parse reads a line. A log that was collected may have a prefix before it.
+func parse(b []byte) (line, bool) {
+	text := string(b)
+	at := strings.IndexByte(text, '{')
+	if at < 0 {
+		return line{}, false
+	}
+	var l line
+	if err := json.Unmarshal([]byte(text[at:]), &l); err != nil || l.Message == "" {
+		return line{}, false
+	}
+	// It was read as an object a moment ago.
+	_ = json.Unmarshal([]byte(text[at:]), &l.fields)
+	return l, true
+}
+
+func (l *line) sentence() string {
+	pattern := sentences[l.Message]
+	if pattern == "" {
+		pattern = l.Message + " at {node}."
+	}
+	var out strings.Builder
+	for {
+		before, rest, ok := strings.Cut(pattern, "{")
+		out.WriteString(before)
+		if !ok {
+			return strings.TrimSpace(out.String())
+		}
+		name, after, _ := strings.Cut(rest, "}")
+		fmt.Fprint(&out, cmp.Or(text(l.fields[name]), "(none)"))
+		pattern = after
+	}
+}
+
+func text(v any) string {
+	switch v := v.(type) {
+	case nil:
+		return ""
+	case float64:
+		return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.2f", v), "0"), ".")
+	case []any:
+		parts := make([]string, len(v))
+		for i, x := range v {
+			parts[i] = text(x)
+		}
+		return strings.Join(parts, ", ")
+	}
+	return fmt.Sprint(v)
+}
--- /dev/null
+++ b/internal/trail/trail_test.go
@@ -0,0 +1,110 @@
+package trail
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// slowWriter blocks until it is released.
+type slowWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	out     bytes.Buffer
+}
+
+func (w *slowWriter) Write(b []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.out.Write(b)
+}
+
+// TestNeverBlocks guards against a request waiting for the log, and against an
+// unbounded log: lines beyond the rate are dropped, counted and told of.
+func TestNeverBlocks(t *testing.T) {
+	w := &slowWriter{release: make(chan struct{})}
+	log, closeLog := New(w, "node", "n1")
+	began := time.Now()
+	for range 50000 {
+		log.Info("request sent", "request", "r")
+	}
+	if took := time.Since(began); took > 5*time.Second {
+		t.Errorf("50,000 lines took %v with an output that blocks", took)
+	}
+	if log.Dropped() < 40000 {
+		t.Errorf("%d lines were dropped", log.Dropped())
+	}
+	time.Sleep(1100 * time.Millisecond)
+	log.Warn("request failed", "request", "r")
+	close(w.release)
+	closeLog()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	lines := strings.Split(strings.TrimSpace(w.out.String()), "\n")
+	told := false
+	for _, l := range lines {
+		var fields map[string]any
+		if err := json.Unmarshal([]byte(l), &fields); err != nil || fields["node"] != "n1" {
+			t.Fatalf("line %q: %v", l, err)
+		}
+		told = told || fields["msg"] == "log lines dropped" && fields["count"].(float64) > 40000
+	}
+	if !told || !strings.Contains(lines[len(lines)-1], "request failed") {
+		t.Errorf("the dropped lines were not told of: %q", lines[max(0, len(lines)-3):])
+	}
+}
+
+// TestWarningsSurvive guards against failures missing from the log because of
+// many other lines.
+func TestWarningsSurvive(t *testing.T) {
+	var out bytes.Buffer
+	log, closeLog := New(&out)
+	for range 5 * infoPerSecond {
+		log.Info("request sent")
+	}
+	log.Warn("request failed")
+	closeLog()
+	if !strings.Contains(out.String(), "request failed") {
+		t.Error("the failure is not in the log")
+	}
+}
+
+// TestExplain guards against an explanation that lacks a line of the request or
+// what its node noted before, or that takes lines of others for it.
+func TestExplain(t *testing.T) {
+	logs := []string{`
+{"time":"2026-01-01T00:00:00Z","level":"INFO","msg":"coordinator known","node":"n1","address":"old"}
+{"time":"2026-01-01T00:00:08Z","level":"WARN","msg":"store lost","node":"n1","error":"no answer"}
+noise
+{"time":"2026-01-01T00:00:10Z","level":"INFO","msg":"request sent","node":"n1","request":"r1","endpoint":"e1","load":3.5,"report-age-ms":120,"config":7}
+{"time":"2026-01-01T00:00:10.5Z","level":"INFO","msg":"request sent","node":"n1","request":"r2","endpoint":"e2","load":1,"report-age-ms":1,"config":7}
+  10.2 n1 {"time":"2026-01-01T00:00:11Z","level":"WARN","msg":"request failed","node":"n1","request":"r1","status":502,"code":"answer-lost","why":"it broke off","sent":1,"ran":1,"error":"reset"}
+`, `
+{"time":"2026-01-01T00:00:09Z","level":"WARN","msg":"store lost","node":"n2","error":"elsewhere"}
+`}
+	got, err := Explain("r1", readers(logs)...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []string{
+		"00:00:08.000 The store no longer answered n1: no answer.",
+		"00:00:10.000 n1 sent the request to e1, which had 3.5 requests by a report of 120 ms before, under configuration 7.",
+		"00:00:11.000 n1 ended the request with status 502 (answer-lost): it broke off. Attempts sent: 1; that may have run: 1. Last error: reset.",
+	}
+	if strings.Join(got, "\n") != strings.Join(want, "\n") {
+		t.Errorf("explained as\n%s\nwant\n%s", strings.Join(got, "\n"), strings.Join(want, "\n"))
+	}
+}
+
+func readers(texts []string) []io.Reader {
+	out := make([]io.Reader, len(texts))
+	for i, text := range texts {
+		out[i] = strings.NewReader(text)
+	}
+	return out
+}
