lead, depot: let a stopping process go on admitting, evict idle models sooner

Cause, both found by the new test of whole processes: a process that was told to stop told the coordinator that it leaves and got no tokens for the requests that it still takes for 2.9 s, so that they were refused; and a model waited 4.8 s behind the only copy of another one that nobody had asked for since 1 s. A process now leaves at its end. Where requests wait, the only copy of a model that serves none and was not asked for in 1.2 s makes room. The test ran red with the code before in both places and is green with this.

--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -67,6 +67,9 @@
 	// idleAfter is how long nobody must have asked for the only copy of a model
 	// before it makes room for others.
 	idleAfter = 4 * time.Second
+	// idleForced is the same where requests wait for a model that nobody holds
+	// and the copy serves none.
+	idleForced = 1200 * time.Millisecond
 	// ceilingUse is the part of the weight store's rate that is used, and
 	// ceilingBurst how many loads may begin at once.
 	ceilingUse   = 0.9
--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -365,3 +365,46 @@
 	}
 	t.Error("no copy of the busy model was ordered within 3 s")
 }
+
+// TestForcedEviction guards against a model staying unreachable behind one that
+// was asked for shortly before and serves nobody now, and against evicting the
+// only copy of a model that serves requests.
+func TestForcedEviction(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		running int
+		within  time.Duration
+		want    bool
+	}{
+		{name: "serves nobody", within: 2500 * time.Millisecond, want: true},
+		{name: "serves a request", running: 1, within: 3500 * time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			d := New(now, now)
+			d.SetConfig(now, testConfig(6))
+			e := fleet.Endpoint{ID: "e0", Born: 1, Service: "lm"}
+			d.SetEndpoints([]fleet.Endpoint{e})
+			d.Arrived(now, "lm", "m0", 100)
+			d.Arrived(now, "lm", "m1", 100)
+			unloaded := false
+			for end := now.Add(tc.within); now.Before(end); now = now.Add(50 * time.Millisecond) {
+				d.SetReport(now, fleet.Report{
+					Key:    e.Key(),
+					Models: []fleet.Resident{{Model: "m0"}, {Model: "m1"}, {Model: "m2"}},
+					OnDisk: []string{"m4"},
+				})
+				d.Arrived(now, "lm", "m2", 1)
+				d.SetWaiting(now, []Waiting{{Service: "lm", Model: "m4", Count: 1}})
+				d.SetRunning([]Running{{Key: e.Key(), Model: "m0", Count: tc.running}, {Key: e.Key(), Model: "m1", Count: tc.running}})
+				for _, o := range d.Step(now) {
+					unloaded = unloaded || !o.Load
+					d.Answered(o, Refused)
+				}
+			}
+			if unloaded != tc.want {
+				t.Errorf("unloaded: %v, want %v", unloaded, tc.want)
+			}
+		})
+	}
+}
--- a/internal/depot/plan.go
+++ b/internal/depot/plan.go
@@ -303,7 +303,8 @@
 			continue
 		}
 		others := l.holders[r.Model] - 1
-		idle := now.Sub(x.last) > idleAfter && now.Sub(d.begun) > idleAfter && x.waiting == 0
+		unasked := min(now.Sub(x.last), now.Sub(d.begun))
+		idle := x.waiting == 0 && (unasked > idleAfter || must && unasked > idleForced && d.running[runKey{key: e.Key(), item: r.Model}] == 0)
 		if others < 1 && !idle {
 			continue
 		}
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -284,13 +284,29 @@
 	}
 }
 
-// Stop gives the lease back and tells the coordinator that this node leaves.
+// Stop gives the lease back. The node goes on to admit and serve requests.
 func (n *Node) Stop() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.leaving = true
 }
 
+// Leave tells the coordinator that this node admits no more requests, so that
+// its fraction of the rates is free at once.
+func (n *Node) Leave(ctx context.Context) {
+	n.mu.Lock()
+	address, own := n.leader, n.holds
+	n.mu.Unlock()
+	if address == "" || own {
+		return
+	}
+	x := n.message(n.opts.Clock.Now())
+	x.Draws, x.Leaving = nil, true
+	if _, err := n.ask(ctx, address, false, x); err != nil {
+		n.opts.Log.Info("coordinator not told of the end", "error", err.Error())
+	}
+}
+
 // elect takes part in the election of the coordinator.
 func (n *Node) elect(ctx context.Context) {
 	k := lease.NewKeeper(n.opts.Rows, n.opts.Clock, lease.Settings{
@@ -642,7 +658,6 @@
 		Address:       n.opts.Address,
 		Domain:        n.opts.Domain,
 		Incarnation:   n.opts.Incarnation,
-		Leaving:       n.leaving,
 		ConfigVersion: n.doc.Version,
 		ListingFrom:   n.registry.Version(),
 		Draws:         draws,
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -282,6 +282,7 @@
 		case <-time.After(20 * time.Millisecond):
 		}
 	}
+	p.node.Leave(context.Background())
 	p.log.Info("process ends", "active", p.server.Active(), "after-ms", p.clock.Now().Sub(began).Milliseconds())
 }
 
