lead: keep no more than an equal part back for a silent member

Cause: members are told when they change, so the first member of a fleet stayed in the list with the fraction 1 that it was once told. A line tells now why no tokens are issued.

--- a/internal/lead/coordinator.go
+++ b/internal/lead/coordinator.go
@@ -83,6 +83,8 @@
 	fetches  []*fetch
 	// seq numbers changes that nodes are told of; memberSeq is that of the last
 	// change of the members, and engineCount numbers the engines.
+	// short is when it was last noted that a workspace had no tokens.
+	short       map[string]time.Time
 	seq         int64
 	memberSeq   int64
 	engineCount int
@@ -148,6 +150,7 @@
 		leaseWait: o.LeaseWait,
 		inbox:     make(chan message, 256),
 		members:   make(map[string]*member),
+		short:     make(map[string]time.Time),
 		reports:   make(map[fleet.Key]*polled),
 	}
 }
@@ -198,6 +201,9 @@
 	}
 	c.members = make(map[string]*member, len(m.list))
 	for _, x := range m.list {
+		// The list is told when members change, so a fraction in it may date from
+		// a smaller fleet.
+		x.Fraction = min(x.Fraction, 1/float64(len(m.list)))
 		c.members[x.Node] = &member{
 			Member: x,
 			heard:  now,
@@ -577,6 +583,8 @@
 				Workspace: d.Workspace,
 				Tokens:    got,
 			})
+		} else if d.Need > 0 {
+			c.tellShort(now, x.Node, d)
 		}
 	}
 	if !x.Brief {
@@ -586,6 +594,27 @@
 	m.reply <- r
 }
 
+// shortEvery is the least time between two lines about one workspace without
+// tokens.
+const shortEvery = time.Second
+
+// tellShort notes why a node got no tokens.
+func (c *Coordinator) tellShort(now time.Time, node string, d grant.Draw) {
+	if now.Sub(c.short[d.Workspace]) < shortEvery {
+		return
+	}
+	c.short[d.Workspace] = now
+	c.log.Warn("no tokens to issue", "workspace", d.Workspace, "member", node, "want", d.Want, "need", d.Need,
+		"level", c.issuer.Level(now, d.Workspace), "reserved", c.reserved(now), "members", len(c.members), "config", c.configVersion())
+}
+
+func (c *Coordinator) configVersion() int64 {
+	if c.config == nil {
+		return 0
+	}
+	return c.config.Version
+}
+
 // memberChanged has all nodes told of the members.
 func (c *Coordinator) memberChanged() {
 	c.seq++
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -514,3 +514,28 @@
 		}
 	}
 }
+
+// TestReservedAfterTakeover guards against a new coordinator that issues nothing
+// because the first member, now dead, was once told the whole rate.
+func TestReservedAfterTakeover(t *testing.T) {
+	now := time.Unix(1000, 0)
+	clk := clock.NewFake()
+	c := newCoordinator(Options{Clock: clk, Log: slog.New(slog.DiscardHandler)})
+	ctx := context.Background()
+	membersKnown{list: []Member{
+		{Node: "first", Fraction: 1},
+		{Node: "second", Fraction: 0.5},
+		{Node: "third", Fraction: 1.0 / 3},
+		{Node: "fourth", Fraction: 0.25},
+	}}.apply(ctx, c, now)
+	tenureChanged{tenure: Tenure{Until: now.Add(time.Second), Since: now, Fence: 9, Former: "x"}}.apply(ctx, c, now)
+	later := now.Add(time.Second)
+	for _, name := range []string{"second", "third", "fourth"} {
+		reply := make(chan Reply, 1)
+		exchanged{x: &Exchange{Node: name, Address: name}, reply: reply}.apply(ctx, c, later)
+		<-reply
+	}
+	if got := c.reserved(later.Add(time.Millisecond)); got > 0.25 {
+		t.Errorf("%v of the rates is kept for one silent node of four", got)
+	}
+}
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -153,6 +153,8 @@
 	// members, the configuration and the listing are given.
 	Coordinator bool   `cbor:"1,keyasint,omitempty"`
 	Leader      string `cbor:"2,keyasint,omitempty"`
+	// Since is the version of the lease's row from which Leader is known.
+	Since int64 `cbor:"19,keyasint,omitempty"`
 	// Fraction is what the node may admit of each rate while it cannot reach the
 	// coordinator.
 	Fraction      float64      `cbor:"3,keyasint,omitempty"`
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -109,10 +109,13 @@
 	registry *fleet.Registry
 	silent   bool // the store does not answer this node
 	leader   string
-	holds    bool
-	members  []Member
-	touched  time.Time // last answer of the coordinator
-	leaving  bool
+	// since is the version of the lease's row from which leader is known. What
+	// follows from an older row is ignored.
+	since   int64
+	holds   bool
+	members []Member
+	touched time.Time // last answer of the coordinator
+	leaving bool
 	// seen is when the store last answered each reader of this node, and
 	// answering since when it does.
 	seen      [readers]time.Time
@@ -393,7 +396,9 @@
 		}
 	}
 	e.mu.Unlock()
-	e.setLeader(e.k.Holder(), !until.IsZero())
+	if row, ok := e.k.Row(); ok {
+		e.setLeader(e.k.Holder(), !until.IsZero(), row.Version)
+	}
 }
 
 // handoverTries is how often the former holder is asked to resign.
@@ -506,15 +511,20 @@
 	return b
 }
 
-func (n *Node) setLeader(address string, own bool) {
+// setLeader takes over who holds the lease, as of a version of its row.
+func (n *Node) setLeader(address string, own bool, version int64) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.holds = own
-	if address != "" && address != n.leader {
-		n.opts.Log.Info("coordinator known", "address", address, "before", n.leader)
-		n.leader = address
-		n.hurry()
+	if version < n.since {
+		return
 	}
+	n.since, n.holds = version, own
+	if address == "" || address == n.leader {
+		return
+	}
+	n.opts.Log.Info("coordinator known", "address", address, "before", n.leader, "version", version)
+	n.leader = address
+	n.hurry()
 }
 
 // hurry has the next exchange begin at once.
@@ -597,7 +607,7 @@
 	}
 	n.take(ctx, sent, r, "coordinator")
 	if !r.Coordinator {
-		n.follow(r.Leader, address)
+		n.follow(r)
 		return errNoCoordinator
 	}
 	n.mu.Lock()
@@ -614,16 +624,14 @@
 	return n.push(ctx, address, own, r)
 }
 
-// follow takes over whom a node that is no longer coordinator follows.
-func (n *Node) follow(leader, former string) {
+// follow takes over whom another node follows, if it knows of a newer holder.
+func (n *Node) follow(r *Reply) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if leader == "" || leader == former || n.leader != former {
-		return
+	newer := r.Leader != "" && r.Leader != n.leader && r.Since > n.since
+	n.mu.Unlock()
+	if newer {
+		n.setLeader(r.Leader, false, r.Since)
 	}
-	n.opts.Log.Info("coordinator known", "address", leader, "before", former)
-	n.leader = leader
-	n.hurry()
 }
 
 // push gives the other side what it lacks.
@@ -833,10 +841,10 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if r.Handover != nil {
-		n.leader = x.Address
+	if r.Handover != nil && x.Resign > n.since {
+		n.leader, n.since, n.holds = x.Address, x.Resign, false
 	}
-	r.Leader = n.leader
+	r.Leader, r.Since = n.leader, n.since
 	if !r.Coordinator {
 		r.Members = n.members
 	}
@@ -924,17 +932,12 @@
 	if err := n.push(ctx, address, false, r); err != nil {
 		n.opts.Log.Info("node not reached", "address", address, "error", err.Error())
 	}
-	n.mu.Lock()
-	defer n.mu.Unlock()
+	n.follow(r)
 	for _, m := range r.Members {
 		if m.Node == n.opts.Node {
 			n.Desk.setFraction(m.Fraction)
 		}
 	}
-	if r.Leader != "" && r.Leader != n.leader && n.opts.Clock.Now().Sub(n.touched) > relayAge {
-		n.leader = r.Leader
-		n.hurry()
-	}
 }
 
 // Coordinates reports whether this node is the coordinator.
