steer: count a model as absent while its holders take no connection

Cause: where the only engines with a model are behind a cut, requests were refused after 0.4 s as if the service had no endpoint, and the coordinator was not told that they wait; without a coordinator a request waited 1.2 s for an adapter. Such models are waited for and asked for now, and an adapter is given up sooner when every attempt fails at once.

--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -98,9 +98,10 @@
 	}
 	c.excludeEndpoint(key)
 	if took < recheck {
-		// Without a coordinator every endpoint fails at once.
+		// Without a coordinator every endpoint fails at once, and little is gained
+		// by waiting for one.
 		c.pause(ctx, nil, recheck)
-		c.fetching += recheck
+		c.fetching += 3 * recheck
 	}
 	if c.fetching >= adapterWait-recheck {
 		return false, c.unavailable("the adapter could not be loaded in time")
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -13,7 +13,7 @@
 
 // Errors of Pick.
 var (
-	// ErrNotResident means that no endpoint in service holds the model.
+	// ErrNotResident means that no endpoint that can be reached holds the model.
 	ErrNotResident = errors.New("steer: no endpoint holds the model")
 	// ErrNoEndpoint means that no endpoint of the service takes new requests.
 	ErrNoEndpoint = errors.New("steer: no endpoint takes new requests")
@@ -257,8 +257,11 @@
 				continue
 			}
 		}
+		if now.Before(e.awayUntil) {
+			continue
+		}
 		holders++
-		if q.Exclude[e.Key()] || now.Before(e.awayUntil) {
+		if q.Exclude[e.Key()] {
 			continue
 		}
 		out.Candidates++
--- a/internal/steer/table_test.go
+++ b/internal/steer/table_test.go
@@ -69,6 +69,15 @@
 			query: Query{Service: "lm", Model: "m1"},
 			want:  "b",
 		},
+		{
+			name: "a model whose only holder takes no connection",
+			ends: []fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m2")},
+			prepare: func(tb *Table) {
+				tb.Done(t0, fleet.Key{ID: "a", Born: 1}, Unreachable)
+			},
+			query: Query{Service: "lm", Model: "m1"},
+			err:   ErrNotResident,
+		},
 		{
 			name: "an endpoint that fails requests",
 			ends: []fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1")},
