--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -136,7 +136,7 @@
 type noDemand struct{}
 
 func (noDemand) Arrived(string, string, string, float64) {}
-func (noDemand) Wait(string, string) func() { return func() {} }
+func (noDemand) Wait(string, string) func()              { return func() {} }
 
 func (noDemand) Running(fleet.Key, string, string) func()                           { return func() {} }
 func (noDemand) FetchAdapter(context.Context, fleet.Endpoint, string, string) error { return nil }
