--- a/internal/steer/budget.go
+++ b/internal/steer/budget.go
@@ -5,6 +5,9 @@
 const (
 	// budgetBuckets divide the window of the retry budget.
 	budgetBuckets = 10
+	// budgetRing has one bucket more, since the window reaches into the bucket
+	// before the first whole one.
+	budgetRing = budgetBuckets + 1
 	// budgetSafety is the part of the allowed retries that is used. The rest
 	// covers requests that others count in a neighbouring window.
 	budgetSafety = 0.8
@@ -17,7 +20,7 @@
 	ratio  float64
 	slack  float64
 	width  time.Duration
-	counts [budgetBuckets]struct {
+	counts [budgetRing]struct {
 		number   int64
 		requests float64
 		repeats  float64
@@ -39,7 +42,7 @@
 
 func (b *Budget) at(now time.Time) int {
 	n := now.UnixNano() / int64(b.width)
-	i := int(n % budgetBuckets)
+	i := int(n % budgetRing)
 	if b.counts[i].number != n {
 		b.counts[i].number, b.counts[i].requests, b.counts[i].repeats = n, 0, 0
 	}
@@ -49,16 +52,20 @@
 // Request counts a request of a client.
 func (b *Budget) Request(now time.Time) { b.counts[b.at(now)].requests++ }
 
-// Repeat counts a repeat if the budget allows it.
+// Repeat counts a repeat if the budget allows it. Repeats are counted over a
+// little more than the window, requests over a little less.
 func (b *Budget) Repeat(now time.Time) bool {
 	at := b.at(now)
-	oldest := b.counts[at].number - budgetBuckets
+	newest := b.counts[at].number
 	var requests, repeats float64
 	for i := range b.counts {
-		if b.counts[i].number > oldest {
-			requests += b.counts[i].requests
+		age := newest - b.counts[i].number
+		if age <= budgetBuckets {
 			repeats += b.counts[i].repeats
 		}
+		if age < budgetBuckets {
+			requests += b.counts[i].requests
+		}
 	}
 	if repeats+1 > budgetSafety*(b.ratio*requests+b.slack) {
 		return false
