grant: bound what nodes without contact and new coordinators may add

Nodes without contact could save up 900 tokens each and owe the rest of a larger request, and each new coordinator added 0.3 of the slack and forgot what the one before was owed. Nodes now save up 0.6 s of their fraction and their part of 0.2 of the slack, and owe nothing; a new coordinator adds 0.1 of the slack. Ruled out: waiting before a new coordinator issues, which refuses requests inside the rate.

--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -96,7 +96,7 @@
 }
 
 func (o *oracle) begin(full bool) {
-	o.issuer = NewIssuer(0.3*o.slack, full)
+	o.issuer = NewIssuer(0.1*o.slack, full)
 	o.issuer.SetLimits(o.now, map[string]Limit{"w": o.limit})
 	for _, m := range o.members {
 		m.heard = o.now
@@ -119,7 +119,7 @@
 			cut:     make([]bool, nodes),
 		}
 		for range nodes {
-			w := NewWallet()
+			w := NewWallet(0.2 * 7400)
 			w.SetLimits(map[string]Limit{"w": o.limit})
 			o.wallets = append(o.wallets, w)
 		}
@@ -133,7 +133,7 @@
 			case 1:
 				// The node restarts and is told its former fraction by others.
 				i := rapid.IntRange(0, nodes-1).Draw(t, "restart")
-				w := NewWallet()
+				w := NewWallet(0.2 * 7400)
 				w.SetLimits(map[string]Limit{"w": o.limit})
 				if m := o.members[i]; m != nil {
 					w.SetFraction(m.fraction)
@@ -167,7 +167,7 @@
 	limit := Limit{Rate: 10000, Burst: 10000}
 	issuer := NewIssuer(2000, true)
 	issuer.SetLimits(now, map[string]Limit{"w": limit})
-	w := NewWallet()
+	w := NewWallet(0.2 * 7400)
 	w.SetLimits(map[string]Limit{"w": limit})
 	refused := 0
 	for range 200 {
@@ -216,7 +216,7 @@
 // higher limit.
 func TestLoweredLimit(t *testing.T) {
 	now := time.Unix(1000, 0)
-	w := NewWallet()
+	w := NewWallet(0.2 * 7400)
 	w.SetLimits(map[string]Limit{"w": {Rate: 1000, Burst: 1000}})
 	w.Receive(now, []Loan{{Workspace: "w", Tokens: 500}}, 0.5)
 	w.SetLimits(map[string]Limit{"w": {Rate: 100, Burst: 100}})
@@ -228,7 +228,7 @@
 // TestExpiry guards against hoarding: issued tokens are spent within their term.
 func TestExpiry(t *testing.T) {
 	now := time.Unix(1000, 0)
-	w := NewWallet()
+	w := NewWallet(0.2 * 7400)
 	w.SetLimits(map[string]Limit{"w": {Rate: 1000, Burst: 1000}})
 	w.Receive(now, []Loan{{Workspace: "w", Tokens: 500}}, 0.5)
 	if !w.Take(now.Add(Term-time.Millisecond), "w", 100) {
--- a/internal/grant/wallet.go
+++ b/internal/grant/wallet.go
@@ -19,11 +19,10 @@
 	stock = 300 * time.Millisecond
 	// demandTime is the time constant of the demand that sizes the stock.
 	demandTime = 700 * time.Millisecond
-	// localBurst is how long a node without contact saves up its fraction.
-	localBurst = 300 * time.Millisecond
-	// localLeast is the least number of tokens that a node without contact may
-	// save up, so that a request of usual size fits at all.
-	localLeast = 900
+	// localBurst is how long a node without contact saves up its fraction. What
+	// all nodes save up stays below the tenth of the rate's window that may be
+	// exceeded, where burst and rate are equal.
+	localBurst = 600 * time.Millisecond
 )
 
 // Draw asks the coordinator for tokens.
@@ -46,6 +45,7 @@
 	purses   map[string]*purse
 	contact  time.Time
 	fraction float64
+	spare    float64
 }
 
 type purse struct {
@@ -63,9 +63,12 @@
 	spendBy time.Time
 }
 
-// NewWallet returns an empty wallet.
-func NewWallet() *Wallet {
+// NewWallet returns an empty wallet. Nodes without contact may save up spare
+// tokens in all beyond what localBurst allows, so that requests of small
+// workspaces fit.
+func NewWallet(spare float64) *Wallet {
 	return &Wallet{
+		spare:  spare,
 		limits: make(map[string]Limit),
 		purses: make(map[string]*purse),
 	}
@@ -165,13 +168,12 @@
 		p.filled, p.local = now, 0
 	}
 	rate := limit.Rate * w.fraction
-	most := max(rate*localBurst.Seconds(), min(localLeast, limit.Burst))
+	most := rate*localBurst.Seconds() + min(w.spare, limit.Burst)*w.fraction
 	p.local = min(most, p.local+now.Sub(p.filled).Seconds()*rate)
 	p.filled = now
-	if p.local < min(tokens, most) || p.local <= 0 {
+	if p.local < tokens {
 		return false
 	}
-	// A request larger than what can be saved up is owed for afterwards.
 	p.local -= tokens
 	return true
 }
--- a/internal/lead/desk.go
+++ b/internal/lead/desk.go
@@ -27,12 +27,12 @@
 }
 
 // NewDesk returns a desk with an empty wallet. It signals on kick when tokens
-// are needed at once.
-func NewDesk(clk clock.Clock, kick chan struct{}) *Desk {
+// are needed at once. Nodes without contact may save up spare tokens in all.
+func NewDesk(clk clock.Clock, kick chan struct{}, spare float64) *Desk {
 	return &Desk{
 		clock:   clk,
 		kick:    kick,
-		wallet:  grant.NewWallet(),
+		wallet:  grant.NewWallet(spare),
 		changed: make(chan struct{}),
 	}
 }
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -228,6 +228,7 @@
 		LeaseTerm:   testTerm,
 		LeaseWait:   testWait,
 		QuotaHead:   1000,
+		QuotaSpare:  400,
 	})
 	f.mu.Lock()
 	f.nodes[name] = n
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -92,8 +92,10 @@
 	// new coordinator waits before its first order.
 	LeaseTerm time.Duration
 	LeaseWait time.Duration
-	// QuotaHead is what a new coordinator may issue at once for each workspace.
-	QuotaHead float64
+	// QuotaHead is what a new coordinator may issue at once for each workspace,
+	// QuotaSpare what nodes without contact may save up in all.
+	QuotaHead  float64
+	QuotaSpare float64
 }
 
 // Node joins one process to the fleet.
@@ -161,7 +163,7 @@
 		deputy:   true,
 		engines:  make(map[int]*EngineState),
 	}
-	n.Desk = NewDesk(o.Clock, n.kick)
+	n.Desk = NewDesk(o.Clock, n.kick, o.QuotaSpare)
 	return n
 }
 
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -52,8 +52,10 @@
 	// leaseWaitMargin is added to the bound on the orders of two holders.
 	leaseWaitMargin = 200 * time.Millisecond
 	// quotaHeadPart is the part of the allowed excess that a new coordinator
-	// issues at once.
-	quotaHeadPart = 0.3
+	// issues at once: four may follow each other within a window. quotaSparePart
+	// is what nodes without contact may save up in all.
+	quotaHeadPart  = 0.1
+	quotaSparePart = 0.2
 	// drainLeast is how long a stopping process goes on taking requests: the
 	// balancer notices after two checks a second apart.
 	drainLeast = 2500 * time.Millisecond
@@ -136,6 +138,7 @@
 		LeaseTerm:   leaseTerm,
 		LeaseWait:   time.Duration(set.Bounds.Lease) + leaseWaitMargin,
 		QuotaHead:   set.Bounds.QuotaSlack * quotaHeadPart,
+		QuotaSpare:  set.Bounds.QuotaSlack * quotaSparePart,
 	})
 	lazy.Node = p.node
 	p.addGauges()
