--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -23,7 +23,7 @@
 	// testLease is the bound on the orders of two holders. A new holder waits for
 	// testWait, which like in the process is 200 ms longer: an order may arrive
 	// later than it was noted as given.
-	testLease = 700 * time.Millisecond
+	testLease = 1500 * time.Millisecond
 	testWait  = testLease + 200*time.Millisecond
 )
 
