--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -510,12 +510,3 @@
 	}
 	return out
 }
-
-// Reports returns the newest report of each engine with the time it was asked for.
-func (d *Depot) Reports() map[fleet.Key]time.Time {
-	out := make(map[fleet.Key]time.Time, len(d.engines))
-	for _, e := range d.engines {
-		out[e.Key()] = e.reported
-	}
-	return out
-}
