cutter: keep the port of a proxy while it is cut

A socket that is bound and does not listen now holds the port; connections are refused as before. Ruled out: trying again in Heal, which depends on when the other lets go.

--- a/internal/fake/cutter/cutter.go
+++ b/internal/fake/cutter/cutter.go
@@ -3,11 +3,15 @@
 package cutter
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"net"
 	"sync"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // Direction is a direction of the traffic through a Proxy.
@@ -36,16 +40,23 @@
 	delay    time.Duration
 	listener net.Listener
 	links    map[*link]struct{}
+	release  func() // gives the port back
 }
 
 // New returns a Proxy that listens on a free port of the loopback interface,
 // and a function that releases it.
 func New(target string) (*Proxy, func(), error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := listen("127.0.0.1:0")
 	if err != nil {
 		return nil, nil, fmt.Errorf("cutter: %w", err)
 	}
+	release, err := reserve(l.Addr().(*net.TCPAddr))
+	if err != nil {
+		l.Close()
+		return nil, nil, fmt.Errorf("cutter: reserve port: %w", err)
+	}
 	p := &Proxy{
+		release:  release,
 		target:   target,
 		address:  l.Addr().String(),
 		changed:  make(chan struct{}),
@@ -57,6 +68,39 @@
 	return p, p.close, nil
 }
 
+// listen listens on a port that reserve may hold.
+func listen(address string) (net.Listener, error) {
+	c := net.ListenConfig{
+		Control: func(_, _ string, c syscall.RawConn) error {
+			var err error
+			cerr := c.Control(func(fd uintptr) {
+				err = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_REUSEPORT, 1)
+			})
+			return errors.Join(cerr, err)
+		},
+	}
+	return c.Listen(context.Background(), "tcp", address)
+}
+
+// reserve keeps a port from being given to other sockets until release. A
+// socket that is bound and does not listen refuses connections.
+func reserve(address *net.TCPAddr) (release func(), err error) {
+	fd, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, err
+	}
+	to := &unix.SockaddrInet4{
+		Port: address.Port,
+		Addr: [4]byte(address.IP.To4()),
+	}
+	err = errors.Join(unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEPORT, 1), unix.Bind(fd, to))
+	if err != nil {
+		return nil, errors.Join(err, unix.Close(fd))
+	}
+	// A second close could hit a file that was opened meanwhile.
+	return sync.OnceFunc(func() { _ = unix.Close(fd) }), nil
+}
+
 // Addr returns the address that clients connect to.
 func (p *Proxy) Addr() string { return p.address }
 
@@ -106,7 +150,7 @@
 		return errors.New("cutter: proxy is closed")
 	}
 	if p.cut {
-		l, err := net.Listen("tcp", p.address)
+		l, err := listen(p.address)
 		if err != nil {
 			return fmt.Errorf("cutter: %w", err)
 		}
@@ -142,6 +186,7 @@
 	p.signal()
 	p.mu.Unlock()
 	p.work.Wait()
+	p.release()
 }
 
 // signal wakes everything that waits for a change.
--- a/internal/fake/cutter/cutter_test.go
+++ b/internal/fake/cutter/cutter_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -165,3 +167,32 @@
 		t.Errorf("%d links are left", n)
 	}
 }
+
+// TestPortKeptWhileCut guards against another process taking the proxy's port
+// between Cut and Heal, which made Heal fail with "address already in use".
+func TestPortKeptWhileCut(t *testing.T) {
+	p, stop, err := New("127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stop()
+	p.Cut()
+	if l, err := net.Listen("tcp", p.Addr()); err == nil {
+		l.Close()
+		t.Error("the port was free while the proxy was cut")
+	}
+	if c, err := net.Dial("tcp", p.Addr()); !errors.Is(err, syscall.ECONNREFUSED) {
+		if err == nil {
+			c.Close()
+		}
+		t.Errorf("a connection while cut gave %v, want refused", err)
+	}
+	if err := p.Heal(); err != nil {
+		t.Fatal(err)
+	}
+	c, err := net.Dial("tcp", p.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.Close()
+}
