site: stand in for the users' platform, as a process and in trefoil dev

The stand-ins of the platform's store and engines lived in the tests of platform/, so that nobody could run the path without the users' bench, and the tests of other packages had none.

SIGHUP now takes over seeds, grace and the bounds on retries; before it only checked the file. TestSetRetries failed before the budgets were told.

--- a/internal/cmds/dev.go
+++ b/internal/cmds/dev.go
@@ -29,6 +29,14 @@
 				Usage: "address for operators",
 				Value: defaultServer,
 			},
+			&cli.BoolFlag{
+				Name:  "platform",
+				Usage: "run the process of the users' platform on a stand-in of that platform",
+			},
+			&cli.BoolFlag{
+				Name:  "log",
+				Usage: "with --platform, print the log of the process",
+			},
 		},
 		Action: runDev,
 	}
@@ -106,6 +114,9 @@
 	}
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	if cmd.Bool("platform") {
+		return runDevPlatform(ctx, cmd)
+	}
 	f, release, err := local.Start(local.Options{
 		Config:        devConfig(),
 		CallersListen: cmd.String("listen"),
--- a/internal/cmds/stand_test.go
+++ b/internal/cmds/stand_test.go
@@ -24,6 +24,8 @@
 		"service --listen nowhere",
 		"service --count=-1",
 		"platform --writes=-1",
+		"site --endpoints=-1",
+		"site --config /nowhere/config.json",
 		"weights --parallel=-1",
 		"engine --speed=-1",
 		"engine --memory-mib 10 --resident m,1,11",
@@ -45,6 +47,7 @@
 func TestStands(t *testing.T) {
 	for args, path := range map[string]string{
 		"platform --lag 1s": "/vms",
+		"site --domain a --domain b": "/rows-get?table=op&part=",
 		"weights":           "/stats",
 		"engine --name e1 --memory-mib 2000 --speed 50 --fencing --resident m,1,1000": "/state",
 		"service --name booking": "/bookings",
--- a/internal/cmds/trefoild_fleet.go
+++ b/internal/cmds/trefoild_fleet.go
@@ -61,9 +61,6 @@
 		return err
 	}
 	defer release()
-	p.Run(ctx, signals, func() error {
-		_, err := loadFleetSettings(file)
-		return err
-	})
+	p.Run(ctx, signals, func() (*conf.Fleet, error) { return loadFleetSettings(file) })
 	return nil
 }
--- a/internal/cmds/trefstand.go
+++ b/internal/cmds/trefstand.go
@@ -5,6 +5,7 @@
 // trefstandCommands are the commands of trefstand, in the order of the help text.
 var trefstandCommands = []func() *cli.Command{
 	standPlatform,
+	standSite,
 	standWeights,
 	standEngine,
 	standService,
--- /dev/null
+++ b/internal/fake/site/site.go
@@ -0,0 +1,248 @@
+// Package site stands in for the users' platform: its store, the operator who
+// writes configurations into it, and the engines and plain services that
+// register there. It speaks the protocol that package platform translates, and
+// keeps a journal of what reached the endpoints.
+package site
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+)
+
+// The tables of the store that others than the system write.
+const (
+	operatorTable = "op"
+	endpointTable = "servers"
+	configKey     = "config"
+)
+
+// Config is a configuration as the operator writes it.
+type Config struct {
+	Version  int64     `json:"version"`
+	Routes   []Route   `json:"routes"`
+	Services []Service `json:"services"`
+	Limits   Limits    `json:"limits"`
+	Tenants  []Tenant  `json:"tenants"`
+}
+
+// Route leads requests of a host and prefix to a service.
+type Route struct {
+	Name        string  `json:"name"`
+	Host        string  `json:"host"`
+	Prefix      string  `json:"prefix"`
+	Kind        string  `json:"kind"` // idempotent, non_idempotent or stream
+	TimeoutMS   float64 `json:"timeout_ms"`
+	ObjectiveMS float64 `json:"slo_ms"`
+	Priority    int     `json:"priority"`
+	Service     string  `json:"service"`
+	Attempts    int     `json:"attempts"`
+	Resumable   bool    `json:"resumable"`
+	PauseMS     float64 `json:"gap_target_ms"` // longest pause between events
+}
+
+// Service is a group of endpoints; Engine is nil for plain services.
+type Service struct {
+	Name       string       `json:"name"`
+	HealthPath string       `json:"health_path"`
+	Engine     *EngineClass `json:"engine,omitempty"`
+}
+
+// EngineClass is what the engines of a service have in common.
+type EngineClass struct {
+	Slots          int     `json:"slots"`
+	CacheTokens    int     `json:"kv_cap"`
+	Models         []Model `json:"models"`
+	WeightsMB      float64 `json:"weights_mb"`
+	AdapterSlots   int     `json:"lora_slots"`
+	LoadsPerSecond float64 `json:"loads_per_s"`
+}
+
+// Model can be loaded by engines. Its adapters are named a1, a2, and so on.
+type Model struct {
+	Name      string  `json:"name"`
+	MB        float64 `json:"weights_mb"`
+	LoadS     float64 `json:"load_s"`
+	DiskS     float64 `json:"disk_s"`
+	WarmS     float64 `json:"warm_s"`
+	Adapters  int     `json:"adapters"`
+	AdapterMB float64 `json:"adapter_mb"`
+}
+
+// Limits bound what callers may send.
+type Limits struct {
+	MaxHeaderBytes  int     `json:"max_header_bytes"`
+	MaxBodyBytes    int64   `json:"max_body_bytes"`
+	HeaderTimeoutMS float64 `json:"header_timeout_ms"`
+	IdleTimeoutMS   float64 `json:"idle_timeout_ms"`
+}
+
+// Tenant is a workspace. A rate of 0 is no limit.
+type Tenant struct {
+	Name        string   `json:"name"`
+	Keys        []string `json:"keys"`
+	Unit        string   `json:"unit"`
+	PlainTokens float64  `json:"plain_tokens"`
+	Rate        float64  `json:"rate_per_s"`
+	Burst       float64  `json:"burst"`
+}
+
+// Sample is a small deployment: two models and adapters on engines that hold
+// one model each, and a booking service.
+func Sample() Config {
+	route := func(name, prefix, kind, service string) Route {
+		return Route{
+			Name:        name,
+			Host:        "club.example",
+			Prefix:      prefix,
+			Kind:        kind,
+			TimeoutMS:   8000,
+			ObjectiveMS: 500,
+			Priority:    1,
+			Service:     service,
+			Attempts:    2,
+			PauseMS:     200,
+		}
+	}
+	stream := route("notes", "/notes/", "stream", "assistant")
+	resumable := route("plans", "/plans/", "stream", "assistant")
+	resumable.Resumable = true
+	return Config{
+		Version: 1,
+		Routes: []Route{
+			stream,
+			resumable,
+			route("book", "/book/", "non_idempotent", "booking"),
+			route("read", "/read/", "idempotent", "booking"),
+		},
+		Services: []Service{
+			{
+				Name:       "assistant",
+				HealthPath: "/health",
+				Engine: &EngineClass{
+					Slots:          8,
+					CacheTokens:    20_000,
+					WeightsMB:      100,
+					AdapterSlots:   3,
+					LoadsPerSecond: 4,
+					Models: []Model{
+						{Name: "rules", MB: 60, LoadS: 0.3, DiskS: 0.15, WarmS: 0.1, Adapters: 4, AdapterMB: 1},
+						{Name: "coach", MB: 60, LoadS: 0.3, DiskS: 0.15, WarmS: 0.1, Adapters: 4, AdapterMB: 1},
+						{Name: "season", MB: 30, LoadS: 0.2, DiskS: 0.1, WarmS: 0.1, AdapterMB: 1},
+					},
+				},
+			},
+			{
+				Name:       "booking",
+				HealthPath: "/health",
+			},
+		},
+		Limits: Limits{
+			MaxHeaderBytes:  16_384,
+			MaxBodyBytes:    1 << 20,
+			HeaderTimeoutMS: 3000,
+			IdleTimeoutMS:   15_000,
+		},
+		Tenants: []Tenant{
+			{Name: "club", Keys: []string{"key-club"}, Unit: "tokens", PlainTokens: 20, Rate: 20_000, Burst: 20_000},
+			{Name: "league", Keys: []string{"key-league"}, Unit: "tokens", PlainTokens: 20, Rate: 4000, Burst: 4000},
+		},
+	}
+}
+
+// SetConfig writes a configuration as the operator does.
+func (s *Store) SetConfig(c Config) error {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	s.Put(operatorTable, configKey, body)
+	return nil
+}
+
+// Ask is a request of a caller.
+type Ask struct {
+	Address string // of the node
+	ID      string
+	Host    string
+	Path    string
+	Method  string
+	Key     string
+	Model   string // MODEL or MODEL/ADAPTER, empty for plain services
+	In, Out int    // tokens
+	Wait    time.Duration
+	// After is the last event that the caller has, when a stream is resumed.
+	After string
+}
+
+// Request encodes a caller's request.
+func (a Ask) Request() (*http.Request, error) {
+	r, err := http.NewRequest(a.Method, "http://"+a.Address+a.Path, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	r.Host = a.Host
+	for name, value := range a.header() {
+		if value != "" {
+			r.Header.Set(name, value)
+		}
+	}
+	return r, nil
+}
+
+func (a Ask) header() map[string]string {
+	h := map[string]string{
+		headerRequestID: a.ID,
+		headerLastEvent: a.After,
+	}
+	if a.Key != "" {
+		h["Authorization"] = "Bearer " + a.Key
+	}
+	if a.Wait > 0 {
+		h[headerDeadline] = fmt.Sprint(a.Wait.Milliseconds())
+	}
+	if a.Model != "" {
+		h[headerModel] = a.Model
+		h[headerTokens] = fmt.Sprintf("%d,%d", a.In, a.Out)
+		h[headerPrefix] = fmt.Sprintf("5c1e07a2:%d,%x:%d", a.In/2, a.ID, a.In-a.In/2)
+	}
+	return h
+}
+
+// Curl is a command line that sends the request.
+func (a Ask) Curl() string {
+	text := fmt.Sprintf("curl -N -X %s http://%s%s -H 'Host: %s'", a.Method, a.Address, a.Path, a.Host)
+	for _, name := range []string{headerRequestID, "Authorization", headerModel, headerTokens, headerPrefix, headerDeadline} {
+		if value := a.header()[name]; value != "" {
+			text += fmt.Sprintf(" -H '%s: %s'", name, value)
+		}
+	}
+	return text
+}
+
+// Serve serves a handler on a free port of the loopback interface until release.
+func Serve(h http.Handler) (address string, release func(), err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, err
+	}
+	srv := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: 10 * time.Second,
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := srv.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			panic("site: serve: " + err.Error())
+		}
+	}()
+	return l.Addr().String(), func() {
+		// The listener is closed in any case; a stand-in has nothing to save.
+		_ = srv.Close()
+		<-done
+	}, nil
+}
--- /dev/null
+++ b/internal/fake/site/site_test.go
@@ -0,0 +1,243 @@
+package site
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+)
+
+func call(t *testing.T, h http.Handler, method, target, body string) (int, string) {
+	t.Helper()
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(method, target, strings.NewReader(body))
+	h.ServeHTTP(w, r)
+	return w.Code, w.Body.String()
+}
+
+// TestStoreTransactions guards against a stand-in that writes without its
+// conditions, or that lets the system write what belongs to others.
+func TestStoreTransactions(t *testing.T) {
+	s, release := NewStore(StoreOptions{})
+	defer release()
+	h := s.Handler("a")
+	for _, tc := range []struct {
+		name, body string
+		want       int
+	}{
+		{name: "a row that is absent", body: `{"expected":[{"table":"t","part":"","key":"k","ver":0}],"put":[{"table":"t","part":"","key":"k","value":"eA=="}],"delete":[]}`, want: 200},
+		{name: "the same again", body: `{"expected":[{"table":"t","part":"","key":"k","ver":0}],"put":[{"table":"t","part":"","key":"k","value":"eQ=="}],"delete":[]}`, want: 412},
+		{name: "the version that it has", body: `{"expected":[{"table":"t","part":"","key":"k","ver":1}],"put":[{"table":"t","part":"","key":"k","value":"eQ=="}]}`, want: 200},
+		{name: "a table of the operator", body: `{"put":[{"table":"op","part":"","key":"config","value":""}]}`, want: 403},
+		{name: "two parts", body: `{"put":[{"table":"t","part":"a","key":"k"},{"table":"t","part":"b","key":"k"}]}`, want: 400},
+		{name: "two parts across", body: `{"across":true,"put":[{"table":"t","part":"a","key":"k"},{"table":"t","part":"b","key":"k"}]}`, want: 200},
+		{name: "no JSON", body: `{`, want: 400},
+	} {
+		if status, body := call(t, h, "POST", "/rows-tx", tc.body); status != tc.want {
+			t.Errorf("%s: status %d (%s), want %d", tc.name, status, body, tc.want)
+		}
+	}
+	_, body := call(t, h, "GET", "/rows-get?table=t&part=&from=k", "")
+	var page wirePage
+	if err := json.Unmarshal([]byte(body), &page); err != nil || len(page.Rows) != 1 || !bytes.Equal(page.Rows[0].Value, []byte("y")) || page.Version != 3 {
+		t.Errorf("the rows are %s (%v)", body, err)
+	}
+}
+
+// TestStoreFeed guards against a feed that misses a change, hides lost history
+// or does not tell of dropped rows.
+func TestStoreFeed(t *testing.T) {
+	s, release := NewStore(StoreOptions{})
+	defer release()
+	h := s.Handler("a")
+	s.Put("t", "k", []byte("1"))
+	go func() {
+		time.Sleep(20 * time.Millisecond)
+		s.Drop("t", "k")
+	}()
+	status, body := call(t, h, "GET", "/rows-feed?table=t&after=1&wait_ms=2000", "")
+	if status != 200 || !strings.Contains(body, `"deleted":true`) || !strings.Contains(body, `"ver":2`) {
+		t.Errorf("after the first change: %d %s", status, body)
+	}
+	s.Forget()
+	if status, _ := call(t, h, "GET", "/rows-feed?table=t&after=1&wait_ms=0", ""); status != http.StatusGone {
+		t.Errorf("changes that are forgotten were answered with %d", status)
+	}
+	if status, _ := call(t, h, "GET", "/rows-feed?table=t&after=2&wait_ms=0", ""); status != http.StatusOK {
+		t.Errorf("the newest version was answered with %d", status)
+	}
+}
+
+// TestStoreOutage guards against faults that reach other clients than those
+// they are meant for.
+func TestStoreOutage(t *testing.T) {
+	s, release := NewStore(StoreOptions{})
+	defer release()
+	s.SetFaults("a", StoreFaults{Outage: Busy})
+	if status, _ := call(t, s.Handler("a"), "GET", "/rows-get?table=t", ""); status != http.StatusServiceUnavailable {
+		t.Errorf("the client that is turned away got %d", status)
+	}
+	if status, _ := call(t, s.Handler("b"), "GET", "/rows-get?table=t", ""); status != http.StatusOK {
+		t.Errorf("another client got %d", status)
+	}
+	s.SetFaults("", StoreFaults{Outage: Many})
+	if status, _ := call(t, s.Handler("b"), "GET", "/rows-get?table=t", ""); status != http.StatusTooManyRequests {
+		t.Errorf("during an outage for all a client got %d", status)
+	}
+}
+
+// TestObjects guards against overwriting an object that must be new.
+func TestObjects(t *testing.T) {
+	s, release := NewStore(StoreOptions{})
+	defer release()
+	h := s.Handler("a")
+	call(t, h, "PUT", "/blob-put/x", "one")
+	r := httptest.NewRequest("PUT", "/blob-put/x", strings.NewReader("two"))
+	r.Header.Set("If-None-Match", "*")
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	if w.Code != http.StatusPreconditionFailed {
+		t.Errorf("an object that exists was overwritten: %d", w.Code)
+	}
+	if _, body := call(t, h, "GET", "/blob-get/x", ""); body != "one" {
+		t.Errorf("the object is %q", body)
+	}
+	if _, body := call(t, h, "GET", "/blob-list?prefix=", ""); !strings.Contains(body, `"x"`) {
+		t.Errorf("the list is %s", body)
+	}
+	call(t, h, "DELETE", "/blob-drop/x", "")
+	if status, _ := call(t, h, "GET", "/blob-get/x", ""); status != http.StatusNotFound {
+		t.Errorf("a dropped object was answered with %d", status)
+	}
+}
+
+func startEndpoint(t *testing.T) (*Site, *Endpoint, string) {
+	t.Helper()
+	address := ""
+	s, release, err := Start(Layout{
+		Config:    Sample(),
+		Domains:   []string{"north"},
+		Endpoints: map[string]int{"assistant": 1},
+		Step:      time.Millisecond,
+		Beat:      20 * time.Millisecond,
+		Between: func(_, a string) (string, error) {
+			address = a
+			return a, nil
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(release)
+	return s, s.Endpoints[0], address
+}
+
+func order(t *testing.T, address, body string) int {
+	t.Helper()
+	res, err := http.Post("http://"+address+"/order", "application/json", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer res.Body.Close()
+	return res.StatusCode
+}
+
+// TestOrders guards against an engine that takes orders which do not fit its
+// state, and one that does not notice that its memory is overcommitted.
+func TestOrders(t *testing.T) {
+	s, e, address := startEndpoint(t)
+	for _, tc := range []struct {
+		name, body string
+		want       int
+	}{
+		{name: "no holder", body: `{"op":"load","model":"season","fence":1}`, want: 400},
+		{name: "another number of orders", body: `{"op":"load","model":"season","fence":1,"holder":"a","expected":4}`, want: 409},
+		{name: "a model that is there", body: `{"op":"load","model":"rules","fence":1,"holder":"a"}`, want: 200},
+		{name: "an adapter", body: `{"op":"load","model":"rules","adapter":"a1","fence":1,"holder":"a","expected":0}`, want: 202},
+		{name: "a load", body: `{"op":"load","model":"season","fence":1,"holder":"a","expected":1}`, want: 202},
+		{name: "a load meanwhile", body: `{"op":"unload","model":"rules","fence":1,"holder":"a","expected":2}`, want: 409},
+	} {
+		if got := order(t, address, tc.body); got != tc.want {
+			t.Errorf("%s: status %d, want %d", tc.name, got, tc.want)
+		}
+	}
+	if len(s.Journal.Wrong()) > 0 {
+		t.Errorf("orders that fit were taken for wrong: %q", s.Journal.Wrong())
+	}
+	for until := time.Now().Add(2 * time.Second); time.Now().Before(until); time.Sleep(5 * time.Millisecond) {
+		e.mu.Lock()
+		busy := e.busy
+		e.mu.Unlock()
+		if !busy {
+			break
+		}
+	}
+	if got := order(t, address, `{"op":"load","model":"coach","fence":1,"holder":"a","expected":2}`); got != http.StatusAccepted {
+		t.Errorf("the load that overcommits was answered with %d", got)
+	}
+	if len(s.Journal.Wrong()) != 1 {
+		t.Errorf("the engine noticed %q", s.Journal.Wrong())
+	}
+}
+
+// TestRequests guards against a stand-in whose answers a checker cannot tell
+// from those to other requests.
+func TestRequests(t *testing.T) {
+	s, _, address := startEndpoint(t)
+	get := func(a Ask) (int, string) {
+		a.Address, a.Method, a.Path = address, http.MethodPost, "/notes/1"
+		r, err := a.Request()
+		if err != nil {
+			t.Fatal(err)
+		}
+		res, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer res.Body.Close()
+		body, err := io.ReadAll(res.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return res.StatusCode, string(body)
+	}
+	if status, body := get(Ask{ID: "r1", Model: "rules", In: 10, Out: 20}); status != 200 || body != Event("r1", 1)+Event("r1", 2)+Event("r1", 3) {
+		t.Errorf("the answer is %d %q", status, body)
+	}
+	if status, body := get(Ask{ID: "r2", Model: "rules", In: 10, Out: 20, After: "2"}); status != 200 || body != Event("r2", 3) {
+		t.Errorf("the answer that goes on is %d %q", status, body)
+	}
+	if status, _ := get(Ask{ID: "r3", Model: "coach", In: 10, Out: 20}); status != http.StatusMisdirectedRequest {
+		t.Errorf("a model that is not there was answered with %d", status)
+	}
+	get(Ask{ID: "r4", Model: "rules", In: 1, Out: 1, Key: "k"})
+	if len(s.Journal.Wrong()) != 1 || s.Journal.Runs("r1") != 1 || s.Journal.Runs("r3") != 0 {
+		t.Errorf("the journal has %q, runs %d and %d", s.Journal.Wrong(), s.Journal.Runs("r1"), s.Journal.Runs("r3"))
+	}
+}
+
+// TestEntryLapses guards against an entry that outlives its endpoint, and one
+// that stays away when the endpoint starts again.
+func TestEntryLapses(t *testing.T) {
+	s, e, _ := startEndpoint(t)
+	registered := func() bool {
+		_, body := call(t, s.Store.Handler("a"), "GET", "/rows-get?table=servers", "")
+		return strings.Contains(body, "i-assistant-1")
+	}
+	if !registered() {
+		t.Fatal("the endpoint did not register")
+	}
+	e.Crash()
+	time.Sleep(200 * time.Millisecond)
+	if registered() {
+		t.Error("the entry of a dead endpoint is still there")
+	}
+	e.Restart()
+	if !registered() {
+		t.Error("the endpoint did not register again")
+	}
+}
--- a/internal/lead/exchange.go
+++ b/internal/lead/exchange.go
@@ -366,11 +366,12 @@
 				others = append(others, m.Address)
 			}
 		}
+		seeds := n.seeds
 		n.mu.Unlock()
 		if !needed {
 			continue
 		}
-		for _, s := range n.opts.Seeds {
+		for _, s := range seeds {
 			if s != n.opts.Address {
 				others = append(others, s)
 			}
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -128,6 +128,7 @@
 	seq     int64
 	engines map[int]*EngineState
 	paced   time.Time
+	seeds   []string
 }
 
 // Reader names what reads a table of the store.
@@ -150,11 +151,19 @@
 		registry: fleet.NewRegistry(),
 		deputy:   true,
 		engines:  make(map[int]*EngineState),
+		seeds:    o.Seeds,
 	}
 	n.Desk = NewDesk(o.Clock, n.kick, o.QuotaSpare)
 	return n
 }
 
+// SetSeeds changes the addresses of nodes that may be there.
+func (n *Node) SetSeeds(seeds []string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.seeds = seeds
+}
+
 // Run takes part in the fleet until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	var wg sync.WaitGroup
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"os"
 	"runtime/debug"
+	"slices"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -113,12 +114,8 @@
 		Admission: lazy,
 		Demand:    lazy,
 		Log:       log.Logger,
-		Retries: serve.RetryRule{
-			Ratio:  set.Bounds.RetryRatio,
-			Slack:  set.Bounds.RetrySlack,
-			Window: time.Duration(set.Bounds.RetryWindow),
-		},
-		Observe: p.meters,
+		Retries:   retryRule(set),
+		Observe:   p.meters,
 	})
 	p.node = lead.New(lead.Options{
 		Node:        set.Node.Name,
@@ -228,8 +225,8 @@
 }
 
 // Run serves until a signal to stop, then lets running requests finish. SIGHUP
-// has the settings read again by reload.
-func (p *Process) Run(ctx context.Context, signals <-chan os.Signal, reload func() error) {
+// has the settings read again by read.
+func (p *Process) Run(ctx context.Context, signals <-chan os.Signal, read func() (*conf.Fleet, error)) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
 	defer func() {
@@ -245,7 +242,7 @@
 		select {
 		case s := <-signals:
 			if s == syscall.SIGHUP {
-				p.reload(reload)
+				p.reload(read)
 				continue
 			}
 			p.log.Info("stop requested", "signal", s.String(), "active", p.server.Active())
@@ -256,14 +253,41 @@
 	p.drain(signals)
 }
 
-// reload checks changed settings. All of them name the process itself or bound
-// it from its start, so that a change is in force after a restart.
-func (p *Process) reload(read func() error) {
-	if err := read(); err != nil {
+// reload takes over changed settings: seeds, grace and the bounds on retries.
+// Everything else names the process or holds from its start; the log names what
+// is in force only after a restart.
+func (p *Process) reload(read func() (*conf.Fleet, error)) {
+	set, err := read()
+	if err != nil {
 		p.log.Error("settings not usable, the former ones stay in force", "error", err.Error())
 		return
 	}
-	p.log.Info("settings read again, changes are in force after a restart")
+	p.node.SetSeeds(set.Seeds)
+	p.server.SetRetries(retryRule(set))
+	var later []string
+	for name, same := range map[string]bool{
+		"node":        set.Node == p.set.Node,
+		"listen":      set.Listen == p.set.Listen,
+		"store":       set.Store == p.set.Store,
+		"lease":       set.Bounds.Lease == p.set.Bounds.Lease,
+		"quota-slack": set.Bounds.QuotaSlack == p.set.Bounds.QuotaSlack,
+	} {
+		if !same {
+			later = append(later, name)
+		}
+	}
+	slices.Sort(later)
+	p.set.Seeds, p.set.Bounds.Grace = set.Seeds, set.Bounds.Grace
+	p.log.Info("settings in force", "seeds", len(set.Seeds), "grace", time.Duration(set.Bounds.Grace).String(),
+		"retry-ratio", set.Bounds.RetryRatio, "retry-slack", set.Bounds.RetrySlack, "after-restart", later)
+}
+
+func retryRule(set *conf.Fleet) serve.RetryRule {
+	return serve.RetryRule{
+		Ratio:  set.Bounds.RetryRatio,
+		Slack:  set.Bounds.RetrySlack,
+		Window: time.Duration(set.Bounds.RetryWindow),
+	}
 }
 
 // drain takes the process out of the balancer, lets running requests finish and
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -474,6 +474,29 @@
 	}
 }
 
+// TestSetRetries guards against bounds on repeats that a change of the settings
+// does not reach, for services that have a budget already and for new ones.
+func TestSetRetries(t *testing.T) {
+	s := New(Options{
+		Clock:   clock.NewFake(),
+		Retries: RetryRule{Slack: 100, Window: 10 * time.Second},
+	})
+	repeats := func(service string) int {
+		n := 0
+		for n < 1000 && s.mayRepeat(service) {
+			n++
+		}
+		return n
+	}
+	s.countRequest("known")
+	s.SetRetries(RetryRule{Slack: 10, Window: 10 * time.Second})
+	for _, service := range []string{"known", "new"} {
+		if n := repeats(service); n < 1 || n > 10 {
+			t.Errorf("service %s may repeat %d times, want at most 10", service, n)
+		}
+	}
+}
+
 type senderFunc func(ctx context.Context, a Attempt) (*Reply, error)
 
 func (f senderFunc) Send(ctx context.Context, a Attempt) (*Reply, error) { return f(ctx, a) }
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -95,6 +95,7 @@
 
 	mu      sync.Mutex
 	nodes   int
+	retries RetryRule
 	budgets map[string]*steer.Budget
 	pauses  map[string]*meanPause
 }
@@ -104,6 +105,7 @@
 	return &Server{
 		opts:    opts,
 		nodes:   1,
+		retries: opts.Retries,
 		budgets: make(map[string]*steer.Budget),
 		pauses:  make(map[string]*meanPause),
 	}
@@ -138,14 +140,24 @@
 	defer s.mu.Unlock()
 	s.nodes = max(1, n)
 	for _, b := range s.budgets {
-		b.SetSlack(s.opts.Retries.Slack / float64(s.nodes))
+		b.SetBounds(s.retries.Ratio, s.retries.Slack/float64(s.nodes))
+	}
+}
+
+// SetRetries changes the bounds on repeats. Their window stays as it was.
+func (s *Server) SetRetries(r RetryRule) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.retries.Ratio, s.retries.Slack = r.Ratio, r.Slack
+	for _, b := range s.budgets {
+		b.SetBounds(r.Ratio, r.Slack/float64(s.nodes))
 	}
 }
 
 func (s *Server) budget(service string) *steer.Budget {
 	b := s.budgets[service]
 	if b == nil {
-		b = steer.NewBudget(s.opts.Retries.Ratio, s.opts.Retries.Slack/float64(s.nodes), s.opts.Retries.Window)
+		b = steer.NewBudget(s.retries.Ratio, s.retries.Slack/float64(s.nodes), s.retries.Window)
 		s.budgets[service] = b
 	}
 	return b
--- a/internal/steer/budget.go
+++ b/internal/steer/budget.go
@@ -37,8 +37,8 @@
 	}
 }
 
-// SetSlack changes this node's part of the slack.
-func (b *Budget) SetSlack(slack float64) { b.slack = slack }
+// SetBounds changes the ratio and this node's part of the slack.
+func (b *Budget) SetBounds(ratio, slack float64) { b.ratio, b.slack = ratio, slack }
 
 func (b *Budget) at(now time.Time) int {
 	n := now.UnixNano() / int64(b.width)
