depot, serve: follow demand on many engines, weigh models by their pace

A copy had to gain 6% of the pressure of all engines, which no copy can among 90. The bound is now meant for nine engines and shrinks with more; the number of copies a plan may add grows with them, and the gain is computed from what changes only. Demand counts tokens by the pace of their model, and engines are compared at the same model, since models differ by up to four times and an engine with a slow model counted as slow.

TestSpreadOverManyEngines and TestPauseComparesEnginesAtTheSameModel failed before.

--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -408,3 +408,63 @@
 		})
 	}
 }
+
+// TestSpreadOverManyEngines guards against a threshold that grows with the
+// number of engines: with 90 of them, one copy of a model that gets half of the
+// work gained too little, and its requests queued at seven engines while others
+// were idle.
+func TestSpreadOverManyEngines(t *testing.T) {
+	const engines, models, copies = 90, 45, 4
+	now := time.Unix(1000, 0)
+	config := testConfig(models)
+	config.Services["lm"].Engine.StoreLoadsPerSecond = 13
+	d := New(now, now)
+	d.SetConfig(now, config)
+	held := make([]map[string]bool, engines)
+	orders := make([]int64, engines)
+	ends := make([]fleet.Endpoint, engines)
+	for i := range engines {
+		ends[i] = fleet.Endpoint{ID: fmt.Sprintf("e%02d", i), Born: 1, Service: "lm"}
+		held[i] = map[string]bool{fmt.Sprintf("m%d", 1+i%(models-1)): true}
+		if i < copies {
+			held[i]["m0"] = true
+		}
+	}
+	d.SetEndpoints(ends)
+	holders := func() int {
+		n := 0
+		for _, h := range held {
+			if h["m0"] {
+				n++
+			}
+		}
+		return n
+	}
+	for range 80 {
+		now = now.Add(100 * time.Millisecond)
+		d.Arrived(now, "lm", "m0", 1000)
+		for m := 1; m < models; m++ {
+			d.Arrived(now, "lm", fmt.Sprintf("m%d", m), 1000/models)
+		}
+		for i, e := range ends {
+			r := fleet.Report{Key: e.Key(), Orders: orders[i]}
+			for name := range held[i] {
+				r.Models = append(r.Models, fleet.Resident{Model: name})
+			}
+			d.SetReport(now, r)
+		}
+		for _, o := range d.Step(now) {
+			i := slices.IndexFunc(ends, func(e fleet.Endpoint) bool { return e.ID == o.Key.ID })
+			orders[i]++
+			held[i][o.Model] = o.Load
+			if !o.Load {
+				delete(held[i], o.Model)
+			}
+			d.Answered(o, Accepted)
+		}
+	}
+	// Half of the work at a third of the engines, or more.
+	if n := holders(); n < engines/3 {
+		t.Errorf("after 8 s %d engines hold the model that gets half of the work, want %d or more", n, engines/3)
+	}
+}
--- a/internal/depot/plan.go
+++ b/internal/depot/plan.go
@@ -119,16 +119,19 @@
 type layout struct {
 	engines []*engine
 	models  []*model
-	holders map[string]int
+	// holders are the engines of each model, by their place in engines.
+	holders map[string][]int
 	// speed is the sum of the speeds of a model's holders.
 	speed map[string]float64
 	// loads are relative to the speed of the engines.
 	loads []float64
+	// change is used by gain.
+	change []float64
 }
 
 func (d *Depot) layout(now time.Time, s *service) *layout {
 	l := &layout{
-		holders: map[string]int{},
+		holders: map[string][]int{},
 		speed:   map[string]float64{},
 	}
 	for _, e := range d.sorted() {
@@ -141,20 +144,22 @@
 		l.models = append(l.models, m)
 	}
 	slices.SortFunc(l.models, func(a, b *model) int { return strings.Compare(a.Name, b.Name) })
-	for _, e := range l.engines {
+	for i, e := range l.engines {
 		for _, name := range e.future() {
-			l.holders[name]++
+			l.holders[name] = append(l.holders[name], i)
 			l.speed[name] += e.speed()
 		}
 	}
-	l.loads = make([]float64, len(l.engines))
-	for i, e := range l.engines {
-		for _, name := range e.future() {
-			if m := s.models[name]; m != nil {
-				// Requests go to the holders by their speed, so that the work of a
-				// model loads all of them alike.
-				l.loads[i] += m.demand / l.speed[name]
-			}
+	l.loads, l.change = make([]float64, len(l.engines)), make([]float64, len(l.engines))
+	for name, at := range l.holders {
+		m := s.models[name]
+		if m == nil {
+			continue
+		}
+		for _, i := range at {
+			// Requests go to the holders by their speed, so that the work of a
+			// model loads all of them alike.
+			l.loads[i] += m.demand / l.speed[name]
 		}
 	}
 	return l
@@ -195,7 +200,7 @@
 	}
 	var absent []*model
 	for _, m := range l.models {
-		if l.holders[m.Name] == 0 && (m.waiting > 0 || now.Sub(m.last) < idleAfter && !m.last.IsZero()) {
+		if len(l.holders[m.Name]) == 0 && (m.waiting > 0 || now.Sub(m.last) < idleAfter && !m.last.IsZero()) {
 			absent = append(absent, m)
 		}
 	}
@@ -205,7 +210,7 @@
 			l = d.layout(now, s)
 		}
 	}
-	for range 2 {
+	for range max(spreadLeast, len(l.engines)/spreadEngines) {
 		if !d.spread(now, s, l) {
 			break
 		}
@@ -302,7 +307,7 @@
 			list = append(list, candidate{name: r.Model, mb: mb})
 			continue
 		}
-		others := l.holders[r.Model] - 1
+		others := len(l.holders[r.Model]) - 1
 		unasked := min(now.Sub(x.last), now.Sub(d.begun))
 		idle := x.waiting == 0 && (unasked > idleAfter || must && unasked > idleForced && d.running[runKey{key: e.Key(), item: r.Model}] == 0)
 		if others < 1 && !idle {
@@ -331,20 +336,31 @@
 	return evict, lost, free >= m.MB
 }
 
+const (
+	// spreadLeast and spreadEngines are how many copies one plan may add: as many
+	// as keep up with demand that moves, a fraction of the engines each plan.
+	spreadLeast   = 2
+	spreadEngines = 15
+	// gainEngines is the number of engines for which gainLeast is meant. The part
+	// that one copy can gain is smaller where there are more engines.
+	gainEngines = 9
+)
+
 // spread gives one more copy to a model where that evens out the load of the
 // engines. It reports whether it planned one.
 func (d *Depot) spread(now time.Time, s *service, l *layout) bool {
 	var best *option
 	var bestModel *model
-	var bestGain float64
-	total := l.pressure(l.loads)
+	total := l.pressure()
 	if total <= 0 {
 		return false
 	}
+	least := gainLeast * total * min(1, gainEngines/float64(len(l.engines)))
+	bestGain := least
 	hot := slices.Clone(l.models)
 	slices.SortStableFunc(hot, func(a, b *model) int { return cmp.Compare(l.perCopy(b), l.perCopy(a)) })
 	for _, m := range hot[:min(len(hot), hotModels)] {
-		if l.holders[m.Name] == 0 || m.demand <= 0 {
+		if len(l.holders[m.Name]) == 0 || m.demand <= 0 {
 			continue
 		}
 		for i, e := range l.engines {
@@ -358,15 +374,14 @@
 			if !ok {
 				continue
 			}
-			after := l.without(s, i, evict, m)
-			gain := (total - l.pressure(after)) / total
+			gain := l.gain(s, i, evict, m)
 			if len(evict) > 0 {
-				gain -= gainLeast / 2
+				gain -= least / 2
 			}
 			if e.fromStore(m.Name) {
-				gain -= gainLeast / 2
+				gain -= least / 2
 			}
-			if gain > gainLeast && gain > bestGain {
+			if gain > bestGain {
 				bestGain, bestModel = gain, m
 				best = &option{
 					engine: e,
@@ -392,42 +407,43 @@
 	return m.demand / max(l.speed[m.Name], 1/paceMost)
 }
 
-// without returns the loads of the engines after models made room for another
-// copy of m at engine at.
-func (l *layout) without(s *service, at int, evict []string, m *model) []float64 {
-	out := slices.Clone(l.loads)
-	shift := func(name string, add bool) {
+// gain is by how much the pressure falls when models make room for another copy
+// of m at engine at.
+func (l *layout) gain(s *service, at int, evict []string, m *model) float64 {
+	clear(l.change)
+	speed := l.engines[at].speed()
+	for _, name := range evict {
 		x := s.models[name]
 		if x == nil {
-			return
+			continue
 		}
 		before := l.speed[name]
-		after := before - l.engines[at].speed()
-		if add {
-			after = before + l.engines[at].speed()
-		}
-		for i, e := range l.engines {
-			switch {
-			case i == at && add:
-				out[i] += x.demand / after
-			case i == at:
-				out[i] -= x.demand / before
-			case slices.Contains(e.future(), name):
-				out[i] += x.demand/max(after, 1/paceMost) - x.demand/before
-			}
+		l.shift(name, x.demand/max(before-speed, 1/paceMost)-x.demand/before)
+		l.change[at] -= x.demand / max(before-speed, 1/paceMost)
+	}
+	before := l.speed[m.Name]
+	l.shift(m.Name, m.demand/(before+speed)-m.demand/before)
+	l.change[at] += m.demand / (before + speed)
+	var gain float64
+	for i, c := range l.change {
+		if c != 0 {
+			gain -= c * (2*l.loads[i] + c) * l.engines[i].speed()
 		}
 	}
-	for _, name := range evict {
-		shift(name, false)
+	return gain
+}
+
+// shift changes the loads of a model's holders.
+func (l *layout) shift(name string, by float64) {
+	for _, i := range l.holders[name] {
+		l.change[i] += by
 	}
-	shift(m.Name, true)
-	return out
 }
 
 // pressure is lowest when the engines are loaded alike for their speed.
-func (l *layout) pressure(loads []float64) float64 {
+func (l *layout) pressure() float64 {
 	var sum float64
-	for i, x := range loads {
+	for i, x := range l.loads {
 		sum += x * x * l.engines[i].speed()
 	}
 	return sum
@@ -436,7 +452,7 @@
 // preload brings models that no engine holds into memory that is free.
 func (d *Depot) preload(now time.Time, s *service, l *layout) {
 	for _, m := range l.models {
-		if l.holders[m.Name] > 0 || s.loads < 1 {
+		if len(l.holders[m.Name]) > 0 || s.loads < 1 {
 			continue
 		}
 		for _, e := range l.engines {
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -84,7 +84,7 @@
 	}
 	c.countRequest(c.service.Name)
 	if c.service.Engine != nil {
-		c.opts.Demand.Arrived(c.service.Name, c.q.Model, c.q.Adapter, tokens)
+		c.opts.Demand.Arrived(c.service.Name, c.q.Model, c.q.Adapter, tokens*c.workWeight(c.service.Name, c.q.Model))
 	}
 	for {
 		again, p := c.attempt(ctx)
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -131,7 +131,7 @@
 	}
 	now := c.opts.Clock.Now()
 	if events > 2 {
-		c.learnPause(c.service.Name, key, last.Sub(first)/time.Duration(events-1))
+		c.learnPause(c.service.Name, c.q.Model, key, last.Sub(first)/time.Duration(events-1))
 	}
 	if errors.Is(err, io.EOF) && len(s.rest) == 0 {
 		c.opts.Table.Done(now, key, steer.Served)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -474,6 +474,26 @@
 	}
 }
 
+// TestPauseComparesEnginesAtTheSameModel guards against taking an engine for slow
+// because it holds a slow model: requests then avoided it and left it idle.
+func TestPauseComparesEnginesAtTheSameModel(t *testing.T) {
+	table := steer.NewTable("north")
+	table.SetEndpoints([]fleet.Endpoint{{ID: "a", Born: 1, Service: "lm"}, {ID: "b", Born: 1, Service: "lm"}})
+	s := New(Options{Clock: clock.NewFake(), Table: table})
+	a, b := fleet.Key{ID: "a", Born: 1}, fleet.Key{ID: "b", Born: 1}
+	for range 200 {
+		s.learnPause("lm", "small", a, 10*time.Millisecond)
+		s.learnPause("lm", "large", b, 40*time.Millisecond)
+	}
+	paces := table.Paces()
+	if paces[b] > 1.2*paces[a] {
+		t.Errorf("the paces are %v", paces)
+	}
+	if small, large := s.workWeight("lm", "small"), s.workWeight("lm", "large"); large < 3*small || s.workWeight("lm", "new") != 1 {
+		t.Errorf("a token weighs %v and %v", small, large)
+	}
+}
+
 // TestSetRetries guards against bounds on repeats that a change of the settings
 // does not reach, for services that have a budget already and for new ones.
 func TestSetRetries(t *testing.T) {
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -97,7 +97,8 @@
 	nodes   int
 	retries RetryRule
 	budgets map[string]*steer.Budget
-	pauses  map[string]*meanPause
+	// pauses are the usual pauses between events, in seconds.
+	pauses map[pauseKey]float64
 }
 
 // New returns a Server without a configuration.
@@ -107,7 +108,7 @@
 		nodes:   1,
 		retries: opts.Retries,
 		budgets: make(map[string]*steer.Budget),
-		pauses:  make(map[string]*meanPause),
+		pauses:  make(map[pauseKey]float64),
 	}
 }
 
@@ -175,31 +176,54 @@
 	return s.budget(service).Repeat(s.opts.Clock.Now())
 }
 
-// meanPause is the usual pause between events of a service's streams. Engines
-// are compared with it.
-type meanPause struct{ seconds float64 }
+// pauseKey is a model of a service, or the service as a whole.
+type pauseKey struct{ service, model string }
 
-// pauseWeight is the weight of one sample in the usual pause.
-const pauseWeight = 0.01
+const (
+	// pauseWeight is the weight of one sample in the usual pause.
+	pauseWeight = 0.02
+	// weightLeast and weightMost bound how much the work of models differs. The
+	// largest models take about four times as long for a token as the smallest.
+	weightLeast = 0.2
+	weightMost  = 5
+)
 
-// learnPause compares an engine's mean pause in one answer with the usual one.
-func (s *Server) learnPause(service string, key fleet.Key, pause time.Duration) {
+// learnPause takes over the mean pause between the events of one answer. The
+// engine is compared with others at the same model, since models differ more
+// than engines do.
+func (s *Server) learnPause(service, model string, key fleet.Key, pause time.Duration) {
 	s.mu.Lock()
-	m := s.pauses[service]
-	if m == nil {
-		m = &meanPause{
-			seconds: pause.Seconds(),
-		}
-		s.pauses[service] = m
-	}
-	m.seconds += (pause.Seconds() - m.seconds) * pauseWeight
-	usual := m.seconds
+	s.learn(pauseKey{service: service}, pause.Seconds())
+	usual := s.learn(pauseKey{service: service, model: model}, pause.Seconds())
 	s.mu.Unlock()
 	if usual > 0 {
 		s.opts.Table.Pace(key, pause.Seconds()/usual)
 	}
 }
 
+// learn takes a sample into a usual pause and returns it. The lock is held.
+func (s *Server) learn(k pauseKey, seconds float64) float64 {
+	usual, ok := s.pauses[k]
+	if !ok {
+		usual = seconds
+	}
+	usual += (seconds - usual) * pauseWeight
+	s.pauses[k] = usual
+	return usual
+}
+
+// workWeight is how long a token of a model takes, relative to the service's
+// usual one.
+func (s *Server) workWeight(service, model string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	all, one := s.pauses[pauseKey{service: service}], s.pauses[pauseKey{service: service, model: model}]
+	if all <= 0 || one <= 0 {
+		return 1
+	}
+	return min(weightMost, max(weightLeast, one/all))
+}
+
 // Serve takes a request to its final answer. The context ends when the caller
 // is gone.
 func (s *Server) Serve(ctx context.Context, q *Request, caller Caller) {
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -122,8 +122,8 @@
 
 // Demand learns what is asked for, and gets adapters loaded.
 type Demand interface {
-	// Arrived counts an admitted request.
-	Arrived(service, model, adapter string, tokens float64)
+	// Arrived counts an admitted request. Work is in tokens of a usual model.
+	Arrived(service, model, adapter string, work float64)
 	// Wait reports a request that waits for a model until done is called.
 	Wait(service, model string) (done func())
 	// Running counts a request at an endpoint until done is called.
