fleet, mirror: take over no old entries after a pause, keep lapsed ones in time

The registry now remembers at which version an entry was gone, and a mirror that has not read for 3 s reads the table as a whole.

Found on the way: the first rows after an outage were applied before the grace for lapsed entries began, so that a reader dropped all endpoints whose entries had lapsed. The return of the store is now told first.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -22,7 +22,11 @@
 
 // Registry holds the registered endpoints. It is not safe for concurrent use.
 type Registry struct {
-	entries    map[string]*entry
+	entries map[string]*entry
+	// gone holds, for names whose entry was removed, the version of the store at
+	// which it was missing. A reader that goes on after a pause, while others told
+	// this registry, repeats older changes.
+	gone       map[string]int64
 	version    int64
 	graceUntil time.Time
 }
@@ -37,9 +41,14 @@
 func NewRegistry() *Registry {
 	return &Registry{
 		entries: make(map[string]*entry),
+		gone:    make(map[string]int64),
 	}
 }
 
+// maxGone bounds the names of removed entries that are remembered: those of
+// several hours at 2,600 endpoints.
+const maxGone = 4096
+
 // Recovered notes that the store answers again after an outage, during which
 // entries may have expired although their endpoints live.
 func (r *Registry) Recovered(now time.Time) { r.graceUntil = now.Add(returnGrace) }
@@ -61,7 +70,7 @@
 	}
 	if complete {
 		for name := range r.entries {
-			if !named[name] && r.remove(now, name) {
+			if !named[name] && r.remove(now, name, version) {
 				changed = true
 			}
 		}
@@ -79,8 +88,11 @@
 		// Another reader has told of a later state.
 		return false
 	case c.Endpoint == nil:
-		return r.remove(now, c.Name)
+		return r.remove(now, c.Name, c.Version)
+	case e == nil && c.Version <= r.gone[c.Name]:
+		return false
 	case e == nil:
+		delete(r.gone, c.Name)
 		r.entries[c.Name] = &entry{
 			endpoint: *c.Endpoint,
 			version:  c.Version,
@@ -95,7 +107,7 @@
 	return changed
 }
 
-func (r *Registry) remove(now time.Time, name string) bool {
+func (r *Registry) remove(now time.Time, name string, version int64) bool {
 	e := r.entries[name]
 	if e == nil {
 		return false
@@ -107,9 +119,25 @@
 		return false
 	}
 	delete(r.entries, name)
+	r.forget(name, version)
 	return true
 }
 
+// forget remembers that an entry is gone, and drops the oldest such memory.
+func (r *Registry) forget(name string, version int64) {
+	r.gone[name] = max(r.gone[name], version)
+	if len(r.gone) <= maxGone {
+		return
+	}
+	oldest := name
+	for n, v := range r.gone {
+		if v < r.gone[oldest] {
+			oldest = n
+		}
+	}
+	delete(r.gone, oldest)
+}
+
 // Expire removes endpoints whose entries did not come back. It reports whether
 // there were any.
 func (r *Registry) Expire(now time.Time) bool {
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -74,6 +74,17 @@
 				{recovered: true, complete: true, want: ""},
 			},
 		},
+		{
+			name: "old changes after a pause of the reader",
+			steps: []step{
+				{changes: []Change{{Name: "a", Version: 1, Endpoint: entryOf("a", 1, false)}, {Name: "b", Version: 1, Endpoint: entryOf("b", 1, false)}}, complete: true, want: "a b "},
+				{changes: []Change{{Name: "b", Version: 31, Endpoint: entryOf("b", 1, false)}}, complete: true, want: "b "},
+				{changes: []Change{{Name: "a", Version: 15, Endpoint: entryOf("a", 1, false)}}, want: "b "},
+				{changes: []Change{{Name: "a", Version: 40, Endpoint: entryOf("a", 1, false)}}, want: "a b "},
+				{changes: []Change{{Name: "a", Version: 50}}, want: "b "},
+				{changes: []Change{{Name: "a", Version: 45, Endpoint: entryOf("a", 1, false)}}, want: "b "},
+			},
+		},
 		{
 			name: "a late write of an earlier incarnation",
 			steps: []step{
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -71,17 +71,20 @@
 // Run follows the table until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
 	after := int64(-1)
+	var read time.Time // of the last answer
 	for ctx.Err() == nil {
 		if m.opts.Skip != nil && m.opts.Skip() {
 			sleep(ctx, skipPause)
 			continue
 		}
 		began := time.Now()
+		if began.Sub(read) > relistAfter {
+			after = -1
+		}
 		next, err := m.step(ctx, after)
 		if ctx.Err() != nil {
 			return
 		}
-		m.tell(err)
 		pause := m.opts.Pace - time.Since(began)
 		switch {
 		case errors.Is(err, ErrCompacted):
@@ -93,12 +96,17 @@
 				// The feed is asked at once: the full read may be old already.
 				pause = 0
 			}
-			after = next
+			after, read = next, time.Now()
 		}
 		sleep(ctx, pause)
 	}
 }
 
+// relistAfter is how long after its last read a mirror reads the table as a
+// whole instead of repeating all changes since then, most of which are heartbeats
+// that others have told of in the meantime.
+const relistAfter = 3 * time.Second
+
 // skipPause is how often a mirror that skips looks whether it still should.
 const skipPause = 50 * time.Millisecond
 
@@ -115,25 +123,32 @@
 	m.failed = failed
 }
 
+// step makes one call and takes over its answer. The return of the store is told
+// before its rows are applied.
 func (m *Mirror) step(ctx context.Context, after int64) (int64, error) {
+	wait := m.opts.Wait
 	if after < 0 {
-		ctx, cancel := context.WithTimeout(ctx, m.opts.Timeout)
-		defer cancel()
-		rows, version, err := m.source.List(ctx, m.opts.Table)
-		if err != nil {
-			return 0, err
-		}
-		m.opts.Apply(rows, version, true)
-		return version, nil
+		wait = 0
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.opts.Wait+m.opts.Timeout)
+	ctx, cancel := context.WithTimeout(ctx, wait+m.opts.Timeout)
 	defer cancel()
-	rows, version, err := m.source.Changes(ctx, m.opts.Table, after, m.opts.Wait)
+	var rows []Row
+	var version int64
+	var err error
+	if after < 0 {
+		rows, version, err = m.source.List(ctx, m.opts.Table)
+	} else {
+		rows, version, err = m.source.Changes(ctx, m.opts.Table, after, wait)
+	}
+	if errors.Is(context.Cause(ctx), context.Canceled) {
+		return 0, context.Canceled
+	}
+	m.tell(err)
 	if err != nil {
 		return 0, err
 	}
-	if len(rows) > 0 {
-		m.opts.Apply(rows, version, false)
+	if after < 0 || len(rows) > 0 {
+		m.opts.Apply(rows, version, after < 0)
 	}
 	return max(version, after), nil
 }
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -90,11 +90,15 @@
 	mu     sync.Mutex
 	rows   map[string]string
 	states []error
+	lost   bool
+	// early tells that rows were applied before the return of the store was told.
+	early bool
 }
 
 func (c *copyOf) apply(rows []Row, _ int64, complete bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.early = c.early || c.lost
 	if complete {
 		c.rows = map[string]string{}
 	}
@@ -140,6 +144,7 @@
 			c.mu.Lock()
 			defer c.mu.Unlock()
 			c.states = append(c.states, err)
+			c.lost = err != nil
 		},
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -187,15 +192,24 @@
 	f.mute, f.err = false, errors.New("down")
 	f.mu.Unlock()
 	time.Sleep(20 * time.Millisecond)
+	f.put("e", "1")
 	f.mu.Lock()
 	f.err = nil
 	f.mu.Unlock()
 	eventually(t, "a row written during an outage", c.has("d", "1"))
+	eventually(t, "a row written at its end", c.has("e", "1"))
 	eventually(t, "one loss and one return told", func() bool {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		return len(c.states) == 2 && c.states[0] != nil && c.states[1] == nil
 	})
+	// Entries that lapsed during an outage are kept for a while after it, which
+	// must begin before the first rows are taken over.
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.early {
+		t.Error("rows were applied before the return of the store was told")
+	}
 }
 
 // TestSkip guards against calls to the store while the table is known from
