steer, lead: know cut domains and the load of plain services, choose apart

Each node found the 40 engines behind the cut one after the other, 300 ms a request; their missing reports made them look idle, which drew more requests there. Requests for the booking service were turned away by full endpoints while others were free, since a node knew only its own requests and preferred its domain. Between two reports all nodes chose the same engine.

- Two endpoints of a domain that take no connection, with none answering meanwhile, count as a cut of the domain; one request at a time tries it again.
- An engine without reports while others give them costs more.
- The coordinator adds up the requests at plain endpoints for all nodes.
- Each choice has a random part that grows with the number of nodes.

TestCutDomain, TestChoicesOfManyNodes and TestStaleReport failed before.

--- a/internal/lead/coordinator.go
+++ b/internal/lead/coordinator.go
@@ -73,9 +73,12 @@
 	// seq numbers changes that nodes are told of; memberSeq is that of the last
 	// change of the members, and engineCount numbers the engines.
 	// short is when it was last noted that a workspace had no tokens.
-	short       map[string]time.Time
-	seq         int64
-	memberSeq   int64
+	short     map[string]time.Time
+	seq       int64
+	memberSeq int64
+	// plain are the requests at endpoints of plain services as of gathered.
+	plain       []PlainLoad
+	gathered    time.Time
 	engineCount int
 }
 
@@ -243,6 +246,7 @@
 		}
 	}
 	c.depot.SetWaiting(now, c.waiting())
+	c.gather(now)
 	if c.mayOrder(now) {
 		for _, o := range c.depot.Step(now) {
 			c.give(ctx, o)
--- a/internal/lead/exchange.go
+++ b/internal/lead/exchange.go
@@ -245,6 +245,12 @@
 		ages = append(ages, l.Age)
 	}
 	n.mu.Unlock()
+	for _, p := range r.Plain {
+		n.opts.Table.SetReport(sent, fleet.Report{
+			Key:    p.Key,
+			Active: p.Active,
+		})
+	}
 	for i, rep := range reports {
 		n.opts.Table.SetReport(sent.Add(-ages[i]), rep)
 	}
--- a/internal/lead/members.go
+++ b/internal/lead/members.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/depot"
+	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/grant"
 )
 
@@ -178,7 +179,6 @@
 	for _, p := range x.Paces {
 		c.depot.SetPace(p.Key, p.Pace)
 	}
-	c.depot.SetRunning(c.running())
 	known := x.Seq
 	if x.Term != c.tenure.Fence {
 		known = -1
@@ -213,6 +213,7 @@
 		}
 		r.Reports = append(r.Reports, l)
 	}
+	r.Plain = c.plain
 	for key, models := range c.depot.Closing() {
 		r.Closing = append(r.Closing, Closing{
 			Key:    key,
@@ -221,12 +222,34 @@
 	}
 }
 
-func (c *Coordinator) running() []depot.Running {
-	var out []depot.Running
+// gatherEvery is how often the requests under way are added up. Nodes tell of
+// them at most that often.
+const gatherEvery = 100 * time.Millisecond
+
+// gather adds up the requests under way over all nodes.
+func (c *Coordinator) gather(now time.Time) {
+	if now.Sub(c.gathered) < gatherEvery {
+		return
+	}
+	c.gathered = now
+	var running []depot.Running
+	active := map[fleet.Key]int{}
 	for _, m := range c.members {
-		out = append(out, m.running...)
+		running = append(running, m.running...)
+		for _, u := range m.running {
+			active[u.Key] += u.Count
+		}
+	}
+	c.depot.SetRunning(running)
+	c.plain = nil
+	for _, e := range c.list {
+		if c.config != nil && c.config.Services[e.Service] != nil && c.config.Services[e.Service].Engine == nil {
+			c.plain = append(c.plain, PlainLoad{
+				Key:    e.Key(),
+				Active: active[e.Key()],
+			})
+		}
 	}
-	return out
 }
 
 func (c *Coordinator) memberList() []Member {
--- a/internal/lead/message.go
+++ b/internal/lead/message.go
@@ -157,6 +157,12 @@
 	return v.Term > o.Term || v.Term == o.Term && v.Seq > o.Seq
 }
 
+// PlainLoad is how many requests of all nodes are at an endpoint.
+type PlainLoad struct {
+	Key    fleet.Key `cbor:"1,keyasint"`
+	Active int       `cbor:"2,keyasint"`
+}
+
 // Closing are models that are about to be unloaded at an engine.
 type Closing struct {
 	Key    fleet.Key `cbor:"1,keyasint"`
@@ -186,7 +192,9 @@
 	Listing       *Listing       `cbor:"10,keyasint,omitempty"`
 	Reports       []LoadReport   `cbor:"11,keyasint,omitempty"`
 	Closing       []Closing      `cbor:"12,keyasint,omitempty"`
-	Lease         *LeaseRow      `cbor:"13,keyasint,omitempty"`
+	// Plain are the requests at endpoints of plain services, which give no reports.
+	Plain []PlainLoad `cbor:"22,keyasint,omitempty"`
+	Lease *LeaseRow   `cbor:"13,keyasint,omitempty"`
 	// StoreAge is how long ago the store last answered the sender.
 	StoreAge time.Duration `cbor:"14,keyasint,omitempty"`
 	// ViewAge is how long ago the store last confirmed what the sender knows, by
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -202,11 +202,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	running := func() {}
-	if c.service.Engine != nil {
-		running = c.opts.Demand.Running(key, c.q.Model, c.q.Adapter)
-	}
-	defer running()
+	defer c.opts.Demand.Running(key, c.q.Model, c.q.Adapter)()
 	if c.sent > 0 {
 		c.opts.Observe.Repeated(c.service.Name)
 	}
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -1,6 +1,7 @@
 package steer
 
 import (
+	"math"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
@@ -42,6 +43,7 @@
 	out := Choice{}
 	holders, served := 0, 0
 	affinity := t.affinity(q)
+	noise := spreadUnit * math.Sqrt(float64(t.nodes-1))
 	for _, e := range t.ends {
 		if e.Service != q.Service || e.Leaving {
 			continue
@@ -61,7 +63,7 @@
 			continue
 		}
 		out.Candidates++
-		cost := t.cost(now, e, &q, r, e.ID == affinity)
+		cost := t.cost(now, e, &q, r, e.ID == affinity) + noise*t.spread()
 		if best == nil || cost < bestCost {
 			best, bestCost = e, cost
 		}
@@ -83,6 +85,7 @@
 	if !best.reported.IsZero() {
 		out.ReportAge = now.Sub(best.reported)
 	}
+	t.try(best)
 	best.running++
 	best.sends = append(best.sends, now)
 	if best.owed.IsZero() {
@@ -145,6 +148,9 @@
 			}
 		}
 	}
+	if !e.reported.IsZero() && t.newest.Sub(e.reported) > reportMaxAge {
+		cost += staleCost
+	}
 	if slots := float64(e.Slots); slots > 0 && load >= slots {
 		cost += 2 * (load - slots + 1)
 	}
@@ -153,6 +159,9 @@
 	if now.Before(e.fullUntil) {
 		cost = cost*4 + 100
 	}
+	if t.domains[e.Domain].blocked(now) {
+		cost += cutCost
+	}
 	if e.silent(now) {
 		cost = cost*10 + 1000
 	}
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -47,6 +48,13 @@
 	// idlePlain is the same for an endpoint of a plain service, which serves
 	// few requests at once.
 	idlePlain = 2
+	// spreadUnit is the mean random part of the cost of each choice, in requests,
+	// times the root of the number of other nodes. All nodes get the same reports;
+	// without it all of them choose the same endpoint until the next ones.
+	spreadUnit = 0.2
+	// staleCost is added where an engine gives no reports while others do. It is
+	// cut off from the coordinator, or about to fail.
+	staleCost = 30
 	// reportMaxAge is when a load report no longer counts.
 	reportMaxAge = 1500 * time.Millisecond
 	// paceWeight is the weight of one sample in an endpoint's pace.
@@ -73,6 +81,12 @@
 	// busy are engines that are about to be given orders about models.
 	busy    map[fleet.Key]bool
 	changed chan struct{}
+	// domains are the failure domains of which an endpoint took no connection.
+	domains map[string]*reach
+	// newest is the time of the newest report.
+	newest time.Time
+	// spread returns a random part of the cost of a choice.
+	spread func() float64
 }
 
 type end struct {
@@ -101,6 +115,8 @@
 		closing: make(map[closingKey]bool),
 		busy:    make(map[fleet.Key]bool),
 		changed: make(chan struct{}),
+		domains: make(map[string]*reach),
+		spread:  rand.ExpFloat64,
 	}
 }
 
@@ -175,6 +191,9 @@
 		e.Models = r.Models
 	}
 	e.report, e.reported = r, taken
+	if taken.After(t.newest) {
+		t.newest = taken
+	}
 	for len(e.sends) > 0 && !e.sends[0].After(taken.Add(-reportLag)) {
 		e.sends = e.sends[1:]
 	}
@@ -221,6 +240,7 @@
 	if e.running > 0 {
 		e.owed = now
 	}
+	delete(t.domains, e.Domain)
 }
 
 func (t *Table) find(key fleet.Key) *end {
@@ -263,6 +283,7 @@
 	if e == nil {
 		return
 	}
+	t.tried(e)
 	e.running = max(0, e.running-1)
 	if e.running == 0 {
 		e.owed = time.Time{}
@@ -279,6 +300,7 @@
 	case Unreachable:
 		e.awayFor = min(unreachableMost, max(unreachable, 2*e.awayFor))
 		e.awayUntil = now.Add(e.awayFor)
+		t.unreached(now, e)
 	case Full:
 		e.fullUntil = now.Add(fullFor)
 	case Missing, Ended:
--- a/internal/steer/table_test.go
+++ b/internal/steer/table_test.go
@@ -252,3 +252,100 @@
 		tb.Done(t0, c.Endpoint.Key(), Served)
 	}
 }
+
+// TestCutDomain guards against each request finding out by itself that a failure
+// domain is cut off: each lost the time limit of a connection, at 40 of 60
+// engines one after the other.
+func TestCutDomain(t *testing.T) {
+	tb := NewTable("north")
+	var ends []fleet.Endpoint
+	for i := range 12 {
+		e := engineOf(fmt.Sprintf("e%02d", i), "m1")
+		if i%3 > 0 {
+			e.Domain = "south"
+		}
+		ends = append(ends, e)
+	}
+	tb.SetEndpoints(ends)
+	query := Query{Service: "lm", Model: "m1"}
+	now := t0
+	south, gone := 0, true
+	request := func() {
+		c, err := tb.Pick(now, query)
+		if err != nil {
+			t.Fatal(err)
+		}
+		key := c.Endpoint.Key()
+		switch {
+		case c.Endpoint.Domain == "north":
+			// The request goes on, so that load draws the next ones to the south.
+			tb.Byte(now, key)
+		case gone:
+			south++
+			tb.Done(now, key, Unreachable)
+		default:
+			south++
+			tb.Byte(now, key)
+			tb.Done(now, key, Served)
+		}
+	}
+	for range 100 {
+		request()
+		now = now.Add(20 * time.Millisecond)
+	}
+	if south > domainFails+4 {
+		t.Errorf("%d requests of 100 in 2 s were sent to a domain that is cut off", south)
+	}
+	gone, south = false, 0
+	now = now.Add(cutMost)
+	for range 20 {
+		request()
+	}
+	if south < 10 {
+		t.Errorf("%d of 20 requests went to the domain after it was back and idle", south)
+	}
+}
+
+// TestChoicesOfManyNodes guards against all nodes choosing the same engine
+// between two reports: the busiest of 90 got three times the mean.
+func TestChoicesOfManyNodes(t *testing.T) {
+	const nodes, engines = 80, 8
+	var ends []fleet.Endpoint
+	for i := range engines {
+		ends = append(ends, engineOf(fmt.Sprintf("e%d", i), "m1"))
+	}
+	got := map[string]int{}
+	for range nodes {
+		tb := NewTable("north")
+		tb.SetEndpoints(ends)
+		tb.SetNodes(nodes)
+		for i, e := range ends {
+			tb.SetReport(t0, fleet.Report{Key: e.Key(), Models: e.Models, Active: 10 + i/4})
+		}
+		c, err := tb.Pick(t0, Query{Service: "lm", Model: "m1"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		got[c.Endpoint.ID]++
+	}
+	for id, n := range got {
+		if n > 3*nodes/engines {
+			t.Errorf("%d of %d nodes chose %s", n, nodes, id)
+		}
+	}
+}
+
+// TestStaleReport guards against preferring an engine that looks idle because it
+// has given no report for seconds, while others have.
+func TestStaleReport(t *testing.T) {
+	tb := NewTable("north")
+	a, b := engineOf("a", "m1"), engineOf("b", "m1")
+	tb.SetEndpoints([]fleet.Endpoint{a, b})
+	tb.SetReport(t0, fleet.Report{Key: a.Key(), Models: a.Models, Active: 12})
+	later := t0.Add(3 * time.Second)
+	tb.SetReport(later, fleet.Report{Key: b.Key(), Models: b.Models, Active: 12})
+	c, err := tb.Pick(later, Query{Service: "lm", Model: "m1"})
+	if err != nil || c.Endpoint.ID != "b" {
+		t.Errorf("chose %s (%v)", c.Endpoint.ID, err)
+	}
+}
