lead, steer: repeat unanswered orders at once, use engines with few slots fully

An order without an answer is now sent again after 250 ms. It names the number of orders before it, so that one of the copies takes effect. TestUnansweredOrderIsRepeated failed before.

Engines of 24 slots count an idle one as 7 requests in place of 20, since a slow engine is better than one whose slots are taken, and the last fifth of the slots costs more.

--- a/internal/lead/coordinator.go
+++ b/internal/lead/coordinator.go
@@ -17,9 +17,13 @@
 	tick = 20 * time.Millisecond
 	// reportEvery is the time between two reports of an engine.
 	reportEvery = 300 * time.Millisecond
-	// reportTimeout is when a report counts as lost, orderTimeout an answer to an order.
+	// reportTimeout is when a report counts as lost, orderTimeout an answer to an
+	// order. An engine answers within a few milliseconds.
 	reportTimeout = 400 * time.Millisecond
-	orderTimeout  = 1200 * time.Millisecond
+	orderTimeout  = 250 * time.Millisecond
+	// orderTries is how often an order without an answer is sent. It takes effect
+	// once at most, since it names the number of orders before it.
+	orderTries = 5
 	// adapterSettle is how long a loaded adapter takes to be usable: the longest
 	// usual load of an adapter and the way of the order.
 	adapterSettle = 14 * time.Millisecond
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -137,6 +137,8 @@
 	orders []testOrder
 	models map[string]bool
 	count  int64
+	// swallow is how many orders get no answer and are not carried out.
+	swallow int
 }
 
 type testOrder struct {
@@ -159,8 +161,14 @@
 	return r, nil
 }
 
-func (e *testEngine) Order(_ context.Context, o depot.Order, holder string, fence int64) (depot.Answer, error) {
+func (e *testEngine) Order(ctx context.Context, o depot.Order, holder string, fence int64) (depot.Answer, error) {
 	e.mu.Lock()
+	if e.swallow > 0 {
+		e.swallow--
+		e.mu.Unlock()
+		<-ctx.Done()
+		return depot.Lost, ctx.Err()
+	}
 	defer e.mu.Unlock()
 	e.orders = append(e.orders, testOrder{
 		holder: holder,
@@ -708,3 +716,31 @@
 		}
 	}
 }
+
+// TestUnansweredOrderIsRepeated guards against an engine that stays as it is for
+// seconds because one order got no answer: while half of them got none, busy
+// models had too few copies for ten seconds. The order names the number of orders
+// before it, so that it takes effect once however often it is sent.
+func TestUnansweredOrderIsRepeated(t *testing.T) {
+	f := newTestFleet(t)
+	n := f.start("a")
+	if err := n.SetDocument(context.Background(), []byte("1"), "test"); err != nil {
+		t.Fatal(err)
+	}
+	f.settle(3*time.Second, n)
+	n.SetEndpoints(context.Background(), []fleet.Change{{
+		Name:     "e",
+		Version:  1,
+		Endpoint: &fleet.Endpoint{ID: "e", Born: 1, Service: "lm", Address: "10.0.0.1:80"},
+	}}, 1, true)
+	f.engine.mu.Lock()
+	f.engine.swallow = 2
+	f.engine.mu.Unlock()
+	done := n.Wait("lm", "m0")
+	defer done()
+	f.eventually("the model that is waited for", 2*time.Second, func() bool {
+		f.engine.mu.Lock()
+		defer f.engine.mu.Unlock()
+		return f.engine.models["m0"]
+	})
+}
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"fmt"
+	"errors"
 	"slices"
 	"time"
 
@@ -98,17 +98,24 @@
 		out := ordered{
 			order: o,
 		}
-		if c.clock.Now().Before(until) {
+		out.answer, out.err = depot.Refused, errLeaseOver
+		for range orderTries {
+			if !c.clock.Now().Before(until) {
+				break
+			}
 			bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 			out.answer, out.err = c.engines.Order(bounded, o, c.node, fence)
 			cancel()
-		} else {
-			out.answer, out.err = depot.Refused, fmt.Errorf("lead: the lease ended before the order was sent")
+			if out.answer != depot.Lost {
+				break
+			}
 		}
 		c.post(ctx, out)
 	}()
 }
 
+var errLeaseOver = errors.New("lead: the lease ended before the order was sent")
+
 func (m ordered) apply(ctx context.Context, c *Coordinator, now time.Time) {
 	if m.answer == depot.Lost || m.answer == depot.Refused {
 		text := ""
--- a/internal/steer/pick.go
+++ b/internal/steer/pick.go
@@ -123,7 +123,7 @@
 	load := e.load(now, t.nodes)
 	cost := idlePlain + load
 	if r != nil {
-		cost = idleLoad + load
+		cost = idleCost(e.Slots) + load
 		if preferred {
 			cost -= affinityGain
 		}
@@ -151,8 +151,8 @@
 	if !e.reported.IsZero() && t.newest.Sub(e.reported) > reportMaxAge {
 		cost += staleCost
 	}
-	if slots := float64(e.Slots); slots > 0 && load >= slots {
-		cost += 2 * (load - slots + 1)
+	if slots := float64(e.Slots); slots > 0 && load >= slots*nearFull {
+		cost += fullCost * (load - slots*nearFull + 1)
 	}
 	cost *= e.pace
 	cost *= 1 + failCost*e.failRate
@@ -171,6 +171,14 @@
 	return cost
 }
 
+// idleCost is the load that an idle engine counts as.
+func idleCost(slots int) float64 {
+	if slots <= 0 {
+		return idleLoad
+	}
+	return min(idleLoad, idleSlots*float64(slots))
+}
+
 func (e *end) silent(now time.Time) bool {
 	return !e.owed.IsZero() && now.Sub(e.owed) > silentAfter
 }
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -45,6 +45,13 @@
 	// idleLoad is the load that an idle engine counts as. The longest pause
 	// between the events of a stream grows by half from 5 requests to 20.
 	idleLoad = 20
+	// idleSlots bounds it, as a part of the engine's slots: where these are few, a
+	// slow engine is better than one whose slots are taken.
+	idleSlots = 0.3
+	// nearFull is the part of an endpoint's slots above which each request more
+	// adds fullCost: reports are late, so the last slots may be taken.
+	nearFull = 0.8
+	fullCost = 3
 	// idlePlain is the same for an endpoint of a plain service, which serves
 	// few requests at once.
 	idlePlain = 2
