soak: run entry processes as processes under random faults

trefload soak starts the store, engines and plain services of the stand-in, runs entry processes against them and injects faults from outside: signals, cuts, one-way loss, delays and silence by proxies, outages, slowness and lost answers of the store, endpoints that crash, leave, fail, slow down or carry orders out late, changed rates and keys. Callers keep their connections until the process is gone. At the end it compares what callers and endpoints saw with the promises. A seed that breaks one goes into testdata/seeds.txt with its cause; the test runs those and a fixed one. Clocks are not stepped: the processes read the machine's.

--- /dev/null
+++ b/internal/cmds/load_soak.go
@@ -0,0 +1,118 @@
+package cmds
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/urfave/cli/v3"
+	"golang.org/x/sync/errgroup"
+
+	"trefoildale.example/trefoildale/internal/soak"
+)
+
+func loadSoakCommand() *cli.Command {
+	return &cli.Command{
+		Name:  "soak",
+		Usage: "run entry processes on a stand-in of the users' platform under random faults, and check what is promised",
+		Flags: []cli.Flag{
+			&cli.Uint64Flag{Name: "seed", Usage: "seed of the first run", Value: 1},
+			&cli.IntFlag{Name: "runs", Usage: "how many seeds, counted up from the first", Value: 1},
+			&cli.IntFlag{Name: "parallel", Usage: "runs at a time", Value: 1},
+			&cli.StringFlag{Name: "program", Usage: "the entry process", Value: "bin/trefoild"},
+			&cli.IntFlag{Name: "nodes", Usage: "entry processes of a run", Value: 4},
+			&cli.IntFlag{Name: "callers", Usage: "callers of a run", Value: 12},
+			&cli.DurationFlag{Name: "faults", Usage: "for how long faults are injected", Value: 15 * time.Second},
+			&cli.StringFlag{Name: "out", Usage: "directory for settings and logs; those of runs that keep all promises are removed", Value: "out/soak"},
+			&cli.BoolFlag{Name: "verbose", Usage: "print each fault"},
+		},
+		Action: runSoak,
+	}
+}
+
+// errSoak tells that a run broke a promise.
+var errSoak = errors.New("promises were broken")
+
+func runSoak(ctx context.Context, cmd *cli.Command) error {
+	if cmd.Args().Present() {
+		return Usagef("%s: unexpected argument %q", cmd.FullName(), cmd.Args().First())
+	}
+	runs, parallel := cmd.Int("runs"), cmd.Int("parallel")
+	if runs < 1 || parallel < 1 || cmd.Int("nodes") < 1 || cmd.Int("callers") < 1 || cmd.Duration("faults") <= 0 {
+		return Usagef("%s: runs, parallel, nodes, callers and faults must be above zero", cmd.FullName())
+	}
+	if _, err := os.Stat(cmd.String("program")); err != nil {
+		return Usagef("%s: --program: %w", cmd.FullName(), err)
+	}
+	var mu sync.Mutex
+	failed := 0
+	group, ctx := errgroup.WithContext(ctx)
+	group.SetLimit(parallel)
+	for i := range runs {
+		seed := cmd.Uint64("seed") + uint64(i)
+		group.Go(func() error {
+			r, err := soakOnce(ctx, cmd, seed)
+			if err != nil {
+				return fmt.Errorf("seed %d: %w", seed, err)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			printSoak(cmd.Root().Writer, r)
+			if len(r.Broken) > 0 {
+				failed++
+			}
+			return nil
+		})
+	}
+	if err := group.Wait(); err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.Root().Writer, "%d of %d seeds broke a promise\n", failed, runs)
+	if failed > 0 {
+		return errSoak
+	}
+	return nil
+}
+
+func soakOnce(ctx context.Context, cmd *cli.Command, seed uint64) (*soak.Result, error) {
+	dir := filepath.Join(cmd.String("out"), strconv.FormatUint(seed, 10))
+	if err := os.RemoveAll(dir); err != nil {
+		return nil, err
+	}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	var progress io.Writer
+	if cmd.Bool("verbose") {
+		progress = cmd.Root().Writer
+	}
+	r, err := soak.Run(ctx, soak.Options{
+		Seed:     seed,
+		Program:  []string{cmd.String("program")},
+		Dir:      dir,
+		Nodes:    cmd.Int("nodes"),
+		Callers:  cmd.Int("callers"),
+		Faults:   cmd.Duration("faults"),
+		Progress: progress,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if len(r.Broken) == 0 {
+		return r, os.RemoveAll(dir)
+	}
+	return r, nil
+}
+
+func printSoak(w io.Writer, r *soak.Result) {
+	fmt.Fprintf(w, "seed %d: %d requests, %d served, %d faults, %d broken\n", r.Seed, r.Requests, r.Served, r.Faults, len(r.Broken))
+	for _, b := range r.Broken {
+		fmt.Fprintf(w, "  %s\n", b)
+	}
+}
--- a/internal/cmds/trefload.go
+++ b/internal/cmds/trefload.go
@@ -22,6 +22,7 @@
 	loadReportCommand,
 	loadOverheadCommand,
 	loadCostCommand,
+	loadSoakCommand,
 }
 
 // Trefload returns the program for load and experiments.
--- a/internal/conf/fleet.go
+++ b/internal/conf/fleet.go
@@ -23,6 +23,8 @@
 	Ready string `yaml:"ready"`
 	// Peers is where other nodes connect.
 	Peers string `yaml:"peers"`
+	// PeersAdvertised is the address that others are told, where it differs.
+	PeersAdvertised string `yaml:"peers-advertised"`
 	// Metrics is where counters and histograms are served.
 	Metrics string `yaml:"metrics"`
 }
@@ -81,6 +83,10 @@
 			c.add(f.field, "%q is not an address that others can connect to", f.value)
 		}
 	}
+	fill(&l.PeersAdvertised, l.Peers)
+	if host, port, ok := splitAddress(l.PeersAdvertised); !ok || host == "" || port == 0 {
+		c.add("peers-advertised", "%q is not an address that others can connect to", l.PeersAdvertised)
+	}
 }
 
 func (s *FleetStore) check(c *checker) {
--- a/internal/fake/site/engine.go
+++ b/internal/fake/site/engine.go
@@ -533,3 +533,6 @@
 		e.freed = make(chan struct{})
 	}
 }
+
+// ID is the name under which the endpoint registers.
+func (e *Endpoint) ID() string { return e.o.ID }
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -119,7 +119,7 @@
 	})
 	p.node = lead.New(lead.Options{
 		Node:        set.Node.Name,
-		Address:     set.Listen.Peers,
+		Address:     set.Listen.PeersAdvertised,
 		Domain:      set.Node.Domain,
 		Incarnation: incarnation,
 		Capacity:    set.Node.Capacity,
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,84 @@
+package soak_test
+
+import (
+	"bufio"
+	"context"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/cmds"
+	"trefoildale.example/trefoildale/internal/soak"
+)
+
+// asProgram has the test binary run as the entry process.
+const asProgram = "TREFOILD_IN_TEST"
+
+func TestMain(m *testing.M) {
+	if os.Getenv(asProgram) != "" {
+		os.Exit(cmds.Run(context.Background(), cmds.Trefoild(), os.Args, os.Stdout, os.Stderr))
+	}
+	os.Exit(m.Run())
+}
+
+// seeds reads the seeds that once broke a promise, each with its cause.
+func seeds(t *testing.T) map[uint64]string {
+	t.Helper()
+	f, err := os.Open("testdata/seeds.txt")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	out := map[uint64]string{}
+	in := bufio.NewScanner(f)
+	for in.Scan() {
+		line := strings.TrimSpace(in.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		number, cause, ok := strings.Cut(line, ":")
+		seed, err := strconv.ParseUint(number, 10, 64)
+		if !ok || err != nil || strings.TrimSpace(cause) == "" {
+			t.Fatalf("seeds.txt: %q is not a seed with its cause", line)
+		}
+		out[seed] = strings.TrimSpace(cause)
+	}
+	return out
+}
+
+// TestSoak guards against broken promises under overlapping faults: a fixed seed,
+// and those that once found a fault.
+func TestSoak(t *testing.T) {
+	program, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	all := seeds(t)
+	all[1] = "the fixed seed"
+	for seed, cause := range all {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			t.Parallel()
+			r, err := soak.Run(context.Background(), soak.Options{
+				Seed:    seed,
+				Program: []string{program},
+				Env:     []string{asProgram + "=1"},
+				Dir:     t.TempDir(),
+				Nodes:   3,
+				Callers: 8,
+				Faults:  10 * time.Second,
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			t.Logf("%s: %d requests, %d served, %d faults", cause, r.Requests, r.Served, r.Faults)
+			for _, b := range r.Broken {
+				t.Error(b)
+			}
+			if r.Served == 0 || r.Faults == 0 {
+				t.Errorf("%d requests were served under %d faults", r.Served, r.Faults)
+			}
+		})
+	}
+}
