lead, depot: count repeats of an order in the handover between coordinators

An order without an answer is sent up to five times, but the handover told the next coordinator the time of the first. It now tells the last. TestRepeatedOrderCountsAsIssued guards it.

The soak now has more models than its engines hold, demand that moves, a small slack of the rates, faults that outlast most of a window, and faults that aim at the coordinator; processes have loopback addresses of their own, since a free port was taken by another run.

--- a/internal/cmds/trefoild_fleet.go
+++ b/internal/cmds/trefoild_fleet.go
@@ -48,14 +48,15 @@
 	if cmd.Args().Present() {
 		return Usagef("trefoild fleet: unexpected argument %q", cmd.Args().First())
 	}
+	// Until then a signal to reload ends the process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	file := cmd.String("settings")
 	set, err := loadFleetSettings(file)
 	if err != nil {
 		return err
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	p, release, err := proc.New(set, cmd.Root().Writer)
 	if err != nil {
 		return err
--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -381,8 +381,12 @@
 	}
 }
 
-// Answered takes over the answer to an order.
-func (d *Depot) Answered(o Order, a Answer) {
+// Answered takes over the answer to an order that was last sent at a time. Orders
+// without an answer are sent several times.
+func (d *Depot) Answered(sent time.Time, o Order, a Answer) {
+	if sent.After(d.issued[o.Key]) {
+		d.issued[o.Key] = sent
+	}
 	e := d.engines[o.Key.ID]
 	if e == nil || e.Born != o.Key.Born || e.last == nil || e.last.order != o {
 		return
--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -180,15 +180,15 @@
 			order: o,
 			at:    w.now.Add(time.Duration(2+fate*5) * time.Second),
 		})
-		w.depot.Answered(o, Lost)
+		w.depot.Answered(w.now, o, Lost)
 	case fate < 4:
 		// The order is carried out and the answer is lost.
 		w.carryOut(e, o)
-		w.depot.Answered(o, Lost)
+		w.depot.Answered(w.now, o, Lost)
 	case e.Born != o.Key.Born:
-		w.depot.Answered(o, Refused)
+		w.depot.Answered(w.now, o, Refused)
 	default:
-		w.depot.Answered(o, w.carryOut(e, o))
+		w.depot.Answered(w.now, o, w.carryOut(e, o))
 	}
 }
 
@@ -331,7 +331,7 @@
 		for _, o := range d.Step(now) {
 			held[o.Model] = o.Load
 			orders++
-			d.Answered(o, Accepted)
+			d.Answered(now, o, Accepted)
 		}
 		if held["m4"] {
 			return
@@ -360,7 +360,7 @@
 			if o.Load && o.Model == "m0" && o.Key.ID == "e1" {
 				return
 			}
-			d.Answered(o, Refused)
+			d.Answered(now, o, Refused)
 		}
 	}
 	t.Error("no copy of the busy model was ordered within 3 s")
@@ -399,7 +399,7 @@
 				d.SetRunning([]Running{{Key: e.Key(), Model: "m0", Count: tc.running}, {Key: e.Key(), Model: "m1", Count: tc.running}})
 				for _, o := range d.Step(now) {
 					unloaded = unloaded || !o.Load
-					d.Answered(o, Refused)
+					d.Answered(now, o, Refused)
 				}
 			}
 			if unloaded != tc.want {
@@ -460,7 +460,7 @@
 			if !o.Load {
 				delete(held[i], o.Model)
 			}
-			d.Answered(o, Accepted)
+			d.Answered(now, o, Accepted)
 		}
 	}
 	// Half of the work at a third of the engines, or more.
@@ -468,3 +468,26 @@
 		t.Errorf("after 8 s %d engines hold the model that gets half of the work, want %d or more", n, engines/3)
 	}
 }
+
+// TestRepeatedOrderCountsAsIssued guards against a new coordinator that gives
+// orders too soon: the former one may have sent an order again a second after it
+// was given, and engines count the time between orders of two holders.
+func TestRepeatedOrderCountsAsIssued(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New(now, now)
+	d.SetConfig(now, testConfig(3))
+	e := fleet.Endpoint{ID: "e0", Born: 1, Service: "lm"}
+	d.SetEndpoints([]fleet.Endpoint{e})
+	d.SetReport(now, fleet.Report{Key: e.Key(), OnDisk: []string{"m0"}})
+	d.SetWaiting(now, []Waiting{{Service: "lm", Model: "m0", Count: 1}})
+	// The first step plans, the second gives the order.
+	orders := append(d.Step(now), d.Step(now)...)
+	if len(orders) != 1 {
+		t.Fatalf("%d orders were given", len(orders))
+	}
+	last := now.Add(time.Second)
+	d.Answered(last, orders[0], Lost)
+	if at := d.Issued(now.Add(2 * time.Second))[e.Key()]; !at.Equal(last) {
+		t.Errorf("the order counts as issued at %v, want %v", at, last)
+	}
+}
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -21,6 +21,7 @@
 	order  depot.Order
 	answer depot.Answer
 	err    error
+	sent   time.Time // the last time
 }
 
 // ordersFrom is when this tenure may give its first order. Engines do not check
@@ -103,6 +104,7 @@
 			if !c.clock.Now().Before(until) {
 				break
 			}
+			out.sent = c.clock.Now()
 			bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 			out.answer, out.err = c.engines.Order(bounded, o, c.node, fence)
 			cancel()
@@ -128,7 +130,7 @@
 	if !c.active {
 		return
 	}
-	c.depot.Answered(m.order, m.answer)
+	c.depot.Answered(m.sent, m.order, m.answer)
 	if p := c.reports[m.order.Key]; p != nil {
 		// The engine's state is wanted soon after an order.
 		p.next = now.Add(reportEvery / 3)
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -111,7 +111,7 @@
 		Wait:    callerWait,
 	}
 	if a.route.Service == "assistant" {
-		x.Model = []string{"rules", "coach", "season", "rules/a1", "rules/a2", "coach/a1"}[c.random.IntN(6)]
+		x.Model = c.model()
 		x.In, x.Out = 20+c.random.IntN(200), a.tokens
 	}
 	q, err := x.Request()
@@ -150,6 +150,22 @@
 	return repeatable && !a.whole, 0
 }
 
+// shiftEvery is how long callers mostly ask for the same model.
+const shiftEvery = 2500 * time.Millisecond
+
+// model draws a model or adapter. Demand moves from one model to the next.
+func (c *caller) model() string {
+	models := c.run.config.Services[0].Engine.Models
+	m := models[int(time.Since(c.run.began)/shiftEvery)%len(models)]
+	if c.random.Float64() < 0.4 {
+		m = models[c.random.IntN(len(models))]
+	}
+	if m.Adapters > 0 && c.random.Float64() < 0.3 {
+		return fmt.Sprintf("%s/a%d", m.Name, 1+c.random.IntN(m.Adapters))
+	}
+	return m.Name
+}
+
 // read takes the answer and compares it with the one that the request must get.
 func (c *caller) read(a *asked, res *http.Response) {
 	defer res.Body.Close()
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -43,7 +43,15 @@
 		c.node.signal(syscall.SIGCONT)
 		r.woke(c.node.name)
 	}},
-	{name: "reload", inject: func(_ context.Context, _ *run, c chance) { c.node.signal(syscall.SIGHUP) }},
+	{name: "reload", inject: func(ctx context.Context, _ *run, c chance) {
+		// Before a program handles the signal, it ends the program.
+		for !c.node.ready() && sleep(ctx, 100*time.Millisecond) {
+			if stopping, killed := c.node.state(); stopping || killed {
+				return
+			}
+		}
+		c.node.signal(syscall.SIGHUP)
+	}},
 	{name: "peers", inject: func(ctx context.Context, r *run, c chance) {
 		c.disturbWay(ctx, c.node.peers)
 		r.woke(c.node.name)
@@ -222,6 +230,31 @@
 	r.logf("configuration %d: %s", c.Version, what)
 }
 
+const (
+	// coordinatorPart is the part of the series that hit the process that gave the
+	// last order.
+	coordinatorPart = 0.35
+	// longPart is the part of the faults that last longMore longer, most of the
+	// window in which rates are judged.
+	longPart = 0.15
+	longMore = 5 * time.Second
+)
+
+// coordinator returns the process that gave the last order, or another one when
+// there was none.
+func (r *run) coordinator(other *node) *node {
+	orders := r.site.Journal.Orders()
+	if len(orders) == 0 {
+		return other
+	}
+	for _, n := range r.nodes {
+		if n.name == orders[len(orders)-1].Holder {
+			return n
+		}
+	}
+	return other
+}
+
 // inject draws faults until their time is over, and waits for their end.
 func (r *run) inject(ctx context.Context) {
 	var all sync.WaitGroup
@@ -231,10 +264,16 @@
 			node:     r.nodes[r.random.IntN(len(r.nodes))],
 			endpoint: r.random.IntN(len(r.site.Endpoints)),
 		}
+		if r.random.Float64() < coordinatorPart {
+			c.node = r.coordinator(c.node)
+		}
 		for range 1 + r.random.IntN(3) {
 			k := kinds[r.random.IntN(len(kinds))]
 			c.part, c.pick = r.random.Float64(), r.random.IntN(1000)
 			c.length = time.Duration((0.3 + 3*r.random.Float64()) * float64(time.Second))
+			if r.random.Float64() < longPart {
+				c.length += longMore
+			}
 			drawn := c
 			all.Go(func() { r.one(ctx, k, drawn) })
 			if !sleep(ctx, time.Duration(r.random.IntN(700))*time.Millisecond) {
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -118,7 +118,7 @@
 func (r *run) workspaceOf(key string) string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	for _, c := range append([]written{{config: site.Sample()}}, r.record.configs...) {
+	for _, c := range append([]written{{config: deployment()}}, r.record.configs...) {
 		for _, t := range c.config.Tenants {
 			if slices.Contains(t.Keys, key) {
 				return t.Name
@@ -158,7 +158,7 @@
 func (r *run) limitIn(name string, from, to time.Time) (rate, burst float64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	configs := append([]written{{config: site.Sample()}}, r.record.configs...)
+	configs := append([]written{{config: deployment()}}, r.record.configs...)
 	for i, c := range configs {
 		ended := to
 		if i+1 < len(configs) {
@@ -199,7 +199,7 @@
 func (r *run) life(key string) (added, withdrawn time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	held := slices.ContainsFunc(site.Sample().Tenants, func(t site.Tenant) bool { return slices.Contains(t.Keys, key) })
+	held := slices.ContainsFunc(deployment().Tenants, func(t site.Tenant) bool { return slices.Contains(t.Keys, key) })
 	for _, c := range r.record.configs {
 		now := slices.ContainsFunc(c.config.Tenants, func(t site.Tenant) bool { return slices.Contains(t.Keys, key) })
 		switch {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -38,6 +39,14 @@
 	calm  time.Time
 }
 
+// The ports of each process, below those that the system gives to connections.
+const (
+	callersPort = 8221 + iota
+	readyPort
+	peersPort
+	metricsPort
+)
+
 func (r *run) newNode(i int) (*node, error) {
 	n := &node{
 		run:    r,
@@ -45,24 +54,22 @@
 		domain: []string{"north", "south"}[i%2],
 		calm:   time.Now(),
 	}
-	address, release, err := site.Serve(r.site.Store.Handler(n.name))
+	store, release, err := site.Serve(r.site.Store.Handler(n.name))
 	if err != nil {
 		return nil, err
 	}
 	r.closers = append(r.closers, release)
 	var closeProxy func()
-	if n.store, closeProxy, err = cutter.New(address); err != nil {
+	if n.store, closeProxy, err = cutter.New(store); err != nil {
 		return nil, err
 	}
 	r.closers = append(r.closers, closeProxy)
-	var free [4]string
-	for i := range free {
-		if free[i], err = freeAddress(); err != nil {
-			return nil, err
-		}
-	}
-	n.callers, n.readyAt = free[0], free[1]
-	if n.peers, closeProxy, err = cutter.New(free[2]); err != nil {
+	// An address of its own, with ports that the system gives to nobody, cannot be
+	// taken by others while the process is down.
+	host := fmt.Sprintf("127.%d.%d.%d", 20+os.Getpid()%200, r.o.Seed%250, i+1)
+	address := func(port int) string { return net.JoinHostPort(host, strconv.Itoa(port)) }
+	n.callers, n.readyAt = address(callersPort), address(readyPort)
+	if n.peers, closeProxy, err = cutter.New(address(peersPort)); err != nil {
 		return nil, err
 	}
 	r.closers = append(r.closers, closeProxy, n.end)
@@ -75,18 +82,10 @@
 store: {address: %q}
 bounds: {lease: %v, grace: %v, retry-ratio: 0.2, retry-slack: 50, quota-slack: %d}
 seeds: [%s]
-`, n.name, n.domain, n.callers, n.readyAt, free[2], n.peers.Addr(), free[3], n.store.Addr(), leaseBound, graceBound, quotaSlack, seeds)
+`, n.name, n.domain, n.callers, n.readyAt, address(peersPort), n.peers.Addr(), address(metricsPort), n.store.Addr(), leaseBound, graceBound, quotaSlack, seeds)
 	return n, os.WriteFile(r.file(n.name+".yaml"), []byte(settings), 0o600)
 }
 
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // start starts the process, whose output goes to a file that later starts append to.
 func (n *node) start() error {
 	out, err := n.run.create(n.name + ".log")
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -28,7 +28,9 @@
 	graceBound  = 8 * time.Second
 	quotaWindow = 8 * time.Second
 	quotaExcess = 0.1
-	quotaSlack  = 7400
+	// quotaSlack is small against the rates of the run, so that one is exceeded
+	// before the slack hides it.
+	quotaSlack  = 1500
 	configBound = 2 * time.Second
 	// calmFor is how long nothing may have gone wrong before a rule with a time
 	// bound holds.
@@ -100,7 +102,7 @@
 		random:   rand.New(rand.NewPCG(o.Seed, o.Seed)),
 		engines:  make(map[string]*cutter.Proxy),
 		progress: o.Progress,
-		config:   site.Sample(),
+		config:   deployment(),
 	}
 	defer r.close()
 	if err := r.start(ctx); err != nil {
@@ -126,6 +128,19 @@
 	return r.judge(healed), nil
 }
 
+// deployment is the sample with more models than the engines hold, so that orders
+// are given all the time.
+func deployment() site.Config {
+	c := site.Sample()
+	e := c.Services[0].Engine
+	for _, name := range []string{"lanes", "judge", "juniors"} {
+		m := e.Models[0]
+		m.Name = name
+		e.Models = append(e.Models, m)
+	}
+	return c
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	t := time.NewTimer(d)
 	defer t.Stop()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -65,9 +65,9 @@
 				Program: []string{program},
 				Env:     []string{asProgram + "=1"},
 				Dir:     t.TempDir(),
-				Nodes:   3,
-				Callers: 8,
-				Faults:  10 * time.Second,
+				Nodes:   4,
+				Callers: 12,
+				Faults:  15 * time.Second,
 			})
 			if err != nil {
 				t.Fatal(err)
