depot, lead: reach models behind a cut sooner, make fewer calls at a start

A model whose only holder is cut off counted as held until the engine's last report was 2.4 s old; requests that wait for it now get another copy after 1 s. TestModelBehindACut failed before. Small nodes of a large fleet ask others before they read the store when they start (TestSmallNodesReadTheStoreLater failed before), and engines are asked for reports as seldom as nodes hear of them.

--- a/internal/depot/depot.go
+++ b/internal/depot/depot.go
@@ -60,6 +60,9 @@
 	answerWait = 1500 * time.Millisecond
 	// reportMaxAge is how old a report may be for a decision about an engine.
 	reportMaxAge = 1200 * time.Millisecond
+	// silentAfter is how old the last report of an engine may be before requests
+	// that wait for its models get another copy: two reports in a row are missing.
+	silentAfter = time.Second
 	// settle is how long after an order a report may still show the state before it.
 	settle = 400 * time.Millisecond
 	// demandTime is the time constant of the demand for a model.
--- a/internal/depot/depot_test.go
+++ b/internal/depot/depot_test.go
@@ -491,3 +491,30 @@
 		t.Errorf("the order counts as issued at %v, want %v", at, last)
 	}
 }
+
+// TestModelBehindACut guards against requests that wait for seconds for a model
+// whose only holder is cut off: until its last report was 2.4 s old it counted as
+// a copy that is there.
+func TestModelBehindACut(t *testing.T) {
+	now := time.Unix(1000, 0)
+	d := New(now, now)
+	d.SetConfig(now, testConfig(3))
+	ends := []fleet.Endpoint{{ID: "e0", Born: 1, Service: "lm"}, {ID: "e1", Born: 1, Service: "lm"}}
+	d.SetEndpoints(ends)
+	d.SetReport(now, fleet.Report{Key: ends[0].Key(), Models: []fleet.Resident{{Model: "m0"}}})
+	cut := now
+	for now.Sub(cut) < 1500*time.Millisecond {
+		now = now.Add(50 * time.Millisecond)
+		d.Arrived(now, "lm", "m0", 1000)
+		d.Arrived(now, "lm", "m1", 2000)
+		d.SetWaiting(now, []Waiting{{Service: "lm", Model: "m0", Count: 3}})
+		d.SetReport(now, fleet.Report{Key: ends[1].Key(), Models: []fleet.Resident{{Model: "m1"}}, OnDisk: []string{"m0"}})
+		for _, o := range d.Step(now) {
+			if o.Load && o.Model == "m0" && o.Key.ID == "e1" {
+				return
+			}
+			d.Answered(now, o, Refused)
+		}
+	}
+	t.Error("no other copy was ordered within 1.5 s of the last report")
+}
--- a/internal/depot/plan.go
+++ b/internal/depot/plan.go
@@ -200,7 +200,7 @@
 	}
 	var absent []*model
 	for _, m := range l.models {
-		if len(l.holders[m.Name]) == 0 && (m.waiting > 0 || now.Sub(m.last) < idleAfter && !m.last.IsZero()) {
+		if !l.reached(now, m) && (m.waiting > 0 || now.Sub(m.last) < idleAfter && !m.last.IsZero()) {
 			absent = append(absent, m)
 		}
 	}
@@ -219,6 +219,17 @@
 	d.preload(now, s, l)
 }
 
+// reached reports whether a model has a copy that requests can reach. Where
+// requests wait for it, an engine without recent reports is not one.
+func (l *layout) reached(now time.Time, m *model) bool {
+	if m.waiting == 0 {
+		return len(l.holders[m.Name]) > 0
+	}
+	return slices.ContainsFunc(l.holders[m.Name], func(i int) bool {
+		return now.Sub(l.engines[i].reported) < silentAfter
+	})
+}
+
 // option is a way to bring a model to an engine.
 type option struct {
 	engine *engine
--- a/internal/lead/coordinator.go
+++ b/internal/lead/coordinator.go
@@ -15,7 +15,8 @@
 const (
 	// tick is how often the coordinator looks at what is due.
 	tick = 20 * time.Millisecond
-	// reportEvery is the time between two reports of an engine.
+	// reportEvery is the least time between two reports of an engine. Where nodes
+	// hear of them less often, they are asked for less often.
 	reportEvery = 300 * time.Millisecond
 	// reportTimeout is when a report counts as lost, orderTimeout an answer to an
 	// order. An engine answers within a few milliseconds.
@@ -245,7 +246,7 @@
 	for key, p := range c.reports {
 		if !p.asking && !now.Before(p.next) {
 			p.asking = true
-			p.next = now.Add(reportEvery)
+			p.next = now.Add(max(reportEvery, exchangeInterval(len(c.members))))
 			go c.poll(ctx, key, p.endpoint, now)
 		}
 	}
--- a/internal/lead/exchange.go
+++ b/internal/lead/exchange.go
@@ -58,7 +58,12 @@
 func (n *Node) interval() time.Duration {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return min(exchangeMost, exchangeEvery*time.Duration(max(1, len(n.members)/exchangeNodes)))
+	return exchangeInterval(len(n.members))
+}
+
+// exchangeInterval is the time between two full exchanges of a node.
+func exchangeInterval(members int) time.Duration {
+	return min(exchangeMost, exchangeEvery*time.Duration(max(1, members/exchangeNodes)))
 }
 
 var errNoCoordinator = errors.New("lead: no coordinator is known")
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -744,3 +744,18 @@
 		return f.engine.models["m0"]
 	})
 }
+
+// TestSmallNodesReadTheStoreLater guards against the calls of all nodes of a large
+// fleet when they start at the same time: two nodes of it read the store for all.
+func TestSmallNodesReadTheStoreLater(t *testing.T) {
+	f := newTestFleet(t)
+	small, large := f.startSized("small", 0.1), f.start("large")
+	if !small.Relayed() {
+		t.Error("a small node reads the store at once")
+	}
+	if large.Relayed() {
+		t.Error("a large node does not read the store at once")
+	}
+	large.kill()
+	f.eventually("the small node reads the store", startDelay+startMore+time.Second, func() bool { return !small.Relayed() })
+}
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -31,6 +31,9 @@
 	// nodes wait up to startDelay before they compete for the first time.
 	fullCapacity = 0.4
 	startDelay   = 800 * time.Millisecond
+	// startMore is how much longer they wait before they read the store: by then
+	// they have asked a node that has.
+	startMore = 300 * time.Millisecond
 	// handOverAfter is how long a small coordinator has held the lease before it
 	// leaves it to a large node.
 	handOverAfter = 3 * time.Second
@@ -127,6 +130,9 @@
 	// and relayed when that was.
 	viewed  time.Time
 	relayed time.Time
+	// readsFrom is when a node that has just started reads the store if no other
+	// has told it anything. Large nodes read it at once.
+	readsFrom time.Time
 	// heard is the lease as the coordinator told it; own is this node's view.
 	heard *LeaseRow
 	own   *LeaseRow
@@ -171,6 +177,9 @@
 		engines:  make(map[int]*EngineState),
 		seeds:    o.Seeds,
 	}
+	if delay := n.startDelay(); delay > 0 {
+		n.readsFrom = o.Clock.Now().Add(delay + startMore)
+	}
 	n.Desk = NewDesk(o.Clock, n.kick, o.QuotaSpare)
 	return n
 }
@@ -279,6 +288,9 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	now := n.opts.Clock.Now()
+	if n.relayed.IsZero() && now.Before(n.readsFrom) {
+		return true
+	}
 	if n.holds || n.relayed.IsZero() || now.Sub(n.viewed) >= viewMost {
 		return false
 	}
