steer: log when a failure domain is not reached and when it is again

What a node believes of a domain decided requests without a line in the log. TestCutDomain checks both lines.

--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -22,6 +22,7 @@
 	answer depot.Answer
 	err    error
 	sent   time.Time // the last time
+	tries  int
 }
 
 // ordersFrom is when this tenure may give its first order. Engines do not check
@@ -104,7 +105,7 @@
 			if !c.clock.Now().Before(until) {
 				break
 			}
-			out.sent = c.clock.Now()
+			out.sent, out.tries = c.clock.Now(), out.tries+1
 			bounded, cancel := context.WithTimeout(ctx, orderTimeout)
 			out.answer, out.err = c.engines.Order(bounded, o, c.node, fence)
 			cancel()
@@ -125,7 +126,7 @@
 			text = m.err.Error()
 		}
 		c.log.Warn("order answered", "endpoint", m.order.Key.ID, "model", m.order.Model, "adapter", m.order.Adapter,
-			"load", m.order.Load, "expected", m.order.Expected, "answer", m.answer.String(), "error", text)
+			"load", m.order.Load, "expected", m.order.Expected, "answer", m.answer.String(), "tries", m.tries, "error", text)
 	}
 	if !c.active {
 		return
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -106,6 +106,7 @@
 		table:  steer.NewTable(set.Node.Domain),
 		meters: newMetrics(),
 	}
+	p.table.SetLog(log.Logger)
 	lazy := &lateNode{}
 	p.server = serve.New(serve.Options{
 		Clock:     clk,
--- a/internal/steer/reach.go
+++ b/internal/steer/reach.go
@@ -47,9 +47,24 @@
 		t.domains[e.Domain] = r
 	}
 	r.failed[e.ID] = true
-	if r.cut() && !now.Before(r.until) {
-		r.wait = min(cutMost, max(cutFor, 2*r.wait))
-		r.until = now.Add(r.wait)
+	if !r.cut() || now.Before(r.until) {
+		return
+	}
+	if r.wait == 0 {
+		t.log.Warn("failure domain not reached", "domain", e.Domain, "endpoint", e.ID, "failed", len(r.failed))
+	}
+	r.wait = min(cutMost, max(cutFor, 2*r.wait))
+	r.until = now.Add(r.wait)
+}
+
+// reached notes that an endpoint answers, and with it its domain.
+func (t *Table) reached(e *end) {
+	r := t.domains[e.Domain]
+	if r.cut() {
+		t.log.Info("failure domain reached again", "domain", e.Domain, "endpoint", e.ID)
+	}
+	if r != nil {
+		delete(t.domains, e.Domain)
 	}
 }
 
--- a/internal/steer/table.go
+++ b/internal/steer/table.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"log/slog"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -94,6 +95,7 @@
 	newest time.Time
 	// spread returns a random part of the cost of a choice.
 	spread func() float64
+	log    *slog.Logger
 }
 
 type end struct {
@@ -124,9 +126,17 @@
 		changed: make(chan struct{}),
 		domains: make(map[string]*reach),
 		spread:  rand.ExpFloat64,
+		log:     slog.New(slog.DiscardHandler),
 	}
 }
 
+// SetLog sets where changes of what is known of failure domains are told.
+func (t *Table) SetLog(log *slog.Logger) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.log = log
+}
+
 // SetNodes tells how many nodes send to the endpoints.
 func (t *Table) SetNodes(n int) {
 	t.mu.Lock()
@@ -247,7 +257,7 @@
 	if e.running > 0 {
 		e.owed = now
 	}
-	delete(t.domains, e.Domain)
+	t.reached(e)
 }
 
 func (t *Table) find(key fleet.Key) *end {
--- a/internal/steer/table_test.go
+++ b/internal/steer/table_test.go
@@ -1,8 +1,11 @@
 package steer
 
 import (
+	"bytes"
 	"errors"
 	"fmt"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 
@@ -289,6 +292,8 @@
 			tb.Done(now, key, Served)
 		}
 	}
+	var log bytes.Buffer
+	tb.SetLog(slog.New(slog.NewTextHandler(&log, nil)))
 	for range 100 {
 		request()
 		now = now.Add(20 * time.Millisecond)
@@ -301,6 +306,11 @@
 	for range 20 {
 		request()
 	}
+	for _, line := range []string{"failure domain not reached", "failure domain reached again"} {
+		if n := strings.Count(log.String(), line); n != 1 {
+			t.Errorf("the log has %d lines %q", n, line)
+		}
+	}
 	if south < 10 {
 		t.Errorf("%d of 20 requests went to the domain after it was back and idle", south)
 	}
--- a/internal/trail/explain.go
+++ b/internal/trail/explain.go
@@ -46,6 +46,8 @@
 	"coordinator known":            "{node} follows the coordinator at {address}.",
 	"coordinator begins":           "{node} became coordinator; its first order was allowed in {orders-in-ms} ms.",
 	"coordinator ends":             "{node} was no longer coordinator: {why}.",
+	"failure domain not reached":   "{node} reached no endpoint of failure domain {domain} any more.",
+	"failure domain reached again": "{node} reached failure domain {domain} again.",
 	"store lost":                   "The store no longer answered {node}: {error}.",
 	"store regained":               "The store answered {node} again.",
 	"configuration in force":       "Configuration {config} came into force at {node}, read from {source}.",
