--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -144,6 +144,8 @@
 
 // restart ends a process by a signal and starts it again.
 func (r *run) restart(ctx context.Context, n *node, s syscall.Signal, pause time.Duration) {
+	n.restarting.Lock()
+	defer n.restarting.Unlock()
 	n.signal(s)
 	if !n.gone(graceBound) {
 		r.broken("STOP: process %s still runs %v after %v", n.name, graceBound, s)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -28,6 +28,9 @@
 	store *cutter.Proxy
 	peers *cutter.Proxy
 
+	// restarting is held by the fault that restarts the process.
+	restarting sync.Mutex
+
 	mu       sync.Mutex
 	cmd      *exec.Cmd
 	exited   chan struct{}
