--- a/internal/cmds/load_soak.go
+++ b/internal/cmds/load_soak.go
@@ -6,9 +6,11 @@
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/urfave/cli/v3"
@@ -50,6 +52,9 @@
 	if _, err := os.Stat(cmd.String("program")); err != nil {
 		return Usagef("%s: --program: %w", cmd.FullName(), err)
 	}
+	// A run that is interrupted ends the processes that it started.
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
+	defer stop()
 	var mu sync.Mutex
 	failed := 0
 	group, ctx := errgroup.WithContext(ctx)
