--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -93,7 +93,7 @@
 	case http.StatusForbidden, http.StatusNotFound, http.StatusBadRequest:
 		r.broken("DENIED: %s (%s) at %.2f s got %d from %s", a.id, a.route.Name, at, a.status, a.node.name)
 	case 0:
-		if stopping, killed := a.node.state(); a.calm && !stopping && !killed {
+		if a.calm {
 			r.broken("LOST: %s (%s) at %.2f s got no answer from %s, %d runs", a.id, a.route.Name, at, a.node.name, runs)
 		}
 	}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -157,7 +157,7 @@
 func (n *node) inTouch() bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.wrong == 0 && !n.calm.IsZero() && !n.stopping && time.Since(n.calm) > calmFor
+	return n.wrong == 0 && !n.calm.IsZero() && !n.stopping && !n.killed && time.Since(n.calm) > calmFor
 }
 
 func (n *node) state() (stopping, killed bool) {
