--- a/internal/cmds/dev_platform.go
+++ b/internal/cmds/dev_platform.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	var log io.Writer = io.Discard
+	log := io.Discard
 	if cmd.Bool("log") {
 		log = cmd.Root().Writer
 	}
--- a/internal/cmds/stand_test.go
+++ b/internal/cmds/stand_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"trefoildale.example/trefoildale/internal/fake/site"
 )
 
 // TestUsage guards the exit codes that scripts depend on.
@@ -47,7 +49,7 @@
 func TestStands(t *testing.T) {
 	for args, path := range map[string]string{
 		"platform --lag 1s":          "/vms",
-		"site --domain a --domain b": "/rows-get?table=op&part=",
+		"site --domain a --domain b": site.ConfigPath,
 		"weights":                    "/stats",
 		"engine --name e1 --memory-mib 2000 --speed 50 --fencing --resident m,1,1000": "/state",
 		"service --name booking": "/bookings",
--- a/internal/fake/site/site.go
+++ b/internal/fake/site/site.go
@@ -44,6 +44,21 @@
 	PauseMS     float64 `json:"gap_target_ms"` // longest pause between events
 }
 
+// RunsOnce reports whether a request of the route may run once at most.
+func (r Route) RunsOnce() bool {
+	return r.Kind == kindOnce || r.Kind == KindStream && !r.Resumable
+}
+
+// The kinds of routes.
+const (
+	KindIdempotent = "idempotent"
+	KindStream     = "stream"
+	kindOnce       = "non_idempotent"
+)
+
+// ConfigPath is where the store shows the operator's configuration.
+const ConfigPath = "/rows-get?part=&table=" + operatorTable
+
 // Service is a group of endpoints; Engine is nil for plain services.
 type Service struct {
 	Name       string       `json:"name"`
@@ -107,16 +122,16 @@
 			PauseMS:     200,
 		}
 	}
-	stream := route("notes", "/notes/", "stream", "assistant")
-	resumable := route("plans", "/plans/", "stream", "assistant")
+	stream := route("notes", "/notes/", KindStream, "assistant")
+	resumable := route("plans", "/plans/", KindStream, "assistant")
 	resumable.Resumable = true
 	return Config{
 		Version: 1,
 		Routes: []Route{
 			stream,
 			resumable,
-			route("book", "/book/", "non_idempotent", "booking"),
-			route("read", "/read/", "idempotent", "booking"),
+			route("book", "/book/", kindOnce, "booking"),
+			route("read", "/read/", KindIdempotent, "booking"),
 		},
 		Services: []Service{
 			{
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -146,7 +146,7 @@
 	if c.node == nil {
 		c.move()
 	}
-	repeatable := a.route.Kind == "idempotent"
+	repeatable := a.route.Kind == site.KindIdempotent
 	return repeatable && !a.whole, 0
 }
 
@@ -177,7 +177,7 @@
 	}
 	a.whole = err == nil
 	want := []byte(site.PlainAnswer(a.id))
-	if a.route.Kind == "stream" {
+	if a.route.Kind == site.KindStream {
 		var all strings.Builder
 		for i := 1; i <= site.Events(a.tokens); i++ {
 			all.WriteString(site.Event(a.id, i))
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -260,7 +260,7 @@
 // inject draws faults until their time is over, and waits for their end.
 func (r *run) inject(ctx context.Context) {
 	var all sync.WaitGroup
-	for until := time.Now().Add(r.o.Faults); time.Now().Before(until); {
+	for until := time.Now().Add(r.o.Faults); time.Now().Before(until) && ctx.Err() == nil; {
 		// A series hits one process, or an endpoint, several times.
 		c := chance{
 			node:     r.nodes[r.random.IntN(len(r.nodes))],
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -74,7 +74,7 @@
 
 // judgeRequest checks one request by its answer and by how often it ran.
 func (r *run) judgeRequest(a *asked, runs int) {
-	once := a.route.Kind == "non_idempotent" || a.route.Kind == "stream" && !a.route.Resumable
+	once := a.route.RunsOnce()
 	at := a.sent.Sub(r.began).Seconds()
 	switch {
 	case a.problem != "":
