soak: judge the second try of a caller by its own answer, tell where runs were

The caller's second try was a copy of the first with its status; it got no answer since the process was killed. Messages now tell where and when a request ran, and requests that no caller sent are reported.

--- a/internal/fake/site/engine.go
+++ b/internal/fake/site/engine.go
@@ -414,6 +414,7 @@
 	e.o.Journal.arrived(Arrival{
 		At:        time.Now(),
 		Request:   id,
+		Target:    r.Method + " " + r.URL.RequestURI(),
 		Endpoint:  e.o.ID,
 		Born:      born,
 		Service:   e.o.Service,
--- a/internal/fake/site/journal.go
+++ b/internal/fake/site/journal.go
@@ -11,6 +11,7 @@
 type Arrival struct {
 	At        time.Time
 	Request   string
+	Target    string // method and path
 	Endpoint  string
 	Born      int64
 	Service   string
--- a/internal/fake/site/site.go
+++ b/internal/fake/site/site.go
@@ -8,8 +8,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"strings"
 	"time"
 )
 
@@ -193,12 +195,19 @@
 	After string
 }
 
+// askBody is the body of each request.
+const askBody = "{}"
+
 // Request encodes a caller's request.
 func (a Ask) Request() (*http.Request, error) {
-	r, err := http.NewRequest(a.Method, "http://"+a.Address+a.Path, http.NoBody)
+	r, err := http.NewRequest(a.Method, "http://"+a.Address+a.Path, nil)
 	if err != nil {
 		return nil, err
 	}
+	// With a body that cannot be read again, the client of the standard library
+	// does not send a request a second time under the same id when the server
+	// closes the connection.
+	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(askBody)), int64(len(askBody))
 	r.Host = a.Host
 	for name, value := range a.header() {
 		if value != "" {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -50,10 +50,14 @@
 		}
 		a := c.draw()
 		if again, after := c.ask(ctx, a); again && sleep(ctx, after) {
-			second := *a
+			// Only what was asked is the same; an answer to the first is none to this.
 			c.count++
-			second.id = c.name()
-			c.ask(ctx, &second)
+			c.ask(ctx, &asked{
+				id:     c.name(),
+				route:  a.route,
+				key:    a.key,
+				tokens: a.tokens,
+			})
 		}
 		sleep(ctx, time.Duration(c.random.IntN(60))*time.Millisecond)
 	}
@@ -173,6 +177,7 @@
 	a.status = res.StatusCode
 	if res.StatusCode != http.StatusOK {
 		a.whole = err == nil
+		a.answer = string(body[:min(len(body), 200)])
 		return
 	}
 	a.whole = err == nil
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -2,8 +2,10 @@
 
 import (
 	"cmp"
+	"fmt"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fake/site"
@@ -25,9 +27,9 @@
 // judge compares all that was seen with the promises.
 func (r *run) judge(healed time.Time) *Result {
 	arrivals := r.site.Journal.Arrivals()
-	runs := map[string]int{}
+	runs := map[string][]site.Arrival{}
 	for _, a := range arrivals {
-		runs[a.Request]++
+		runs[a.Request] = append(runs[a.Request], a)
 	}
 	r.mu.Lock()
 	all := r.record
@@ -73,32 +75,42 @@
 }
 
 // judgeRequest checks one request by its answer and by how often it ran.
-func (r *run) judgeRequest(a *asked, runs int) {
+func (r *run) judgeRequest(a *asked, runs []site.Arrival) {
 	once := a.route.RunsOnce()
 	at := a.sent.Sub(r.began).Seconds()
 	switch {
 	case a.problem != "":
 		r.broken("MIXED: %s (%s) at %.2f s from %s: %s", a.id, a.route.Name, at, a.node.name, a.problem)
-	case a.status == http.StatusOK && runs == 0:
+	case a.status == http.StatusOK && len(runs) == 0:
 		r.broken("MIXED: %s (%s) at %.2f s got a success from %s and did not run", a.id, a.route.Name, at, a.node.name)
 	}
-	if once && runs > 1 {
-		r.broken("TWICE: %s (%s) at %.2f s ran %d times", a.id, a.route.Name, at, runs)
+	if once && len(runs) > 1 {
+		r.broken("TWICE: %s (%s) at %.2f s ran %s", a.id, a.route.Name, at, r.places(runs))
 	}
 	switch a.status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		if runs > 0 {
-			r.broken("REFUSED: %s (%s) at %.2f s got %d from %s and ran %d times", a.id, a.route.Name, at, a.status, a.node.name, runs)
+		if len(runs) > 0 {
+			r.broken("REFUSED: %s (%s) at %.2f s got %d from %s after %v and ran %s: %s", a.id, a.route.Name, at, a.status, a.node.name,
+				a.ended.Sub(a.sent).Round(time.Millisecond), r.places(runs), a.answer)
 		}
 	case http.StatusForbidden, http.StatusNotFound, http.StatusBadRequest:
 		r.broken("DENIED: %s (%s) at %.2f s got %d from %s", a.id, a.route.Name, at, a.status, a.node.name)
 	case 0:
 		if a.calm {
-			r.broken("LOST: %s (%s) at %.2f s got no answer from %s, %d runs", a.id, a.route.Name, at, a.node.name, runs)
+			r.broken("LOST: %s (%s) at %.2f s got no answer from %s and ran %s", a.id, a.route.Name, at, a.node.name, r.places(runs))
 		}
 	}
 }
 
+// places tells where and when a request ran.
+func (r *run) places(runs []site.Arrival) string {
+	out := make([]string, len(runs))
+	for i, a := range runs {
+		out[i] = fmt.Sprintf("at %s at %.2f s", a.Endpoint, a.At.Sub(r.began).Seconds())
+	}
+	return "[" + strings.Join(out, ", ") + "]"
+}
+
 // judgeArrivals checks that endpoints got nothing but what callers sent, for the
 // workspace of their key.
 func (r *run) judgeArrivals(arrivals []site.Arrival, requests map[string]*asked) {
@@ -106,6 +118,9 @@
 		q := requests[a.Request]
 		if q == nil {
 			// Requests that were under way at the end are not kept.
+			if !strings.HasPrefix(a.Request, fmt.Sprintf("%d-", r.o.Seed)) {
+				r.broken("UNASKED: %s ran %q (%s) at %.2f s, which no caller sent", a.Endpoint, a.Request, a.Target, a.At.Sub(r.began).Seconds())
+			}
 			continue
 		}
 		if want := r.workspaceOf(q.key); a.Workspace != want {
@@ -178,12 +193,12 @@
 
 // judgeKeys checks that keys work from their addition until their withdrawal, at
 // processes in touch, and that keys that are always there work everywhere.
-func (r *run) judgeKeys(requests map[string]*asked, runs map[string]int) {
+func (r *run) judgeKeys(requests map[string]*asked, runs map[string][]site.Arrival) {
 	for _, a := range requests {
 		added, withdrawn := r.life(a.key)
 		at := a.sent.Sub(r.began).Seconds()
 		switch {
-		case runs[a.id] > 0 && a.calm && !withdrawn.IsZero() && a.sent.Sub(withdrawn) > configBound:
+		case len(runs[a.id]) > 0 && a.calm && !withdrawn.IsZero() && a.sent.Sub(withdrawn) > configBound:
 			r.broken("CONFIG: %s at %.2f s ran at %s with a key that was withdrawn at %.2f s", a.id, at, a.node.name, withdrawn.Sub(r.began).Seconds())
 		case a.status != http.StatusUnauthorized:
 		case added.IsZero() && withdrawn.IsZero():
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -46,8 +46,10 @@
 	status int
 	// whole tells that the answer is complete.
 	whole bool
-	// problem is what is wrong with the answer itself.
+	// problem is what is wrong with the answer itself, and answer the begin of an
+	// answer that is no success.
 	problem string
+	answer  string
 }
 
 // lock returns what keeps two faults from one process or endpoint.
