lead, lease: keep the wait of a former incarnation when a node takes its lease back

The lease's note now says in what time the first order is allowed. TestReclaimKeepsTheWait guards it.

--- a/internal/lead/coordinator.go
+++ b/internal/lead/coordinator.go
@@ -50,6 +50,9 @@
 	First bool
 	// Former is the address of the node that held it before.
 	Former string
+	// OrdersFrom is when the first order may be given. Engines do not check fences,
+	// so the last order of an earlier holder must be a lease time ago.
+	OrdersFrom time.Time
 }
 
 // Coordinator is the state of the node that holds the lease. All of it belongs
@@ -194,7 +197,7 @@
 func (c *Coordinator) begin(now time.Time) {
 	c.active = true
 	c.issuer = grant.NewIssuer(c.head, c.tenure.First)
-	c.depot = depot.New(now, c.ordersFrom())
+	c.depot = depot.New(now, c.tenure.OrdersFrom)
 	c.reports = make(map[fleet.Key]*polled)
 	if c.config != nil {
 		c.issuer.SetLimits(now, Limits(c.config))
@@ -206,7 +209,7 @@
 		m.heard = now
 	}
 	c.log.Info("coordinator begins", "fence", c.tenure.Fence, "first", c.tenure.First, "former", c.tenure.Former,
-		"members", len(c.members), "orders-in-ms", c.ordersFrom().Sub(now).Milliseconds())
+		"members", len(c.members), "orders-in-ms", c.tenure.OrdersFrom.Sub(now).Milliseconds())
 }
 
 func (c *Coordinator) end(why string) {
--- a/internal/lead/elect.go
+++ b/internal/lead/elect.go
@@ -87,6 +87,10 @@
 			First:  former == "",
 			Former: former,
 		}
+		e.tenure.OrdersFrom = e.ordersFrom(e.tenure, e.k.FormerNote())
+		e.mu.Lock()
+		e.Node.ordersFrom = e.tenure.OrdersFrom
+		e.mu.Unlock()
 		if former != "" && former != e.opts.Address {
 			go e.askHandover(ctx, e.tenure)
 		}
@@ -114,6 +118,23 @@
 	}
 }
 
+// ordersFrom is when a tenure may give its first order, by the note of the row
+// before it. An earlier incarnation on this node is dead, but it may itself have
+// waited for the orders of another node.
+func (e *election) ordersFrom(t Tenure, note []byte) time.Time {
+	if t.First {
+		return t.Since
+	}
+	wait := e.opts.LeaseWait
+	if t.Former == e.opts.Address {
+		var former leaseNote
+		if err := cbor.Unmarshal(note, &former); err == nil {
+			wait = min(wait, former.OrdersIn)
+		}
+	}
+	return t.Since.Add(wait)
+}
+
 // handoverTries is how often the former holder is asked to resign.
 const handoverTries = 3
 
@@ -225,27 +246,42 @@
 		return
 	}
 	e.noted = true
-	var members []Member
-	if err := cbor.Unmarshal(note, &members); err != nil {
+	var former leaseNote
+	if err := cbor.Unmarshal(note, &former); err != nil {
 		e.opts.Log.Warn("note of the lease not readable", "error", err.Error())
 		return
 	}
-	e.know(ctx, members, MembersVersion{})
-	for _, m := range members {
+	e.know(ctx, former.Members, MembersVersion{})
+	for _, m := range former.Members {
 		if m.Node == e.opts.Node {
 			e.Desk.setFraction(m.Fraction)
 		}
 	}
 }
 
-// note is what a coordinator leaves to its successors: the members.
+// leaseNote is what a coordinator leaves to its successors.
+type leaseNote struct {
+	Members []Member `cbor:"1,keyasint"`
+	// OrdersIn is in what time its first order was allowed.
+	OrdersIn time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
+// note is written with the lease. A node that does not hold it yet may have to
+// wait for all of the time between two holders.
 func (n *Node) note() []byte {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	b, err := cbor.Marshal(n.members)
+	out := leaseNote{
+		Members:  n.members,
+		OrdersIn: n.opts.LeaseWait,
+	}
+	if n.holds {
+		out.OrdersIn = max(0, n.ordersFrom.Sub(n.opts.Clock.Now()))
+	}
+	b, err := cbor.Marshal(out)
 	if err != nil {
-		// Members have only strings and numbers, which always encode.
-		panic("lead: encode members: " + err.Error())
+		// A note has only strings and numbers, which always encode.
+		panic("lead: encode note: " + err.Error())
 	}
 	return b
 }
--- a/internal/lead/lead_test.go
+++ b/internal/lead/lead_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/depot"
 	"trefoildale.example/trefoildale/internal/fleet"
@@ -759,3 +761,37 @@
 	large.kill()
 	f.eventually("the small node reads the store", startDelay+startMore+time.Second, func() bool { return !small.Relayed() })
 }
+
+// TestReclaimKeepsTheWait guards against orders of two holders within the time of
+// a lease: a node that restarts and takes its lease back may have been waiting for
+// the orders of another node when it died.
+func TestReclaimKeepsTheWait(t *testing.T) {
+	f := newTestFleet(t)
+	n := f.start("a")
+	e := election{Node: n.Node}
+	since := time.Now()
+	noted := func(in time.Duration) []byte {
+		b, err := cbor.Marshal(leaseNote{OrdersIn: in})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return b
+	}
+	for _, tc := range []struct {
+		name   string
+		tenure Tenure
+		note   []byte
+		want   time.Duration
+	}{
+		{name: "the first holder", tenure: Tenure{First: true}},
+		{name: "after another node", tenure: Tenure{Former: "b"}, note: noted(0), want: testWait},
+		{name: "its own, done waiting", tenure: Tenure{Former: "a"}, note: noted(0)},
+		{name: "its own, still waiting", tenure: Tenure{Former: "a"}, note: noted(time.Second), want: time.Second},
+		{name: "its own, with a note that is not readable", tenure: Tenure{Former: "a"}, note: []byte{0xff}, want: testWait},
+	} {
+		tc.tenure.Since = since
+		if got := e.ordersFrom(tc.tenure, tc.note).Sub(since); got != tc.want {
+			t.Errorf("%s: first order after %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
--- a/internal/lead/node.go
+++ b/internal/lead/node.go
@@ -115,9 +115,11 @@
 	leader   string
 	// since is the version of the lease's row from which leader is known. What
 	// follows from an older row is ignored.
-	since   int64
-	holds   bool
-	members []Member
+	since int64
+	holds bool
+	// ordersFrom is when this node as the coordinator may give its first order.
+	ordersFrom time.Time
+	members    []Member
 	// membersAs is how new they are.
 	membersAs MembersVersion
 	touched   time.Time // last answer of the coordinator
--- a/internal/lead/orders.go
+++ b/internal/lead/orders.go
@@ -25,15 +25,6 @@
 	tries  int
 }
 
-// ordersFrom is when this tenure may give its first order. Engines do not check
-// fences, so the last order of an earlier holder must be a lease time ago.
-func (c *Coordinator) ordersFrom() time.Time {
-	if c.tenure.First || c.tenure.Former == c.address {
-		return c.tenure.Since
-	}
-	return c.tenure.Since.Add(c.leaseWait)
-}
-
 func (c *Coordinator) mayOrder(now time.Time) bool {
 	return now.Before(c.tenure.Until.Add(-orderMargin))
 }
@@ -46,7 +37,7 @@
 	}
 	c.resigned = max(c.resigned, fence)
 	h := &Handover{
-		Others: max(0, c.ordersFrom().Sub(now)),
+		Others: max(0, c.tenure.OrdersFrom.Sub(now)),
 	}
 	if c.active {
 		// The levels are told once; a second question gets none.
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -127,6 +127,8 @@
 
 	// former is the last other incarnation that wrote the row.
 	former string
+	// formerNote is what that incarnation wrote for its successors.
+	formerNote []byte
 
 	epoch  int64
 	until  time.Time
@@ -183,6 +185,9 @@
 // candidate is the first one ever.
 func (l *Lease) Former() string { return l.former }
 
+// FormerNote is what the last other incarnation wrote for its successors.
+func (l *Lease) FormerNote() []byte { return l.formerNote }
+
 // Note is what the holder of the row that was seen last wrote for its successors.
 func (l *Lease) Note() []byte { return l.rec.Note }
 
@@ -402,7 +407,7 @@
 	wasHeld := l.held
 	l.known, l.exists, l.version, l.rec = true, true, version, rec
 	if rec.Incarnation != l.set.Incarnation {
-		l.former = rec.Incarnation
+		l.former, l.formerNote = rec.Incarnation, rec.Note
 		l.held, l.until = false, time.Time{}
 		l.settle(version)
 		if wasHeld {
