lead, soak: order members in one place, read the configuration under its lock

The deputies and the holder of a pool sorted members by the same rule, each with its own copy. The soak's callers read the models without the lock under which a change of the configuration is written; no run had reported it. Behaviour is the same; the tests of lead passed.

--- a/internal/lead/elect.go
+++ b/internal/lead/elect.go
@@ -305,16 +305,23 @@
 // deputiesOf names the members that stand in for the coordinator: the largest
 // ones, and among equals the first by rendezvous hashing.
 func deputiesOf(members []Member) []string {
+	order := largestFirst(members, leaseKey)
+	var out []string
+	for _, m := range order[:min(deputies, len(order))] {
+		out = append(out, m.Node)
+	}
+	return out
+}
+
+// largestFirst orders members by their capacity, and equals by rendezvous hashing
+// for a purpose, so that all nodes agree.
+func largestFirst(members []Member, purpose string) []Member {
 	order := slices.Clone(members)
 	slices.SortFunc(order, func(a, b Member) int {
 		if a.Capacity != b.Capacity {
 			return cmp.Compare(b.Capacity, a.Capacity)
 		}
-		return cmp.Compare(rank.Score(leaseKey, b.Node), rank.Score(leaseKey, a.Node))
+		return cmp.Compare(rank.Score(purpose, b.Node), rank.Score(purpose, a.Node))
 	})
-	var out []string
-	for _, m := range order[:min(deputies, len(order))] {
-		out = append(out, m.Node)
-	}
-	return out
+	return order
 }
--- a/internal/lead/pool.go
+++ b/internal/lead/pool.go
@@ -1,12 +1,8 @@
 package lead
 
 import (
-	"cmp"
 	"context"
-	"slices"
 	"time"
-
-	"trefoildale.example/trefoildale/internal/rank"
 )
 
 const (
@@ -96,13 +92,7 @@
 			list = append(list, m)
 		}
 	}
-	slices.SortFunc(list, func(a, b Member) int {
-		if a.Capacity != b.Capacity {
-			return cmp.Compare(b.Capacity, a.Capacity)
-		}
-		return cmp.Compare(rank.Score("pool", b.Node), rank.Score("pool", a.Node))
-	})
-	for _, m := range list[:min(poolHolders, len(list))] {
+	for _, m := range largestFirst(list, "pool")[:min(poolHolders, len(list))] {
 		if !avoided(m) {
 			return m
 		}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -159,7 +159,7 @@
 
 // model draws a model or adapter. Demand moves from one model to the next.
 func (c *caller) model() string {
-	models := c.run.config.Services[0].Engine.Models
+	models := c.run.newest().Services[0].Engine.Models
 	m := models[int(time.Since(c.run.began)/shiftEvery)%len(models)]
 	if c.random.Float64() < 0.4 {
 		m = models[c.random.IntN(len(models))]
