mirror, route, conf: mend three faults found by reading

Cause: a mirror whose first answer after failures was ErrCompacted passed that error on as its state, so the store stayed lost and the grace period for lapsed entries never started. An endpoint that was replaced or removed while ejected stayed in its domain's counter, and the domain could stay unhealthy. Negative bounds of a fleet process were reported at lease or retry-ratio.

Change: a recovery is reported with nil; endpoints that leave the table are detached from their domain under the endpoint's lock; each bound is reported at its own place.

Tests fail on the code before: mirror.TestRecoveryWithoutHistory, route.TestEjectedEndpointReplaced (5 and 4 endpoints counted), conf.TestFleetBounds.

--- a/internal/conf/fleet.go
+++ b/internal/conf/fleet.go
@@ -110,10 +110,19 @@
 	setDefault(&b.Lease, DefaultLease)
 	setDefault(&b.Grace, DefaultGrace)
 	setDefault(&b.RetryWindow, DefaultRetryWindow)
-	if b.Lease < 0 || b.Grace < 0 || b.RetryWindow < 0 {
-		c.add("lease", "a duration is below zero")
-	}
-	if b.RetryRatio < 0 || b.RetrySlack < 0 || b.QuotaSlack < 0 {
-		c.add("retry-ratio", "a bound is below zero")
+	for _, f := range []struct {
+		field string
+		value float64
+	}{
+		{field: "lease", value: float64(b.Lease)},
+		{field: "grace", value: float64(b.Grace)},
+		{field: "retry-window", value: float64(b.RetryWindow)},
+		{field: "retry-ratio", value: b.RetryRatio},
+		{field: "retry-slack", value: b.RetrySlack},
+		{field: "quota-slack", value: b.QuotaSlack},
+	} {
+		if f.value < 0 {
+			c.add(f.field, "is below zero")
+		}
 	}
 }
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -53,8 +53,7 @@
 	// OnAnswer is called for each answer of the store.
 	OnAnswer func()
 	// OnStateChange is called with the error when the store stops answering, and
-	// once more when it answers again, with the error of that answer: nil or
-	// ErrCompacted.
+	// with nil when it answers again.
 	OnStateChange func(err error)
 }
 
@@ -123,6 +122,9 @@
 	if !failed && m.opts.OnAnswer != nil {
 		m.opts.OnAnswer()
 	}
+	if !failed {
+		err = nil
+	}
 	if failed != m.failed && m.opts.OnStateChange != nil {
 		m.opts.OnStateChange(err)
 	}
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -238,3 +238,19 @@
 	mu.Unlock()
 	eventually(t, "the read after the pause", c.hasRow("a", "1"))
 }
+
+// TestRecoveryWithoutHistory guards against a store that counts as lost for good
+// because its first answer after failures is that its history is gone: the grace
+// period for lapsed entries then never starts.
+func TestRecoveryWithoutHistory(t *testing.T) {
+	var states []error
+	m := New(nil, Options{
+		OnStateChange: func(err error) { states = append(states, err) },
+	})
+	for _, err := range []error{errors.New("down"), ErrCompacted, nil} {
+		m.reportState(err)
+	}
+	if len(states) != 2 || states[0] == nil || states[1] != nil {
+		t.Errorf("states %v; want a failure, then one recovery without an error", states)
+	}
+}
--- a/internal/route/end.go
+++ b/internal/route/end.go
@@ -62,15 +62,22 @@
 	return e
 }
 
-// setDomain attaches the endpoint to the record that replaces its domain's old
-// one.
+// setDomain attaches the endpoint to another record of its domain, and moves its
+// ejection to the counter of that record.
 func (e *endpoint) setDomain(d *domain) {
-	e.domain.Store(d)
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	old := e.domain.Swap(d)
 	if e.ejectedUntil.Load() != 0 {
+		old.ejected.Add(-1)
 		d.ejected.Add(1)
 	}
 }
 
+// retire detaches an endpoint that was replaced or removed from its domain.
+// Attempts that are still running at it no longer change the domain's health.
+func (e *endpoint) retire() { e.setDomain(&domain{}) }
+
 func (e *endpoint) leaving() bool {
 	return e.vmLeaving.Load() || e.layoutLeaving.Load() || e.reportedLeaving.Load()
 }
@@ -179,6 +186,8 @@
 	if now.UnixNano() < until {
 		return true
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	if e.ejectedUntil.CompareAndSwap(until, 0) {
 		e.domain.Load().ejected.Add(-1)
 		// During slow start a single failure ejects the endpoint again.
@@ -197,6 +206,8 @@
 	if n < limit || e.ejectedUntil.Load() != 0 {
 		return false
 	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
 	times := min(e.ejections.Add(1)-1, 10)
 	d := min(set.MaxEjection, time.Duration(float64(set.Ejection)*math.Pow(2, float64(times))))
 	if !e.ejectedUntil.CompareAndSwap(0, now.Add(d).UnixNano()) {
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -203,6 +203,9 @@
 		listed[c.Name] = true
 		e := t.endpoints[c.Name]
 		if e == nil || e.spec.Address != c.Address || e.spec.Domain != c.Domain || e.spec.Speed != c.Speed {
+			if e != nil {
+				e.retire()
+			}
 			t.lastID++
 			e = newEndpoint(t.lastID, c, domains[c.Domain])
 			t.endpoints[c.Name] = e
@@ -215,8 +218,9 @@
 			})
 		}
 	}
-	for name := range t.endpoints {
+	for name, e := range t.endpoints {
 		if !listed[name] {
+			e.retire()
 			delete(t.endpoints, name)
 			delete(t.applied, name)
 		}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -330,3 +331,52 @@
 	}
 	wg.Wait()
 }
+
+// TestEjectedEndpointReplaced guards against a domain that stays unhealthy because
+// endpoints that were ejected when they were replaced or removed still count as
+// ejected, also when their ejection ends afterwards.
+func TestEjectedEndpointReplaced(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		removed bool
+		// late is set if attempts at the old endpoints end after the change.
+		late bool
+	}{
+		{name: "replaced"},
+		{name: "replaced, with late attempts", late: true},
+		{name: "removed and added again", removed: true},
+		{name: "removed and added again, with late attempts", removed: true, late: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tab, cfg, _ := newFleet(4)
+			old := slices.Collect(maps.Values(tab.endpoints))
+			for _, e := range old {
+				for range 3 {
+					e.recordFailure(start, &tab.settings)
+				}
+			}
+			next := *cfg
+			if tc.removed {
+				next.Endpoints = nil
+				tab.SetConfig(&next)
+				next.Endpoints = cfg.Endpoints
+			} else {
+				next.Endpoints = slices.Clone(cfg.Endpoints)
+				for i := range next.Endpoints {
+					next.Endpoints[i].Address += "-new"
+				}
+			}
+			tab.SetConfig(&next)
+			for _, e := range old {
+				if tc.late {
+					e.isEjected(start.Add(time.Hour))
+				}
+			}
+			for name, d := range *tab.domains.Load() {
+				if n := d.ejected.Load(); n != 0 || d.unhealthy() {
+					t.Errorf("domain %s counts %d ejected endpoints, unhealthy %v", name, n, d.unhealthy())
+				}
+			}
+		})
+	}
+}
