proc, serve, conn: mend three failures that operators reported

A foreign answer now closes its connection, on both request paths.

500 answers with an event without end held 164 MiB, more than the smallest VM has. Requests now share 16 MiB beyond 32 KiB each; an answer above that is passed on as it arrives, an event above that ends the stream. Bytes without a whole event, and comments, no longer count as progress of a resumable stream.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -137,6 +137,10 @@
 	}
 	res, err := t.base.RoundTrip(out)
 	if err == nil {
+		res.Body = &responseBody{
+			ReadCloser: res.Body,
+			conn:       w.lastConn(),
+		}
 		return res, nil
 	}
 	if w.seal() {
@@ -148,6 +152,23 @@
 	return nil, err
 }
 
+// responseBody is the body of a response with the connection it arrives on.
+type responseBody struct {
+	io.ReadCloser
+	conn *trackedConn // nil if unknown
+}
+
+// CloseConnection closes the body of a response and the connection that it arrived
+// on. It is for responses that belong to another request: the response that
+// follows on the connection would go to the next request.
+func CloseConnection(res *http.Response) {
+	if b, ok := res.Body.(*responseBody); ok && b.conn != nil {
+		// The response is discarded, so an error has no effect on the caller.
+		_ = b.conn.Close()
+	}
+	_ = res.Body.Close()
+}
+
 // onceBody is a request body that http.Transport cannot rewind.
 type onceBody struct {
 	io.Reader
@@ -191,6 +212,16 @@
 	}
 }
 
+// lastConn returns the connection that the request was assigned last, or nil.
+func (w *writeTracker) lastConn() *trackedConn {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if len(w.conns) == 0 {
+		return nil
+	}
+	return w.conns[len(w.conns)-1]
+}
+
 // seal reports whether nothing was written for the request. If so, it also
 // blocks all later writes to the connections that it was assigned.
 func (w *writeTracker) seal() bool {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -450,9 +450,7 @@
 		res.Header.Del(name)
 	}
 	if got := res.Header.Get("X-Request-Id"); got != call.RequestID {
-		// Closing an unread body closes the connection, so that no later request
-		// on it receives the rest of this response.
-		res.Body.Close()
+		conn.CloseConnection(res)
 		return nil, &MismatchError{
 			Want: call.RequestID,
 			Got:  got,
--- a/internal/proc/idle.go
+++ b/internal/proc/idle.go
@@ -102,6 +102,20 @@
 	return true
 }
 
+// busyCount returns the number of connections whose request is being read or whose
+// answer is not sent in full yet.
+func (cc *callerConns) busyCount() int {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	n := 0
+	for _, conn := range cc.conns {
+		if conn.busy && !conn.closed {
+			n++
+		}
+	}
+	return n
+}
+
 // dropClosed aborts requests whose connection was closed before they were handled.
 func (cc *callerConns) dropClosed(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -67,6 +67,11 @@
 	// drainAcceptTime is how long a stopping process accepts requests. A request
 	// accepted later might not finish before the process is killed.
 	drainAcceptTime = 2900 * time.Millisecond
+	// drainCheckInterval is how often a stopping process checks for running requests.
+	drainCheckInterval = 20 * time.Millisecond
+	// listenerCloseTime is how long a stopping process waits for connections without
+	// a request after it has closed its listener.
+	listenerCloseTime = 100 * time.Millisecond
 	// drainKillMargin is how long before the kill a stopping process exits.
 	drainKillMargin = 300 * time.Millisecond
 	// softMemoryLimit is the soft memory limit of the Go runtime, in bytes. The
@@ -306,18 +311,32 @@
 	p.server.RefuseFrom(startedAt.Add(drainAcceptTime))
 	p.node.ReleaseLease()
 	p.callerConns.stop()
+	p.waitWhileBusy(signals, startedAt.Add(minDrainTime), kill)
+	// Requests that still arrive are refused, and those accepted before are finished.
+	p.server.RefuseFrom(p.clock.Now())
+	p.node.Leave(context.Background())
+	ctx, cancel := context.WithTimeout(context.Background(), listenerCloseTime)
+	defer cancel()
+	if err := p.callerServer.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		p.log.Warn("listener not closed", "error", err.Error())
+	}
+	p.waitWhileBusy(signals, p.clock.Now(), kill)
+	p.log.Info("process ends", "active", p.callerConns.busyCount(), "after-ms", p.clock.Now().Sub(startedAt).Milliseconds())
+}
+
+// waitWhileBusy returns once no connection of a caller has a request and from has
+// passed, or at until.
+func (p *Process) waitWhileBusy(signals <-chan os.Signal, from, until time.Time) {
 	for {
 		now := p.clock.Now()
-		if now.Sub(startedAt) >= minDrainTime && p.server.Active() == 0 || !now.Before(kill) {
-			break
+		if !now.Before(from) && p.callerConns.busyCount() == 0 || !now.Before(until) {
+			return
 		}
 		select {
 		case <-signals:
-		case <-time.After(20 * time.Millisecond):
+		case <-time.After(drainCheckInterval):
 		}
 	}
-	p.node.Leave(context.Background())
-	p.log.Info("process ends", "active", p.server.Active(), "after-ms", p.clock.Now().Sub(startedAt).Milliseconds())
 }
 
 func (p *Process) configMirror(ctx context.Context) *mirror.Mirror {
--- a/internal/serve/events.go
+++ b/internal/serve/events.go
@@ -9,6 +9,8 @@
 // with the blank line that ends it.
 type eventSplitter struct {
 	unread []byte
+	// scanned is how many bytes of unread are known to contain no end of an event.
+	scanned int
 }
 
 // add appends received bytes.
@@ -17,12 +19,15 @@
 // next returns the next complete event, or nil. The slice is valid until the next
 // call of add.
 func (s *eventSplitter) next() []byte {
-	end := eventEnd(s.unread)
+	end := eventEnd(s.unread[s.scanned:])
 	if end < 0 {
+		// The blank line may be split between two reads.
+		s.scanned = max(0, len(s.unread)-len("\n\r\n")+1)
 		return nil
 	}
-	event := s.unread[:end]
-	s.unread = s.unread[end:]
+	event := s.unread[:s.scanned+end]
+	s.unread = s.unread[s.scanned+end:]
+	s.scanned = 0
 	return event
 }
 
@@ -44,6 +49,17 @@
 	return -1
 }
 
+// hasField reports whether an event has a line other than comments.
+func hasField(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		line = bytes.TrimRight(line, "\r\n")
+		if len(line) > 0 && line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
 // eventID returns the value of the event's id field, or "".
 func eventID(event []byte) string {
 	for len(event) > 0 {
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
@@ -14,9 +15,13 @@
 // relayWhole sends an answer that is not a stream to the caller. It buffers the
 // answer first, so that an incomplete one is never taken for complete.
 func (c *call) relayWhole(ctx context.Context, key fleet.Key, reply *Reply) (again bool, p *Problem) {
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBody+1))
+	buf := buffer{
+		pool: &c.buffers,
+	}
+	defer buf.release()
+	body, complete, err := readWhole(reply.Body, &buf)
 	now := c.opts.Clock.Now()
-	if err == nil && len(body) > maxBufferedBody {
+	if err == nil && !complete {
 		return c.relayLarge(ctx, key, reply, body)
 	}
 	if err != nil {
@@ -46,6 +51,29 @@
 	return false, nil
 }
 
+// readWhole reads a body to its end. It stops early, with complete unset, when the
+// body exceeds maxBufferedBody or the memory for buffers is used up.
+func readWhole(r io.Reader, buf *buffer) (body []byte, complete bool, err error) {
+	for len(body) <= maxBufferedBody {
+		if !buf.grow(len(body) + readSize) {
+			return body, false, nil
+		}
+		body = slices.Grow(body, readSize)
+		n, err := r.Read(body[len(body) : len(body)+readSize])
+		body = body[:len(body)+n]
+		if errors.Is(err, io.EOF) {
+			return body, true, nil
+		}
+		if err != nil {
+			return body, false, err
+		}
+	}
+	return body, false, nil
+}
+
+// readSize is the size in bytes of one read of an answer.
+const readSize = 8 << 10
+
 // relayLarge sends an answer that is too large to be buffered to the caller as it
 // arrives, beginning with the part that was read.
 func (c *call) relayLarge(ctx context.Context, key fleet.Key, reply *Reply, head []byte) (again bool, p *Problem) {
@@ -93,7 +121,11 @@
 		defer silence.Stop()
 	}
 	var s eventSplitter
-	buf := make([]byte, 8<<10)
+	unread := buffer{
+		pool: &c.buffers,
+	}
+	defer unread.release()
+	buf := make([]byte, readSize)
 	var first, last time.Time
 	events := 0
 	var err error
@@ -105,11 +137,12 @@
 		}
 		now := c.opts.Clock.Now()
 		c.opts.Table.RecordProgress(now, key)
-		if silence != nil {
-			silence.Reset(pause)
-		}
 		s.add(buf[:n])
 		for event := s.next(); event != nil; event = s.next() {
+			// Bytes without a whole event, and comments, are no progress.
+			if silence != nil && hasField(event) {
+				silence.Reset(pause)
+			}
 			if werr := c.forwardEvent(reply, event); werr != nil {
 				c.lastError = werr.Error()
 				c.opts.Table.EndAttempt(now, key, picker.Ended)
@@ -126,7 +159,7 @@
 			last = now
 			c.recordEventTime(now)
 		}
-		if len(s.unread) > maxEvent {
+		if len(s.unread) > maxEvent || !unread.grow(len(s.unread)) {
 			err = errors.New("serve: an event is larger than allowed")
 		}
 	}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -98,6 +98,8 @@
 	opts   Options
 	config atomic.Pointer[fleet.Config]
 	active atomic.Int64
+	// buffers bounds the memory for unfinished answers.
+	buffers bufferPool
 	// refuseFrom is the time from which a stopping process refuses requests.
 	refuseFrom atomic.Pointer[time.Time]
 
