fleet, coord: keep what engines hold out of the list for other nodes

Change: the version rises with membership only, since what engines hold comes with the reports of load; configurations and lists are compressed once per version.

Test: fleet.TestVersionWithoutHoldings fails on the code before.

--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -186,11 +186,29 @@
 	}
 }
 
-// listing returns the endpoints for another node. The caller holds the lock.
+// listing returns the endpoints for another node, from which it is not to be
+// changed. The caller holds the lock.
 func (n *Node) listing() *Listing {
-	return &Listing{
-		Version: n.registry.Version(),
-		Entries: n.registry.Changes(),
+	if n.packedListing == nil || n.packedListing.Version != n.registry.Version() {
+		n.packedListing = &Listing{
+			Version: n.registry.Version(),
+			Packed:  packEntries(n.registry.Changes()),
+		}
+	}
+	return n.packedListing
+}
+
+// applyDocument puts the configuration of another node into force if it is newer.
+func (n *Node) applyDocument(ctx context.Context, d *Document, source string) {
+	if c := n.opts.Server.Config(); d == nil || c != nil && c.Version >= d.Version {
+		return
+	}
+	raw, err := unpack(d.Packed)
+	if err == nil {
+		err = n.SetRawConfig(ctx, raw, source)
+	}
+	if err != nil {
+		n.opts.Log.Warn("configuration of another node not usable", "config", d.Version, "source", source, "error", err.Error())
 	}
 }
 
@@ -212,11 +230,7 @@
 // applyReply applies the configuration, endpoints and members of another node's
 // reply, and the engine loads if it is a full reply of the coordinator.
 func (n *Node) applyReply(ctx context.Context, sent time.Time, r *Reply, source string) {
-	if r.Config != nil {
-		if err := n.SetRawConfig(ctx, r.Config.Raw, source); err != nil {
-			n.opts.Log.Warn("configuration of another node not usable", "config", r.Config.Version, "error", err.Error())
-		}
-	}
+	n.applyDocument(ctx, r.Config, source)
 	n.applyListing(ctx, r.Listing, source)
 	n.setMembers(ctx, r.Members, r.MembersVersion)
 	if !r.Coordinator || r.Seq == 0 {
@@ -301,7 +315,13 @@
 		n.mu.Unlock()
 		return
 	}
-	n.registry.Apply(n.opts.Clock.Now(), l.Entries, l.Version, true)
+	entries, err := l.entries()
+	if err != nil {
+		n.mu.Unlock()
+		n.opts.Log.Warn("endpoints of another node not usable", "version", l.Version, "source", source, "error", err.Error())
+		return
+	}
+	n.registry.Apply(n.opts.Clock.Now(), entries, l.Version, true)
 	list := n.registry.List()
 	n.mu.Unlock()
 	n.distributeEndpoints(ctx, list, source)
@@ -313,11 +333,7 @@
 	if x.UsePool {
 		return n.Admitter.servePool(x), nil
 	}
-	if x.Config != nil {
-		if err := n.SetRawConfig(ctx, x.Config.Raw, x.Node); err != nil {
-			n.opts.Log.Warn("configuration of another node not usable", "config", x.Config.Version, "error", err.Error())
-		}
-	}
+	n.applyDocument(ctx, x.Config, x.Node)
 	n.applyListing(ctx, x.Listing, x.Node)
 	reply := make(chan Reply, 1)
 	n.coord.post(ctx, exchangeReceived{
--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -25,14 +25,16 @@
 
 // Document is an undecoded configuration from the platform's store.
 type Document struct {
-	Version int64  `cbor:"1,keyasint"`
-	Raw     []byte `cbor:"2,keyasint"`
+	Version int64 `cbor:"1,keyasint"`
+	// Packed is the compressed configuration.
+	Packed []byte `cbor:"3,keyasint"`
 }
 
 // Listing is the list of endpoints as of a version of the store.
 type Listing struct {
-	Version int64          `cbor:"1,keyasint"`
-	Entries []fleet.Change `cbor:"2,keyasint"`
+	Version int64 `cbor:"1,keyasint"`
+	// Packed holds the compressed entries.
+	Packed []byte `cbor:"3,keyasint"`
 }
 
 // LeaseRow is the store's row of the coordinator's lease as the coordinator last
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -120,6 +120,7 @@
 	mu                 sync.Mutex
 	document           Document
 	registry           *fleet.Registry
+	packedListing      *Listing // as of the registry's version when it was last sent
 	storeSilent        bool // the store does not answer this node
 	coordinatorAddress string
 	// leaseVersion is the version of the lease row that names
@@ -226,7 +227,7 @@
 	if config.Version > n.document.Version {
 		n.document = Document{
 			Version: config.Version,
-			Raw:     raw,
+			Packed:  pack(raw),
 		}
 	}
 	n.mu.Unlock()
@@ -235,7 +236,7 @@
 		config: config,
 	})
 	n.opts.Log.Info("configuration in force", "config", config.Version, "routes", len(config.Routes),
-		"workspaces", len(config.Workspaces), "source", source)
+		"workspaces", len(config.Workspaces), "source", source, "bytes", len(raw))
 	return nil
 }
 
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -54,59 +54,82 @@
 // the entries of running endpoints may have expired.
 func (r *Registry) StoreRecovered(now time.Time) { r.graceUntil = now.Add(missingGrace) }
 
-// Version returns the version of the result of List. It increases with every
-// change and is at least the store's version at the last change from the store.
+// Version returns the version of the list for other nodes. It increases when an
+// endpoint is added or removed or changes other than in what it holds, and is at
+// least the store's version at the last such change from the store. What engines
+// hold changes with each order, and other nodes learn it from reports of load.
 func (r *Registry) Version() int64 { return r.version }
 
 // Apply applies changes as of a version of the store. If complete is set, changes
 // contains all entries, and others are removed. It reports whether the result of
-// List has changed.
+// List has changed, which includes changes that leave Version as it is.
 func (r *Registry) Apply(now time.Time, changes []Change, version int64, complete bool) bool {
-	changed := false
+	effect := unchanged
 	named := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		named[c.Name] = true
-		if r.applyChange(now, c) {
-			changed = true
-		}
+		effect = max(effect, r.applyChange(now, c))
 	}
 	if complete {
 		for name := range r.entries {
 			if !named[name] && r.remove(now, name, version) {
-				changed = true
+				effect = listChanged
 			}
 		}
 	}
-	if changed {
+	if effect == listChanged {
 		r.version = max(r.version+1, version)
 	}
-	return changed
+	return effect != unchanged
+}
+
+// effect is what a change of an entry alters. Higher values include lower ones.
+type effect int
+
+const (
+	unchanged effect = iota
+	holdingsChanged
+	listChanged
+)
+
+// changeEffect compares two entries of an endpoint.
+func changeEffect(before, after Endpoint) effect {
+	if reflect.DeepEqual(before, after) {
+		return unchanged
+	}
+	before.Models, before.OrdersAccepted = after.Models, after.OrdersAccepted
+	if reflect.DeepEqual(before, after) {
+		return holdingsChanged
+	}
+	return listChanged
 }
 
-func (r *Registry) applyChange(now time.Time, c Change) bool {
+func (r *Registry) applyChange(now time.Time, c Change) effect {
 	e := r.entries[c.Name]
 	switch {
 	case e != nil && c.Version < e.version:
 		// The registry already has a later version from another reader.
-		return false
+		return unchanged
+	case c.Endpoint == nil && r.remove(now, c.Name, c.Version):
+		return listChanged
 	case c.Endpoint == nil:
-		return r.remove(now, c.Name, c.Version)
+		return unchanged
 	case e == nil && c.Version <= r.removedVersions[c.Name]:
-		return false
+		return unchanged
 	case e == nil:
 		delete(r.removedVersions, c.Name)
 		r.entries[c.Name] = &entry{
 			endpoint: *c.Endpoint,
 			version:  c.Version,
 		}
-		return true
+		return listChanged
 	case c.Endpoint.Incarnation < e.endpoint.Incarnation:
 		// Ignore a delayed write of an earlier incarnation.
-		return false
+		return unchanged
 	}
-	changed := !reflect.DeepEqual(e.endpoint, *c.Endpoint)
+	effect := changeEffect(e.endpoint, *c.Endpoint)
 	e.endpoint, e.version, e.missingSince = *c.Endpoint, c.Version, time.Time{}
-	return changed
+	return effect
 }
 
 func (r *Registry) remove(now time.Time, name string, version int64) bool {
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -185,3 +185,28 @@
 		t.Errorf("of 10,000 requests the services got %v", counts)
 	}
 }
+
+// TestVersionWithoutHoldings guards against a version that rises when an engine
+// only holds other adapters: all nodes then exchange the whole list of endpoints
+// with each heartbeat (2.9 MB a second at the coordinator of 29 nodes and 301
+// engines).
+func TestVersionWithoutHoldings(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistry()
+	engine := testEndpoint("a", 1, false)
+	r.Apply(now, []Change{{Name: "a", Version: 5, Endpoint: engine}}, 5, true)
+	loaded := *engine
+	loaded.Models, loaded.OrdersAccepted = []Resident{{Model: "m", Adapters: []string{"a1"}}}, 3
+	if !r.Apply(now, []Change{{Name: "a", Version: 7, Endpoint: &loaded}}, 7, false) || r.List()[0].OrdersAccepted != 3 {
+		t.Error("the engine's new holdings were not taken over")
+	}
+	if r.Version() != 5 {
+		t.Errorf("the version rose to %d with the engine's holdings", r.Version())
+	}
+	leaving := loaded
+	leaving.Leaving = true
+	r.Apply(now, []Change{{Name: "a", Version: 9, Endpoint: &leaving}}, 9, false)
+	if r.Version() != 9 {
+		t.Errorf("the version is %d after the engine began to leave, want 9", r.Version())
+	}
+}
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -213,7 +213,7 @@
 	}
 	c.opts.Log.Info("request sent", "request", c.req.ID, "route", c.route.Name, "workspace", c.workspaceName(),
 		"endpoint", choice.Endpoint.ID, "service", c.service.Name, "load", choice.Load, "candidates", choice.Candidates,
-		"report-age-ms", choice.ReportAge.Milliseconds(), "config", c.config.Version, "attempt", c.sentAttempts+1,
+		"report-age-ms", choice.ReportAge.Milliseconds(), "config", c.config.Version, "attempt", c.sentAttempts+1, "tokens", c.tokenCost(),
 		"waited-ms", c.opts.Clock.Now().Sub(c.req.Arrived).Milliseconds())
 	reply, err := c.opts.Sender.Send(ctx, Attempt{
 		Request:   c.req,
