platform, picker, models: read what engines hold from reports, keep loaded copies

Cause: the seq of an engine's entry counts its writes, that of its report its orders. The adapter took both for orders, so nodes ignored reports as soon as an engine had written its entry more often than it had been given orders, and learned of loaded models by the entries only. The planner counted a copy that was still being loaded as a copy, and evicted the only loaded one.

Change: entries carry no count of orders; their models count while no report is recent, and only when they change. Evictions count loaded copies.

Tests: picker.TestReportNewerThanEntry; models.TestOnlyLoadedCopyStays fails on the code before.

--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -254,7 +254,7 @@
 // distributeEndpoints passes a list of endpoints to the routing table and the
 // coordinator.
 func (n *Node) distributeEndpoints(ctx context.Context, list []fleet.Endpoint, source string) {
-	added, removed, leaving := n.opts.Table.SetEndpoints(list)
+	added, removed, leaving := n.opts.Table.SetEndpoints(n.opts.Clock.Now(), list)
 	if len(added)+len(removed)+len(leaving) > 0 {
 		n.opts.Log.Info("endpoints changed", "source", source, "added", added, "removed", removed, "leaving", leaving,
 			"endpoints", len(list))
--- a/internal/fake/site/engine.go
+++ b/internal/fake/site/engine.go
@@ -90,6 +90,7 @@
 	faults         EndpointFaults
 	orderRunning   bool
 	acceptedOrders int64
+	writes         int64 // of the entry
 	models         []*resident
 	inMemory       []string
 	onDisk         []string
@@ -266,6 +267,9 @@
 	e.mu.Lock()
 	out := e.state()
 	out["service"], out["addr"], out["zone"], out["version"] = e.opts.Service, e.address, e.opts.Domain, "v1"
+	// In an entry seq counts the writes, in a report the orders.
+	e.writes++
+	out["seq"] = e.writes
 	out["slots"], out["cold_left_ms"], out["state"] = e.slotCount(), 0, "ready"
 	if e.draining {
 		out["state"] = "draining"
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -26,9 +26,8 @@
 	Domain      string     `cbor:"5,keyasint"`
 	Slots       int        `cbor:"6,keyasint,omitempty"`
 	Leaving     bool       `cbor:"7,keyasint,omitempty"`
-	Models      []Resident `cbor:"8,keyasint,omitempty"`
-	// OrdersAccepted is the number of orders that this incarnation has accepted.
-	OrdersAccepted int64 `cbor:"9,keyasint,omitempty"`
+	// Models is what the endpoint held when it wrote its entry. Reports are newer.
+	Models []Resident `cbor:"8,keyasint,omitempty"`
 }
 
 // Key identifies an incarnation of an endpoint.
@@ -53,7 +52,8 @@
 	// MODEL/NAME@VERSION.
 	LoadingAdapters []string `cbor:"3,keyasint,omitempty"`
 	// Busy is set while the engine executes an order.
-	Busy           bool     `cbor:"4,keyasint,omitempty"`
+	Busy bool `cbor:"4,keyasint,omitempty"`
+	// OrdersAccepted is the number of orders that this incarnation has accepted.
 	OrdersAccepted int64    `cbor:"5,keyasint,omitempty"`
 	Queued         int      `cbor:"6,keyasint,omitempty"`
 	Active         int      `cbor:"7,keyasint,omitempty"`
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -97,7 +97,7 @@
 	if reflect.DeepEqual(before, after) {
 		return unchanged
 	}
-	before.Models, before.OrdersAccepted = after.Models, after.OrdersAccepted
+	before.Models = after.Models
 	if reflect.DeepEqual(before, after) {
 		return holdingsChanged
 	}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -196,8 +196,8 @@
 	engine := testEndpoint("a", 1, false)
 	r.Apply(now, []Change{{Name: "a", Version: 5, Endpoint: engine}}, 5, true)
 	loaded := *engine
-	loaded.Models, loaded.OrdersAccepted = []Resident{{Model: "m", Adapters: []string{"a1"}}}, 3
-	if !r.Apply(now, []Change{{Name: "a", Version: 7, Endpoint: &loaded}}, 7, false) || r.List()[0].OrdersAccepted != 3 {
+	loaded.Models = []Resident{{Model: "m", Adapters: []string{"a1"}}}
+	if !r.Apply(now, []Change{{Name: "a", Version: 7, Endpoint: &loaded}}, 7, false) || len(r.List()[0].Models) != 1 {
 		t.Error("the engine's new holdings were not taken over")
 	}
 	if r.Version() != 5 {
--- a/internal/models/models_test.go
+++ b/internal/models/models_test.go
@@ -521,3 +521,55 @@
 	}
 	t.Error("no other copy was ordered within 1.5 s of the last report")
 }
+
+// TestOnlyLoadedCopyStays guards against evicting the only copy of a model that
+// serves requests because another engine is still loading a second one: on a day of
+// the users' bench its requests then found no copy for 6 s.
+func TestOnlyLoadedCopyStays(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(now, now)
+	p.SetConfig(now, testConfig(6))
+	var list []fleet.Endpoint
+	for i := range 2 {
+		list = append(list, fleet.Endpoint{
+			ID:          fmt.Sprintf("e%d", i),
+			Incarnation: 1,
+			Service:     "lm",
+		})
+	}
+	p.SetEndpoints(list)
+	report := func(i int, orders int64, models ...string) {
+		r := fleet.Report{
+			Key:            list[i].Key(),
+			OrdersAccepted: orders,
+		}
+		for _, name := range models {
+			r.Models = append(r.Models, fleet.Resident{Model: name})
+		}
+		p.SetReport(now, r)
+	}
+	evictions := func() []string {
+		s := p.services["lm"]
+		evict, _, ok := p.chooseEvictions(now, s, p.layout(now, s), p.engines["e0"], s.models["m4"], true)
+		if !ok {
+			return nil
+		}
+		return evict
+	}
+	report(0, 0, "m0", "m1")
+	report(1, 0, "m2")
+	for _, name := range []string{"m0", "m1", "m2"} {
+		p.RecordDemand(now, "lm", name, 300)
+	}
+	o := p.issue(now, p.engines["e1"], Order{Load: true, Model: "m1"})
+	p.RecordAnswer(now, o, Accepted)
+	if evict := evictions(); len(evict) > 0 {
+		t.Errorf("e0 unloads %v while e1 is still loading m1", evict)
+	}
+	now = now.Add(time.Second)
+	report(0, 0, "m0", "m1")
+	report(1, 1, "m1", "m2")
+	if evict := evictions(); !slices.Equal(evict, []string{"m1"}) {
+		t.Errorf("e0 unloads %v once e1 has loaded m1, want m1", evict)
+	}
+}
--- a/internal/models/plan.go
+++ b/internal/models/plan.go
@@ -129,6 +129,8 @@
 	models  []*model
 	// holders are the engines of each model, as indexes into engines.
 	holders map[string][]int
+	// ready is how many engines hold each model now and are not about to unload it.
+	ready map[string]int
 	// speed is the sum of the speeds of a model's holders.
 	speed map[string]float64
 	// loads are the loads of the engines, each relative to the engine's speed.
@@ -140,6 +142,7 @@
 func (p *Planner) layout(now time.Time, s *service) *layout {
 	l := &layout{
 		holders: map[string][]int{},
+		ready:   map[string]int{},
 		speed:   map[string]float64{},
 	}
 	for _, e := range p.sorted() {
@@ -153,6 +156,11 @@
 	}
 	slices.SortFunc(l.models, func(a, b *model) int { return strings.Compare(a.Name, b.Name) })
 	for i, e := range l.engines {
+		for _, r := range e.models {
+			if !slices.Contains(e.steps, step{model: r.Model}) {
+				l.ready[r.Model]++
+			}
+		}
 		for _, name := range e.plannedModels() {
 			l.holders[name] = append(l.holders[name], i)
 			l.speed[name] += e.speed()
@@ -311,8 +319,8 @@
 }
 
 // chooseEvictions chooses the models to unload so that m fits into the engine's
-// memory, those with the lowest cost first. The only copy of a model is evicted
-// only when it is idle; force shortens the idle time for copies without running
+// memory, those with the lowest cost first. The only loaded copy of a model is
+// evicted only when it is idle; force shortens the idle time for copies without running
 // requests. ok reports whether m fits then.
 func (p *Planner) chooseEvictions(now time.Time, s *service, l *layout, e *engine, m *model, force bool) (evict []string, cost float64, ok bool) {
 	free := e.class.WeightsMB - e.usedMB()
@@ -332,7 +340,8 @@
 			list = append(list, candidate{name: r.Model, mb: mb})
 			continue
 		}
-		others := len(l.holders[r.Model]) - 1
+		// A copy that is still being loaded serves no requests yet.
+		others := l.ready[r.Model] - 1
 		sinceRequest := min(now.Sub(x.lastRequest), now.Sub(p.startedAt))
 		idle := x.waiting == 0 && (sinceRequest > idleAfter || force && sinceRequest > forcedIdleAfter && p.running[runKey{key: e.Key(), item: r.Model}] == 0)
 		if others < 1 && !idle {
--- a/internal/picker/table.go
+++ b/internal/picker/table.go
@@ -6,6 +6,7 @@
 	"errors"
 	"log/slog"
 	"math/rand/v2"
+	"reflect"
 	"sync"
 	"time"
 
@@ -108,8 +109,11 @@
 
 type endpointState struct {
 	fleet.Endpoint
-	report   fleet.Report
-	reported time.Time // when report was requested
+	// entryModels is what the registered entry says that the endpoint holds; Models
+	// is what it holds by the newest source.
+	entryModels []fleet.Resident
+	report      fleet.Report
+	reported    time.Time // when report was requested
 
 	running int
 	sentAt  []time.Time // of requests that the last report may not include
@@ -169,7 +173,7 @@
 
 // SetEndpoints replaces the list of registered endpoints. It returns the ids of
 // those that were added, removed, and began to leave.
-func (t *Table) SetEndpoints(list []fleet.Endpoint) (added, removed, leaving []string) {
+func (t *Table) SetEndpoints(now time.Time, list []fleet.Endpoint) (added, removed, leaving []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen := make(map[string]bool, len(list))
@@ -181,19 +185,21 @@
 		case e == nil || e.Incarnation < endpoint.Incarnation || e.Address != endpoint.Address:
 			added = append(added, endpoint.ID)
 			t.endpoints[endpoint.ID] = &endpointState{
-				Endpoint: *endpoint,
-				pace:     1,
+				Endpoint:    *endpoint,
+				entryModels: endpoint.Models,
+				pace:        1,
 			}
 		case e.Incarnation == endpoint.Incarnation:
-			// The last report may be newer than the registered entry.
-			if endpoint.OrdersAccepted >= e.report.OrdersAccepted {
+			// A recent report is newer than the entry, and an entry that says what it
+			// said before may be older than the last report.
+			if now.Sub(e.reported) >= reportMaxAge && !reflect.DeepEqual(e.entryModels, endpoint.Models) {
 				e.Models = endpoint.Models
 			}
+			e.entryModels = endpoint.Models
 			if endpoint.Leaving && !e.Leaving {
 				leaving = append(leaving, endpoint.ID)
 			}
 			e.Leaving, e.Slots, e.Service, e.Domain = endpoint.Leaving, endpoint.Slots, endpoint.Service, endpoint.Domain
-			e.OrdersAccepted = max(e.OrdersAccepted, endpoint.OrdersAccepted)
 		}
 	}
 	for id := range t.endpoints {
@@ -214,8 +220,7 @@
 	if e == nil || e.Incarnation != r.Key.Incarnation || requestedAt.Before(e.reported) {
 		return
 	}
-	if r.OrdersAccepted >= e.OrdersAccepted {
-		e.OrdersAccepted = r.OrdersAccepted
+	if r.OrdersAccepted >= e.report.OrdersAccepted {
 		e.Models = r.Models
 	}
 	e.report, e.reported = r, requestedAt
--- a/internal/picker/table_test.go
+++ b/internal/picker/table_test.go
@@ -125,7 +125,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			tb := NewTable("north")
-			tb.SetEndpoints(tc.endpoints)
+			tb.SetEndpoints(t0, tc.endpoints)
 			if tc.prepare != nil {
 				tc.prepare(tb)
 			}
@@ -141,7 +141,7 @@
 // running requests and sends nothing.
 func TestSilentEndpoint(t *testing.T) {
 	tb := NewTable("north")
-	tb.SetEndpoints([]fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1")})
+	tb.SetEndpoints(t0, []fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1")})
 	q := Query{Service: "lm", Model: "m1"}
 	first, err := tb.Pick(t0, q)
 	if err != nil {
@@ -165,11 +165,11 @@
 // a later incarnation with the same id.
 func TestIncarnation(t *testing.T) {
 	tb := NewTable("north")
-	tb.SetEndpoints([]fleet.Endpoint{engineOf("a", "m1")})
+	tb.SetEndpoints(t0, []fleet.Endpoint{engineOf("a", "m1")})
 	next := engineOf("a", "m1")
 	next.Incarnation = 2
 	next.Models = nil
-	added, _, _ := tb.SetEndpoints([]fleet.Endpoint{next})
+	added, _, _ := tb.SetEndpoints(t0, []fleet.Endpoint{next})
 	if len(added) != 1 {
 		t.Errorf("a new incarnation was not reported as added")
 	}
@@ -247,7 +247,7 @@
 	for i := range 90 {
 		list = append(list, engineOf(fmt.Sprintf("e%d", i), fmt.Sprintf("m%d", i%5)))
 	}
-	tb.SetEndpoints(list)
+	tb.SetEndpoints(t0, list)
 	for b.Loop() {
 		c, err := tb.Pick(t0, Query{Service: "lm", Model: "m1", Session: "s"})
 		if err != nil {
@@ -270,7 +270,7 @@
 		}
 		endpoints = append(endpoints, e)
 	}
-	tb.SetEndpoints(endpoints)
+	tb.SetEndpoints(t0, endpoints)
 	query := Query{Service: "lm", Model: "m1"}
 	now := t0
 	south, cut := 0, true
@@ -330,7 +330,7 @@
 	got := map[string]int{}
 	for range nodes {
 		tb := NewTable("north")
-		tb.SetEndpoints(endpoints)
+		tb.SetEndpoints(t0, endpoints)
 		tb.SetNodes(nodes)
 		for i, e := range endpoints {
 			tb.SetReport(t0, fleet.Report{Key: e.Key(), Models: e.Models, Active: 10 + i/4})
@@ -353,7 +353,7 @@
 func TestStaleReport(t *testing.T) {
 	tb := NewTable("north")
 	a, b := engineOf("a", "m1"), engineOf("b", "m1")
-	tb.SetEndpoints([]fleet.Endpoint{a, b})
+	tb.SetEndpoints(t0, []fleet.Endpoint{a, b})
 	tb.SetReport(t0, fleet.Report{Key: a.Key(), Models: a.Models, Active: 12})
 	later := t0.Add(3 * time.Second)
 	tb.SetReport(later, fleet.Report{Key: b.Key(), Models: b.Models, Active: 12})
@@ -362,3 +362,38 @@
 		t.Errorf("chose %s (%v)", c.Endpoint.ID, err)
 	}
 }
+
+// TestReportNewerThanEntry guards against ignoring the reports of an engine once
+// its registered entry was written more often than orders were given: requests
+// then waited for models that had been loaded seconds before.
+func TestReportNewerThanEntry(t *testing.T) {
+	tb := NewTable("north")
+	entry := engineOf("a", "m1")
+	tb.SetEndpoints(t0, []fleet.Endpoint{entry})
+	holds := func(now time.Time, model string) bool {
+		c, err := tb.Pick(now, Query{Service: "lm", Model: model})
+		if err == nil {
+			tb.EndAttempt(now, c.Endpoint.Key(), Served)
+		}
+		return err == nil
+	}
+	tb.SetReport(t0, fleet.Report{Key: entry.Key(), Models: []fleet.Resident{{Model: "m1"}, {Model: "m2"}}, OrdersAccepted: 1})
+	if !holds(t0, "m2") {
+		t.Error("the report was ignored")
+	}
+	// The entry is written again with what the engine held before.
+	tb.SetEndpoints(t0.Add(time.Second), []fleet.Endpoint{entry})
+	if !holds(t0.Add(time.Second), "m2") {
+		t.Error("an older entry replaced the report")
+	}
+	later := t0.Add(10 * time.Second)
+	tb.SetEndpoints(later, []fleet.Endpoint{entry})
+	if !holds(later, "m2") {
+		t.Error("an unchanged entry replaced the last report")
+	}
+	changed := engineOf("a", "m3")
+	tb.SetEndpoints(later, []fleet.Endpoint{changed})
+	if !holds(later, "m3") || holds(later, "m2") {
+		t.Error("a changed entry was ignored although no reports arrive")
+	}
+}
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -201,7 +201,7 @@
 			fleet.Endpoint{ID: fmt.Sprintf("app%d", i), Incarnation: 1, Service: "app", Domain: "north", Slots: 6},
 			fleet.Endpoint{ID: fmt.Sprintf("lm%d", i), Incarnation: 1, Service: "lm", Domain: "north", Slots: 64, Models: []fleet.Resident{{Model: "m1"}}})
 	}
-	h.table.SetEndpoints(list)
+	h.table.SetEndpoints(time.Now(), list)
 	h.server = New(Options{
 		Clock:     h.clock,
 		Table:     h.table,
@@ -479,7 +479,7 @@
 // because it holds a slow model: requests would avoid it and leave it idle.
 func TestPaceComparesEnginesAtTheSameModel(t *testing.T) {
 	table := picker.NewTable("north")
-	table.SetEndpoints([]fleet.Endpoint{{ID: "a", Incarnation: 1, Service: "lm"}, {ID: "b", Incarnation: 1, Service: "lm"}})
+	table.SetEndpoints(time.Now(), []fleet.Endpoint{{ID: "a", Incarnation: 1, Service: "lm"}, {ID: "b", Incarnation: 1, Service: "lm"}})
 	s := New(Options{Clock: clock.NewFake(), Table: table})
 	a, b := fleet.Key{ID: "a", Incarnation: 1}, fleet.Key{ID: "b", Incarnation: 1}
 	for range 200 {
