triage, serve, coord: decide at once whether a request can wait for its model

A node whose token request was not answered in 50 to 120 ms refused the request as over its rate, also while it had only lost the coordinator.

Change: the coordinator reports when loads of models without a loaded copy end. Package triage decides whether the request waits or is rejected, and when its caller should return, spread by a quarter. A route states how long callers wait. A request waits up to 400 ms for the first answer about tokens; once the coordinator says that they are used up, it is refused as before.

--- a/internal/coord/admitter.go
+++ b/internal/coord/admitter.go
@@ -14,6 +14,12 @@
 // rate.
 const overRateRetryAfter = 500 * time.Millisecond
 
+// unansweredWait is how long a request waits for the answer to a token request that
+// the coordinator has not answered yet: refusing it would call a workspace over its
+// rate that may not be. It covers the time until a node that has lost the coordinator
+// admits from its own fraction.
+const unansweredWait = 400 * time.Millisecond
+
 // localRetryInterval is how often a waiting request retries while the node
 // admits from its own fraction of the rate.
 const localRetryInterval = 20 * time.Millisecond
@@ -83,10 +89,11 @@
 
 // Admit implements serve.Admission. A request for which the node has too few
 // tokens waits for up to wait while more are requested from the coordinator or,
-// if that is not reached, from the pool of the failure domain.
+// if that is not reached, from the pool of the failure domain. Until one of them
+// has answered that the tokens are used up, it waits for up to unansweredWait.
 func (a *Admitter) Admit(ctx context.Context, workspace string, tokens float64, wait time.Duration) (time.Duration, bool) {
 	now := a.clock.Now()
-	until := now.Add(wait)
+	began, until := now, now.Add(wait)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.limiter.AddDemand(now, workspace, tokens)
@@ -117,9 +124,14 @@
 		if a.limiter.Take(now, workspace, tokens) {
 			return 0, true
 		}
-		if !now.Before(until) {
+		if now.Before(until) {
+			continue
+		}
+		last := began.Add(max(wait, unansweredWait))
+		if answered := a.limiter.NoTokensUntil(workspace).After(began); answered || !now.Before(last) {
 			return overRateRetryAfter, false
 		}
+		until = last
 	}
 }
 
--- a/internal/coord/coordinator.go
+++ b/internal/coord/coordinator.go
@@ -95,6 +95,10 @@
 	// loadsSummedAt.
 	plainLoads    []PlainLoad
 	loadsSummedAt time.Time
+	// plannedUnloads and plannedLoads are what the planner is about to change, as of
+	// loadsSummedAt.
+	plannedUnloads []EngineUnloads
+	plannedLoads   []models.Load
 	// engineCount is the last number assigned to an engine.
 	engineCount int
 }
--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -242,6 +242,7 @@
 		unloads[u.Key] = u.Models
 	}
 	n.opts.Table.SetPendingUnloads(unloads)
+	n.opts.Table.SetLoads(sent, r.Loads)
 }
 
 // applyReports applies the engine loads of a full reply. The reply contains an
--- a/internal/coord/members.go
+++ b/internal/coord/members.go
@@ -217,19 +217,15 @@
 		r.Reports = append(r.Reports, l)
 	}
 	r.Plain = c.plainLoads
-	for key, names := range c.planner.PendingUnloads() {
-		r.PendingUnloads = append(r.PendingUnloads, EngineUnloads{
-			Key:    key,
-			Models: names,
-		})
-	}
+	r.PendingUnloads, r.Loads = c.plannedUnloads, c.plannedLoads
 }
 
 // loadSumInterval is how often the active requests of all nodes are summed. It
 // is shorter than the interval at which nodes report them.
 const loadSumInterval = 100 * time.Millisecond
 
-// sumLoads sums the active requests over all nodes.
+// sumLoads sums the active requests over all nodes, and lists what the planner is
+// about to change.
 func (c *Coordinator) sumLoads(now time.Time) {
 	if now.Sub(c.loadsSummedAt) < loadSumInterval {
 		return
@@ -244,6 +240,13 @@
 		}
 	}
 	c.planner.SetRunning(running)
+	c.plannedLoads, c.plannedUnloads = c.planner.Loads(now), nil
+	for key, names := range c.planner.PendingUnloads() {
+		c.plannedUnloads = append(c.plannedUnloads, EngineUnloads{
+			Key:    key,
+			Models: names,
+		})
+	}
 	c.plainLoads = nil
 	for _, e := range c.endpoints {
 		if c.config != nil && c.config.Services[e.Service] != nil && c.config.Services[e.Service].Engine == nil {
--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -59,6 +59,9 @@
 	Objective time.Duration
 	// MaxPause is the longest pause between events of an answer that is on time.
 	MaxPause time.Duration
+	// Patience is how long callers wait for the first part of an answer or between two
+	// parts before they give up, 0 if they wait until their deadline.
+	Patience time.Duration
 	// MaxAttempts is how many endpoints may run one request.
 	MaxAttempts int
 	// Priority ranks the route; 0 is the most urgent.
--- a/internal/models/models.go
+++ b/internal/models/models.go
@@ -523,6 +523,99 @@
 	return o
 }
 
+// Load is a load of a model that is under way or planned.
+type Load struct {
+	Service string        `cbor:"1,keyasint"`
+	Model   string        `cbor:"2,keyasint"`
+	ReadyIn time.Duration `cbor:"3,keyasint"`
+}
+
+// Loads returns the loads of models that are under way or planned, for each model
+// the one that ends first.
+func (p *Planner) Loads(now time.Time) []Load {
+	soonest := map[Load]time.Duration{}
+	for _, e := range p.engines {
+		s := p.services[e.Service]
+		if s == nil {
+			continue
+		}
+		for name, at := range e.loadEnds(now) {
+			if e.class.Models[name].Name == "" || p.hasLoadedCopy(e.Service, name) {
+				continue
+			}
+			key := Load{Service: e.Service, Model: name}
+			if d, ok := soonest[key]; !ok || at.Sub(now) < d {
+				soonest[key] = at.Sub(now)
+			}
+		}
+	}
+	out := make([]Load, 0, len(soonest))
+	for l, d := range soonest {
+		l.ReadyIn = d
+		out = append(out, l)
+	}
+	slices.SortFunc(out, func(a, b Load) int { return strings.Compare(a.Model, b.Model) })
+	return out
+}
+
+func (p *Planner) hasLoadedCopy(service, name string) bool {
+	for _, e := range p.engines {
+		if e.Service == service && !e.Leaving && fleet.Find(e.models, name) != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// loadEnds returns when the loads of the engine that are under way or planned are
+// expected to end, by model.
+func (e *engine) loadEnds(now time.Time) map[string]time.Time {
+	var out map[string]time.Time
+	add := func(name string, at time.Time) {
+		if out == nil {
+			out = make(map[string]time.Time)
+		}
+		out[name] = at
+	}
+	if s := e.lastOrder; s != nil && s.order.Load && s.order.Adapter == "" && (!s.answered || s.answer == Accepted) && fleet.Find(e.models, s.order.Model) == nil {
+		add(s.order.Model, s.at.Add(e.loadTime(s.order.Model, s.order.FromStore)))
+	}
+	start := now
+	for _, step := range e.steps {
+		if !step.load {
+			start = latest(start, e.plannedAt.Add(unloadNotice)).Add(unloadTime)
+			continue
+		}
+		if _, ok := out[step.model]; !ok {
+			add(step.model, start.Add(e.loadTime(step.model, e.fromStore(step.model))))
+		}
+	}
+	return out
+}
+
+// unloadTime is how long an unload usually takes: its order, the requests that
+// still run, and the report that shows its end.
+const unloadTime = 700 * time.Millisecond
+
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// loadTime returns how long a load of a model takes at the engine.
+func (e *engine) loadTime(name string, fromStore bool) time.Duration {
+	m := e.class.Models[name]
+	switch {
+	case fromStore:
+		return m.StoreLoad
+	case slices.Contains(e.report.InMemory, name):
+		return m.MemoryLoad
+	}
+	return m.DiskLoad
+}
+
 // PendingUnloads returns, for each engine with planned steps, the models that are
 // about to be unloaded, so that nodes send new requests to other engines.
 func (p *Planner) PendingUnloads() map[fleet.Key][]string {
--- a/internal/picker/table.go
+++ b/internal/picker/table.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/models"
 )
 
 // Errors of Pick.
@@ -96,7 +97,9 @@
 	pendingUnloads map[unloadKey]bool
 	// busyEngines are the engines that are about to load or unload models.
 	busyEngines map[fleet.Key]bool
-	changed     chan struct{}
+	// loadEnds is when the loads of models without a loaded copy are expected to end.
+	loadEnds map[modelKey]time.Time
+	changed  chan struct{}
 	// domainStates holds the failure domains with an endpoint to which a
 	// connection failed.
 	domainStates map[string]*domainState
@@ -252,6 +255,27 @@
 	}
 }
 
+// modelKey is a model of a service.
+type modelKey struct{ service, model string }
+
+// SetLoads replaces the loads that are under way. reportedAt is when the remaining
+// times counted from.
+func (t *Table) SetLoads(reportedAt time.Time, loads []models.Load) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loadEnds = make(map[modelKey]time.Time, len(loads))
+	for _, l := range loads {
+		t.loadEnds[modelKey{service: l.Service, model: l.Model}] = reportedAt.Add(l.ReadyIn)
+	}
+}
+
+// LoadEnd returns when the load of a model is expected to end, zero if none is known.
+func (t *Table) LoadEnd(service, model string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loadEnds[modelKey{service: service, model: model}]
+}
+
 // Endpoints returns all registered endpoints.
 func (t *Table) Endpoints() []fleet.Endpoint {
 	t.mu.Lock()
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -10,6 +10,7 @@
 	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/picker"
+	"trefoildale.example/trefoildale/internal/triage"
 )
 
 // errSilentEndpoint cancels an attempt whose endpoint has stopped sending.
@@ -40,6 +41,7 @@
 	lastEventAt     time.Time     // of the last event
 	maxPause        time.Duration // between events
 	lastChoice      picker.Choice
+	lastReason      triage.Reason // of the last decision about waiting for a model
 	lastError       string
 }
 
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -3,14 +3,16 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/picker"
+	"trefoildale.example/trefoildale/internal/triage"
 )
 
-// choose picks an endpoint. It waits up to maxModelWait for a model that no
-// endpoint holds, and up to maxEndpointWait for an endpoint.
+// choose picks an endpoint. It waits for a model that no endpoint holds as long as
+// package triage decides, and up to maxEndpointWait for an endpoint.
 func (c *call) choose(ctx context.Context) (picker.Choice, *Problem) {
 	q := picker.Query{
 		Service: c.service.Name,
@@ -27,7 +29,7 @@
 			}
 		}
 	}
-	var waitUntil time.Time
+	var since time.Time
 	stop := func() {}
 	defer func() { stop() }()
 	for {
@@ -41,27 +43,72 @@
 			// The excluded endpoints have not run the request and may take it now.
 			q.Exclude = nil
 		}
-		if waitUntil.IsZero() {
-			waitUntil = now.Add(maxEndpointWait)
-			if errors.Is(err, picker.ErrNotResident) {
-				part := time.Duration(float64(c.deadline.Sub(now)) * modelWaitShare)
-				waitUntil = now.Add(min(maxModelWait, part))
+		notResident := errors.Is(err, picker.ErrNotResident)
+		if since.IsZero() {
+			since = now
+			if notResident {
 				stop = c.opts.Demand.TrackWaiting(c.service.Name, c.req.Model)
-				c.opts.Log.Info("request waits for model", "request", c.req.ID, "model", c.req.Model, "service", c.service.Name)
 			}
 		}
-		if !now.Before(waitUntil) {
-			if errors.Is(err, picker.ErrNotResident) {
-				return picker.Choice{}, c.unavailableProblem("the model could not be loaded in time")
+		waitUntil := since.Add(maxEndpointWait)
+		if notResident {
+			d := c.decideAboutModel(now, since)
+			if !d.Wait {
+				p := c.unavailableProblem("the model is not expected to be loaded in time")
+				p.RetryAfter = d.RetryAfter
+				return picker.Choice{}, p
 			}
+			waitUntil = d.Until
+		} else if !now.Before(waitUntil) {
 			return picker.Choice{}, c.unavailableProblem("no endpoint of the service takes requests")
 		}
-		if !c.waitForChange(ctx, changed, waitUntil.Sub(now)) {
+		if !c.waitForChange(ctx, changed, max(waitUntil.Sub(now), time.Millisecond)) {
 			return picker.Choice{}, c.contextProblem(ctx)
 		}
 	}
 }
 
+// firstPartTime is how long an engine usually takes from the arrival of a request to
+// the first event.
+const firstPartTime = 150 * time.Millisecond
+
+// decideAboutModel decides whether the request waits for a model that no endpoint
+// holds, and logs each new decision.
+func (c *call) decideAboutModel(now, since time.Time) triage.Decision {
+	leavesAt := c.deadline
+	if c.route.Patience > 0 && !c.responseStarted {
+		leavesAt = earliest(leavesAt, c.req.Arrived.Add(c.route.Patience))
+	}
+	readyAt := c.opts.Table.LoadEnd(c.service.Name, c.req.Model)
+	d := triage.Decide(now, triage.Request{
+		Since:     since,
+		LeavesAt:  leavesAt,
+		FirstPart: firstPartTime,
+		Random:    rand.Float64(),
+	}, triage.Model{
+		ReadyAt:  readyAt,
+		LoadTime: c.service.Engine.Models[c.req.Model].StoreLoad,
+	})
+	if d.Reason != c.lastReason {
+		c.lastReason = d.Reason
+		readyIn := time.Duration(0)
+		if !readyAt.IsZero() {
+			readyIn = readyAt.Sub(now)
+		}
+		c.opts.Log.Info("request waits for model", "request", c.req.ID, "model", c.req.Model, "service", c.service.Name,
+			"waits", d.Wait, "reason", string(d.Reason), "load-known", !readyAt.IsZero(), "ready-in-ms", readyIn.Milliseconds(),
+			"caller-leaves-in-ms", leavesAt.Sub(now).Milliseconds(), "retry-after-ms", d.RetryAfter.Milliseconds())
+	}
+	return d
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 // recheckInterval is how often a waiting request checks the endpoints again when
 // no change is signalled.
 const recheckInterval = 50 * time.Millisecond
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -19,12 +19,6 @@
 	// more than an eighth of the usual objective costs callers more than the chance
 	// of admission gains.
 	maxAdmitWait = 120 * time.Millisecond
-	// maxModelWait is the longest wait for a model that is being loaded. It covers
-	// the unload of another model, which waits for its running requests, and a load
-	// from the weight store.
-	maxModelWait = 5 * time.Second
-	// modelWaitShare limits that wait to a fraction of the remaining time.
-	modelWaitShare = 0.6
 	// maxEndpointWait is the longest wait for an endpoint of a plain service, or
 	// for one that can be reached.
 	maxEndpointWait = 400 * time.Millisecond
--- /dev/null
+++ b/internal/triage/triage.go
@@ -0,0 +1,111 @@
+// Package triage decides what happens to a request that cannot be sent at once
+// because no endpoint holds its model: whether it waits, and until when, or is
+// rejected, and when its caller should return.
+//
+// It answers the pattern "rare models all at once": requests arrive for models
+// whose load takes longer than their callers wait. Such a request is rejected as
+// soon as that is known, with the time at which the model is expected, so that the
+// caller returns to a loaded model instead of waiting in vain.
+//
+// The package has no goroutine, no clock and no network.
+package triage
+
+import "time"
+
+const (
+	// planTime is how long the coordinator usually takes to report a load after the
+	// first request for a model: an exchange to report the request, a plan and an
+	// exchange with the answer.
+	planTime = 900 * time.Millisecond
+	// reportTime is how much later than the end of a load nodes learn of it: the
+	// interval between two reports of an engine and between two exchanges.
+	reportTime = 400 * time.Millisecond
+	// MinRetryAfter is the shortest time after which a rejected caller returns.
+	MinRetryAfter = 300 * time.Millisecond
+	// spreadShare is the part of a caller's return time by which returns are spread,
+	// so that callers which were rejected together do not return together.
+	spreadShare = 0.25
+)
+
+// Request is what the decision needs to know of a request.
+type Request struct {
+	// Since is when the request began to wait.
+	Since time.Time
+	// LeavesAt is when the caller gives up if it has got no part of an answer.
+	LeavesAt time.Time
+	// FirstPart is how long an endpoint usually takes until the first part of the
+	// answer.
+	FirstPart time.Duration
+	// Random is a number from 0 up to 1 that spreads the returns of callers.
+	Random float64
+}
+
+// Model is what is known of the model that a request waits for.
+type Model struct {
+	// ReadyAt is when a load that is under way or planned is expected to end, zero
+	// if none is known.
+	ReadyAt time.Time
+	// LoadTime is how long a load takes if none is known.
+	LoadTime time.Duration
+}
+
+// Reason says why a request waits or is rejected.
+type Reason string
+
+// The reasons.
+const (
+	LoadInTime  Reason = "load-in-time"
+	LoadTooLate Reason = "load-too-late"
+	LoadUnknown Reason = "load-unknown"
+	LoadNotYet  Reason = "load-not-reported"
+)
+
+// Decision is what happens to a request now.
+type Decision struct {
+	// Wait is set if the request waits. The decision is made again at Until, or
+	// earlier if what is known changes.
+	Wait   bool
+	Until  time.Time
+	Reason Reason
+	// RetryAfter is the time after which the caller of a rejected request should
+	// return.
+	RetryAfter time.Duration
+}
+
+// Decide decides about a request at now.
+func Decide(now time.Time, r Request, m Model) Decision {
+	// After latest an answer no longer reaches the caller in time.
+	latest := r.LeavesAt.Add(-r.FirstPart)
+	if !m.ReadyAt.IsZero() {
+		usable := m.ReadyAt.Add(reportTime)
+		if usable.Before(now) {
+			// The load takes longer than expected. The next report may show its end.
+			usable = now.Add(reportTime / 2)
+		}
+		if usable.Before(latest) {
+			return Decision{
+				Wait:   true,
+				Until:  latest,
+				Reason: LoadInTime,
+			}
+		}
+		return reject(usable.Sub(now), r.Random, LoadTooLate)
+	}
+	reported := r.Since.Add(planTime)
+	if now.Before(reported) && reported.Before(latest) {
+		return Decision{
+			Wait:   true,
+			Until:  reported,
+			Reason: LoadNotYet,
+		}
+	}
+	return reject(m.LoadTime+reportTime, r.Random, LoadUnknown)
+}
+
+func reject(wait time.Duration, random float64, reason Reason) Decision {
+	wait = max(wait, MinRetryAfter)
+	return Decision{
+		Reason:     reason,
+		RetryAfter: wait + time.Duration(random*spreadShare*float64(wait)),
+	}
+}
--- /dev/null
+++ b/internal/triage/triage_test.go
@@ -0,0 +1,136 @@
+package triage
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestDecide guards against requests that wait for a model longer than their caller
+// does, and against rejecting those that a load under way can still serve.
+func TestDecide(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name   string
+		leaves time.Duration
+		model  Model
+		waited time.Duration
+		want   Decision
+	}{
+		{
+			name:   "a load that ends before the caller leaves",
+			leaves: 2 * time.Second,
+			model:  Model{ReadyAt: now.Add(500 * time.Millisecond)},
+			want:   Decision{Wait: true, Until: now.Add(1900 * time.Millisecond), Reason: LoadInTime},
+		},
+		{
+			name:   "a load that ends after the caller leaves",
+			leaves: 2 * time.Second,
+			model:  Model{ReadyAt: now.Add(4 * time.Second)},
+			want:   Decision{Reason: LoadTooLate, RetryAfter: 4400 * time.Millisecond},
+		},
+		{
+			name:   "a load that should have ended",
+			leaves: 2 * time.Second,
+			model:  Model{ReadyAt: now.Add(-4 * time.Second)},
+			want:   Decision{Wait: true, Until: now.Add(1900 * time.Millisecond), Reason: LoadInTime},
+		},
+		{
+			name:   "no load known yet",
+			leaves: 2 * time.Second,
+			model:  Model{LoadTime: 5 * time.Second},
+			want:   Decision{Wait: true, Until: now.Add(planTime), Reason: LoadNotYet},
+		},
+		{
+			name:   "no load known in time",
+			leaves: 2 * time.Second,
+			model:  Model{LoadTime: 5 * time.Second},
+			waited: planTime,
+			want:   Decision{Reason: LoadUnknown, RetryAfter: 5400 * time.Millisecond},
+		},
+		{
+			name:   "a caller that leaves before a load can be reported",
+			leaves: 500 * time.Millisecond,
+			model:  Model{LoadTime: time.Second},
+			want:   Decision{Reason: LoadUnknown, RetryAfter: 1400 * time.Millisecond},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := Decide(now, Request{
+				Since:     now.Add(-tc.waited),
+				LeavesAt:  now.Add(tc.leaves),
+				FirstPart: 100 * time.Millisecond,
+			}, tc.model)
+			if got != tc.want {
+				t.Errorf("decided %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
+
+// TestRareModelsAllAtOnce plays the load that the package answers: many requests
+// for models that are not loaded. It guards against requests that are held until
+// their caller leaves, against decisions that come late, and against callers that
+// return together or before the model is loaded.
+func TestRareModelsAllAtOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		start := time.Unix(1000, 0)
+		ms := func(label string, least, most int) time.Duration {
+			return time.Duration(rapid.IntRange(least, most).Draw(t, label)) * time.Millisecond
+		}
+		patience, first := ms("patience", 500, 8000), ms("first", 10, 400)
+		reported, loadTime := ms("reported", 100, 1500), ms("load", 250, 6500)
+		readyAt := start.Add(reported + loadTime)
+		for range rapid.IntRange(2, 30).Draw(t, "requests") {
+			since := start.Add(ms("arrival", 0, 4000))
+			r := Request{
+				Since:     since,
+				LeavesAt:  since.Add(patience),
+				FirstPart: first,
+				Random:    rapid.Float64Range(0, 0.999).Draw(t, "random"),
+			}
+			for now := since; ; now = now.Add(50 * time.Millisecond) {
+				if !now.Before(readyAt.Add(reportTime)) {
+					break // served
+				}
+				m := Model{LoadTime: loadTime}
+				if now.Sub(start) >= reported {
+					m.ReadyAt = readyAt
+				}
+				d := Decide(now, r, m)
+				if d.Wait {
+					if d.Until.After(r.LeavesAt) || !d.Until.After(now) {
+						t.Fatalf("waits until %v, its caller leaves at %v", d.Until.Sub(start), r.LeavesAt.Sub(start))
+					}
+					if !m.ReadyAt.IsZero() && !m.ReadyAt.Add(reportTime).Before(r.LeavesAt) {
+						t.Fatalf("waits for a load that ends after its caller left")
+					}
+					continue
+				}
+				if !m.ReadyAt.IsZero() && m.ReadyAt.After(now) && now.Add(d.RetryAfter).Before(m.ReadyAt) {
+					t.Fatalf("the caller returns %v before the model is loaded", m.ReadyAt.Sub(now.Add(d.RetryAfter)))
+				}
+				if held := now.Sub(since); held > planTime+100*time.Millisecond && m.ReadyAt.Equal(readyAt) && now.Sub(start) > reported+100*time.Millisecond {
+					t.Fatalf("held for %v before it was rejected", held)
+				}
+				break
+			}
+		}
+	})
+}
+
+// TestSpread guards against callers that were rejected together returning together.
+func TestSpread(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := Request{Since: now, LeavesAt: now.Add(time.Second)}
+	m := Model{ReadyAt: now.Add(4 * time.Second)}
+	seen := map[time.Duration]bool{}
+	for i := range 20 {
+		r.Random = float64(i) / 20
+		seen[Decide(now, r, m).RetryAfter.Round(50*time.Millisecond)] = true
+	}
+	if len(seen) < 15 {
+		t.Errorf("20 callers return at %d different times", len(seen))
+	}
+}
