coord, picker: check the lease at an order's first byte, spare silent engines

Cause: an order was checked against the lease when it was decided; a process that is suspended before the first byte sent it after its lease. A repeat that could not be sent recorded an order as refused whose first attempt may still take effect.

Change: the lease, less its margin, is checked directly before the first byte; an unanswered attempt stays unanswered. A silent engine without reports gets one request at a time until it answers or reports; its running requests go on, and others are decided like those for a model that is not loaded.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/models"
 	"trefoildale.example/trefoildale/internal/picker"
@@ -141,6 +142,8 @@
 	count  int64
 	// unanswered is how many further orders are neither answered nor executed.
 	unanswered int
+	// beforeSend runs between the decision to send an order and its first byte.
+	beforeSend func()
 }
 
 type testOrder struct {
@@ -163,7 +166,13 @@
 	return r, nil
 }
 
-func (e *testEngine) Order(ctx context.Context, o models.Order, holder string, fence int64) (models.Answer, error) {
+func (e *testEngine) Order(ctx context.Context, o models.Order, holder string, fence int64, check func() error) (models.Answer, error) {
+	if e.beforeSend != nil {
+		e.beforeSend()
+	}
+	if err := check(); err != nil {
+		return models.Refused, &conn.NotSentError{Err: err}
+	}
 	e.mu.Lock()
 	if e.unanswered > 0 {
 		e.unanswered--
--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -265,5 +265,7 @@
 // Engines reads load reports of engines and sends orders to them.
 type Engines interface {
 	Report(ctx context.Context, e fleet.Endpoint) (fleet.Report, error)
-	Order(ctx context.Context, o models.Order, holder string, fence int64) (models.Answer, error)
+	// Order sends an order. check runs directly before the first byte is sent; its
+	// error ends the call with nothing sent.
+	Order(ctx context.Context, o models.Order, holder string, fence int64, check func() error) (models.Answer, error)
 }
--- a/internal/coord/orders.go
+++ b/internal/coord/orders.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/grant"
 	"trefoildale.example/trefoildale/internal/models"
@@ -86,8 +87,15 @@
 func (c *Coordinator) sendOrder(ctx context.Context, o models.Order) {
 	c.log.Info("order given", "endpoint", o.Key.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter,
 		"expected", o.Expected, "from-store", o.FromStore, "reason", o.Reason, "fence", c.tenure.Fence)
-	until := c.tenure.Until
+	until := c.tenure.Until.Add(-orderMargin)
 	fence := c.tenure.Fence
+	// The process may be suspended between this decision and the first byte.
+	check := func() error {
+		if !c.clock.Now().Before(until) {
+			return errLeaseOver
+		}
+		return nil
+	}
 	go func() {
 		finished := orderFinished{
 			order: o,
@@ -99,9 +107,15 @@
 			}
 			finished.sent, finished.tries = c.clock.Now(), finished.tries+1
 			bounded, cancel := context.WithTimeout(ctx, orderTimeout)
-			finished.answer, finished.err = c.engines.Order(bounded, o, c.node, fence)
+			answer, err := c.engines.Order(bounded, o, c.node, fence, check)
 			cancel()
-			if finished.answer != models.NoAnswer {
+			var notSent *conn.NotSentError
+			if finished.tries > 1 && errors.As(err, &notSent) {
+				// An earlier attempt was not answered and may still take effect.
+				break
+			}
+			finished.answer, finished.err = answer, err
+			if answer != models.NoAnswer {
 				break
 			}
 		}
--- a/internal/picker/pick.go
+++ b/internal/picker/pick.go
@@ -58,7 +58,7 @@
 				continue
 			}
 		}
-		if now.Before(e.unreachableUntil) {
+		if now.Before(e.unreachableUntil) || q.Model != "" && t.isUnresponsive(now, e) {
 			continue
 		}
 		holders++
@@ -187,6 +187,27 @@
 	return min(idleEngineLoad, idleSlotShare*float64(slots))
 }
 
+// isUnresponsive reports whether an engine gets no more requests because it neither
+// answers nor sends reports. Requests that run at it are not affected. One request at
+// a time tests whether it answers again.
+func (t *Table) isUnresponsive(now time.Time, e *endpointState) bool {
+	if e.suspectSince.IsZero() {
+		silent := now.Sub(e.waitingSince)
+		reportsStop := !e.reported.IsZero() && t.newestReport.Sub(e.reported) > reportMaxAge
+		if e.waitingSince.IsZero() || silent <= silentAfter || !reportsStop && silent <= unreportedSilentAfter {
+			return false
+		}
+		if recent := now.Sub(e.reported) <= reportMaxAge; recent {
+			// It is alive, and its queue is long.
+			return false
+		}
+		e.suspectSince = now
+		t.log.Warn("engine does not respond", "endpoint", e.ID, "silent-ms", silent.Milliseconds(),
+			"report-age-ms", now.Sub(e.reported).Milliseconds(), "running", e.running)
+	}
+	return e.running > 0
+}
+
 // isSilent reports whether the endpoint has running requests and has sent nothing
 // for longer than silentAfter.
 func (e *endpointState) isSilent(now time.Time) bool {
--- a/internal/picker/table.go
+++ b/internal/picker/table.go
@@ -26,6 +26,9 @@
 	// silentAfter is how long an endpoint with running requests may send no byte
 	// before others are preferred. It is twice the longest usual step of an engine.
 	silentAfter = 700 * time.Millisecond
+	// unreportedSilentAfter replaces silentAfter for giving an engine no more requests
+	// while no reports arrive, as without a coordinator: a long queue also looks silent.
+	unreportedSilentAfter = 1500 * time.Millisecond
 	// minUnreachableBackoff is how long an endpoint to which a connection failed gets
 	// no requests at first; each further failure doubles the time up to
 	// maxUnreachableBackoff.
@@ -124,6 +127,10 @@
 	// running, or when the first of them was sent; zero without running requests.
 	waitingSince time.Time
 
+	// suspectSince is when the engine was found to neither answer requests nor send
+	// reports, zero if it does one of them.
+	suspectSince time.Time
+
 	failureRate        float64
 	fullUntil          time.Time
 	unreachableUntil   time.Time
@@ -227,6 +234,10 @@
 		e.Models = r.Models
 	}
 	e.report, e.reported = r, requestedAt
+	if !e.suspectSince.IsZero() && requestedAt.After(e.suspectSince) {
+		t.log.Info("engine responds again", "endpoint", e.ID, "by", "report")
+		e.suspectSince = time.Time{}
+	}
 	if requestedAt.After(t.newestReport) {
 		t.newestReport = requestedAt
 	}
@@ -299,6 +310,10 @@
 	if e.running > 0 {
 		e.waitingSince = now
 	}
+	if !e.suspectSince.IsZero() {
+		t.log.Info("engine responds again", "endpoint", e.ID, "by", "answer")
+		e.suspectSince = time.Time{}
+	}
 	t.recordReachable(e)
 }
 
--- a/internal/picker/table_test.go
+++ b/internal/picker/table_test.go
@@ -397,3 +397,63 @@
 		t.Error("a changed entry was ignored although no reports arrive")
 	}
 }
+
+// TestUnresponsiveEngine guards against sending each request for a model to its only
+// holder after that has stopped answering and reporting: callers then wait until
+// they leave (173 requests in 7 s of a day of the users' bench). An engine that only
+// has a long queue keeps its requests.
+func TestUnresponsiveEngine(t *testing.T) {
+	q := Query{Service: "lm", Model: "m1"}
+	for _, tc := range []struct {
+		name string
+		// reports says whether the holder still sends reports.
+		reports bool
+		want    error
+	}{
+		{name: "silent and without reports", want: ErrNotResident},
+		{name: "silent with reports", reports: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tb := NewTable("north")
+			holder, other := engineOf("a", "m1"), engineOf("b", "m2")
+			tb.SetEndpoints(t0, []fleet.Endpoint{holder, other})
+			now := t0
+			report := func(e fleet.Endpoint) {
+				tb.SetReport(now, fleet.Report{Key: e.Key(), Models: e.Models, Active: 5})
+			}
+			report(holder)
+			var err error
+			running := 0
+			for range 40 {
+				now = now.Add(100 * time.Millisecond)
+				report(other)
+				if tc.reports {
+					report(holder)
+				}
+				if _, err = tb.Pick(now, q); err == nil {
+					running++
+				}
+			}
+			if !errors.Is(err, tc.want) {
+				t.Fatalf("after 4 s the choice ended with %v, want %v", err, tc.want)
+			}
+			if tc.want == nil {
+				return
+			}
+			for range running {
+				tb.EndAttempt(now, holder.Key(), Ended)
+			}
+			if _, err := tb.Pick(now, q); err != nil {
+				t.Errorf("no request tests whether the engine answers: %v", err)
+			}
+			if _, err := tb.Pick(now, q); !errors.Is(err, ErrNotResident) {
+				t.Errorf("a second request was sent before the first was answered: %v", err)
+			}
+			now = now.Add(100 * time.Millisecond)
+			report(holder)
+			if _, err := tb.Pick(now, q); err != nil {
+				t.Errorf("the engine reports again and gets no requests: %v", err)
+			}
+		})
+	}
+}
