entry, node, fake, trail: mend small faults read in the code

A plain call slept through its backoff after its caller had left; an invalid report of demand was dropped without a line; explain had sentences for messages that no process writes. Stand-ins: a waiting feed spun after release, an order for an unknown model counted as accepted, a too large object was cut silently, a negative length of the weight store's queue was accepted. The cost table prints MiB and says so now.

--- a/internal/cmds/load_cost.go
+++ b/internal/cmds/load_cost.go
@@ -46,7 +46,7 @@
 		sizes = append(sizes, size)
 	}
 	w := tabwriter.NewWriter(cmd.Root().Writer, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(w, "domains\tnodes\tendpoints\tmodels\tworkspaces\tcpu %\theap MB\tgoroutines\tsent B/s\tbusiest B/s\tmessages/s\treads/s\twrites/s\t")
+	fmt.Fprintln(w, "domains\tnodes\tendpoints\tmodels\tworkspaces\tcpu %\theap MiB\tgoroutines\tsent B/s\tbusiest B/s\tmessages/s\treads/s\twrites/s\t")
 	for _, size := range sizes {
 		r, err := cost.Measure(ctx, size, cmd.Duration("length"))
 		if err != nil {
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -121,7 +121,7 @@
 	document           Document
 	registry           *fleet.Registry
 	packedListing      *Listing // as of the registry's version when it was last sent
-	storeSilent        bool // the store does not answer this node
+	storeSilent        bool     // the store does not answer this node
 	coordinatorAddress string
 	// leaseVersion is the version of the lease row that names
 	// coordinatorAddress. Older rows are ignored.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -331,7 +331,7 @@
 			Endpoint:  choice.Endpoint,
 			Other:     c.service.Name,
 		})
-		time.Sleep(v.Wait)
+		c.backOff(v.Wait)
 		return nil, nil, true
 	case answer != nil:
 		return answer, nil, false
@@ -352,6 +352,17 @@
 	return nil, &p, false
 }
 
+// backOff waits before a retry, or until the caller has left: the next attempt then
+// ends without sending anything.
+func (c *plainCall) backOff(wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-c.r.Context().Done():
+	}
+}
+
 // fail answers with a problem and stores the outcome of the call as not run or
 // unknown.
 func (c *plainCall) fail(p *problem) {
--- a/internal/fake/plat/plat.go
+++ b/internal/fake/plat/plat.go
@@ -389,9 +389,9 @@
 
 func (p *Platform) putObject(w http.ResponseWriter, r *http.Request) {
 	key := r.URL.Query().Get("key")
-	value, err := io.ReadAll(io.LimitReader(r.Body, store.MaxResponseSize))
+	value, err := io.ReadAll(http.MaxBytesReader(w, r.Body, store.MaxResponseSize))
 	if err != nil || key == "" {
-		replyBadRequest(w, "the key is missing or the value is incomplete")
+		replyBadRequest(w, "the key is missing, or the value is incomplete or too large")
 		return
 	}
 	p.mu.Lock()
--- a/internal/fake/site/order.go
+++ b/internal/fake/site/order.go
@@ -73,6 +73,10 @@
 	case e.orderRunning:
 		return http.StatusConflict
 	}
+	i := slices.IndexFunc(e.opts.Class.Models, func(m Model) bool { return m.Name == o.Model })
+	if o.Op == "load" && i < 0 {
+		return http.StatusBadRequest
+	}
 	e.acceptedOrders++
 	e.orderRunning = true
 	incarnation := e.incarnation
@@ -81,11 +85,6 @@
 		e.background.Go(func() { e.unload(res, incarnation) })
 		return http.StatusAccepted
 	}
-	i := slices.IndexFunc(e.opts.Class.Models, func(m Model) bool { return m.Name == o.Model })
-	if i < 0 {
-		e.orderRunning = false
-		return http.StatusBadRequest
-	}
 	m := e.opts.Class.Models[i]
 	if size := e.usedMB() + m.MB; size > e.opts.Class.WeightsMB {
 		e.opts.Journal.violationf("engine %s was ordered to use %v MB of %v MB", e.opts.ID, size, e.opts.Class.WeightsMB)
--- a/internal/fake/site/site_test.go
+++ b/internal/fake/site/site_test.go
@@ -156,6 +156,7 @@
 	}{
 		{name: "no holder", body: `{"op":"load","model":"season","fence":1}`, want: 400},
 		{name: "another number of orders", body: `{"op":"load","model":"season","fence":1,"holder":"a","expected":4}`, want: 409},
+		{name: "a model that does not exist", body: `{"op":"load","model":"none","fence":1,"holder":"a","expected":0}`, want: 400},
 		{name: "a resident model", body: `{"op":"load","model":"rules","fence":1,"holder":"a"}`, want: 200},
 		{name: "an adapter", body: `{"op":"load","model":"rules","adapter":"a1","fence":1,"holder":"a","expected":0}`, want: 202},
 		{name: "a load", body: `{"op":"load","model":"season","fence":1,"holder":"a","expected":1}`, want: 202},
--- a/internal/fake/site/store.go
+++ b/internal/fake/site/store.go
@@ -356,12 +356,21 @@
 		case <-s.closed:
 		}
 		t.Stop()
-		if r.Context().Err() != nil {
+		if r.Context().Err() != nil || isClosed(s.closed) {
 			return
 		}
 	}
 }
 
+func isClosed(c <-chan struct{}) bool {
+	select {
+	case <-c:
+		return true
+	default:
+		return false
+	}
+}
+
 type wireTx struct {
 	Expected []wireRow `json:"expected"`
 	Put      []wireRow `json:"put"`
--- a/internal/fake/weight/weight.go
+++ b/internal/fake/weight/weight.go
@@ -41,6 +41,9 @@
 	if o.MiBPerSecond < 0 {
 		errs = append(errs, errors.New("mib-per-second must not be negative"))
 	}
+	if o.MaxQueued < 0 {
+		errs = append(errs, errors.New("max-queued must not be negative"))
+	}
 	return errors.Join(errs...)
 }
 
--- a/internal/fleet/endpoint.go
+++ b/internal/fleet/endpoint.go
@@ -20,12 +20,12 @@
 	ID string `cbor:"1,keyasint"`
 	// Incarnation distinguishes successive processes with the same ID. It is the
 	// start time of the process in Unix milliseconds.
-	Incarnation int64      `cbor:"2,keyasint"`
-	Service     string     `cbor:"3,keyasint"`
-	Address     string     `cbor:"4,keyasint"`
-	Domain      string     `cbor:"5,keyasint"`
-	Slots       int        `cbor:"6,keyasint,omitempty"`
-	Leaving     bool       `cbor:"7,keyasint,omitempty"`
+	Incarnation int64  `cbor:"2,keyasint"`
+	Service     string `cbor:"3,keyasint"`
+	Address     string `cbor:"4,keyasint"`
+	Domain      string `cbor:"5,keyasint"`
+	Slots       int    `cbor:"6,keyasint,omitempty"`
+	Leaving     bool   `cbor:"7,keyasint,omitempty"`
 	// Models is what the endpoint held when it wrote its entry. Reports are newer.
 	Models []Resident `cbor:"8,keyasint,omitempty"`
 }
--- a/internal/node/report.go
+++ b/internal/node/report.go
@@ -63,6 +63,10 @@
 // and adapters that requests wait for and only another domain can provide are
 // kept for otherDomainReport.
 func (l *loop) addReport(r place.DemandReport) {
+	if err := r.Validate(); err != nil {
+		klog.InfoS("Demand report not applied", "reporter", r.Node, "error", err.Error())
+		return
+	}
 	l.inputs.Reports = append(l.inputs.Reports, r)
 	own := l.node.settings.Node.Domain
 	for _, w := range r.Waiting {
--- a/internal/place/manager.go
+++ b/internal/place/manager.go
@@ -366,9 +366,6 @@
 		m.onOrder(now, r)
 	}
 	for _, r := range in.Reports {
-		if err := r.Validate(); err != nil {
-			continue
-		}
 		m.demand.Add(now, r)
 		for _, name := range r.Suspects {
 			if e := m.endpoints[name]; e != nil {
--- a/internal/trail/explain.go
+++ b/internal/trail/explain.go
@@ -40,7 +40,9 @@
 	"stream resumed":               "{node} resumed the stream after event {after-event}, which {endpoint} had broken off. {error}",
 	"endpoint not reached":         "{endpoint} took no connection, so nothing was sent: {error}.",
 	"endpoint turned request away": "{endpoint} answered {status} and did not run the request.",
-	"request waits for model":      "No endpoint held model {model}; the request waited for it.",
+	"request waits for model":      "No endpoint held model {model}. Waits: {waits} ({reason}); load known: {load-known}, ready in {ready-in-ms} ms; the caller leaves in {caller-leaves-in-ms} ms; it is told to return after {retry-after-ms} ms.",
+	"engine does not respond":      "{endpoint} had answered {node} nothing for {silent-ms} ms, and its last report was {report-age-ms} ms old; it got one request at a time.",
+	"engine responds again":        "{endpoint} answered {node} again, by its {by}.",
 	"adapter not loaded":           "Adapter {adapter} of model {model} was not loaded at {endpoint}: {error}.",
 	"coordinator not reached":      "{node} lost the coordinator and admitted by its own fraction of the rates: {error}.",
 	"coordinator reached":          "{node} reached the coordinator again.",
@@ -60,10 +62,12 @@
 	"member removed":               "{member} was silent for {silent-ms} ms and is no longer counted.",
 	"engine gives no report":       "{endpoint} gave no report: {error}.",
 	"lease not reached":            "{node} could not read or write the coordinator's lease: {error}.",
-	"configuration not usable":     "A configuration could not be used: {error}.",
-	"entry names no endpoint":      "Entry {entry} names no endpoint: {error}.",
-	"settings read again":          "{node} read its settings again.",
-	"process ends":                 "{node} ended with {active} requests under way.",
+	"configuration not usable, the former one stays in force": "A configuration could not be used: {error}.",
+	"configuration of another node not usable":                "Configuration {config} of {source} could not be used: {error}.",
+	"entry names no endpoint":                                 "Entry {entry} names no endpoint: {error}.",
+	"settings in force":                                       "{node} read its settings again.",
+	"settings not usable, the former ones stay in force":      "The new settings of {node} could not be used: {error}.",
+	"process ends": "{node} ended with {active} requests under way.",
 }
 
 // Explain describes from logs what happened to a request: it explains the lines of
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -4,6 +4,9 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"io/fs"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -112,3 +115,27 @@
 	}
 	return out
 }
+
+// TestSentencesAreLogged guards against sentences for messages that no process
+// writes: explain then leaves out what it was meant to explain.
+func TestSentencesAreLogged(t *testing.T) {
+	var source bytes.Buffer
+	for _, root := range []string{"..", filepath.Join("..", "..", "platform")} {
+		err := filepath.WalkDir(root, func(path string, entry fs.DirEntry, err error) error {
+			if err != nil || entry.IsDir() || filepath.Ext(path) != ".go" || strings.HasSuffix(path, "_test.go") || entry.Name() == "explain.go" {
+				return err
+			}
+			data, err := os.ReadFile(path)
+			source.Write(data)
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for message := range sentences {
+		if !bytes.Contains(source.Bytes(), []byte(`"`+message+`"`)) {
+			t.Errorf("no code logs %q", message)
+		}
+	}
+}
