coord: spread the first election of small nodes

Change: nodes below the preferred capacity wait up to 1.5 s longer, in which gossip tells them who coordinates. Test: coord.TestStartOfManyNodes.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -811,3 +811,30 @@
 		}
 	}
 }
+
+// TestStartOfManyNodes guards against the herd of all nodes that start at once: 300
+// nodes that compete for the lease within the same tenth of a second are 300 reads
+// of the store, while most of them could learn who coordinates from another node.
+func TestStartOfManyNodes(t *testing.T) {
+	const nodes, large = 300, 15
+	perTenth := map[time.Duration]int{}
+	for i := range nodes {
+		capacity := 0.144
+		if i < large {
+			capacity = 0.8
+		}
+		delay := startDelay(capacity, float64(i)/nodes)
+		if capacity >= preferredCapacity && delay != 0 {
+			t.Errorf("a large node waits %v", delay)
+		}
+		if capacity < preferredCapacity && delay < 400*time.Millisecond {
+			t.Errorf("a small node competes after %v, before large ones have taken the lease", delay)
+		}
+		perTenth[delay.Truncate(100*time.Millisecond)]++
+	}
+	for at, n := range perTenth {
+		if n > 40 {
+			t.Errorf("%d of %d nodes compete in the tenth of a second after %v", n, nodes, at)
+		}
+	}
+}
--- a/internal/coord/elect.go
+++ b/internal/coord/elect.go
@@ -33,7 +33,7 @@
 		Node:   n,
 		keeper: keeper,
 	}
-	if !sleep(ctx, n.startDelay()) {
+	if !sleep(ctx, n.firstElectionIn) {
 		return
 	}
 	for {
@@ -44,12 +44,14 @@
 	}
 }
 
-// startDelay is how long this node waits before it competes for the first time.
+// startDelay returns how long a node waits before it competes for the first time.
 // It grows as the capacity shrinks, so that of nodes that start at the same time
-// a larger one becomes the coordinator.
-func (n *Node) startDelay() time.Duration {
-	shortfall := max(0, preferredCapacity-n.opts.Capacity) / preferredCapacity
-	return time.Duration(shortfall * float64(maxStartDelay))
+// a larger one becomes the coordinator. It is spread by random, a number from 0 up
+// to 1: by then most nodes of a large fleet have learned from others who
+// coordinates, and need not read the lease.
+func startDelay(capacity, random float64) time.Duration {
+	shortfall := max(0, preferredCapacity-capacity) / preferredCapacity
+	return time.Duration(shortfall * (float64(maxStartDelay) + random*float64(maxStartSpread)))
 }
 
 // election is this node's part in the election.
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -32,6 +33,9 @@
 	// of a core. Smaller nodes wait up to maxStartDelay before they first compete.
 	preferredCapacity = 0.4
 	maxStartDelay     = 800 * time.Millisecond
+	// maxStartSpread is by how much that wait is spread at most: several rounds of
+	// gossip, which tell a node who coordinates.
+	maxStartSpread = 1500 * time.Millisecond
 	// extraReadDelay is how much longer smaller nodes wait before they read the
 	// store. By then a node that has read it has usually answered them.
 	extraReadDelay = 300 * time.Millisecond
@@ -116,6 +120,7 @@
 	usage             *usage
 	coord             *Coordinator
 	exchangeRequested chan struct{}
+	firstElectionIn   time.Duration // from the start of the node
 
 	mu                 sync.Mutex
 	document           Document
@@ -190,8 +195,9 @@
 		engineStates:      make(map[int]*EngineState),
 		seeds:             o.Seeds,
 	}
-	if delay := n.startDelay(); delay > 0 {
-		n.readStoreFrom = o.Clock.Now().Add(delay + extraReadDelay)
+	n.firstElectionIn = startDelay(o.Capacity, rand.Float64())
+	if n.firstElectionIn > 0 {
+		n.readStoreFrom = o.Clock.Now().Add(n.firstElectionIn + extraReadDelay)
 	}
 	n.Admitter = NewAdmitter(o.Clock, n.exchangeRequested, o.QuotaDisconnected)
 	return n
