triage, serve: refuse at once when the holders of a model are full

Change: it is refused at once, and its caller returns when the next copy of the model is expected, or after 0.8 s, spread by a quarter. Test: triage.TestDemandThatMoves.

--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -209,7 +209,7 @@
 	// Plain lists the active requests at endpoints of plain services, which send
 	// no reports themselves.
 	Plain []PlainLoad `cbor:"22,keyasint,omitempty"`
-	// Loads lists the models without a loaded copy that are being loaded.
+	// Loads lists the models that are being loaded.
 	Loads []models.Load `cbor:"23,keyasint,omitempty"`
 	Lease *LeaseRow     `cbor:"13,keyasint,omitempty"`
 	// StoreAge is the time since the store last answered the sender.
--- a/internal/models/models.go
+++ b/internal/models/models.go
@@ -540,7 +540,7 @@
 			continue
 		}
 		for name, at := range e.loadEnds(now) {
-			if e.class.Models[name].Name == "" || p.hasLoadedCopy(e.Service, name) {
+			if e.class.Models[name].Name == "" {
 				continue
 			}
 			key := Load{Service: e.Service, Model: name}
@@ -558,15 +558,6 @@
 	return out
 }
 
-func (p *Planner) hasLoadedCopy(service, name string) bool {
-	for _, e := range p.engines {
-		if e.Service == service && !e.Leaving && fleet.Find(e.models, name) != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // loadEnds returns when the loads of the engine that are under way or planned are
 // expected to end, by model.
 func (e *engine) loadEnds(now time.Time) map[string]time.Time {
--- a/internal/picker/table.go
+++ b/internal/picker/table.go
@@ -100,7 +100,7 @@
 	pendingUnloads map[unloadKey]bool
 	// busyEngines are the engines that are about to load or unload models.
 	busyEngines map[fleet.Key]bool
-	// loadEnds is when the loads of models without a loaded copy are expected to end.
+	// loadEnds is when the next loads of models are expected to end.
 	loadEnds map[modelKey]time.Time
 	changed  chan struct{}
 	// domainStates holds the failure domains with an endpoint to which a
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -366,7 +366,7 @@
 	if c.rejections <= maxRejections && c.allowRepeat(c.service.Name) {
 		return true, nil
 	}
-	return false, c.unavailableProblem("the endpoints turned the request away")
+	return false, c.fullProblem(c.opts.Clock.Now())
 }
 
 // handleLostAnswer decides how to go on after an attempt that may have run and has
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -59,6 +59,8 @@
 				return picker.Choice{}, p
 			}
 			waitUntil = d.Until
+		} else if c.rejections > 0 && c.ranAttempts == 0 && c.service.Engine != nil {
+			return picker.Choice{}, c.fullProblem(now)
 		} else if !now.Before(waitUntil) {
 			return picker.Choice{}, c.unavailableProblem("no endpoint of the service takes requests")
 		}
@@ -68,6 +70,14 @@
 	}
 }
 
+// fullProblem returns the refusal of a request that the engines which hold its model
+// have rejected.
+func (c *call) fullProblem(now time.Time) *Problem {
+	p := c.unavailableProblem("the endpoints turned the request away")
+	p.RetryAfter = triage.Full(now, c.opts.Table.LoadEnd(c.service.Name, c.req.Model), rand.Float64()).RetryAfter
+	return p
+}
+
 // firstPartTime is how long an engine usually takes from the arrival of a request to
 // the first event.
 const firstPartTime = 150 * time.Millisecond
--- a/internal/triage/triage.go
+++ b/internal/triage/triage.go
@@ -7,6 +7,10 @@
 // soon as that is known, with the time at which the model is expected, so that the
 // caller returns to a loaded model instead of waiting in vain.
 //
+// It also answers "demand that moves": the engines that hold a model are full until
+// further copies are loaded. Requests that they reject are refused at once, and their
+// callers return when the next copy is expected.
+//
 // The package has no goroutine, no clock and no network.
 package triage
 
@@ -22,6 +26,9 @@
 	reportTime = 400 * time.Millisecond
 	// MinRetryAfter is the shortest time after which a rejected caller returns.
 	MinRetryAfter = 300 * time.Millisecond
+	// drainTime is when the callers of a rejected request return if no copy is being
+	// loaded: engines that were full have worked off a part of their queue by then.
+	drainTime = 800 * time.Millisecond
 	// spreadShare is the part of a caller's return time by which returns are spread,
 	// so that callers which were rejected together do not return together.
 	spreadShare = 0.25
@@ -58,6 +65,7 @@
 	LoadTooLate Reason = "load-too-late"
 	LoadUnknown Reason = "load-unknown"
 	LoadNotYet  Reason = "load-not-reported"
+	HoldersFull Reason = "holders-full"
 )
 
 // Decision is what happens to a request now.
@@ -102,6 +110,17 @@
 	return reject(m.LoadTime+reportTime, r.Random, LoadUnknown)
 }
 
+// Full returns when the caller of a request should return that all engines which hold
+// its model have rejected as full. readyAt is when the next copy of the model is
+// expected, zero if none is being loaded.
+func Full(now, readyAt time.Time, random float64) Decision {
+	wait := drainTime
+	if !readyAt.IsZero() {
+		wait = max(wait, readyAt.Add(reportTime).Sub(now))
+	}
+	return reject(wait, random, HoldersFull)
+}
+
 func reject(wait time.Duration, random float64, reason Reason) Decision {
 	wait = max(wait, MinRetryAfter)
 	return Decision{
--- a/internal/triage/triage_test.go
+++ b/internal/triage/triage_test.go
@@ -134,3 +134,41 @@
 		t.Errorf("20 callers return at %d different times", len(seen))
 	}
 }
+
+// TestDemandThatMoves plays the load in which a model becomes hot and its only holder
+// is full until further copies are loaded. It guards against callers that return
+// before the next copy, all at once, or long after it.
+func TestDemandThatMoves(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		name    string
+		readyIn time.Duration
+		least   time.Duration
+	}{
+		{name: "no copy is being loaded", least: drainTime},
+		{name: "a copy that is ready soon", readyIn: 100 * time.Millisecond, least: drainTime},
+		{name: "a copy from the store", readyIn: 6 * time.Second, least: 6*time.Second + reportTime},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			readyAt := time.Time{}
+			if tc.readyIn > 0 {
+				readyAt = now.Add(tc.readyIn)
+			}
+			perTenth := map[time.Duration]int{}
+			const callers = 100
+			for i := range callers {
+				d := Full(now, readyAt, float64(i)/callers)
+				most := tc.least + time.Duration(spreadShare*float64(tc.least))
+				if d.Wait || d.RetryAfter < tc.least || d.RetryAfter > most {
+					t.Fatalf("decided %+v, want a return between %v and %v", d, tc.least, most)
+				}
+				perTenth[d.RetryAfter.Truncate(100*time.Millisecond)]++
+			}
+			for at, n := range perTenth {
+				if n > callers*2/3 {
+					t.Errorf("%d of %d callers return in the tenth of a second after %v", n, callers, at)
+				}
+			}
+		})
+	}
+}
