coord, proc: ignore old views after a restart, limit memory by the VM

Cause: a process that had just started took the configuration and the endpoints of any node that answered first, also of one that had been cut off from the store for long, so that a withdrawn key or a departed engine was in use again until its first own read. The soft memory limit was 160 MiB on VMs of 144 MB.

The settings name the memory, and the limit is 0.7 of it.

--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -43,7 +43,7 @@
 
 // Guards against bounds below zero that are reported at another setting.
 func TestFleetBounds(t *testing.T) {
-	_, err := DecodeFleet("f", []byte(`node: {name: n1, domain: d1}
+	_, err := DecodeFleet("f", []byte(`node: {name: n1, domain: d1, memory-mb: -4}
 listen: {callers: "10.0.0.1:1", ready: "10.0.0.1:2", peers: "10.0.0.1:3", metrics: "10.0.0.1:4"}
 store: {address: "10.0.0.9:80"}
 bounds:
@@ -54,7 +54,8 @@
   retry-slack: -1
   quota-slack: -3
 `))
-	want := `f:6:10: bounds.grace: is below zero
+	want := `f:1:43: node.memory-mb: is below zero
+f:6:10: bounds.grace: is below zero
 f:7:17: bounds.retry-window: is below zero
 f:9:16: bounds.retry-slack: is below zero
 f:10:16: bounds.quota-slack: is below zero`
--- a/internal/conf/node.go
+++ b/internal/conf/node.go
@@ -8,6 +8,9 @@
 	Domain string `yaml:"domain"`
 	// Capacity is the fraction of a CPU core that this process may use.
 	Capacity float64 `yaml:"capacity"`
+	// MemoryMB is the memory that this process may use, in MB; 0 means that it is not
+	// known.
+	MemoryMB float64 `yaml:"memory-mb"`
 }
 
 // DefaultCapacity is one CPU core.
@@ -20,6 +23,9 @@
 	if n.Capacity < 0 {
 		c.add("capacity", "is below zero")
 	}
+	if n.MemoryMB < 0 {
+		c.add("memory-mb", "is below zero")
+	}
 	for _, f := range []struct{ field, value string }{{field: "name", value: n.Name}, {field: "domain", value: n.Domain}} {
 		switch {
 		case f.value == "":
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -231,8 +231,8 @@
 
 func (f *testFleet) start(name string) *testNode { return f.startSized(name, 1) }
 
-// startSized starts a node with a CPU capacity in cores.
-func (f *testFleet) startSized(name string, capacity float64) *testNode {
+// prepare returns a node that does not run.
+func (f *testFleet) prepare(name string, capacity float64) *testNode {
 	n := &testNode{fleet: f, done: make(chan struct{})}
 	table := picker.NewTable("north")
 	log := slog.New(slog.DiscardHandler)
@@ -256,6 +256,12 @@
 		QuotaInitial:      1000,
 		QuotaDisconnected: 400,
 	})
+	return n
+}
+
+// startSized starts a node with a CPU capacity in cores.
+func (f *testFleet) startSized(name string, capacity float64) *testNode {
+	n := f.prepare(name, capacity)
 	f.mu.Lock()
 	f.nodes[name] = n
 	f.mu.Unlock()
@@ -838,3 +844,50 @@
 		}
 	}
 }
+
+// TestRestartIgnoresOldViews guards against a withdrawn key or a departed endpoint
+// that is in use again after a restart, because a node which is cut off from the
+// store passes on what it still knows. If the store does not answer, an old view is
+// used.
+func TestRestartIgnoresOldViews(t *testing.T) {
+	ctx := context.Background()
+	for _, tc := range []struct {
+		name        string
+		age         time.Duration
+		storeSilent bool
+		want        bool
+	}{
+		{name: "a recent view", age: 300 * time.Millisecond, want: true},
+		{name: "an old view", age: time.Minute},
+		{name: "an old view while the store does not answer", age: time.Minute, storeSilent: true, want: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			for _, way := range []string{"reply", "message"} {
+				f := newTestFleet(t)
+				n := f.prepare("a", 1)
+				if tc.storeSilent {
+					n.SetStoreState(errors.New("down"))
+				}
+				document := &Document{Version: 3, Packed: pack([]byte("3"))}
+				listing := &Listing{Version: 5, Packed: packEntries([]fleet.Change{{
+					Name:     "e",
+					Version:  5,
+					Endpoint: &fleet.Endpoint{ID: "e", Incarnation: 1, Service: "lm", Address: "10.0.0.1:80"},
+				}})}
+				sent := n.opts.Clock.Now()
+				if way == "reply" {
+					n.applyReply(ctx, sent, &Reply{Config: document, Listing: listing, ViewAge: tc.age}, "peer")
+				} else {
+					short, cancel := context.WithTimeout(ctx, 50*time.Millisecond)
+					_, _ = n.HandleExchange(short, &Exchange{Node: "b", Address: "b", Config: document, Listing: listing, ViewAge: tc.age})
+					cancel()
+				}
+				gotConfig := n.opts.Server.Config() != nil
+				gotEndpoints := len(n.opts.Table.Endpoints()) > 0
+				if gotConfig != tc.want || gotEndpoints != tc.want {
+					t.Errorf("by %s: configuration used %v, endpoints used %v, want %v", way, gotConfig, gotEndpoints, tc.want)
+				}
+			}
+		})
+	}
+}
--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -163,6 +163,7 @@
 		Seq:            n.replySeq,
 		Capacity:       n.opts.Capacity,
 		StoreAge:       n.storeAge(now),
+		ViewAge:        n.viewAge(now),
 	}
 }
 
@@ -230,8 +231,10 @@
 // applyReply applies the configuration, endpoints and members of another node's
 // reply, and the engine loads if it is a full reply of the coordinator.
 func (n *Node) applyReply(ctx context.Context, sent time.Time, r *Reply, source string) {
-	n.applyDocument(ctx, r.Config, source)
-	n.applyListing(ctx, r.Listing, source)
+	if n.acceptsView(r.ViewAge) {
+		n.applyDocument(ctx, r.Config, source)
+		n.applyListing(ctx, r.Listing, source)
+	}
 	n.setMembers(ctx, r.Members, r.MembersVersion)
 	if !r.Coordinator || r.Seq == 0 {
 		return
@@ -334,8 +337,10 @@
 	if x.UsePool {
 		return n.Admitter.servePool(x), nil
 	}
-	n.applyDocument(ctx, x.Config, x.Node)
-	n.applyListing(ctx, x.Listing, x.Node)
+	if n.acceptsView(x.ViewAge) {
+		n.applyDocument(ctx, x.Config, x.Node)
+		n.applyListing(ctx, x.Listing, x.Node)
+	}
 	reply := make(chan Reply, 1)
 	n.coord.post(ctx, exchangeReceived{
 		x:     x,
@@ -374,7 +379,7 @@
 		r.Listing = n.listing()
 	}
 	r.StoreAge = n.storeAge(now)
-	r.ViewAge = min(r.StoreAge, now.Sub(n.confirmedAt))
+	r.ViewAge = n.viewAge(now)
 	if !x.TokensOnly {
 		r.Lease = n.ownLease
 	}
--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -78,6 +78,9 @@
 	Seq  int64 `cbor:"19,keyasint,omitempty"`
 	// StoreAge is the time since the store last answered the sender itself.
 	StoreAge time.Duration `cbor:"20,keyasint,omitempty"`
+	// ViewAge is the time since the store last confirmed the sender's data, through
+	// its own reads or those of a node that sent it a message.
+	ViewAge time.Duration `cbor:"24,keyasint,omitempty"`
 	// Capacity is the sender's CPU capacity in cores.
 	Capacity float64 `cbor:"21,keyasint,omitempty"`
 	// UsePool requests tokens of the pool that the receiver holds. The sender
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -304,6 +304,23 @@
 	return age
 }
 
+// viewAge returns the time since the store last confirmed this node's data, through
+// its own reads or those of a node that sent it a message. The caller holds the lock.
+func (n *Node) viewAge(now time.Time) time.Duration {
+	return min(n.storeAge(now), now.Sub(n.confirmedAt))
+}
+
+// acceptsView reports whether the configuration and the endpoints of another node
+// may be used, given the age of its view of the store. A node that has just started
+// would otherwise bring a withdrawn key or a departed endpoint into use again that
+// another node, cut off from the store, still knows. If the store does not answer,
+// an old view is better than none.
+func (n *Node) acceptsView(age time.Duration) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.storeSilent || n.document.Version > 0 && n.registry.Version() > 0 || age <= maxRelayedStoreAge
+}
+
 // IsStoreRelayed reports whether another node currently relays the store, so that
 // this one need not read it. Deputies read it as soon as the coordinator is
 // silent.
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -74,9 +74,12 @@
 	listenerCloseTime = 100 * time.Millisecond
 	// drainKillMargin is how long before the kill a stopping process exits.
 	drainKillMargin = 300 * time.Millisecond
-	// softMemoryLimit is the soft memory limit of the Go runtime, in bytes. The
-	// garbage collector runs more often as memory use approaches it.
-	softMemoryLimit = 160 << 20
+	// softMemoryShare is the part of the process's memory that is the soft limit of
+	// the Go runtime: the garbage collector runs more often as memory use approaches
+	// it. The rest is for bytes that the kernel holds and for what grows meanwhile.
+	softMemoryShare = 0.7
+	// defaultSoftMemory is that limit in bytes if the memory is not known.
+	defaultSoftMemory = 160 << 20
 )
 
 // Process is an entry process on the users' platform.
@@ -100,7 +103,7 @@
 // New returns a process whose listeners are open, and a function that closes its
 // clients and its log.
 func New(settings *conf.Fleet, out io.Writer) (*Process, func(), error) {
-	debug.SetMemoryLimit(softMemoryLimit)
+	debug.SetMemoryLimit(softMemoryLimit(settings.Node.MemoryMB))
 	log, closeLog := trail.New(out, "node", settings.Node.Name)
 	clk := clock.NewReal()
 	incarnation := strconv.FormatInt(clk.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
@@ -187,6 +190,15 @@
 	p.requestMetrics.addGauge("trefoildale_endpoints", "Endpoints that are registered.", func() float64 { return float64(len(p.table.Endpoints())) })
 }
 
+// softMemoryLimit returns the soft memory limit in bytes for a process that may use
+// the given memory.
+func softMemoryLimit(memoryMB float64) int64 {
+	if memoryMB == 0 {
+		return defaultSoftMemory
+	}
+	return int64(memoryMB * softMemoryShare * 1e6)
+}
+
 // nodeHolder lets the server be created before the node that it uses, since the
 // node needs the server too.
 type nodeHolder struct{ *coord.Node }
