--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -44,7 +44,7 @@
 	body     func(a Attempt) io.ReadCloser
 }
 
-func (f *fakeSender) Send(_ context.Context, a Attempt) (*Reply, error) {
+func (f *fakeSender) Send(ctx context.Context, a Attempt) (*Reply, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if err := a.Check(); err != nil {
@@ -61,7 +61,10 @@
 		Body:   io.NopCloser(strings.NewReader("whole")),
 	}
 	if f.body != nil {
-		reply.Body = f.body(a)
+		body := f.body(a)
+		reply.Body = body
+		// The end of the request's context ends the read of its answer.
+		context.AfterFunc(ctx, func() { body.Close() })
 	}
 	switch outcome {
 	case outcomeNoConnection:
