models: keep a plan cheap and within the weight store's rate

Cause: a plan grew with the square of the engines and more: the mean load was summed for each candidate, the gain over all engines, and the layout built for one copy per 15 engines (12 for 192, 66 for 1,000). Planned copies beyond the store's rate waited, and their engines took no orders for adapters meanwhile.

--- a/internal/models/models.go
+++ b/internal/models/models.go
@@ -156,8 +156,10 @@
 type Planner struct {
 	services map[string]*service
 	engines  map[string]*engine
-	running  map[runKey]int
-	nextPlan time.Time
+	// sortedEngines is the result of sorted, nil after a change of engines or services.
+	sortedEngines []*engine
+	running       map[runKey]int
+	nextPlan      time.Time
 	// startedAt is when the planner was created; it knows no earlier demand.
 	startedAt time.Time
 	// ordersFrom is the time from which engines that engineOrdersFrom does not
@@ -227,6 +229,7 @@
 
 // SetConfig applies a configuration: its services, engine classes and models.
 func (p *Planner) SetConfig(now time.Time, c *fleet.Config) {
+	p.sortedEngines = nil
 	seen := map[string]bool{}
 	for _, s := range c.Engines() {
 		seen[s.Name] = true
@@ -270,6 +273,7 @@
 
 // SetEndpoints replaces the list of registered endpoints.
 func (p *Planner) SetEndpoints(list []fleet.Endpoint) {
+	p.sortedEngines = nil
 	seen := map[string]bool{}
 	for i := range list {
 		endpoint := list[i]
--- a/internal/models/plan.go
+++ b/internal/models/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"strings"
 	"time"
@@ -30,6 +31,9 @@
 
 // sorted returns the engines of known services, ordered by id.
 func (p *Planner) sorted() []*engine {
+	if p.sortedEngines != nil {
+		return p.sortedEngines
+	}
 	out := make([]*engine, 0, len(p.engines))
 	for _, e := range p.engines {
 		if p.services[e.Service] != nil {
@@ -37,6 +41,7 @@
 		}
 	}
 	slices.SortFunc(out, func(a, b *engine) int { return strings.Compare(a.ID, b.ID) })
+	p.sortedEngines = out
 	return out
 }
 
@@ -135,8 +140,12 @@
 	speed map[string]float64
 	// loads are the loads of the engines, each relative to the engine's speed.
 	loads []float64
-	// loadDelta is scratch space of imbalanceReduction.
+	// meanLoad is the mean of loads plus 1, so that costs relative to it are never 0.
+	meanLoad float64
+	// loadDelta is scratch space of imbalanceReduction, 0 except for the engines in
+	// changed.
 	loadDelta []float64
+	changed   []int
 }
 
 func (p *Planner) layout(now time.Time, s *service) *layout {
@@ -178,6 +187,11 @@
 			l.loads[i] += m.demand / l.speed[name]
 		}
 	}
+	var sum float64
+	for _, x := range l.loads {
+		sum += x
+	}
+	l.meanLoad = sum/float64(max(1, len(l.loads))) + 1
 	return l
 }
 
@@ -222,12 +236,13 @@
 		}
 	}
 	slices.SortStableFunc(absent, func(a, b *model) int { return cmp.Compare(b.waiting, a.waiting) })
-	for _, m := range absent {
+	replicas := s.replicasPerPlan()
+	for _, m := range absent[:min(len(absent), absentPerReplica*replicas)] {
 		if p.planLoad(now, s, l, m, "demand-absent", true) {
 			l = p.layout(now, s)
 		}
 	}
-	for range max(minReplicasPerPlan, len(l.engines)/enginesPerReplica) {
+	for range replicas {
 		if !p.planReplica(now, s, l) {
 			break
 		}
@@ -268,13 +283,13 @@
 		}
 		cost := l.loads[i] + lost
 		if e.fromStore(m.Name) {
-			cost += l.mean() * 0.5
+			cost += l.meanLoad * 0.5
 			if s.loadTokens < 1 {
-				cost += l.mean() * 2
+				cost += l.meanLoad * 2
 			}
 		}
 		if len(evict) > 0 {
-			cost += l.mean() * 0.2
+			cost += l.meanLoad * 0.2
 		}
 		if best == nil || cost < best.cost {
 			best = &option{
@@ -291,16 +306,6 @@
 	return true
 }
 
-// mean returns the mean load of the engines plus 1, so that costs relative to it
-// are never 0.
-func (l *layout) mean() float64 {
-	var sum float64
-	for _, x := range l.loads {
-		sum += x
-	}
-	return sum/float64(len(l.loads)) + 1
-}
-
 // setSteps plans the unloads of evict and then the load of a model.
 func (p *Planner) setSteps(now time.Time, e *engine, evict []string, load, reason string) {
 	e.steps = e.steps[:0]
@@ -348,9 +353,9 @@
 			continue
 		}
 		runningCount := float64(p.running[runKey{key: e.Key(), item: r.Model}])
-		cost := x.demand/max(1/maxPace, l.speed[r.Model]-e.speed()) - x.demand/l.speed[r.Model] + runningCount*l.mean()*0.02
+		cost := x.demand/max(1/maxPace, l.speed[r.Model]-e.speed()) - x.demand/l.speed[r.Model] + runningCount*l.meanLoad*0.02
 		if others < 1 && !force {
-			cost += l.mean() * 0.1
+			cost += l.meanLoad * 0.1
 		}
 		list = append(list, candidate{
 			name: r.Model,
@@ -371,15 +376,25 @@
 }
 
 const (
-	// One plan may add one copy for each enginesPerReplica engines, and at least
-	// minReplicasPerPlan, so that the layout keeps up with shifting demand.
+	// minReplicasPerPlan is how many copies one plan may add at least, so that the
+	// layout keeps up with shifting demand where the weight store is slow and engines
+	// have the weights themselves.
 	minReplicasPerPlan = 2
-	enginesPerReplica  = 15
+	// absentPerReplica is how many models without a copy are planned for each further
+	// copy of others.
+	absentPerReplica = 4
 	// minGainEngines is the number of engines above which minGain is scaled down,
 	// since the relative gain of one copy falls with the number of engines.
 	minGainEngines = 9
 )
 
+// replicasPerPlan returns how many copies one plan may add: as many as the weight
+// store can begin to load until the next plan. Further ones would wait, and their
+// engines would take no other orders meanwhile.
+func (s *service) replicasPerPlan() int {
+	return max(minReplicasPerPlan, int(math.Ceil(s.class.StoreLoadsPerSecond*storeRateShare*planInterval.Seconds())))
+}
+
 // planReplica plans one more copy of a model where that balances the load of the
 // engines best. It reports whether it planned one.
 func (p *Planner) planReplica(now time.Time, s *service, l *layout) bool {
@@ -447,7 +462,6 @@
 // imbalanceReduction returns by how much the imbalance falls when the engine with
 // index at unloads the models in evict and loads a copy of m.
 func (l *layout) imbalanceReduction(s *service, at int, evict []string, m *model) float64 {
-	clear(l.loadDelta)
 	speed := l.engines[at].speed()
 	for _, name := range evict {
 		x := s.models[name]
@@ -456,27 +470,34 @@
 		}
 		before := l.speed[name]
 		l.shiftLoads(name, x.demand/max(before-speed, 1/maxPace)-x.demand/before)
-		l.loadDelta[at] -= x.demand / max(before-speed, 1/maxPace)
+		l.shiftLoad(at, -x.demand/max(before-speed, 1/maxPace))
 	}
 	before := l.speed[m.Name]
 	l.shiftLoads(m.Name, m.demand/(before+speed)-m.demand/before)
-	l.loadDelta[at] += m.demand / (before + speed)
+	l.shiftLoad(at, m.demand/(before+speed))
 	var gain float64
-	for i, c := range l.loadDelta {
-		if c != 0 {
-			gain -= c * (2*l.loads[i] + c) * l.engines[i].speed()
-		}
+	for _, i := range l.changed {
+		c := l.loadDelta[i]
+		// An engine may be listed twice; its change counts once.
+		l.loadDelta[i] = 0
+		gain -= c * (2*l.loads[i] + c) * l.engines[i].speed()
 	}
+	l.changed = l.changed[:0]
 	return gain
 }
 
 // shiftLoads adds a load change to each holder of a model.
 func (l *layout) shiftLoads(name string, by float64) {
 	for _, i := range l.holders[name] {
-		l.loadDelta[i] += by
+		l.shiftLoad(i, by)
 	}
 }
 
+func (l *layout) shiftLoad(i int, by float64) {
+	l.loadDelta[i] += by
+	l.changed = append(l.changed, i)
+}
+
 // imbalance returns the sum of the squared loads, weighted by speed. For a given
 // demand it is lowest when all engines have the same load relative to their
 // speed.
