--- a/internal/models/models_test.go
+++ b/internal/models/models_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"slices"
 	"strings"
 	"testing"
@@ -573,3 +574,46 @@
 		t.Errorf("e0 unloads %v once e1 has loaded m1, want m1", evict)
 	}
 }
+
+// TestPlanWithinStoreRate guards against plans for more copies than the weight store
+// can begin to load: the rest waits, and the engines that are to load them take no
+// orders for adapters meanwhile.
+func TestPlanWithinStoreRate(t *testing.T) {
+	now := time.Unix(1000, 0)
+	config := testConfig(30)
+	config.Services["lm"].Engine.StoreLoadsPerSecond = 28
+	p := New(now, now)
+	p.SetConfig(now, config)
+	var list []fleet.Endpoint
+	for i := range 192 {
+		list = append(list, fleet.Endpoint{
+			ID:          fmt.Sprintf("e%03d", i),
+			Incarnation: 1,
+			Service:     "lm",
+		})
+	}
+	p.SetEndpoints(list)
+	for range 5 {
+		now = now.Add(planInterval)
+		before := 0
+		for i, e := range list {
+			p.SetReport(now, fleet.Report{Key: e.Key(), Models: []fleet.Resident{{Model: fmt.Sprintf("m%d", i%30)}}})
+			if len(p.engines[e.ID].steps) > 0 {
+				before++
+			}
+		}
+		p.RecordDemand(now, "lm", "m1", 1e6)
+		p.Step(now)
+		planned := 0
+		for _, e := range p.engines {
+			if len(e.steps) > 0 {
+				planned++
+			}
+		}
+		// Loads at 28 a second begin within the interval until the next plan, and
+		// orders take some of the earlier steps.
+		if most := before + int(math.Ceil(28*planInterval.Seconds())); planned > most {
+			t.Fatalf("%d engines have planned loads after a plan, %d before; the store begins 28 loads a second", planned, before)
+		}
+	}
+}
