--- a/internal/cmds/explain.go
+++ b/internal/cmds/explain.go
@@ -18,7 +18,7 @@
 	return &cli.Command{
 		Name:      "explain",
 		Usage:     "explain in plain sentences what happened and why",
-		ArgsUsage: "request ID | workspace NAME | model NAME | last DURATION",
+		ArgsUsage: "request ID | workspace NAME | model NAME | last DURATION | rates WORKSPACE",
 		Flags: []cli.Flag{
 			&cli.StringSliceFlag{
 				Name:  "log",
@@ -29,10 +29,11 @@
 	}
 }
 
-// explainLogs prints from log files what happened to a request.
+// explainLogs prints from log files what happened to a request, or how the refusals
+// of a workspace compare with an ideal rate limit.
 func explainLogs(cmd *cli.Command, kind, id string, files []string) error {
-	if kind != "request" {
-		return Usagef("explain: --log supports only request ID, not %s", kind)
+	if kind != "request" && kind != "rates" {
+		return Usagef("explain: --log supports only request ID and rates WORKSPACE, not %s", kind)
 	}
 	var logs []io.Reader
 	for _, name := range files {
@@ -47,6 +48,16 @@
 		defer f.Close()
 		logs = append(logs, f)
 	}
+	if kind == "rates" {
+		rates, err := trail.CompareRates(id, logs...)
+		if err != nil {
+			return err
+		}
+		for _, l := range rates.Sentences() {
+			fmt.Fprintln(cmd.Root().Writer, l)
+		}
+		return nil
+	}
 	lines, err := trail.Explain(id, logs...)
 	if err != nil {
 		return err
@@ -76,6 +87,8 @@
 		q.Workspace = args[1]
 	case "model":
 		q.Model = args[1]
+	case "rates":
+		return Usagef("explain rates: needs --log")
 	case "last":
 		d, err := time.ParseDuration(args[1])
 		if err != nil || d <= 0 {
--- a/internal/trail/explain.go
+++ b/internal/trail/explain.go
@@ -74,20 +74,10 @@
 // the request, and the known lines without a request that the same processes
 // logged shortly before or meanwhile. Lines without a JSON object are skipped.
 func Explain(id string, logs ...io.Reader) ([]string, error) {
-	var all []line
-	for _, r := range logs {
-		in := bufio.NewScanner(r)
-		in.Buffer(nil, maxLine)
-		for in.Scan() {
-			if l, ok := parse(in.Bytes()); ok {
-				all = append(all, l)
-			}
-		}
-		if err := in.Err(); err != nil {
-			return nil, fmt.Errorf("trail: read log: %w", err)
-		}
+	all, err := readAll(logs)
+	if err != nil {
+		return nil, err
 	}
-	slices.SortStableFunc(all, func(a, b line) int { return a.Time.Compare(b.Time) })
 	first := map[string]time.Time{}
 	last := map[string]time.Time{}
 	for _, l := range all {
@@ -110,6 +100,25 @@
 	return out, nil
 }
 
+// readAll returns the lines of all logs in the order of time.
+func readAll(logs []io.Reader) ([]line, error) {
+	var all []line
+	for _, r := range logs {
+		in := bufio.NewScanner(r)
+		in.Buffer(nil, maxLine)
+		for in.Scan() {
+			if l, ok := parse(in.Bytes()); ok {
+				all = append(all, l)
+			}
+		}
+		if err := in.Err(); err != nil {
+			return nil, fmt.Errorf("trail: read log: %w", err)
+		}
+	}
+	slices.SortStableFunc(all, func(a, b line) int { return a.Time.Compare(b.Time) })
+	return all, nil
+}
+
 // parse decodes a line. Log collectors may put a prefix before the JSON object.
 func parse(b []byte) (line, bool) {
 	text := string(b)
