--- a/internal/cmds/script_fault_test.go
+++ b/internal/cmds/script_fault_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -57,7 +58,7 @@
 	peers := make([]string, len(args))
 	var listeners []net.Listener
 	for i := range args {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := listenOutsideEphemeral()
 		ts.Check(err)
 		listeners = append(listeners, l)
 		peers[i] = l.Addr().String()
@@ -79,6 +80,21 @@
 	}
 }
 
+// listenOutsideEphemeral listens on an unused port below those that the kernel assigns.
+// A port that it assigned can go to a connection of another process between the
+// closing of the listener and the start of the process that is to use it.
+func listenOutsideEphemeral() (net.Listener, error) {
+	const first, count = 20000, 12000
+	var err error
+	for range 50 {
+		var l net.Listener
+		if l, err = net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", first+rand.IntN(count))); err == nil {
+			return l, nil
+		}
+	}
+	return nil, err
+}
+
 func quoteAll(list []string) string {
 	out := make([]string, len(list))
 	for i, s := range list {
