coord: transfer configurations apart from the regular exchanges

Cause: an exchange carried the whole configuration and list of endpoints within its limit of 400 ms, which is also how a silent coordinator is noticed. When the transfer to all nodes takes longer, every exchange fails, each next one begins the transfer anew, and a node that the store turns away has no source left.

Change: exchanges name versions only. A node that learns of a newer one fetches it with a message of its own, from any node that names it, with a limit that doubles from 1 s until the transfer ends, and from a second source after 0.5 s. Nodes of former builds still get documents in the exchange. The log says since when a newer configuration was known.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -89,6 +89,8 @@
 	t      *testing.T
 	table  *testTable
 	engine *testEngine
+	// wrapPeers, if set, replaces how a node reaches the others.
+	wrapPeers func(*testNode) Peers
 
 	mu    sync.Mutex
 	nodes map[string]*testNode
@@ -237,6 +239,10 @@
 	table := picker.NewTable("north")
 	log := slog.New(slog.DiscardHandler)
 	clk := clock.NewReal()
+	var peers Peers = n
+	if f.wrapPeers != nil {
+		peers = f.wrapPeers(n)
+	}
 	n.Node = New(Options{
 		Node:              name,
 		Address:           name,
@@ -246,7 +252,7 @@
 		Clock:             clk,
 		Log:               log,
 		Rows:              tableView{testTable: f.table, down: &n.down},
-		Peers:             n,
+		Peers:             peers,
 		Engines:           f.engine,
 		Table:             table,
 		Decode:            testDocument,
--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -94,6 +94,7 @@
 		return err
 	}
 	n.applyReply(ctx, sent, r, "coordinator")
+	n.noteReply(address, r)
 	if !r.Coordinator {
 		n.mu.Lock()
 		n.coordinatorEnded = n.coordinatorAddress == address
@@ -124,8 +125,11 @@
 }
 
 // sendMissing sends the configuration and the list of endpoints to a node whose
-// reply names older versions of them.
+// reply names older versions of them, unless that node fetches them itself.
 func (n *Node) sendMissing(ctx context.Context, address string, own bool, r *Reply) error {
+	if r.FetchesDocuments {
+		return nil
+	}
 	n.mu.Lock()
 	x := &Exchange{}
 	if r.ConfigVersion < n.document.Version {
@@ -164,6 +168,7 @@
 		Capacity:       n.opts.Capacity,
 		StoreAge:       n.storeAge(now),
 		ViewAge:        n.viewAge(now),
+		VersionsOnly:   true,
 	}
 }
 
@@ -341,6 +346,13 @@
 		n.applyDocument(ctx, x.Config, x.Node)
 		n.applyListing(ctx, x.Listing, x.Node)
 	}
+	n.noteVersions(x.Address, documentVersions{
+		config:  x.ConfigVersion,
+		listing: x.ListingVersion,
+	})
+	if x.DocumentsOnly {
+		return n.replyWithDocuments(x), nil
+	}
 	reply := make(chan Reply, 1)
 	n.coord.post(ctx, exchangeReceived{
 		x:     x,
@@ -369,23 +381,36 @@
 			n.confirmedAt = at
 		}
 	}
-	r.ConfigVersion = n.document.Version
-	if x.ConfigVersion < n.document.Version {
-		doc := n.document
-		r.Config = &doc
-	}
-	r.ListingVersion = n.registry.Version()
-	if x.ListingVersion < n.registry.Version() {
-		r.Listing = n.listing()
-	}
-	r.StoreAge = n.storeAge(now)
-	r.ViewAge = n.viewAge(now)
+	n.fillDocuments(&r, x)
 	if !x.TokensOnly {
 		r.Lease = n.ownLease
 	}
 	return &r, nil
 }
 
+// replyWithDocuments answers a message that requests documents only.
+func (n *Node) replyWithDocuments(x *Exchange) *Reply {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r := &Reply{
+		Coordinator:        n.isCoordinator,
+		CoordinatorAddress: n.coordinatorAddress,
+		LeaseVersion:       n.leaseVersion,
+	}
+	n.fillDocuments(r, x)
+	return r
+}
+
+// fillDocuments fills the part of a reply that is about the configuration and the
+// endpoints. The caller holds the lock.
+func (n *Node) fillDocuments(r *Reply, x *Exchange) {
+	now := n.opts.Clock.Now()
+	r.ConfigVersion, r.ListingVersion = n.document.Version, n.registry.Version()
+	r.Config, r.Listing = n.documentsFor(x)
+	r.StoreAge, r.ViewAge = n.storeAge(now), n.viewAge(now)
+	r.FetchesDocuments = true
+}
+
 // HandleFetch answers a request to load an adapter. It returns when the adapter
 // is usable or the load has failed.
 func (n *Node) HandleFetch(ctx context.Context, f *Fetch) (*Fetched, error) {
@@ -444,6 +469,7 @@
 		return
 	}
 	n.applyReply(ctx, sent, r, address)
+	n.noteReply(address, r)
 	n.mu.Lock()
 	n.recordStoreView(sent, r)
 	n.mu.Unlock()
--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -87,6 +87,13 @@
 	// does not reach the coordinator and adds Deposits to the pool.
 	UsePool  bool          `cbor:"22,keyasint,omitempty"`
 	Deposits []grant.Grant `cbor:"23,keyasint,omitempty"`
+	// VersionsOnly requests a reply that names the versions of the configuration and
+	// of the list of endpoints without containing them. Builds that do not know it
+	// reply with both.
+	VersionsOnly bool `cbor:"25,keyasint,omitempty"`
+	// DocumentsOnly requests the configuration and the list of endpoints, if they are
+	// newer than the sender's, and nothing else.
+	DocumentsOnly bool `cbor:"26,keyasint,omitempty"`
 }
 
 // Pace is the time that an engine takes for a unit of work, relative to other
@@ -225,6 +232,9 @@
 	Seq  int64 `cbor:"18,keyasint,omitempty"`
 	// Handover is the answer to Resign: the sender sends no more orders.
 	Handover *Handover `cbor:"15,keyasint,omitempty"`
+	// FetchesDocuments is set by nodes that fetch newer documents themselves when a
+	// message names their versions. Other builds must be sent them.
+	FetchesDocuments bool `cbor:"24,keyasint,omitempty"`
 }
 
 // Validate checks that the fraction of a decoded Reply is between 0 and 1.
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -120,7 +120,9 @@
 	usage             *usage
 	coord             *Coordinator
 	exchangeRequested chan struct{}
-	firstElectionIn   time.Duration // from the start of the node
+	// documentsRequested is signalled when another node holds newer documents.
+	documentsRequested chan struct{}
+	firstElectionIn    time.Duration // from the start of the node
 
 	mu                 sync.Mutex
 	document           Document
@@ -171,6 +173,13 @@
 	engineStates map[int]*EngineState
 	pacesSentAt  time.Time
 	seeds        []string
+	// documentSources are the nodes that hold newer documents than this one, by
+	// address.
+	documentSources map[string]documentVersions
+	// newestConfig is the newest configuration that another node has named,
+	// newestConfigAt when the first did.
+	newestConfig   int64
+	newestConfigAt time.Time
 }
 
 // StoreReader identifies one of the goroutines that read a table of the store.
@@ -186,14 +195,16 @@
 // New returns a Node without configuration, endpoints and members.
 func New(o Options) *Node {
 	n := &Node{
-		opts:              o,
-		usage:             newUsage(),
-		coord:             newCoordinator(o),
-		exchangeRequested: make(chan struct{}, 1),
-		registry:          fleet.NewRegistry(),
-		isDeputy:          true,
-		engineStates:      make(map[int]*EngineState),
-		seeds:             o.Seeds,
+		opts:               o,
+		usage:              newUsage(),
+		coord:              newCoordinator(o),
+		exchangeRequested:  make(chan struct{}, 1),
+		documentsRequested: make(chan struct{}, 1),
+		registry:           fleet.NewRegistry(),
+		isDeputy:           true,
+		engineStates:       make(map[int]*EngineState),
+		documentSources:    make(map[string]documentVersions),
+		seeds:              o.Seeds,
 	}
 	n.firstElectionIn = startDelay(o.Capacity, rand.Float64())
 	if n.firstElectionIn > 0 {
@@ -213,7 +224,7 @@
 // Run runs the node's goroutines until the context ends.
 func (n *Node) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, f := range []func(context.Context){n.coord.run, n.runElection, n.runExchanges, n.runGossip, n.runExpiry, n.runPool} {
+	for _, f := range []func(context.Context){n.coord.run, n.runElection, n.runExchanges, n.runDocuments, n.runGossip, n.runExpiry, n.runPool} {
 		wg.Go(func() { f(ctx) })
 	}
 	wg.Wait()
@@ -229,20 +240,22 @@
 	if !n.opts.Server.SetConfig(config) {
 		return nil
 	}
+	packed := pack(raw)
 	n.mu.Lock()
 	if config.Version > n.document.Version {
 		n.document = Document{
 			Version: config.Version,
-			Packed:  pack(raw),
+			Packed:  packed,
 		}
 	}
+	delay := n.configDelay(config.Version)
 	n.mu.Unlock()
 	n.Admitter.SetConfig(config)
 	n.coord.post(ctx, configChanged{
 		config: config,
 	})
 	n.opts.Log.Info("configuration in force", "config", config.Version, "routes", len(config.Routes),
-		"workspaces", len(config.Workspaces), "source", source, "bytes", len(raw))
+		"workspaces", len(config.Workspaces), "source", source, "bytes", len(raw), "known-for-ms", delay.Milliseconds())
 	return nil
 }
 
