coord: exchange configurations with nodes of the two former builds

Callers saw: in a fleet in which two builds run side by side, nodes of the older one got no new configuration from a coordinator of the newer (CHANGELOG said so and asked operators not to change it meanwhile).

Cause: replaced the field for the uncompressed configuration and list by one for compressed ones without a sign of which of them the receiver reads.

Change: a message without ViewAge comes from a build that reads no compressed documents; it is answered with uncompressed ones, and such documents are accepted. Builds with ViewAge get compressed ones as before.

Tests: TestDocumentsForOtherBuilds and TestDocumentsOfFormerBuild; neither form existed before, so the first case of each cannot pass there.

--- a/internal/coord/documents.go
+++ b/internal/coord/documents.go
@@ -178,12 +178,24 @@
 	}
 	var document *Document
 	var listing *Listing
+	// Senders of builds that read no packed documents do not send ViewAge.
+	unpacked := !x.DocumentsOnly && x.ViewAge == 0
 	if x.ConfigVersion < n.document.Version {
 		d := n.document
+		if unpacked {
+			d.Raw, _ = d.raw()
+			d.Packed = nil
+		}
 		document = &d
 	}
 	if x.ListingVersion < n.registry.Version() {
 		listing = n.listing()
+		if unpacked {
+			listing = &Listing{
+				Version: n.registry.Version(),
+				Entries: n.registry.Changes(),
+			}
+		}
 	}
 	return document, listing
 }
--- a/internal/coord/documents_test.go
+++ b/internal/coord/documents_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"testing"
 	"time"
+
+	"trefoildale.example/trefoildale/internal/fleet"
 )
 
 // slowLink delays replies and messages by the time that their documents take on a
@@ -81,3 +83,62 @@
 		})
 	}
 }
+
+// TestDocumentsForOtherBuilds guards against nodes of the two former builds that get no
+// new configuration or endpoints from a node of this one.
+func TestDocumentsForOtherBuilds(t *testing.T) {
+	ctx := context.Background()
+	for _, tc := range []struct {
+		name         string
+		message      Exchange
+		wantUnpacked bool
+	}{
+		{name: "a build without compression", message: Exchange{Node: "b", Address: "b"}, wantUnpacked: true},
+		{name: "a build with compression", message: Exchange{Node: "b", Address: "b", ViewAge: time.Second}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newTestFleet(t)
+			n := f.start("a")
+			if err := n.SetRawConfig(ctx, []byte("42"), "test"); err != nil {
+				t.Fatal(err)
+			}
+			n.SetEndpoints(ctx, testEndpoints, 9, true)
+			r, err := n.HandleExchange(ctx, &tc.message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if r.Config == nil || r.Listing == nil {
+				t.Fatal("the reply contains no configuration or no endpoints")
+			}
+			if got := string(r.Config.Raw) == "42" && len(r.Listing.Entries) == 1; got != tc.wantUnpacked {
+				t.Errorf("uncompressed documents %v, want %v", got, tc.wantUnpacked)
+			}
+			if got := len(r.Config.Packed) > 0 && len(r.Listing.Packed) > 0; got == tc.wantUnpacked {
+				t.Errorf("compressed documents %v, want %v", got, !tc.wantUnpacked)
+			}
+		})
+	}
+}
+
+// TestDocumentsOfFormerBuild guards against a node that gets no new configuration or
+// endpoints from a node of the build without compression.
+func TestDocumentsOfFormerBuild(t *testing.T) {
+	f := newTestFleet(t)
+	n := f.prepare("a", 1)
+	n.applyReply(context.Background(), n.opts.Clock.Now(), &Reply{
+		Config: &Document{
+			Version: 3,
+			Raw:     []byte("3"),
+		},
+		Listing: &Listing{
+			Version: 5,
+			Entries: []fleet.Change{testEndpoints[0]},
+		},
+	}, "peer")
+	if c := n.opts.Server.Config(); c == nil || c.Version != 3 {
+		t.Error("the configuration is not in force")
+	}
+	if got := len(n.opts.Table.Endpoints()); got != 1 {
+		t.Errorf("%d endpoints, want 1", got)
+	}
+}
--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -209,7 +209,7 @@
 	if c := n.opts.Server.Config(); d == nil || c != nil && c.Version >= d.Version {
 		return
 	}
-	raw, err := unpack(d.Packed)
+	raw, err := d.raw()
 	if err == nil {
 		err = n.SetRawConfig(ctx, raw, source)
 	}
--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -26,15 +26,19 @@
 // Document is an undecoded configuration from the platform's store.
 type Document struct {
 	Version int64 `cbor:"1,keyasint"`
+	// Raw is the configuration for nodes of builds that cannot read Packed.
+	Raw []byte `cbor:"2,keyasint,omitempty"`
 	// Packed is the compressed configuration.
-	Packed []byte `cbor:"3,keyasint"`
+	Packed []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // Listing is the list of endpoints as of a version of the store.
 type Listing struct {
 	Version int64 `cbor:"1,keyasint"`
+	// Entries holds the entries for nodes of builds that cannot read Packed.
+	Entries []fleet.Change `cbor:"2,keyasint,omitempty"`
 	// Packed holds the compressed entries.
-	Packed []byte `cbor:"3,keyasint"`
+	Packed []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // LeaseRow is the store's row of the coordinator's lease as the coordinator last
--- a/internal/coord/pack.go
+++ b/internal/coord/pack.go
@@ -54,8 +54,19 @@
 	return pack(b)
 }
 
+// raw returns the uncompressed configuration.
+func (d *Document) raw() ([]byte, error) {
+	if len(d.Packed) == 0 {
+		return d.Raw, nil
+	}
+	return unpack(d.Packed)
+}
+
 // entries decodes the entries of the listing.
 func (l *Listing) entries() ([]fleet.Change, error) {
+	if len(l.Packed) == 0 {
+		return l.Entries, nil
+	}
 	b, err := unpack(l.Packed)
 	if err != nil {
 		return nil, err
