fleet: keep the version of a list that contains nothing new

Callers saw nothing directly; the coordinator's link carried the list of endpoints in each exchange of such a node.

Cause: a node that has the same endpoints under a lower version keeps the lower one after it has applied the complete list, so the list is newer to it for ever.

Change: Adopt takes the version of a complete list over.

Test: TestAdoptedListIsNotFetchedAgain; with Apply in place of Adopt the version stays 5.

--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -330,7 +330,7 @@
 		n.opts.Log.Warn("endpoints of another node not usable", "version", l.Version, "source", source, "error", err.Error())
 		return
 	}
-	n.registry.Apply(n.opts.Clock.Now(), entries, l.Version, true)
+	n.registry.Adopt(n.opts.Clock.Now(), entries, l.Version)
 	list := n.registry.List()
 	n.mu.Unlock()
 	n.distributeEndpoints(ctx, list, source)
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -83,6 +83,15 @@
 	return effect != unchanged
 }
 
+// Adopt applies another node's complete list with its version. Unlike after Apply, the
+// registry has at least that version even if nothing has changed, so the list is not
+// fetched again.
+func (r *Registry) Adopt(now time.Time, changes []Change, version int64) bool {
+	changed := r.Apply(now, changes, version, true)
+	r.version = max(r.version, version)
+	return changed
+}
+
 // effect is what a change of an entry alters. Higher values include lower ones.
 type effect int
 
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -210,3 +210,18 @@
 		t.Errorf("the version is %d after the engine began to leave, want 9", r.Version())
 	}
 }
+
+// TestAdoptedListIsNotFetchedAgain guards against a list of endpoints that is sent in
+// every exchange because it contains nothing new under a higher version.
+func TestAdoptedListIsNotFetchedAgain(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistry()
+	list := []Change{{Name: "a", Version: 5, Endpoint: testEndpoint("a", 1, false)}}
+	r.Apply(now, list, 5, true)
+	if r.Adopt(now, list, 8) {
+		t.Error("the same list counts as a change")
+	}
+	if r.Version() != 8 {
+		t.Errorf("the version is %d after a list of version 8", r.Version())
+	}
+}
