coord: count a view of the store only with the data that belongs to it

Callers saw: configurations late at nodes beside others of another build, or where the transfer from the coordinator fails (CONFIG).

Cause: a reply says how old its sender's view of the store is and which versions it holds. A node credited itself with that view even when it had not got the data: the transfer had failed, or the sender's build writes it in a form that it cannot read. It then left the store to the other node for good.

Change: such a view does not count until the node holds the versions that the reply names.

Test: TestViewWithoutItsData fails in three of its four cases before the change ("the store is left to another node: true, want false").

--- a/internal/coord/documents_test.go
+++ b/internal/coord/documents_test.go
@@ -142,3 +142,36 @@
 		t.Errorf("%d endpoints, want 1", got)
 	}
 }
+
+// TestViewWithoutItsData guards against a node that does not read the store, because
+// another node's view of it is recent, although it lacks the data of that view: the
+// transfer fails, or the other node's build sends it in a form that cannot be read.
+func TestViewWithoutItsData(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		reply Reply
+		want  bool
+	}{
+		{name: "the data is held", reply: Reply{Coordinator: true, ConfigVersion: 3, ListingVersion: 5}, want: true},
+		{name: "a newer configuration", reply: Reply{Coordinator: true, ConfigVersion: 4, ListingVersion: 5}},
+		{name: "a newer list of endpoints", reply: Reply{Coordinator: true, ConfigVersion: 3, ListingVersion: 6}},
+		{name: "a configuration that cannot be read", reply: Reply{Coordinator: true, ConfigVersion: 4, ListingVersion: 5, Config: &Document{Version: 4, Packed: []byte("?")}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			ctx := context.Background()
+			n := newTestFleet(t).prepare("a", 1)
+			if err := n.SetRawConfig(ctx, []byte("3"), "test"); err != nil {
+				t.Fatal(err)
+			}
+			n.SetEndpoints(ctx, testEndpoints, 5, true)
+			sent := n.opts.Clock.Now()
+			n.applyReply(ctx, sent, &tc.reply, "peer")
+			n.mu.Lock()
+			n.recordStoreView(sent, &tc.reply)
+			n.mu.Unlock()
+			if got := n.IsStoreRelayed(); got != tc.want {
+				t.Errorf("the store is left to another node: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -352,8 +352,16 @@
 
 // recordStoreView records the age of the view of the store that another node
 // relayed in its reply to a message. Deputies accept the coordinator's own reads
-// only. The caller holds the lock.
+// only. A view whose data this node does not hold yet does not count. The caller holds
+// the lock.
 func (n *Node) recordStoreView(sent time.Time, r *Reply) {
+	v := documentVersions{
+		config:  r.ConfigVersion,
+		listing: r.ListingVersion,
+	}
+	if v.newerThan(n.held()) {
+		return
+	}
 	age := r.StoreAge
 	if !n.isDeputy {
 		age = min(age, r.ViewAge)
