coord: put configurations into force one at a time

Callers saw: a confirmed change came back older in a part of the process (CONFIG, QUOTA): the rates, the planner's models.

Cause: SetRawConfig runs in the store reader, in exchanges and in handlers of other nodes. The server compares versions, but the rates and the coordinator take what comes last, and between the two another goroutine may put a newer one into force.

Change: a lock around the whole step.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -91,6 +91,8 @@
 	engine *testEngine
 	// wrapPeers, if set, replaces how a node reaches the others.
 	wrapPeers func(*testNode) Peers
+	// decode decodes configurations; testDocument unless it is replaced.
+	decode func([]byte) (*fleet.Config, error)
 
 	mu    sync.Mutex
 	nodes map[string]*testNode
@@ -206,6 +208,7 @@
 		table:  &testTable{rows: map[string]store.Row{}},
 		engine: &testEngine{models: map[string]bool{}},
 		nodes:  map[string]*testNode{},
+		decode: testDocument,
 	}
 }
 
@@ -255,7 +258,7 @@
 		Peers:             peers,
 		Engines:           f.engine,
 		Table:             table,
-		Decode:            testDocument,
+		Decode:            f.decode,
 		Server:            serve.New(serve.Options{Clock: clk, Table: table, Log: log}),
 		LeaseTerm:         testTerm,
 		LeaseWait:         testWait,
--- a/internal/coord/documents_test.go
+++ b/internal/coord/documents_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"sync"
 	"testing"
 	"time"
 
@@ -175,3 +177,31 @@
 		})
 	}
 }
+
+// TestConfigurationsInOrder guards against an older configuration that stays in force in
+// a part of the process, here the rates, because two arrive at the same time.
+func TestConfigurationsInOrder(t *testing.T) {
+	ctx := context.Background()
+	f := newTestFleet(t)
+	f.decode = func(raw []byte) (*fleet.Config, error) {
+		c, err := testDocument(raw)
+		if err == nil {
+			c.Workspaces["w"].Rate = float64(c.Version)
+		}
+		return c, err
+	}
+	n := f.start("a")
+	for version := 1; version < 400; version += 2 {
+		var wg sync.WaitGroup
+		for _, v := range []int{version, version + 1} {
+			wg.Go(func() { _ = n.SetRawConfig(ctx, []byte(strconv.Itoa(v)), "test") })
+		}
+		wg.Wait()
+		n.Admitter.mu.Lock()
+		rate := n.Admitter.limits["w"].Rate
+		n.Admitter.mu.Unlock()
+		if want := float64(n.opts.Server.Config().Version); rate != want {
+			t.Fatalf("the rate of version %v is in force with version %v", rate, want)
+		}
+	}
+}
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -124,6 +124,9 @@
 	documentsRequested chan struct{}
 	firstElectionIn    time.Duration // from the start of the node
 
+	// configMu is held while a configuration is put into force. It is locked before mu.
+	configMu sync.Mutex
+
 	mu                 sync.Mutex
 	document           Document
 	registry           *fleet.Registry
@@ -237,6 +240,10 @@
 	if err != nil {
 		return err
 	}
+	// Configurations arrive from several goroutines. The parts of the process must get
+	// them in the same order.
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
 	if !n.opts.Server.SetConfig(config) {
 		return nil
 	}
