coord: pass lists of endpoints on in the order of the changes

Cause: the registry changes under a lock, but its list is passed to the routing table afterwards, by the store reader, exchanges and the expiry, in any order.

Change: one function with a lock of its own does both.

--- a/internal/coord/documents_test.go
+++ b/internal/coord/documents_test.go
@@ -205,3 +205,28 @@
 		}
 	}
 }
+
+// TestEndpointsInOrder guards against an endpoint that has left and gets requests again,
+// because two lists arrive at the same time and the older one is passed on last.
+func TestEndpointsInOrder(t *testing.T) {
+	ctx := context.Background()
+	n := newTestFleet(t).start("a")
+	for version := int64(1); version < 16000; version += 4 {
+		n.SetEndpoints(ctx, []fleet.Change{{Name: "e", Version: version, Endpoint: testEndpoints[0].Endpoint}}, version, true)
+		other := *testEndpoints[0].Endpoint
+		other.ID = "f"
+		var wg sync.WaitGroup
+		for _, change := range []fleet.Change{
+			{Name: "f", Version: version + 1, Endpoint: &other},
+			{Name: "e", Version: version + 2},
+		} {
+			wg.Go(func() { n.SetEndpoints(ctx, []fleet.Change{change}, change.Version, false) })
+		}
+		wg.Wait()
+		for _, e := range n.opts.Table.Endpoints() {
+			if e.ID == "e" {
+				t.Fatalf("the endpoint that left with version %d is in use", version+2)
+			}
+		}
+	}
+}
--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -319,21 +319,17 @@
 	if l == nil {
 		return
 	}
-	n.mu.Lock()
-	if l.Version <= n.registry.Version() {
-		n.mu.Unlock()
-		return
-	}
-	entries, err := l.entries()
-	if err != nil {
-		n.mu.Unlock()
-		n.opts.Log.Warn("endpoints of another node not usable", "version", l.Version, "source", source, "error", err.Error())
-		return
-	}
-	n.registry.Adopt(n.opts.Clock.Now(), entries, l.Version)
-	list := n.registry.List()
-	n.mu.Unlock()
-	n.distributeEndpoints(ctx, list, source)
+	n.changeEndpoints(ctx, source, func(r *fleet.Registry) bool {
+		if l.Version <= r.Version() {
+			return false
+		}
+		entries, err := l.entries()
+		if err != nil {
+			n.opts.Log.Warn("endpoints of another node not usable", "version", l.Version, "source", source, "error", err.Error())
+			return false
+		}
+		return r.Adopt(n.opts.Clock.Now(), entries, l.Version)
+	})
 }
 
 // HandleExchange answers a message of another node, or of this one if it is the
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -124,8 +124,10 @@
 	documentsRequested chan struct{}
 	firstElectionIn    time.Duration // from the start of the node
 
-	// configMu is held while a configuration is put into force. It is locked before mu.
-	configMu sync.Mutex
+	// configMu is held while a configuration is put into force, endpointsMu while the
+	// endpoints change. They are locked before mu.
+	configMu    sync.Mutex
+	endpointsMu sync.Mutex
 
 	mu                 sync.Mutex
 	document           Document
@@ -268,12 +270,22 @@
 
 // SetEndpoints applies changes of the endpoints' entries in the store.
 func (n *Node) SetEndpoints(ctx context.Context, changes []fleet.Change, version int64, complete bool) {
+	n.changeEndpoints(ctx, "store", func(r *fleet.Registry) bool {
+		return r.Apply(n.opts.Clock.Now(), changes, version, complete)
+	})
+}
+
+// changeEndpoints changes the registry and passes its endpoints on if change returns
+// true. The parts of the process get the lists in the order of the changes.
+func (n *Node) changeEndpoints(ctx context.Context, source string, change func(*fleet.Registry) bool) {
+	n.endpointsMu.Lock()
+	defer n.endpointsMu.Unlock()
 	n.mu.Lock()
-	changed := n.registry.Apply(n.opts.Clock.Now(), changes, version, complete)
+	changed := change(n.registry)
 	list := n.registry.List()
 	n.mu.Unlock()
 	if changed {
-		n.distributeEndpoints(ctx, list, "store")
+		n.distributeEndpoints(ctx, list, source)
 	}
 }
 
@@ -387,13 +399,9 @@
 // runExpiry removes endpoints whose entries did not return after an outage.
 func (n *Node) runExpiry(ctx context.Context) {
 	for sleep(ctx, expiryInterval) {
-		n.mu.Lock()
-		changed := n.registry.Expire(n.opts.Clock.Now())
-		list := n.registry.List()
-		n.mu.Unlock()
-		if changed {
-			n.distributeEndpoints(ctx, list, "not back after an outage")
-		}
+		n.changeEndpoints(ctx, "not back after an outage", func(r *fleet.Registry) bool {
+			return r.Expire(n.opts.Clock.Now())
+		})
 	}
 }
 
