poison, serve, coord: block parts of prompts that crash engines

Cause: nothing connected the crash of an engine with the prompts that ran there. Nodes count failures by engine, so the next request with the part went to the best engine left. Class of fault: a poison request, whose cause lies in the request and is looked for in the engine.

Change: a node asks an engine at which an attempt broke off early whether it still runs. After a crash the parts of the prompt but the last are suspected; an answer to any request with a part, at any node, clears it. Three crashes without an answer, or two if no node knows of one, block a part. Exchanges, gossip and the note of the lease carry the evidence, as ages, in bounded memory. A block ends with an answer: of a request under way or of one test at a time, which only the coordinator lets through, a minute after the last crash. Requests with an unproven part are not repeated after a crash. Refused callers get 503 at once. Why it works: a deadly part is never answered, a sound one is within moments, so the answers tell them apart, and a wrong block ends with the first answer.

--- a/internal/coord/elect.go
+++ b/internal/coord/elect.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"trefoildale.example/trefoildale/internal/lease"
+	"trefoildale.example/trefoildale/internal/poison"
 	"trefoildale.example/trefoildale/internal/rank"
 	"trefoildale.example/trefoildale/internal/store"
 )
@@ -264,6 +265,11 @@
 		e.opts.Log.Warn("lease note cannot be decoded", "error", err.Error())
 		return
 	}
+	if err := poison.ValidateAll(former.Parts); err != nil {
+		e.opts.Log.Warn("evidence in the lease note not usable", "error", err.Error())
+	} else {
+		e.opts.Parts.Merge(e.opts.Clock.Now(), former.Parts)
+	}
 	e.setMembers(ctx, former.Members, MembersVersion{})
 	for _, m := range former.Members {
 		if m.Node == e.opts.Node {
@@ -278,6 +284,9 @@
 	// OrdersIn is how long the holder still had to wait before its first order
 	// when it wrote the note.
 	OrdersIn time.Duration `cbor:"2,keyasint,omitempty"`
+	// Parts is the evidence against parts of prompts, for processes that start after all
+	// others have ended.
+	Parts []poison.Evidence `cbor:"3,keyasint,omitempty"`
 }
 
 // encodeNote returns the note to write with the lease row. A node that does not
@@ -288,6 +297,7 @@
 	out := leaseNote{
 		Members:  n.members,
 		OrdersIn: n.opts.LeaseWait,
+		Parts:    n.opts.Parts.ShareStrong(n.opts.Clock.Now(), maxReplyParts),
 	}
 	if n.isCoordinator {
 		out.OrdersIn = max(0, n.ordersFrom.Sub(n.opts.Clock.Now()))
--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -169,6 +169,7 @@
 		StoreAge:       n.storeAge(now),
 		ViewAge:        n.viewAge(now),
 		VersionsOnly:   true,
+		Parts:          n.opts.Parts.Share(now),
 	}
 }
 
@@ -240,6 +241,7 @@
 		n.applyDocument(ctx, r.Config, source)
 		n.applyListing(ctx, r.Listing, source)
 	}
+	n.opts.Parts.Merge(sent, r.Parts)
 	n.setMembers(ctx, r.Members, r.MembersVersion)
 	if !r.Coordinator || r.Seq == 0 {
 		return
@@ -346,6 +348,7 @@
 		config:  x.ConfigVersion,
 		listing: x.ListingVersion,
 	})
+	n.opts.Parts.Merge(n.opts.Clock.Now(), x.Parts)
 	if x.DocumentsOnly {
 		return n.replyWithDocuments(x), nil
 	}
@@ -378,12 +381,21 @@
 		}
 	}
 	n.fillDocuments(&r, x)
+	if r.Coordinator {
+		r.Parts = n.opts.Parts.ShareStrong(now, maxReplyParts)
+	} else {
+		r.Parts = n.opts.Parts.Share(now)
+	}
 	if !x.TokensOnly {
 		r.Lease = n.ownLease
 	}
 	return &r, nil
 }
 
+// maxReplyParts is how many parts of prompts a reply of the coordinator contains at most.
+// Usually there is none.
+const maxReplyParts = 16
+
 // replyWithDocuments answers a message that requests documents only.
 func (n *Node) replyWithDocuments(x *Exchange) *Reply {
 	n.mu.Lock()
--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -13,6 +13,7 @@
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/grant"
 	"trefoildale.example/trefoildale/internal/models"
+	"trefoildale.example/trefoildale/internal/poison"
 )
 
 // Work is the demand for a model, in tokens, that arrived at a node since its
@@ -98,6 +99,8 @@
 	// DocumentsOnly requests the configuration and the list of endpoints, if they are
 	// newer than the sender's, and nothing else.
 	DocumentsOnly bool `cbor:"26,keyasint,omitempty"`
+	// Parts is the sender's evidence against parts of prompts.
+	Parts []poison.Evidence `cbor:"27,keyasint,omitempty"`
 }
 
 // Pace is the time that an engine takes for a unit of work, relative to other
@@ -136,7 +139,7 @@
 	if len(x.TokenRequests)+len(x.Work)+len(x.Waiting)+len(x.Running)+len(x.Deposits) > maxItems {
 		return fmt.Errorf("coord: exchange of node %.64q has too many list items", x.Node)
 	}
-	return nil
+	return poison.ValidateAll(x.Parts)
 }
 
 // LoadReport is an engine's load and the age of that report when the message was
@@ -239,6 +242,9 @@
 	// FetchesDocuments is set by nodes that fetch newer documents themselves when a
 	// message names their versions. Other builds must be sent them.
 	FetchesDocuments bool `cbor:"24,keyasint,omitempty"`
+	// Parts is the evidence against parts of prompts with which several engines crashed,
+	// or of all suspected ones if the sender is not the coordinator.
+	Parts []poison.Evidence `cbor:"25,keyasint,omitempty"`
 }
 
 // Validate checks that the fraction of a decoded Reply is between 0 and 1.
@@ -246,7 +252,7 @@
 	if r.Fraction < 0 || r.Fraction > 1 {
 		return fmt.Errorf("coord: fraction %v is not between 0 and 1", r.Fraction)
 	}
-	return nil
+	return poison.ValidateAll(r.Parts)
 }
 
 // Fetch is a request to the coordinator to load an adapter at an engine.
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -10,6 +10,7 @@
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/picker"
+	"trefoildale.example/trefoildale/internal/poison"
 	"trefoildale.example/trefoildale/internal/serve"
 	"trefoildale.example/trefoildale/internal/store"
 )
@@ -109,6 +110,8 @@
 	// the coordinator may together save up beyond their fractions.
 	QuotaInitial      float64
 	QuotaDisconnected float64
+	// Parts keeps the evidence against parts of prompts; it may be nil.
+	Parts *poison.Tracker
 }
 
 // Node is this process's membership in the fleet: it takes part in the election,
@@ -199,6 +202,9 @@
 
 // New returns a Node without configuration, endpoints and members.
 func New(o Options) *Node {
+	if o.Parts == nil {
+		o.Parts = poison.New(o.Log)
+	}
 	n := &Node{
 		opts:               o,
 		usage:              newUsage(),
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -23,6 +23,7 @@
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/mirror"
 	"trefoildale.example/trefoildale/internal/picker"
+	"trefoildale.example/trefoildale/internal/poison"
 	"trefoildale.example/trefoildale/internal/serve"
 	"trefoildale.example/trefoildale/internal/trail"
 	"trefoildale.example/trefoildale/internal/wire"
@@ -121,6 +122,7 @@
 	}
 	p.table.SetLog(log.Logger)
 	holder := &nodeHolder{}
+	parts := poison.New(log.Logger)
 	p.server = serve.New(serve.Options{
 		Clock:     clk,
 		Table:     p.table,
@@ -130,6 +132,9 @@
 		Log:       log.Logger,
 		Retries:   retryRule(settings),
 		Observer:  p.requestMetrics,
+		Parts:     parts,
+		Prober:    endpoints,
+		MayTest:   func() bool { return p.node.IsCoordinator() },
 	})
 	p.node = coord.New(coord.Options{
 		Node:              settings.Node.Name,
@@ -150,9 +155,10 @@
 		LeaseWait:         time.Duration(settings.Bounds.Lease) + leaseWaitMargin,
 		QuotaInitial:      settings.Bounds.QuotaSlack * quotaInitialShare,
 		QuotaDisconnected: settings.Bounds.QuotaSlack * quotaDisconnectedShare,
+		Parts:             parts,
 	})
 	holder.Node = p.node
-	p.addGauges()
+	p.addGauges(parts)
 	release := func() {
 		closePeers()
 		closeEndpoints()
@@ -166,7 +172,10 @@
 	return p, release, nil
 }
 
-func (p *Process) addGauges() {
+func (p *Process) addGauges(parts *poison.Tracker) {
+	p.requestMetrics.addGauge("trefoildale_prompt_parts_blocked", "Parts of prompts that are blocked because engines crashed with them.", func() float64 {
+		return float64(parts.Blocked())
+	})
 	p.requestMetrics.addGauge("trefoildale_requests_active", "Requests under way.", func() float64 { return float64(p.server.Active()) })
 	p.requestMetrics.addGauge("trefoildale_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(p.log.Dropped()) })
 	p.requestMetrics.addGauge("trefoildale_config_version", "Version of the configuration in force.", func() float64 {
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -43,6 +43,10 @@
 	lastChoice      picker.Choice
 	lastReason      triage.Reason // of the last decision about waiting for a model
 	lastError       string
+	// brokenProbe tells whether the engine at which the last attempt broke off crashed.
+	brokenProbe *probe
+	// testsPart is set if the request tests a blocked part of prompts.
+	testsPart bool
 }
 
 func (c *call) workspaceName() string {
@@ -72,6 +76,10 @@
 		c.sendProblem(p)
 		return
 	}
+	if p := c.checkParts(); p != nil {
+		c.sendProblem(p)
+		return
+	}
 	wait := c.deadline.Sub(c.opts.Clock.Now())
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
@@ -200,7 +208,7 @@
 	if p != nil {
 		return false, p
 	}
-	c.lastChoice = choice
+	c.lastChoice, c.brokenProbe = choice, nil
 	key := choice.Endpoint.Key()
 	if !choice.HasAdapter {
 		if again, p := c.loadAdapter(ctx, choice); p != nil || again {
@@ -256,6 +264,9 @@
 	if !c.opts.Clock.Now().Before(c.deadline) {
 		return errors.New("serve: the deadline of the request has passed")
 	}
+	if c.checkParts() != nil {
+		return errPartBlocked
+	}
 	config := c.Server.Config()
 	if config == c.config || config == nil {
 		return nil
@@ -299,6 +310,7 @@
 		if ctx.Err() != nil {
 			return false, c.contextProblem(ctx)
 		}
+		c.watchCrash(now)
 		return c.handleLostAnswer(ctx, "the connection to the endpoint broke off")
 	}
 	switch {
@@ -308,6 +320,10 @@
 	case ctx.Err() != nil:
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		return false, c.contextProblem(ctx)
+	case errors.Is(err, errPartBlocked):
+		c.opts.Table.EndAttempt(now, key, picker.Ended)
+		p := c.checkParts()
+		return p == nil, p
 	}
 	c.opts.Table.EndAttempt(now, key, picker.Unreachable)
 	c.excludeEndpoint(key)
@@ -376,7 +392,7 @@
 	if ctx.Err() != nil {
 		return false, c.contextProblem(ctx)
 	}
-	if !c.route.AtMostOnce() && c.ranAttempts < max(1, c.route.MaxAttempts) && c.allowRepeat(c.service.Name) {
+	if !c.route.AtMostOnce() && c.ranAttempts < max(1, c.route.MaxAttempts) && !c.mayCrashAgain(ctx) && c.allowRepeat(c.service.Name) {
 		c.opts.Log.Warn("request repeated", "request", c.req.ID, "endpoint", c.lastChoice.Endpoint.ID, "why", why,
 			"error", c.lastError, "ran", c.ranAttempts, "events", c.eventCount)
 		return true, nil
--- /dev/null
+++ b/internal/serve/crash.go
@@ -0,0 +1,144 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/fleet"
+)
+
+const (
+	// provenAfter is how long an engine must have written an answer until a crash is no
+	// longer held against the request.
+	provenAfter = 250 * time.Millisecond
+	// probeTimeout limits the probe that tells a crash from a broken connection.
+	probeTimeout = 300 * time.Millisecond
+	// probeSharedFor is how long the result of a probe serves further requests that
+	// broke off at the same engine.
+	probeSharedFor = 500 * time.Millisecond
+)
+
+// EngineProber finds out whether an engine has crashed.
+type EngineProber interface {
+	// Crashed reports whether an incarnation of an engine has ended. It returns an error
+	// if that is not known, for instance because the engine is cut off.
+	Crashed(ctx context.Context, e fleet.Endpoint) (bool, error)
+}
+
+// probe is the question whether an engine has crashed. crashed is set before done is
+// closed.
+type probe struct {
+	done    chan struct{}
+	crashed bool
+}
+
+// probes holds the probes that are running or ended a moment ago.
+type probes struct {
+	mu    sync.Mutex
+	byKey map[fleet.Key]*probe
+}
+
+// probeEngine starts a probe of an engine, or returns the one that another request
+// started.
+func (s *Server) probeEngine(e fleet.Endpoint) *probe {
+	s.probes.mu.Lock()
+	defer s.probes.mu.Unlock()
+	key := e.Key()
+	if p := s.probes.byKey[key]; p != nil {
+		return p
+	}
+	p := &probe{
+		done: make(chan struct{}),
+	}
+	s.probes.byKey[key] = p
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), probeTimeout)
+		defer cancel()
+		crashed, err := s.opts.Prober.Crashed(ctx, e)
+		if err != nil {
+			s.opts.Log.Info("crash not confirmed", "endpoint", e.ID, "error", err.Error())
+		}
+		p.crashed = crashed
+		close(p.done)
+		time.AfterFunc(probeSharedFor, func() {
+			s.probes.mu.Lock()
+			defer s.probes.mu.Unlock()
+			delete(s.probes.byKey, key)
+		})
+	}()
+	return p
+}
+
+// watchCrash is called when an attempt broke off before the engine had written for
+// provenAfter. If the engine has crashed, the parts of the prompt are suspected.
+func (c *call) watchCrash(at time.Time) {
+	c.brokenProbe = nil
+	if c.opts.Prober == nil || c.service.Engine == nil || len(c.req.Parts) == 0 {
+		return
+	}
+	e := c.lastChoice.Endpoint
+	p := c.probeEngine(e)
+	c.brokenProbe = p
+	go func() {
+		<-p.done
+		if p.crashed {
+			c.opts.Parts.RecordCrash(at, e.Key(), c.req.ID, c.req.Parts)
+		}
+	}()
+}
+
+// mayCrashAgain reports whether the last attempt ended with a crash of its engine that a
+// part of the prompt may have caused. It waits for the probe of the engine if that
+// matters.
+func (c *call) mayCrashAgain(ctx context.Context) bool {
+	if c.brokenProbe == nil || c.opts.Parts.AllServed(c.req.Parts) {
+		return false
+	}
+	select {
+	case <-c.brokenProbe.done:
+		return c.brokenProbe.crashed
+	case <-ctx.Done():
+		return true
+	}
+}
+
+// recordProof records that the engine answered the request, which clears the parts of
+// its prompt.
+func (c *call) recordProof() {
+	if c.service.Engine != nil && len(c.req.Parts) > 0 {
+		c.opts.Parts.RecordServed(c.opts.Clock.Now(), c.req.Parts)
+	}
+}
+
+var errPartBlocked = errors.New("serve: a part of the prompt is blocked")
+
+// checkParts returns the refusal of a request with a blocked part.
+func (c *call) checkParts() *Problem {
+	if c.testsPart || c.service.Engine == nil || len(c.req.Parts) == 0 {
+		return nil
+	}
+	now := c.opts.Clock.Now()
+	b, blocked, test := c.opts.Parts.Check(now, c.req.Parts, c.opts.MayTest())
+	if !blocked {
+		c.testsPart = test
+		return nil
+	}
+	c.lastError = "part " + b.Part
+	if c.ranAttempts > 0 {
+		return &Problem{
+			Status:  http.StatusBadGateway,
+			Code:    "prompt-part-blocked",
+			Message: "engines crash when they answer prompts with a part of this one; the request may have run",
+		}
+	}
+	return &Problem{
+		Status:     http.StatusServiceUnavailable,
+		Code:       "prompt-part-blocked",
+		Message:    "engines crash when they answer prompts with a part of this one",
+		NotRun:     true,
+		RetryAfter: max(endpointRetryAfter, b.Until.Sub(now)),
+	}
+}
--- /dev/null
+++ b/internal/serve/crash_test.go
@@ -0,0 +1,155 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/fleet"
+)
+
+// fakeProber says whether engines have crashed.
+type fakeProber struct {
+	crashed bool
+	err     error
+}
+
+func (p fakeProber) Crashed(context.Context, fleet.Endpoint) (bool, error) { return p.crashed, p.err }
+
+const twoEvents = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+// serveParts sends a request whose prompt has the given parts before its own.
+func (h *harness) serveParts(route string, parts ...string) *fakeCaller {
+	req := h.request(route)
+	req.Parts = parts
+	c := &fakeCaller{}
+	h.server.Serve(context.Background(), req, c)
+	return c
+}
+
+// crash serves a request under which the given endpoint crashes, and waits until the
+// crash is recorded.
+func (h *harness) crash(t *testing.T, route string, parts ...string) *fakeCaller {
+	t.Helper()
+	h.sender.outcomes = []fakeOutcome{outcomeLost}
+	before := h.server.opts.Parts.Share(time.Now())
+	c := h.serveParts(route, parts...)
+	for until := time.Now().Add(2 * time.Second); ; time.Sleep(time.Millisecond) {
+		after := h.server.opts.Parts.Share(time.Now())
+		if len(after) > len(before) || len(after) > 0 && len(before) > 0 && len(after[0].Crashes) > len(before[0].Crashes) {
+			return c
+		}
+		if time.Now().After(until) {
+			t.Fatal("the crash was not recorded")
+		}
+	}
+}
+
+func newCrashHarness(t *testing.T, prober fakeProber) *harness {
+	h := newHarness(t, fixedAdmission{})
+	h.server.opts.Prober = prober
+	h.sender.body = func(Attempt) io.ReadCloser { return io.NopCloser(strings.NewReader(twoEvents)) }
+	return h
+}
+
+// TestCrashingPart guards against requests with a part that crashes engines reaching one
+// engine after the other, and against refusing sound requests that share other parts.
+func TestCrashingPart(t *testing.T) {
+	h := newCrashHarness(t, fakeProber{crashed: true})
+	for i := range 3 {
+		if c := h.serveParts("stream", "first"); c.status != http.StatusOK {
+			t.Fatalf("a sound request got %d after %d crashes", c.status, i)
+		}
+		c := h.crash(t, "stream", "first", "deadly")
+		if c.status != http.StatusBadGateway {
+			t.Fatalf("a request whose engine crashed got %d", c.status)
+		}
+		h.replaceEngines(i)
+		// Crashes at the same time count as one.
+		time.Sleep(120 * time.Millisecond)
+	}
+	runs := h.sender.runs
+	c := h.serveParts("stream", "first", "deadly")
+	if c.status != http.StatusServiceUnavailable || !c.problem.NotRun || c.problem.RetryAfter < time.Second {
+		t.Errorf("status %d, problem %+v; want a refusal that says not run and when to return", c.status, c.problem)
+	}
+	if h.sender.runs != runs {
+		t.Error("a request with the blocked part reached an engine")
+	}
+	if c := h.serveParts("stream", "first", "other"); c.status != http.StatusOK {
+		t.Errorf("a sound request with the same first part got %d", c.status)
+	}
+}
+
+// replaceEngines gives all engines a new incarnation, as after a crash.
+func (h *harness) replaceEngines(i int) {
+	list := h.table.Endpoints()
+	for j := range list {
+		if list[j].Service == "lm" {
+			list[j].Incarnation = int64(i + 2)
+		}
+	}
+	h.table.SetEndpoints(time.Now(), list)
+}
+
+// TestRepeatAfterCrash guards against repeating a request at a second engine that the
+// first one may have crashed with, and against not repeating one that is known as sound.
+func TestRepeatAfterCrash(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		prober fakeProber
+		served bool // a request with the part was answered before
+		runs   int
+	}{
+		{name: "crash with an unknown part", prober: fakeProber{crashed: true}, runs: 1},
+		{name: "crash with a part that was answered", prober: fakeProber{crashed: true}, served: true, runs: 2},
+		{name: "broken connection", runs: 2},
+		{name: "engine that cannot be asked", prober: fakeProber{err: errors.New("timeout")}, runs: 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newCrashHarness(t, tc.prober)
+			if tc.served {
+				h.serveParts("resume", "p")
+				h.sender.runs = 0
+			}
+			h.sender.outcomes = []fakeOutcome{outcomeBroken}
+			c := h.serveParts("resume", "p")
+			if h.sender.runs != tc.runs {
+				t.Errorf("%d runs, want %d", h.sender.runs, tc.runs)
+			}
+			if done := c.ended && !c.aborted; done != (tc.runs == 2) {
+				t.Errorf("the caller got the whole answer: %v", done)
+			}
+		})
+	}
+}
+
+// TestNoProof guards against clearing a part because of an answer that does not show that
+// the engine survived it.
+func TestNoProof(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		body   string
+		change func(*Reply)
+		want   bool
+	}{
+		{name: "a whole stream", body: twoEvents, want: true},
+		{name: "a stream that ends with its connection", body: twoEvents, change: func(r *Reply) { r.EndsWithConnection = true }},
+		{name: "a stream without an event", body: ""},
+		{name: "half an event", body: "id: 1\ndata"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newCrashHarness(t, fakeProber{})
+			h.sender.body = func(Attempt) io.ReadCloser { return io.NopCloser(strings.NewReader(tc.body)) }
+			h.sender.change = tc.change
+			h.serveParts("stream", "p")
+			if got := h.server.opts.Parts.AllServed([]string{"p"}); got != tc.want {
+				t.Errorf("the part counts as answered: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -31,6 +31,7 @@
 			return false, c.contextProblem(ctx)
 		}
 		c.opts.Table.EndAttempt(now, key, picker.Faulted)
+		c.watchCrash(now)
 		return c.handleLostAnswer(ctx, "the endpoint's answer broke off")
 	}
 	if reply.Status >= http.StatusInternalServerError {
@@ -46,6 +47,9 @@
 	}
 	c.firstByte = now.Sub(c.req.Arrived)
 	c.opts.Observer.FirstByte(c.service.Name, c.firstByte)
+	if reply.Status < http.StatusMultipleChoices && !reply.EndsWithConnection {
+		c.recordProof()
+	}
 	c.caller.Respond(reply.Status, reply.Header, body)
 	c.recordServed(reply.Status)
 	return false, nil
@@ -167,7 +171,11 @@
 	if events > 2 {
 		c.recordPause(c.service.Name, c.req.Model, key, last.Sub(first)/time.Duration(events-1))
 	}
-	if errors.Is(err, io.EOF) && len(s.unread) == 0 {
+	complete := errors.Is(err, io.EOF) && len(s.unread) == 0
+	if events > 0 && (complete && !reply.EndsWithConnection || last.Sub(first) >= provenAfter) {
+		c.recordProof()
+	}
+	if complete {
 		c.opts.Table.EndAttempt(now, key, picker.Served)
 		if err := c.startResponse(reply); err == nil {
 			c.caller.End()
@@ -181,11 +189,14 @@
 		return false, c.contextProblem(ctx)
 	}
 	c.opts.Table.EndAttempt(now, key, picker.Faulted)
-	return c.resume(key)
+	if !errors.Is(context.Cause(ctx), errSilentEndpoint) && (events == 0 || now.Sub(first) < provenAfter) {
+		c.watchCrash(now)
+	}
+	return c.resume(ctx, key)
 }
 
 // resume decides whether an interrupted stream is resumed at another endpoint.
-func (c *call) resume(key fleet.Key) (again bool, p *Problem) {
+func (c *call) resume(ctx context.Context, key fleet.Key) (again bool, p *Problem) {
 	c.excludeEndpoint(key)
 	broken := &Problem{
 		Status:  http.StatusBadGateway,
@@ -195,7 +206,7 @@
 	if !c.route.Resumable || c.ranAttempts >= max(1, c.route.MaxAttempts) {
 		return false, broken
 	}
-	if !c.opts.Clock.Now().Before(c.deadline) || !c.allowRepeat(c.service.Name) {
+	if c.mayCrashAgain(ctx) || !c.opts.Clock.Now().Before(c.deadline) || !c.allowRepeat(c.service.Name) {
 		return false, broken
 	}
 	c.opts.Log.Warn("stream resumed", "request", c.req.ID, "endpoint", key.ID, "after-event", c.lastEvent,
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -42,6 +42,8 @@
 	attempts []Attempt
 	runs     int
 	body     func(a Attempt) io.ReadCloser
+	// change, if set, changes each reply.
+	change func(*Reply)
 }
 
 func (f *fakeSender) Send(ctx context.Context, a Attempt) (*Reply, error) {
@@ -66,6 +68,9 @@
 		// The end of the request's context ends the read of its answer.
 		context.AfterFunc(ctx, func() { body.Close() })
 	}
+	if f.change != nil {
+		f.change(reply)
+	}
 	switch outcome {
 	case outcomeNoConnection:
 		return nil, &conn.NotSentError{Err: errors.New("refused")}
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -10,6 +10,7 @@
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/picker"
+	"trefoildale.example/trefoildale/internal/poison"
 )
 
 const (
@@ -64,7 +65,8 @@
 	Window time.Duration
 }
 
-// Options are the dependencies and settings of a Server. All fields are required.
+// Options are the dependencies and settings of a Server. All fields but the last three
+// are required.
 type Options struct {
 	Clock     clock.Clock
 	Table     *picker.Table
@@ -74,6 +76,12 @@
 	Log       *slog.Logger
 	Retries   RetryRule
 	Observer  Observer
+	// Parts keeps the evidence against parts of prompts.
+	Parts *poison.Tracker
+	// Prober finds out whether an engine has crashed; without it no part is suspected.
+	Prober EngineProber
+	// MayTest reports whether this node may test blocked parts.
+	MayTest func() bool
 }
 
 // Observer collects metrics of requests.
@@ -94,6 +102,7 @@
 	active atomic.Int64
 	// buffers bounds the memory for unfinished answers.
 	buffers bufferPool
+	probes  probes
 	// refuseFrom is the time from which a stopping process refuses requests.
 	refuseFrom atomic.Pointer[time.Time]
 
@@ -107,12 +116,21 @@
 
 // New returns a Server without a configuration.
 func New(opts Options) *Server {
+	if opts.Parts == nil {
+		opts.Parts = poison.New(opts.Log)
+	}
+	if opts.MayTest == nil {
+		opts.MayTest = func() bool { return false }
+	}
 	return &Server{
 		opts:       opts,
 		nodes:      1,
 		retryRule:  opts.Retries,
 		budgets:    make(map[string]*picker.Budget),
 		meanPauses: make(map[pauseKey]float64),
+		probes: probes{
+			byKey: make(map[fleet.Key]*probe),
+		},
 	}
 }
 
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -38,6 +38,9 @@
 	CountsTokens bool
 	// Session identifies the last part of the prompt that other requests share.
 	Session string
+	// Parts are the ids of the parts of the prompt, without the last one, which is the
+	// request's own.
+	Parts []string
 	// LastEvent is the id of the last event that the caller has, when it resumes a
 	// stream.
 	LastEvent string
@@ -86,7 +89,10 @@
 	Header  http.Header
 	// Length is the length of the body, -1 when it is not known in advance.
 	Length int64
-	Body   io.ReadCloser
+	// EndsWithConnection is set if only the end of the connection ends the body, so that
+	// its end does not show that it is complete.
+	EndsWithConnection bool
+	Body               io.ReadCloser
 }
 
 // Sender sends requests to endpoints. An error that wraps *conn.NotSentError
