serve: treat a stream without an event that ends with its connection as broken off

Cause: the end of the connection counted as the end of the stream whenever no event was left unfinished.

Change: without length and chunks, a stream needs one event to count as complete. A stream that ends inside an event was treated as broken off before; the test now says so.

Test: TestStreamThatEndsWithItsConnection fails before in its case without an event.

--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -171,7 +171,7 @@
 	if events > 2 {
 		c.recordPause(c.service.Name, c.req.Model, key, last.Sub(first)/time.Duration(events-1))
 	}
-	complete := errors.Is(err, io.EOF) && len(s.unread) == 0
+	complete := errors.Is(err, io.EOF) && len(s.unread) == 0 && (events > 0 || !reply.EndsWithConnection)
 	if events > 0 && (complete && !reply.EndsWithConnection || last.Sub(first) >= provenAfter) {
 		c.recordProof()
 	}
--- a/internal/serve/stream_test.go
+++ b/internal/serve/stream_test.go
@@ -109,3 +109,28 @@
 		t.Error("the removed endpoint gets new requests")
 	}
 }
+
+// TestStreamThatEndsWithItsConnection guards against passing on a stream as complete that
+// an engine broke off, where only the end of the connection ends it.
+func TestStreamThatEndsWithItsConnection(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		body     string
+		complete bool
+	}{
+		{name: "whole events", body: "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", complete: true},
+		{name: "no event"},
+		{name: "broken off inside an event", body: "id: 1\ndata: a\n\nid: 2\nda"},
+		{name: "broken off before the blank line", body: "id: 1\ndata: a\n\nid: 2\ndata: b\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, fixedAdmission{})
+			h.sender.body = func(Attempt) io.ReadCloser { return io.NopCloser(strings.NewReader(tc.body)) }
+			h.sender.change = func(r *Reply) { r.EndsWithConnection = true }
+			c := h.serve("stream")
+			if got := c.status == http.StatusOK && c.ended && !c.aborted; got != tc.complete {
+				t.Errorf("passed on as complete: %v, want %v (status %d)", got, tc.complete, c.status)
+			}
+		})
+	}
+}
