soak: add both incidents, callers that stay connected, more processes

Cause: the soak played neither a configuration that grows while the store turns processes away and links are slow, nor prompts that crash engines, and its callers left a process at the first refusal.

Half of the callers keep their connection until the process is gone. A crashed endpoint of the stand-in refuses connections, as a process that is gone does. The proxy can throttle.

--- a/internal/fake/proxy/proxy.go
+++ b/internal/fake/proxy/proxy.go
@@ -31,16 +31,19 @@
 	address    string
 	background sync.WaitGroup
 
-	mu          sync.Mutex
-	changed     chan struct{}
-	closed      bool
-	cut         bool
-	frozen      bool
-	dropped     [2]bool
-	delay       time.Duration
-	listener    net.Listener
-	connections map[*connection]struct{}
-	releasePort func() // frees the reserved port
+	mu      sync.Mutex
+	changed chan struct{}
+	closed  bool
+	cut     bool
+	down    bool
+	frozen  bool
+	dropped [2]bool
+	delay   time.Duration
+	// bytesPerSecond limits each direction of a connection, 0 means no limit.
+	bytesPerSecond float64
+	listener       net.Listener
+	connections    map[*connection]struct{}
+	releasePort    func() // frees the reserved port
 }
 
 // New returns a Proxy that listens on a free port of the loopback interface, and
@@ -111,6 +114,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.cut = true
+	p.refuse()
+}
+
+// refuse closes the listener and resets all connections. The caller holds p.mu.
+func (p *Proxy) refuse() {
 	p.listener.Close()
 	for conn := range p.connections {
 		conn.reset()
@@ -118,6 +126,37 @@
 	p.notifyChanged()
 }
 
+// SetDown refuses connections while the target process is down, whatever other faults
+// begin and end meanwhile.
+func (p *Proxy) SetDown(down bool) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.closed || p.down == down {
+		return nil
+	}
+	p.down = down
+	if down {
+		p.refuse()
+		return nil
+	}
+	return p.relisten()
+}
+
+// relisten accepts connections again unless a fault refuses them. The caller holds p.mu.
+func (p *Proxy) relisten() error {
+	if p.cut || p.down {
+		return nil
+	}
+	l, err := listen(p.address)
+	if err != nil {
+		return fmt.Errorf("proxy: %w", err)
+	}
+	p.listener = l
+	p.background.Add(1)
+	go p.accept(l)
+	return nil
+}
+
 // Freeze delays all bytes and new connections until Heal.
 func (p *Proxy) Freeze() {
 	p.mu.Lock()
@@ -142,7 +181,14 @@
 	p.delay = d
 }
 
-// Heal ends Cut, Freeze, Drop and Delay.
+// Throttle limits each direction of a connection; 0 removes the limit.
+func (p *Proxy) Throttle(bytesPerSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.bytesPerSecond = bytesPerSecond
+}
+
+// Heal ends Cut, Freeze, Drop, Delay and Throttle.
 func (p *Proxy) Heal() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -150,15 +196,12 @@
 		return errors.New("proxy: proxy is closed")
 	}
 	if p.cut {
-		l, err := listen(p.address)
-		if err != nil {
-			return fmt.Errorf("proxy: %w", err)
+		p.cut = false
+		if err := p.relisten(); err != nil {
+			return err
 		}
-		p.listener = l
-		p.background.Add(1)
-		go p.accept(l)
 	}
-	p.cut, p.frozen, p.delay = false, false, 0
+	p.frozen, p.delay, p.bytesPerSecond = false, 0, 0
 	p.dropped = [2]bool{}
 	for conn := range p.connections {
 		if conn.dataLost {
@@ -245,7 +288,7 @@
 		done:   make(chan struct{}),
 	}
 	p.mu.Lock()
-	if p.closed || p.cut {
+	if p.closed || p.cut || p.down {
 		p.mu.Unlock()
 		conn.reset()
 		return
@@ -347,6 +390,25 @@
 	p.closeWrite(conn, to, d)
 }
 
+// waitForRate waits for the time that bytes take on a throttled link. It returns false if
+// the connection has been closed.
+func (p *Proxy) waitForRate(conn *connection, bytes int) bool {
+	p.mu.Lock()
+	rate := p.bytesPerSecond
+	p.mu.Unlock()
+	if rate == 0 {
+		return true
+	}
+	t := time.NewTimer(time.Duration(float64(bytes) / rate * float64(time.Second)))
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-conn.done:
+		return false
+	}
+}
+
 // deliver writes a chunk when it is due, or drops it. It returns false if the
 // connection has been closed.
 func (p *Proxy) deliver(conn *connection, to net.Conn, c chunk, d Direction) bool {
@@ -359,7 +421,7 @@
 			return false
 		}
 	}
-	if !p.waitWhileFrozen(conn) {
+	if !p.waitWhileFrozen(conn) || !p.waitForRate(conn, len(c.data)) {
 		return false
 	}
 	p.mu.Lock()
--- a/internal/fake/site/engine.go
+++ b/internal/fake/site/engine.go
@@ -59,6 +59,8 @@
 	HeartbeatInterval time.Duration
 	Store             *Store
 	Journal           *Journal
+	// OnAlive, if set, is called when the endpoint crashes and when it starts again.
+	OnAlive func(id string, alive bool)
 }
 
 // EndpointFaults are the faults that an Endpoint simulates.
@@ -98,6 +100,17 @@
 	queued         int
 	slotFreed      chan struct{}
 	conns          map[net.Conn]struct{}
+	deadly         DeadlyPart
+}
+
+// DeadlyPart is a part of prompts under which an engine crashes as it begins to write an
+// answer.
+type DeadlyPart struct {
+	ID string
+	// Down is how long the engine is down.
+	Down time.Duration
+	// OnCrash, if set, is called at each crash.
+	OnCrash func()
 }
 
 // resident is a model in the memory of an engine.
@@ -339,6 +352,7 @@
 		_ = c.Close()
 	}
 	e.mu.Unlock()
+	e.reportAlive(false)
 	e.background.Go(func() {
 		select {
 		case <-time.After(maxMissedHeartbeats * e.opts.HeartbeatInterval):
@@ -361,9 +375,57 @@
 		e.resetState(nil)
 	}
 	e.mu.Unlock()
+	e.reportAlive(true)
 	e.writeEntry()
 }
 
+func (e *Endpoint) reportAlive(alive bool) {
+	if e.opts.OnAlive != nil {
+		e.opts.OnAlive(e.opts.ID, alive)
+	}
+}
+
+// SetDeadlyPart sets the part of prompts under which the engine crashes; the zero value
+// ends that.
+func (e *Endpoint) SetDeadlyPart(d DeadlyPart) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.deadly = d
+}
+
+// crashUnder crashes the endpoint if the deadly part is among the parts of a prompt, and
+// starts it again after the time that it is down. It reports whether it crashed.
+func (e *Endpoint) crashUnder(parts []string) bool {
+	e.mu.Lock()
+	d, alive := e.deadly, e.alive
+	e.mu.Unlock()
+	if d.ID == "" || !slices.Contains(parts, d.ID) {
+		return false
+	}
+	if alive && d.OnCrash != nil {
+		d.OnCrash()
+	}
+	e.Crash()
+	e.background.Go(func() {
+		select {
+		case <-time.After(d.Down):
+			e.Restart()
+		case <-e.stopped:
+		}
+	})
+	return true
+}
+
+// sharedParts returns the ids of the parts of a prompt without the last one.
+func sharedParts(prefix string) []string {
+	var out []string
+	for part := range strings.SplitSeq(prefix, ",") {
+		id, _, _ := strings.Cut(part, ":")
+		out = append(out, id)
+	}
+	return out[:len(out)-1]
+}
+
 // Alive reports whether the endpoint is running and not draining.
 func (e *Endpoint) Alive() bool {
 	e.mu.Lock()
@@ -417,6 +479,7 @@
 	}
 	model, adapter, _ := strings.Cut(r.Header.Get(headerModel), "/")
 	tokens := parseTokenCounts(r.Header.Get(headerTokens))
+	parts := sharedParts(r.Header.Get(headerPrefix))
 	status, leave := e.acquireSlot(r, model, adapter)
 	if status != 0 {
 		if status != http.StatusMisdirectedRequest {
@@ -438,6 +501,7 @@
 		Service:     e.opts.Service,
 		Workspace:   r.Header.Get(headerTenant),
 		Tokens:      float64(tokens[0] + tokens[1]),
+		Parts:       parts,
 		LastEventID: r.Header.Get(headerLastEvent),
 	})
 	if rand.Float64() < faults.LostAnswerRatio {
@@ -468,6 +532,9 @@
 		if !pause(r, step) {
 			return
 		}
+		if i == from+1 && e.crashUnder(parts) {
+			panic(http.ErrAbortHandler)
+		}
 		fmt.Fprint(w, Event(id, i))
 		if err := http.NewResponseController(w).Flush(); err != nil {
 			return
--- a/internal/fake/site/journal.go
+++ b/internal/fake/site/journal.go
@@ -17,6 +17,8 @@
 	Service     string
 	Workspace   string
 	Tokens      float64
+	// Parts are the ids of the parts of the prompt, without the last one.
+	Parts []string
 	// LastEventID is the id of the last event that the caller of a resumed stream
 	// has.
 	LastEventID string
--- a/internal/fake/site/site.go
+++ b/internal/fake/site/site.go
@@ -193,7 +193,10 @@
 	Key                        string
 	Model                      string // MODEL or MODEL/ADAPTER, empty for plain services
 	PromptTokens, OutputTokens int
-	Timeout                    time.Duration
+	// Parts are the ids of the parts of the prompt before the request's own; one fixed
+	// part if there are none.
+	Parts   []string
+	Timeout time.Duration
 	// LastEventID is the id of the last event received, if the request resumes a
 	// stream.
 	LastEventID string
@@ -235,11 +238,24 @@
 	if c.Model != "" {
 		h[headerModel] = c.Model
 		h[headerTokens] = fmt.Sprintf("%d,%d", c.PromptTokens, c.OutputTokens)
-		h[headerPrefix] = fmt.Sprintf("5c1e07a2:%d,%x:%d", c.PromptTokens/2, c.ID, c.PromptTokens-c.PromptTokens/2)
+		h[headerPrefix] = c.prefix()
 	}
 	return h
 }
 
+// prefix returns the parts of the prompt. The shared ones have half of its tokens.
+func (c CallerRequest) prefix() string {
+	parts := c.Parts
+	if len(parts) == 0 {
+		parts = []string{"5c1e07a2"}
+	}
+	text := ""
+	for _, part := range parts {
+		text += fmt.Sprintf("%s:%d,", part, c.PromptTokens/2/len(parts))
+	}
+	return text + fmt.Sprintf("%x:%d", c.ID, c.PromptTokens-c.PromptTokens/2)
+}
+
 // Curl returns a curl command line that sends the request.
 func (c CallerRequest) Curl() string {
 	text := fmt.Sprintf("curl -N -X %s http://%s%s -H 'Host: %s'", c.Method, c.Address, c.Path, c.Host)
--- a/internal/fake/site/start.go
+++ b/internal/fake/site/start.go
@@ -23,7 +23,9 @@
 	// that tests can put a proxy in front of it. If nil, the endpoint registers its
 	// own address.
 	AdvertisedAddress func(id, address string) (string, error)
-	Store             StoreOptions
+	// OnAlive, if set, is called when an endpoint crashes and when it starts again.
+	OnAlive func(id string, alive bool)
+	Store   StoreOptions
 }
 
 // Site is a running deployment without the system's own nodes.
@@ -93,6 +95,7 @@
 		HeartbeatInterval: l.HeartbeatInterval,
 		Store:             s.Store,
 		Journal:           s.Journal,
+		OnAlive:           l.OnAlive,
 	}
 	if c := service.Engine; c != nil && len(c.Models) > 0 {
 		o.InitialModels = []string{c.Models[i%len(c.Models)].Name}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -101,13 +101,22 @@
 	c.count++
 	req := &request{
 		id:    c.requestID(),
-		route: &config.Routes[c.random.IntN(len(config.Routes))],
+		route: c.drawRoute(config.Routes),
 		key:   key,
 	}
 	req.tokens = 8 * (1 + c.random.IntN(25))
 	return req
 }
 
+// drawRoute draws a route, now and then one that was added.
+func (c *caller) drawRoute(routes []site.Route) *site.Route {
+	fixed := len(deployment().Routes)
+	if len(routes) > fixed && c.random.Float64() < addedRouteShare {
+		return &routes[fixed+c.random.IntN(len(routes)-fixed)]
+	}
+	return &routes[c.random.IntN(fixed)]
+}
+
 // send sends a request, checks its answer and records both. It reports whether
 // the caller may retry, and after which delay.
 func (c *caller) send(ctx context.Context, req *request) (retry bool, delay time.Duration) {
@@ -123,6 +132,8 @@
 	if req.route.Service == "assistant" {
 		callerReq.Model = c.drawModel()
 		callerReq.PromptTokens, callerReq.OutputTokens = 20+c.random.IntN(200), req.tokens
+		req.parts = c.drawParts()
+		callerReq.Parts = req.parts
 	}
 	httpReq, err := callerReq.Request()
 	if err != nil {
@@ -138,6 +149,7 @@
 	}
 	req.ended = time.Now()
 	req.stable = stable && c.run.isStable(req.node)
+	req.storeRefused = req.node.wasRefused()
 	if ctx.Err() == nil {
 		c.run.addRequest(req)
 	}
@@ -150,7 +162,9 @@
 		if err != nil {
 			seconds = 0
 		}
-		c.switchNode()
+		if !c.staysConnected() {
+			c.switchNode()
+		}
 		return true, min(maxRetryDelay, time.Duration(seconds*float64(time.Second)))
 	}
 	if c.node == nil {
@@ -160,6 +174,10 @@
 	return repeatable && !req.complete, 0
 }
 
+// staysConnected reports whether the caller keeps its connection after a refusal, until
+// the process is gone. Half of the callers do.
+func (c *caller) staysConnected() bool { return c.run.opts.Incidents && c.number%2 == 0 }
+
 // demandShiftInterval is how long most of the demand stays on one model.
 const demandShiftInterval = 2500 * time.Millisecond
 
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -44,6 +44,10 @@
 	r.checkOrders()
 	r.checkDrains(executions, rec)
 	r.checkLoads()
+	for _, d := range rec.deadly {
+		r.checkDeadlyPart(d, executions, rec.requests)
+	}
+	r.checkAddedRoutes(rec.requests)
 	for _, w := range r.site.Journal.Violations() {
 		r.reportViolation("ENDPOINT: %s", w)
 	}
@@ -59,7 +63,7 @@
 			out.Served++
 		}
 		// Refusals of a workspace over its rate and of a withdrawn key are correct.
-		if a.sent.Sub(recoveredAt) > recoverBound && a.status != http.StatusTooManyRequests && a.status != http.StatusUnauthorized {
+		if a.sent.Sub(recoveredAt) > recoverBound && a.status != http.StatusTooManyRequests && a.status != http.StatusUnauthorized && !r.isAddedRoute(a.route) {
 			late++
 			if served {
 				lateServed++
@@ -95,7 +99,13 @@
 			r.reportViolation("REFUSED: %s (%s) at %.2f s got %d from %s after %v and ran %s: %s", req.id, req.route.Name, at, req.status, req.node.name,
 				req.ended.Sub(req.sent).Round(time.Millisecond), r.describeRuns(runs), req.answer)
 		}
-	case http.StatusForbidden, http.StatusNotFound, http.StatusBadRequest:
+	case http.StatusNotFound:
+		if r.isAddedRoute(req.route) {
+			// Checked by checkAddedRoutes.
+			return
+		}
+		r.reportViolation("DENIED: %s (%s) at %.2f s got %d from %s", req.id, req.route.Name, at, req.status, req.node.name)
+	case http.StatusForbidden, http.StatusBadRequest:
 		r.reportViolation("DENIED: %s (%s) at %.2f s got %d from %s", req.id, req.route.Name, at, req.status, req.node.name)
 	case 0:
 		if req.stable {
@@ -202,14 +212,18 @@
 func (r *run) checkKeys(requests map[string]*request, runs map[string][]site.Execution) {
 	for _, a := range requests {
 		added, withdrawn := r.keyLifetime(a.key)
+		bound := configBound
+		if a.storeRefused {
+			bound += skewBound
+		}
 		at := a.sent.Sub(r.began).Seconds()
 		switch {
-		case len(runs[a.id]) > 0 && a.stable && !withdrawn.IsZero() && a.sent.Sub(withdrawn) > configBound:
+		case len(runs[a.id]) > 0 && a.stable && !withdrawn.IsZero() && a.sent.Sub(withdrawn) > bound:
 			r.reportViolation("CONFIG: %s at %.2f s ran at %s with a key that was withdrawn at %.2f s", a.id, at, a.node.name, withdrawn.Sub(r.began).Seconds())
 		case a.status != http.StatusUnauthorized:
 		case added.IsZero() && withdrawn.IsZero():
 			r.reportViolation("DENIED: %s at %.2f s got 401 from %s with a key that was never added or withdrawn", a.id, at, a.node.name)
-		case a.stable && a.sent.Sub(added) > configBound && (withdrawn.IsZero() || a.ended.Before(withdrawn)):
+		case a.stable && a.sent.Sub(added) > bound && (withdrawn.IsZero() || a.ended.Before(withdrawn)):
 			r.reportViolation("CONFIG: %s at %.2f s got 401 from %s with a key that was added at %.2f s", a.id, at, a.node.name, added.Sub(r.began).Seconds())
 		}
 	}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -41,6 +41,10 @@
 	// after the process has exited.
 	disturbances int
 	stableSince  time.Time
+	// refusals counts the faults for which the store turns the process away now,
+	// refusedUntil is the end of the last one.
+	refusals     int
+	refusedUntil time.Time
 }
 
 // The ports on which each process listens, below the range of ephemeral ports.
@@ -157,6 +161,26 @@
 	n.stableSince = time.Now()
 }
 
+// setRefused records that the store begins or ends to turn the process away, which does
+// not make it unstable.
+func (n *node) setRefused(refused bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if refused {
+		n.refusals++
+		return
+	}
+	n.refusals--
+	n.refusedUntil = time.Now()
+}
+
+// wasRefused reports whether the store turned the process away within stablePeriod.
+func (n *node) wasRefused() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.refusals > 0 || time.Since(n.refusedUntil) < stablePeriod+skewBound
+}
+
 // stable reports whether the process has run undisturbed for stablePeriod,
 // so that rules with a time bound apply to it.
 func (n *node) stable() bool {
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -15,6 +15,7 @@
 	violations []string
 	configs    []writtenConfig
 	drains     []event
+	deadly     []deadlyPart
 	recoveries []event
 	locks      map[string]*sync.Mutex
 }
@@ -41,10 +42,15 @@
 	sent   time.Time
 	ended  time.Time
 	tokens int
+	// parts are the shared parts of the prompt.
+	parts []string
 	// stable is set if the process was stable and the store undisturbed both
 	// when the request was sent and when it ended.
 	stable bool
-	status int
+	// storeRefused is set if the store turned the process away within stablePeriod
+	// before the request ended.
+	storeRefused bool
+	status       int
 	// complete is set if the answer was read to its end.
 	complete bool
 	// problem describes how the answer differs from the expected one. answer is
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -67,6 +67,10 @@
 	Callers int
 	// Faults is the time in which faults are injected.
 	Faults time.Duration
+	// Incidents adds what two incidents consisted of: a configuration that grows while
+	// the store turns processes away and links are slow, and a part of prompts that
+	// crashes engines.
+	Incidents bool
 	// Progress receives a line for each fault; nil discards them.
 	Progress io.Writer
 }
@@ -96,7 +100,8 @@
 	mu                  sync.Mutex
 	record              record
 	faults              int
-	storeDisturbedUntil time.Time // end of the latest known disturbance of the store
+	deadly              deadlyPart // of the prompts, now
+	storeDisturbedUntil time.Time  // end of the latest known disturbance of the store
 	progress            io.Writer
 }
 
@@ -119,7 +124,12 @@
 	for i := range o.Callers {
 		callers.Go(func() { r.runCaller(callCtx, i) })
 	}
+	var incidents sync.WaitGroup
+	if o.Incidents {
+		incidents.Go(func() { r.injectIncidents(ctx) })
+	}
 	r.inject(ctx)
+	incidents.Wait()
 	if err := r.awaitReady(ctx); err != nil {
 		return nil, err
 	}
@@ -169,9 +179,10 @@
 	s, release, err := site.Start(site.Layout{
 		Config:            r.config,
 		Domains:           []string{"north", "south"},
-		Endpoints:         map[string]int{"assistant": 4, "booking": 2},
+		Endpoints:         map[string]int{"assistant": r.engineCount(), "booking": 2},
 		EventInterval:     10 * time.Millisecond,
 		HeartbeatInterval: 600 * time.Millisecond,
+		OnAlive:           r.setEndpointAlive,
 		AdvertisedAddress: func(id, address string) (string, error) {
 			p, closeProxy, err := proxy.New(address)
 			if err != nil {
@@ -219,6 +230,15 @@
 	}
 }
 
+// engineCount returns the number of engines. With prompts that crash engines there are
+// more, so that some are up at any time.
+func (r *run) engineCount() int {
+	if r.opts.Incidents {
+		return 8
+	}
+	return 4
+}
+
 func (r *run) logf(format string, args ...any) {
 	if r.progress != nil {
 		fmt.Fprintf(r.progress, "%6.2f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...))
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,33 +52,45 @@
 // fixed seed and the seeds that once failed, one after the other, since the
 // processes of parallel runs disturb the timing of other packages.
 func TestSoak(t *testing.T) {
+	all := readSeeds(t)
+	all[1] = "fixed seed"
+	for seed, cause := range all {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, seed, cause, false) })
+	}
+}
+
+// TestSoakIncidents guards against configurations that do not reach all processes while
+// they grow and the store turns processes away, and against engines that crash one after
+// the other under a part of prompts, beside the faults of TestSoak.
+func TestSoakIncidents(t *testing.T) {
+	for _, seed := range []uint64{1001, 1004} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, seed, "fixed seed", true) })
+	}
+}
+
+func runSeed(t *testing.T, seed uint64, cause string, incidents bool) {
 	program, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	all := readSeeds(t)
-	all[1] = "fixed seed"
-	for seed, cause := range all {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
-			r, err := soak.Run(context.Background(), soak.Options{
-				Seed:    seed,
-				Program: []string{program},
-				Env:     []string{programEnv + "=1"},
-				Dir:     t.TempDir(),
-				Nodes:   4,
-				Callers: 12,
-				Faults:  15 * time.Second,
-			})
-			if err != nil {
-				t.Fatal(err)
-			}
-			t.Logf("%s: %d requests, %d served, %d faults", cause, r.Requests, r.Served, r.Faults)
-			for _, b := range r.Violations {
-				t.Error(b)
-			}
-			if r.Served == 0 || r.Faults == 0 {
-				t.Errorf("%d requests were served under %d faults", r.Served, r.Faults)
-			}
-		})
+	r, err := soak.Run(context.Background(), soak.Options{
+		Seed:      seed,
+		Program:   []string{program},
+		Env:       []string{programEnv + "=1"},
+		Dir:       t.TempDir(),
+		Nodes:     4,
+		Callers:   12,
+		Faults:    15 * time.Second,
+		Incidents: incidents,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Logf("%s: %d requests, %d served, %d faults", cause, r.Requests, r.Served, r.Faults)
+	for _, b := range r.Violations {
+		t.Error(b)
+	}
+	if r.Served == 0 || r.Faults == 0 {
+		t.Errorf("%d requests were served under %d faults", r.Served, r.Faults)
 	}
 }
