poison: test a part sooner that is blocked on two crashes

Cause: a part that no node has ever seen answered is blocked after two crashes, which a rare sound part can meet by chance; it then stayed blocked for a minute like one with three.

Change: such a block is tested after 10 s. The end of the time to object is kept, so that requests do not go through all suspected parts.

Test: TestWeakBlockIsTestedSooner; with the former constant no test is allowed after 10 s.

--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -33,6 +33,8 @@
 	// tests it again. Each further crash doubles the time up to maxBlock.
 	minBlock = time.Minute
 	maxBlock = 30 * time.Minute
+	// minBlockUnserved replaces minBlock for a part that is blocked by crashesToBlockUnserved.
+	minBlockUnserved = 10 * time.Second
 	// trialTime is how long a test may take before the next one.
 	trialTime = 30 * time.Second
 	// forgetWeakAfter and forgetBlockedAfter are how long after its last crash the
@@ -64,6 +66,8 @@
 	suspects map[string]*suspect
 	served   map[string]time.Time
 	blocks   map[string]Block
+	// decideAt is when the time to object ends for a part; zero if it does for none.
+	decideAt time.Time
 }
 
 // suspect is a part with which engines crashed.
@@ -272,6 +276,7 @@
 	})
 	explained := make(map[fleet.Key]bool)
 	blocks := make(map[string]Block)
+	t.decideAt = time.Time{}
 	for _, s := range order {
 		rest := slices.DeleteFunc(slices.Clone(s.crashes), func(c crash) bool { return explained[c.engine] })
 		count := countCrashes(rest)
@@ -282,8 +287,16 @@
 		if s.strongSince.IsZero() {
 			s.strongSince, s.wasStrong = now, true
 		}
-		if count < crashesToBlock && (!s.served.IsZero() || now.Sub(s.strongSince) < objectionTime) {
-			continue
+		if count < crashesToBlock {
+			if !s.served.IsZero() {
+				continue
+			}
+			if end := s.strongSince.Add(objectionTime); now.Before(end) {
+				if t.decideAt.IsZero() || end.Before(t.decideAt) {
+					t.decideAt = end
+				}
+				continue
+			}
 		}
 		for _, c := range s.crashes {
 			explained[c.engine] = true
@@ -299,8 +312,11 @@
 
 // blockTime returns how long a part is blocked after its last crash.
 func blockTime(crashes int) time.Duration {
+	if crashes < crashesToBlock {
+		return minBlockUnserved
+	}
 	d := minBlock
-	for range max(0, crashes-crashesToBlock) {
+	for range crashes - crashesToBlock {
 		d = min(2*d, maxBlock)
 	}
 	return d
@@ -339,7 +355,9 @@
 	if len(t.suspects) == 0 {
 		return Block{}, false, false
 	}
-	t.decideAfterObjections(now)
+	if !t.decideAt.IsZero() && !now.Before(t.decideAt) {
+		t.decide(now)
+	}
 	for _, part := range parts {
 		b, ok := t.blocks[part]
 		if !ok {
@@ -356,16 +374,6 @@
 	return Block{}, false, test
 }
 
-// decideAfterObjections decides again if the time to object has passed for a part.
-func (t *Tracker) decideAfterObjections(now time.Time) {
-	for _, s := range t.suspects {
-		if _, blocked := t.blocks[s.part]; !blocked && !s.strongSince.IsZero() && s.served.IsZero() && now.Sub(s.strongSince) >= objectionTime {
-			t.decide(now)
-			return
-		}
-	}
-}
-
 // Merge adds the evidence of another node.
 func (t *Tracker) Merge(now time.Time, list []Evidence) {
 	if len(list) == 0 {
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -208,6 +208,23 @@
 	})
 }
 
+// TestWeakBlockIsTestedSooner guards against a part that is blocked for long on the evidence
+// of two crashes.
+func TestWeakBlockIsTestedSooner(t *testing.T) {
+	tr := newTestTracker()
+	now := testStart
+	for i := 1; i <= crashesToBlockUnserved; i++ {
+		now = now.Add(time.Second)
+		tr.RecordCrash(now, engine(i), "r", []string{"p"})
+	}
+	if !isBlocked(tr, now.Add(objectionTime), "p") {
+		t.Fatal("the part is not blocked")
+	}
+	if _, _, test := tr.Check(now.Add(minBlockUnserved), []string{"p"}, true); !test {
+		t.Errorf("the part is not tested after %v", minBlockUnserved)
+	}
+}
+
 // TestMerge guards against nodes that do not agree, and against evidence that an answer
 // has refuted and that comes back from another node.
 func TestMerge(t *testing.T) {
