coord: give the test of the deputies the term of the processes

Cause: TestDeputiesStandInForTheCoordinator failed in 3 of 40 runs (eight processes at once) and once in a run of the package. A trace shows the node that "reads the store itself" as the new coordinator: no deputy, it took the lease 1.2 s after the last answer, two terms of the test's 600 ms. A deputy that had not seen the last renewal needs 0.6 s until the coordinator counts as silent, one read, and a term from there, so it loses by 0.1 s. With the term of the processes, 1.5 s, it has 0.9 s left: the test's scaled term was wrong, since the other times are not scaled with it.

Change: this test uses 1.5 s; what it checks and for how many terms stays.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -93,6 +93,8 @@
 	wrapPeers func(*testNode) Peers
 	// decode decodes configurations; testDocument unless it is replaced.
 	decode func([]byte) (*fleet.Config, error)
+	// term is the term of the lease; testTerm unless it is replaced.
+	term time.Duration
 
 	mu    sync.Mutex
 	nodes map[string]*testNode
@@ -209,6 +211,7 @@
 		engine: &testEngine{models: map[string]bool{}},
 		nodes:  map[string]*testNode{},
 		decode: testDocument,
+		term:   testTerm,
 	}
 }
 
@@ -260,7 +263,7 @@
 		Table:             table,
 		Decode:            f.decode,
 		Server:            serve.New(serve.Options{Clock: clk, Table: table, Log: log}),
-		LeaseTerm:         testTerm,
+		LeaseTerm:         f.term,
 		LeaseWait:         testWait,
 		QuotaInitial:      1000,
 		QuotaDisconnected: 400,
@@ -693,6 +696,10 @@
 // more than a tenth of the value of a day.
 func TestDeputiesStandInForTheCoordinator(t *testing.T) {
 	f := newTestFleet(t)
+	// The term of the processes. With testTerm, nodes that are not deputies compete 1.2 s
+	// after the coordinator's last answer, and a deputy that has to read a renewed lease
+	// waits as long: 0.6 s until it counts as silent, and the term.
+	f.term = 1500 * time.Millisecond
 	nodes := make([]*testNode, 8)
 	for i := range nodes {
 		nodes[i] = f.start(fmt.Sprintf("n%d", i))
@@ -711,7 +718,7 @@
 		return n == first || slices.Contains(deputiesOf(members), n.opts.Node)
 	})
 	// This lasts until one of the deputies has become the coordinator.
-	for until := time.Now().Add(3 * testTerm); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
+	for until := time.Now().Add(3 * f.term); time.Now().Before(until); time.Sleep(10 * time.Millisecond) {
 		for _, n := range others {
 			if !n.IsStoreRelayed() {
 				t.Fatalf("%s reads the store itself", n.opts.Node)
