models: apply the wait after a handover to all incarnations of an engine

Cause: the former holder's last order was for an incarnation that had crashed, and reached the engine that had started again under the same ID. The handover names the wait by incarnation, so the new holder found none for the one that runs.

Change: the wait counts by the engine's ID.

Test: TestRestartedEngineKeepsItsWait fails before (one order too early).

--- a/internal/models/models.go
+++ b/internal/models/models.go
@@ -163,9 +163,9 @@
 	// startedAt is when the planner was created; it knows no earlier demand.
 	startedAt time.Time
 	// ordersFrom is the time from which engines that engineOrdersFrom does not
-	// list may be given orders.
+	// list, by ID, may be given orders.
 	ordersFrom       time.Time
-	engineOrdersFrom map[fleet.Key]time.Time
+	engineOrdersFrom map[string]time.Time
 	lastIssued       map[fleet.Key]time.Time
 }
 
@@ -185,15 +185,22 @@
 		running:          make(map[runKey]int),
 		startedAt:        now,
 		ordersFrom:       ordersFrom,
-		engineOrdersFrom: make(map[fleet.Key]time.Time),
+		engineOrdersFrom: make(map[string]time.Time),
 		lastIssued:       make(map[fleet.Key]time.Time),
 	}
 }
 
 // SetOrdersFrom sets, for each engine, the time before which it is given no
-// orders. Engines that are not listed may be given orders from otherEngines on.
+// orders. Engines that are not listed may be given orders from otherEngines on. The time
+// applies to all incarnations of an engine: an order reaches whichever runs.
 func (p *Planner) SetOrdersFrom(otherEngines time.Time, engines map[fleet.Key]time.Time) {
-	p.ordersFrom, p.engineOrdersFrom = otherEngines, engines
+	p.ordersFrom = otherEngines
+	clear(p.engineOrdersFrom)
+	for key, at := range engines {
+		if at.After(p.engineOrdersFrom[key.ID]) {
+			p.engineOrdersFrom[key.ID] = at
+		}
+	}
 }
 
 // LastOrderTimes returns when each engine was sent its last order. An order that
@@ -210,7 +217,7 @@
 // orderAllowed reports whether an engine may be given an order yet.
 func (p *Planner) orderAllowed(now time.Time, e *engine) bool {
 	from := p.ordersFrom
-	if at, ok := p.engineOrdersFrom[e.Key()]; ok {
+	if at, ok := p.engineOrdersFrom[e.ID]; ok {
 		from = at
 	}
 	return !now.Before(from)
--- a/internal/models/models_test.go
+++ b/internal/models/models_test.go
@@ -496,6 +496,29 @@
 	}
 }
 
+// TestRestartedEngineKeepsItsWait guards against orders of two lease holders within the lease
+// time at an engine that restarted under its ID in between: the former holder's last order
+// was for the incarnation before and reached the new one.
+func TestRestartedEngineKeepsItsWait(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(now, now.Add(time.Hour))
+	p.SetConfig(now, testConfig(3))
+	e := fleet.Endpoint{ID: "e0", Incarnation: 2, Service: "lm"}
+	p.SetEndpoints([]fleet.Endpoint{e})
+	p.SetOrdersFrom(now, map[fleet.Key]time.Time{{ID: "e0", Incarnation: 1}: now.Add(3 * time.Second)})
+	p.SetReport(now, fleet.Report{Key: e.Key(), OnDisk: []string{"m0"}})
+	p.SetWaiting(now, []Waiting{{Service: "lm", Model: "m0", Count: 1}})
+	if orders := append(p.Step(now), p.Step(now)...); len(orders) > 0 {
+		t.Errorf("%d orders were given before the wait of the engine's ID is over", len(orders))
+	}
+	later := now.Add(3 * time.Second)
+	p.SetReport(later, fleet.Report{Key: e.Key(), OnDisk: []string{"m0"}})
+	p.SetWaiting(later, []Waiting{{Service: "lm", Model: "m0", Count: 1}})
+	if orders := append(p.Step(later), p.Step(later)...); len(orders) == 0 {
+		t.Error("no order was given after the wait")
+	}
+}
+
 // TestModelAtUnreachableEngine guards against requests that wait for seconds for
 // a model whose only holder is cut off. Up to a report age of 2.4 s (twice
 // reportMaxAge) such a holder must not count as a reachable copy.
