coord: end repeats of unanswered orders with the tenure

Cause: an unanswered order is sent up to five times, 250 ms apart. A coordinator that resigned went on with that for up to 0.75 s, while its successor counted the wait from the resignation. An order for an engine whose entry had gone counted from its first sending.

Change: the end of the tenure stops the repeats; orders without a final answer count as sent at the resignation, whatever the list of endpoints says.

--- a/internal/cmds/load_soak.go
+++ b/internal/cmds/load_soak.go
@@ -28,6 +28,7 @@
 			&cli.IntFlag{Name: "runs", Usage: "how many seeds, counted up from the first", Value: 1},
 			&cli.IntFlag{Name: "parallel", Usage: "runs at a time", Value: 1},
 			&cli.StringFlag{Name: "program", Usage: "the entry process", Value: "bin/trefoild"},
+			&cli.StringFlag{Name: "former", Usage: "an entry process of another build, which every second process runs"},
 			&cli.IntFlag{Name: "nodes", Usage: "entry processes of a run", Value: 4},
 			&cli.IntFlag{Name: "callers", Usage: "callers of a run", Value: 12},
 			&cli.DurationFlag{Name: "faults", Usage: "for how long faults are injected", Value: 15 * time.Second},
@@ -50,8 +51,14 @@
 	if runs < 1 || parallel < 1 || cmd.Int("nodes") < 1 || cmd.Int("callers") < 1 || cmd.Duration("faults") <= 0 {
 		return Usagef("%s: runs, parallel, nodes, callers and faults must be above zero", cmd.FullName())
 	}
-	if _, err := os.Stat(cmd.String("program")); err != nil {
-		return Usagef("%s: --program: %w", cmd.FullName(), err)
+	for _, flag := range []string{"program", "former"} {
+		path := cmd.String(flag)
+		if flag == "former" && path == "" {
+			continue
+		}
+		if _, err := os.Stat(path); err != nil {
+			return Usagef("%s: --%s: %w", cmd.FullName(), flag, err)
+		}
 	}
 	// On a signal, each run ends the processes that it started.
 	ctx, stop := signal.NotifyContext(ctx, syscall.SIGINT, syscall.SIGTERM)
@@ -94,6 +101,10 @@
 	if err := os.MkdirAll(dir, 0o700); err != nil {
 		return nil, err
 	}
+	var former []string
+	if program := cmd.String("former"); program != "" {
+		former = []string{program}
+	}
 	var progress io.Writer
 	if cmd.Bool("verbose") {
 		progress = cmd.Root().Writer
@@ -101,6 +112,7 @@
 	r, err := soak.Run(ctx, soak.Options{
 		Seed:      seed,
 		Program:   []string{cmd.String("program")},
+		Former:    former,
 		Dir:       dir,
 		Nodes:     cmd.Int("nodes"),
 		Callers:   cmd.Int("callers"),
--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -148,8 +148,10 @@
 	count  int64
 	// unanswered is how many further orders are neither answered nor executed.
 	unanswered int
-	// beforeSend runs between the decision to send an order and its first byte.
+	// beforeSend runs between the decision to send an order and its first byte, afterCheck
+	// once the check has allowed it.
 	beforeSend func()
+	afterCheck func()
 }
 
 type testOrder struct {
@@ -180,6 +182,9 @@
 		return models.Refused, &conn.NotSentError{Err: err}
 	}
 	e.mu.Lock()
+	if e.afterCheck != nil {
+		e.afterCheck()
+	}
 	if e.unanswered > 0 {
 		e.unanswered--
 		e.mu.Unlock()
@@ -784,6 +789,55 @@
 	})
 }
 
+// TestNoRepeatAfterHandover guards against an order that the former coordinator sends again
+// after it has told its successor how long to wait.
+func TestNoRepeatAfterHandover(t *testing.T) {
+	f := newTestFleet(t)
+	// The term of the processes, in which an order can be sent again several times.
+	f.term = 1500 * time.Millisecond
+	a := f.start("a")
+	if err := a.SetRawConfig(context.Background(), []byte("1"), "test"); err != nil {
+		t.Fatal(err)
+	}
+	f.awaitCoordinator(3*time.Second, a)
+	var mu sync.Mutex
+	var last time.Time
+	f.engine.mu.Lock()
+	f.engine.unanswered = 100
+	f.engine.afterCheck = func() {
+		mu.Lock()
+		defer mu.Unlock()
+		last = time.Now()
+	}
+	f.engine.mu.Unlock()
+	a.SetEndpoints(context.Background(), testEndpoints, 1, true)
+	done := a.TrackWaiting("lm", "m0")
+	defer done()
+	f.eventually("an order", 3*time.Second, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		return !last.IsZero()
+	})
+	r, err := a.HandleExchange(context.Background(), &Exchange{Node: "b", Address: "b", Resign: 1 << 40})
+	if err != nil || r.Handover == nil {
+		t.Fatalf("no handover: %v", err)
+	}
+	resigned := time.Now()
+	i := slices.IndexFunc(r.Handover.Engines, func(w EngineWait) bool { return w.Key.ID == "e" })
+	if i < 0 {
+		t.Fatal("the handover names no wait for the engine with the unanswered order")
+	}
+	if w := r.Handover.Engines[i].Wait; w < testWait-10*time.Millisecond {
+		t.Errorf("the successor waits %v for an order that may be on its way, want %v", w, testWait)
+	}
+	time.Sleep(3 * orderTimeout)
+	mu.Lock()
+	defer mu.Unlock()
+	if last.After(resigned) {
+		t.Errorf("the order was sent again %v after the handover", last.Sub(resigned))
+	}
+}
+
 // TestSmallNodesReadTheStoreLater guards against every node of a large fleet
 // reading the store when all start at the same time. The large nodes read it for
 // the others.
--- a/internal/coord/coordinator.go
+++ b/internal/coord/coordinator.go
@@ -85,6 +85,10 @@
 	planner       *models.Planner
 	polls         map[fleet.Key]*enginePoll
 	fetches       []*adapterFetch
+	// sending counts the orders without a final answer by engine. tenureEnded is closed
+	// when the tenure ends, after which none of them is sent again.
+	sending     map[fleet.Key]int
+	tenureEnded chan struct{}
 	// shortageLoggedAt is when a lack of tokens was last logged, by workspace.
 	shortageLoggedAt map[string]time.Time
 	// seq counts the changes that are sent to nodes; memberSeq is its value at
@@ -147,6 +151,7 @@
 		members:          make(map[string]*member),
 		shortageLoggedAt: make(map[string]time.Time),
 		polls:            make(map[fleet.Key]*enginePoll),
+		sending:          make(map[fleet.Key]int),
 	}
 }
 
@@ -210,7 +215,10 @@
 // tenure they start nearly empty, because tokens that an earlier coordinator
 // issued may still be spent.
 func (c *Coordinator) beginTenure(now time.Time) {
-	c.active = true
+	if c.active {
+		close(c.tenureEnded)
+	}
+	c.active, c.tenureEnded = true, make(chan struct{})
 	c.issuer = grant.NewIssuer(c.initialTokens, c.tenure.First)
 	c.planner = models.New(now, c.tenure.OrdersFrom)
 	c.polls = make(map[fleet.Key]*enginePoll)
@@ -229,6 +237,7 @@
 
 func (c *Coordinator) endTenure(why string) {
 	c.active = false
+	close(c.tenureEnded)
 	c.failFetches("this node is no longer the coordinator")
 	c.log.Warn("coordinator ends", "why", why, "fence", c.tenure.Fence)
 }
--- a/internal/coord/orders.go
+++ b/internal/coord/orders.go
@@ -51,7 +51,12 @@
 		}
 		c.endTenure("another node holds the lease")
 	}
-	for key, at := range c.planner.LastOrderTimes(now) {
+	last := c.planner.LastOrderTimes(now)
+	for key := range c.sending {
+		// The order may be on its way.
+		last[key] = now
+	}
+	for key, at := range last {
 		h.Engines = append(h.Engines, EngineWait{
 			Key:  key,
 			Wait: max(0, at.Add(c.leaseWait).Sub(now), h.OtherEngines),
@@ -88,21 +93,27 @@
 	c.log.Info("order given", "endpoint", o.Key.ID, "load", o.Load, "model", o.Model, "adapter", o.Adapter,
 		"expected", o.Expected, "from-store", o.FromStore, "reason", o.Reason, "fence", c.tenure.Fence)
 	until := c.tenure.Until.Add(-orderMargin)
-	fence := c.tenure.Fence
+	fence, ended := c.tenure.Fence, c.tenureEnded
 	// The process may be suspended between this decision and the first byte.
 	check := func() error {
+		select {
+		case <-ended:
+			return errLeaseOver
+		default:
+		}
 		if !c.clock.Now().Before(until) {
 			return errLeaseOver
 		}
 		return nil
 	}
+	c.sending[o.Key]++
 	go func() {
 		finished := orderFinished{
 			order: o,
 		}
 		finished.answer, finished.err = models.Refused, errLeaseOver
 		for range maxOrderAttempts {
-			if !c.clock.Now().Before(until) {
+			if check() != nil {
 				break
 			}
 			finished.sent, finished.tries = c.clock.Now(), finished.tries+1
@@ -134,6 +145,9 @@
 		c.log.Warn("order answered", "endpoint", m.order.Key.ID, "model", m.order.Model, "adapter", m.order.Adapter,
 			"load", m.order.Load, "expected", m.order.Expected, "answer", m.answer.String(), "tries", m.tries, "error", text)
 	}
+	if c.sending[m.order.Key]--; c.sending[m.order.Key] <= 0 {
+		delete(c.sending, m.order.Key)
+	}
 	if !c.active {
 		return
 	}
--- a/internal/soak/incident.go
+++ b/internal/soak/incident.go
@@ -136,7 +136,7 @@
 // ones, from configBound after the change on.
 func (r *run) checkAddedRoutes(requests map[string]*request) {
 	r.mu.Lock()
-	configs := slices.Clone(r.record.configs)
+	configs := append([]writtenConfig{{config: deployment()}}, r.record.configs...)
 	r.mu.Unlock()
 	for _, req := range requests {
 		if !r.isAddedRoute(req.route) || !req.stable {
@@ -226,7 +226,7 @@
 }
 
 // checkDeadlyPart checks that a part that crashes engines does not reach them any more
-// once the fleet must know of it, and that sound requests are not refused for it.
+// once the fleet must know of it, through processes of this build, and that sound requests are not refused for it.
 func (r *run) checkDeadlyPart(d deadlyPart, executions []site.Execution, requests map[string]*request) {
 	if len(d.crashes) == 0 {
 		return
@@ -234,7 +234,7 @@
 	if from := d.knownFrom(); !from.IsZero() {
 		var late []string
 		for _, a := range executions {
-			if q := requests[a.Request]; q != nil && q.stable && slices.Contains(a.Parts, d.id) && q.sent.After(from) {
+			if q := requests[a.Request]; q != nil && q.stable && !q.node.isFormer() && slices.Contains(a.Parts, d.id) && q.sent.After(from) {
 				late = append(late, a.Request)
 			}
 		}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -20,6 +20,7 @@
 type node struct {
 	run         *run
 	name        string
+	program     []string
 	domain      string
 	callersAddr string
 	readyAddr   string
@@ -47,6 +48,9 @@
 	refusedUntil time.Time
 }
 
+// formerDomain is the failure domain of the processes of another build, if there are any.
+const formerDomain = "south"
+
 // The ports on which each process listens, below the range of ephemeral ports.
 const (
 	callersPort = 8221 + iota
@@ -61,9 +65,13 @@
 	n := &node{
 		run:         r,
 		name:        fmt.Sprintf("node-%d", i+1),
-		domain:      []string{"north", "south"}[i%2],
+		program:     r.opts.Program,
+		domain:      []string{"north", formerDomain}[i%2],
 		stableSince: time.Now(),
 	}
+	if n.isFormer() {
+		n.program = r.opts.Former
+	}
 	store, release, err := site.Serve(r.site.Store.Handler(n.name))
 	if err != nil {
 		return nil, err
@@ -96,6 +104,9 @@
 	return n, os.WriteFile(r.file(n.name+".yaml"), []byte(settings), 0o600)
 }
 
+// isFormer reports whether the process is of another build.
+func (n *node) isFormer() bool { return len(n.run.opts.Former) > 0 && n.domain == formerDomain }
+
 // start starts the process. Its output is appended to a log file that all its
 // starts share.
 func (n *node) start() error {
@@ -103,7 +114,7 @@
 	if err != nil {
 		return err
 	}
-	p := n.run.opts.Program
+	p := n.program
 	cmd := exec.Command(p[0], append(append([]string{}, p[1:]...), "fleet", "--settings", n.run.file(n.name+".yaml"))...)
 	cmd.Stdout, cmd.Stderr = out, out
 	cmd.Env = append(os.Environ(), n.run.opts.Env...)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -57,6 +57,9 @@
 	// Program is the command of the entry process, including arguments that
 	// precede its own.
 	Program []string
+	// Former is the command of another build, which every second process runs; empty for
+	// none.
+	Former []string
 	// Env is added to the environment of the processes.
 	Env []string
 	// Dir is the directory for settings and logs.
@@ -178,7 +181,7 @@
 func (r *run) start(ctx context.Context) error {
 	s, release, err := site.Start(site.Layout{
 		Config:            r.config,
-		Domains:           []string{"north", "south"},
+		Domains:           []string{"north", formerDomain},
 		Endpoints:         map[string]int{"assistant": r.engineCount(), "booking": 2},
 		EventInterval:     10 * time.Millisecond,
 		HeartbeatInterval: 600 * time.Millisecond,
