--- a/internal/trail/explain.go
+++ b/internal/trail/explain.go
@@ -59,6 +59,8 @@
 	"store lost":                    "The store no longer answered {node}: {error}.",
 	"store regained":                "The store answered {node} again.",
 	"configuration in force":        "Configuration {config} came into force at {node}, read from {source}.",
+	"newer configuration known":     "{source} named configuration {config}; {node} had {in-force} and fetched it.",
+	"newer documents not fetched":   "{node} did not get newer data from {source} within {limit-ms} ms: {error}.",
 	"endpoints changed":             "The list of endpoints changed at {node}: added {added}, removed {removed}, leaving {leaving}.",
 	"stop requested":                "{node} was told to stop with {active} requests under way.",
 	"process started":               "{node} started.",
