fake: write no entry of an endpoint after its crash

Cause: TestEntryExpires found the entry of a dead endpoint after a fixed 200 ms, once, beside load. A heartbeat looked whether the endpoint lives and wrote its entry after it had released the lock; descheduled in between for longer than the three heartbeats until the removal, it wrote the entry for good. The removal itself may come late on a loaded machine as well, which the fixed sleep took for a failure.

Change: the write and the removal hold the endpoint's lock. The test waits for the removal, up to 5 s, and then checks for 200 ms that the entry stays away, which it did not before.

--- a/internal/fake/site/engine.go
+++ b/internal/fake/site/engine.go
@@ -277,7 +277,10 @@
 // writeEntry writes the endpoint's entry to the store. It does nothing while the
 // endpoint is down or the store has an outage for all clients.
 func (e *Endpoint) writeEntry() {
+	// The lock is held until the entry is written, so that none is written after the
+	// endpoint has crashed and its entry was removed.
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	out := e.state()
 	out["service"], out["addr"], out["zone"], out["version"] = e.opts.Service, e.address, e.opts.Domain, "v1"
 	// In an entry seq counts the writes, in a report the orders.
@@ -290,9 +293,7 @@
 	if !e.stopsAt.IsZero() {
 		out["remaining_ms"] = max(0, time.Until(e.stopsAt).Milliseconds())
 	}
-	alive, address := e.alive, e.address
-	e.mu.Unlock()
-	if !alive || address == "" || e.opts.Store.faultsFor("").Outage != NoOutage {
+	if !e.alive || e.address == "" || e.opts.Store.faultsFor("").Outage != NoOutage {
 		return
 	}
 	body, err := json.Marshal(out)
@@ -360,9 +361,8 @@
 			return
 		}
 		e.mu.Lock()
-		stillDown := !e.alive && e.incarnation == incarnation
-		e.mu.Unlock()
-		if stillDown {
+		defer e.mu.Unlock()
+		if !e.alive && e.incarnation == incarnation {
 			e.opts.Store.DeleteRow(endpointTable, e.opts.ID)
 		}
 	})
--- a/internal/fake/site/site_test.go
+++ b/internal/fake/site/site_test.go
@@ -234,9 +234,15 @@
 		t.Fatal("the endpoint did not register")
 	}
 	e.Crash()
+	// A loaded machine may run the removal late, but it has to come, and to last.
+	for until := time.Now().Add(5 * time.Second); registered(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(until) {
+			t.Fatal("the entry of a dead endpoint is still there")
+		}
+	}
 	time.Sleep(200 * time.Millisecond)
 	if registered() {
-		t.Error("the entry of a dead endpoint is still there")
+		t.Error("the entry of a dead endpoint is back")
 	}
 	e.Restart()
 	if !registered() {
