poison: answer a node's evidence with what is known of answers

Cause: a node that has itself seen three crashes under a sound part blocks it until the fleet objects. The coordinator, when it knew of an answer in between, dropped the evidence and did not say so, since it tells nodes of parts with several crashes only; the node kept its block for a minute.

Change: the reply to a node contains, for the parts in its evidence, the answers that it does not know of. A suspect that is dropped for others leaves the list of blocks too. Matching, deciding and exchanging are in files of their own; the wait for members in the tests of coord is one function.

Test: TestOneNodesCrashesAreRefuted fails without the objections ("blocked although the coordinator has seen answers between the crashes").

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -365,6 +365,18 @@
 	return nil
 }
 
+// awaitMembers waits until each of the nodes knows all of them as members.
+func (f *testFleet) awaitMembers(nodes []*testNode) {
+	f.t.Helper()
+	f.eventually("all members known", 3*time.Second, func() bool {
+		return !slices.ContainsFunc(nodes, func(n *testNode) bool {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return len(n.members) != len(nodes)
+		})
+	})
+}
+
 // generateOrders causes a steady sequence of orders: a request waits for a model
 // that the engine unloads every 100 ms.
 func (f *testFleet) generateOrders(n *testNode) (stop func()) {
@@ -562,17 +574,7 @@
 		nodes = append(nodes, n)
 	}
 	first := f.awaitCoordinator(5*time.Second, nodes...)
-	f.eventually("all members known", 3*time.Second, func() bool {
-		for _, n := range nodes {
-			n.mu.Lock()
-			known := len(n.members)
-			n.mu.Unlock()
-			if known != len(nodes) {
-				return false
-			}
-		}
-		return true
-	})
+	f.awaitMembers(nodes)
 	time.Sleep(maxExchangeInterval)
 	for _, n := range nodes {
 		f.setDown(n, true)
@@ -662,17 +664,7 @@
 		t.Fatalf("%s coordinates at first", first.opts.Node)
 	}
 	// The nodes compute the deputies from the members, so all must know them.
-	f.eventually("all members known", 3*time.Second, func() bool {
-		for _, n := range all {
-			n.mu.Lock()
-			known := len(n.members)
-			n.mu.Unlock()
-			if known != len(all) {
-				return false
-			}
-		}
-		return true
-	})
+	f.awaitMembers(all)
 	f.setDown(first, true)
 	f.eventually("another coordinator", 5*time.Second, func() bool {
 		name, ok := commonCoordinator(all...)
--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/poison"
 )
 
 // requestExchange makes the next exchange with the coordinator start without
@@ -386,6 +387,9 @@
 	} else {
 		r.Parts = n.opts.Parts.Share(now)
 	}
+	if objections := n.opts.Parts.Objections(now, x.Parts); len(objections) > 0 {
+		r.Parts = append(r.Parts, objections[:min(len(objections), poison.MaxShared-len(r.Parts))]...)
+	}
 	if !x.TokensOnly {
 		r.Lease = n.ownLease
 	}
--- a/internal/coord/parts_test.go
+++ b/internal/coord/parts_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,17 +95,7 @@
 				nodes = append(nodes, f.start(name))
 			}
 			first := f.awaitCoordinator(5*time.Second, nodes...)
-			f.eventually("all members known", 3*time.Second, func() bool {
-				for _, n := range nodes {
-					n.mu.Lock()
-					known := len(n.members)
-					n.mu.Unlock()
-					if known != len(nodes) {
-						return false
-					}
-				}
-				return true
-			})
+			f.awaitMembers(nodes)
 			for _, n := range nodes {
 				if err := n.SetRawConfig(context.Background(), []byte("1"), "test"); err != nil {
 					t.Fatal(err)
@@ -112,13 +103,7 @@
 			}
 			if tc.before != nil {
 				tc.before(f, first, nodes)
-				rest := nodes[:0:0]
-				for _, n := range nodes {
-					if n != first {
-						rest = append(rest, n)
-					}
-				}
-				nodes = rest
+				nodes = slices.DeleteFunc(nodes, func(n *testNode) bool { return n == first })
 			}
 			crashEngines("deadly", nodes...)
 			if tc.after != nil {
--- /dev/null
+++ b/internal/poison/decide.go
@@ -0,0 +1,104 @@
+package poison
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/fleet"
+)
+
+// countCrashes counts crashes, those of several engines at the same time once.
+func countCrashes(crashes []crash) int {
+	n := 0
+	var last time.Time
+	for _, c := range crashes {
+		if n == 0 || c.at.Sub(last) >= simultaneousCrashes {
+			n++
+			last = c.at
+		}
+	}
+	return n
+}
+
+// decide derives the blocked parts from the evidence. Crashes under a blocked part are
+// not held against the other parts that were there.
+func (t *Tracker) decide(now time.Time) {
+	t.forget(now)
+	order := slices.Collect(maps.Values(t.suspects))
+	counts := make(map[string]int, len(order))
+	for _, s := range order {
+		counts[s.part] = countCrashes(s.crashes)
+	}
+	slices.SortFunc(order, func(a, b *suspect) int {
+		// Of two with the same crashes, the one that was never answered is the cause.
+		return cmp.Or(cmp.Compare(counts[b.part], counts[a.part]), a.served.Compare(b.served), cmp.Compare(a.part, b.part))
+	})
+	explained := make(map[fleet.Key]bool)
+	blocks := make(map[string]Block)
+	t.decideAt = time.Time{}
+	for _, s := range order {
+		rest := slices.DeleteFunc(slices.Clone(s.crashes), func(c crash) bool { return explained[c.engine] })
+		count := countCrashes(rest)
+		if count < crashesToBlockUnserved {
+			s.strongSince = time.Time{}
+			continue
+		}
+		if s.strongSince.IsZero() {
+			s.strongSince, s.wasStrong = now, true
+		}
+		if count < crashesToBlock {
+			if !s.served.IsZero() {
+				continue
+			}
+			if end := s.strongSince.Add(objectionTime); now.Before(end) {
+				if t.decideAt.IsZero() || end.Before(t.decideAt) {
+					t.decideAt = end
+				}
+				continue
+			}
+		}
+		for _, c := range s.crashes {
+			explained[c.engine] = true
+		}
+		blocks[s.part] = Block{
+			Part:    s.part,
+			Until:   s.crashes[len(s.crashes)-1].at.Add(blockTime(count)),
+			Crashes: count,
+		}
+	}
+	t.replaceBlocks(now, blocks)
+}
+
+// blockTime returns how long a part is blocked after its last crash.
+func blockTime(crashes int) time.Duration {
+	if crashes < crashesToBlock {
+		return minBlockUnserved
+	}
+	d := minBlock
+	for range crashes - crashesToBlock {
+		d = min(2*d, maxBlock)
+	}
+	return d
+}
+
+// replaceBlocks sets the blocked parts and logs what has changed.
+func (t *Tracker) replaceBlocks(now time.Time, blocks map[string]Block) {
+	for part, b := range blocks {
+		if _, ok := t.blocks[part]; !ok {
+			t.log.Warn("prompt part blocked", "part", part, "crashes", b.Crashes, "tested-in-ms", b.Until.Sub(now).Milliseconds())
+		}
+	}
+	for part := range t.blocks {
+		if _, ok := blocks[part]; ok {
+			continue
+		}
+		why := "its crashes have another cause"
+		if s := t.suspects[part]; s == nil || len(s.crashes) == 0 {
+			why = "a request with it was answered"
+		}
+		t.log.Info("prompt part no longer blocked", "part", part, "why", why)
+	}
+	t.blocks = blocks
+}
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -9,7 +9,6 @@
 package poison
 
 import (
-	"cmp"
 	"log/slog"
 	"maps"
 	"slices"
@@ -35,8 +34,8 @@
 	maxBlock = 30 * time.Minute
 	// minBlockUnserved replaces minBlock for a part that is blocked by crashesToBlockUnserved.
 	minBlockUnserved = 10 * time.Second
-	// trialTime is how long a test may take before the next one.
-	trialTime = 30 * time.Second
+	// testTime is how long a test may take before the next one.
+	testTime = 30 * time.Second
 	// forgetWeakAfter and forgetBlockedAfter are how long after its last crash the
 	// evidence against a part is dropped.
 	forgetWeakAfter    = 10 * time.Minute
@@ -78,9 +77,9 @@
 	// strongSince is when the crashes reached crashesToBlockUnserved.
 	strongSince time.Time
 	// wasStrong is set if they ever reached it, so that other nodes learn of an answer.
-	wasStrong  bool
-	changedAt  time.Time
-	trialUntil time.Time
+	wasStrong   bool
+	changedAt   time.Time
+	testedUntil time.Time
 }
 
 type crash struct {
@@ -143,7 +142,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
-		s := t.suspect(part)
+		s := t.ensureSuspect(part)
 		if s.add(crash{engine: engine, at: at}) {
 			s.changedAt = at
 		}
@@ -168,8 +167,9 @@
 	return true
 }
 
-// suspect returns the evidence against a part, which may be empty.
-func (t *Tracker) suspect(part string) *suspect {
+// ensureSuspect returns the evidence against a part, a new one without crashes if there
+// is none yet.
+func (t *Tracker) ensureSuspect(part string) *suspect {
 	s := t.suspects[part]
 	if s != nil {
 		return s
@@ -194,6 +194,7 @@
 		}
 	}
 	delete(t.suspects, oldest.part)
+	delete(t.blocks, oldest.part)
 }
 
 // keptUntil returns when the evidence against a part is dropped.
@@ -248,100 +249,6 @@
 	return len(s.crashes) < before
 }
 
-// countCrashes counts crashes, those of several engines at the same time once.
-func countCrashes(crashes []crash) int {
-	n := 0
-	var last time.Time
-	for _, c := range crashes {
-		if n == 0 || c.at.Sub(last) >= simultaneousCrashes {
-			n++
-			last = c.at
-		}
-	}
-	return n
-}
-
-// decide derives the blocked parts from the evidence. Crashes under a blocked part are
-// not held against the other parts that were there.
-func (t *Tracker) decide(now time.Time) {
-	t.forget(now)
-	order := slices.Collect(maps.Values(t.suspects))
-	counts := make(map[string]int, len(order))
-	for _, s := range order {
-		counts[s.part] = countCrashes(s.crashes)
-	}
-	slices.SortFunc(order, func(a, b *suspect) int {
-		// Of two with the same crashes, the one that was never answered is the cause.
-		return cmp.Or(cmp.Compare(counts[b.part], counts[a.part]), a.served.Compare(b.served), cmp.Compare(a.part, b.part))
-	})
-	explained := make(map[fleet.Key]bool)
-	blocks := make(map[string]Block)
-	t.decideAt = time.Time{}
-	for _, s := range order {
-		rest := slices.DeleteFunc(slices.Clone(s.crashes), func(c crash) bool { return explained[c.engine] })
-		count := countCrashes(rest)
-		if count < crashesToBlockUnserved {
-			s.strongSince = time.Time{}
-			continue
-		}
-		if s.strongSince.IsZero() {
-			s.strongSince, s.wasStrong = now, true
-		}
-		if count < crashesToBlock {
-			if !s.served.IsZero() {
-				continue
-			}
-			if end := s.strongSince.Add(objectionTime); now.Before(end) {
-				if t.decideAt.IsZero() || end.Before(t.decideAt) {
-					t.decideAt = end
-				}
-				continue
-			}
-		}
-		for _, c := range s.crashes {
-			explained[c.engine] = true
-		}
-		blocks[s.part] = Block{
-			Part:    s.part,
-			Until:   s.crashes[len(s.crashes)-1].at.Add(blockTime(count)),
-			Crashes: count,
-		}
-	}
-	t.replaceBlocks(now, blocks)
-}
-
-// blockTime returns how long a part is blocked after its last crash.
-func blockTime(crashes int) time.Duration {
-	if crashes < crashesToBlock {
-		return minBlockUnserved
-	}
-	d := minBlock
-	for range crashes - crashesToBlock {
-		d = min(2*d, maxBlock)
-	}
-	return d
-}
-
-// replaceBlocks sets the blocked parts and logs what has changed.
-func (t *Tracker) replaceBlocks(now time.Time, blocks map[string]Block) {
-	for part, b := range blocks {
-		if _, ok := t.blocks[part]; !ok {
-			t.log.Warn("prompt part blocked", "part", part, "crashes", b.Crashes, "tested-in-ms", b.Until.Sub(now).Milliseconds())
-		}
-	}
-	for part := range t.blocks {
-		if _, ok := blocks[part]; ok {
-			continue
-		}
-		why := "its crashes have another cause"
-		if s := t.suspects[part]; s == nil || len(s.crashes) == 0 {
-			why = "a request with it was answered"
-		}
-		t.log.Info("prompt part no longer blocked", "part", part, "why", why)
-	}
-	t.blocks = blocks
-}
-
 // forget drops evidence that is too old.
 func (t *Tracker) forget(now time.Time) {
 	maps.DeleteFunc(t.suspects, func(_ string, s *suspect) bool { return now.After(t.keptUntil(s)) })
@@ -364,109 +271,16 @@
 			continue
 		}
 		s := t.suspects[part]
-		if !mayTest || now.Before(b.Until) || now.Before(s.trialUntil) {
+		if !mayTest || now.Before(b.Until) || now.Before(s.testedUntil) {
 			return b, true, false
 		}
-		s.trialUntil = now.Add(trialTime)
+		s.testedUntil = now.Add(testTime)
 		test = true
 		t.log.Info("prompt part tested", "part", part, "crashes", b.Crashes)
 	}
 	return Block{}, false, test
 }
 
-// Merge adds the evidence of another node.
-func (t *Tracker) Merge(now time.Time, list []Evidence) {
-	if len(list) == 0 {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	changed := false
-	for i := range list {
-		if t.merge(now, &list[i]) {
-			changed = true
-		}
-	}
-	if changed {
-		t.decide(now)
-	}
-}
-
-func (t *Tracker) merge(now time.Time, e *Evidence) (changed bool) {
-	s := t.suspects[e.Part]
-	if s == nil && len(e.Crashes) == 0 {
-		return false
-	}
-	s = t.suspect(e.Part)
-	if e.Served {
-		changed = s.clear(now.Add(-e.ServedAge))
-	}
-	if own := t.served[e.Part]; !own.IsZero() && (!e.Served || now.Add(-e.ServedAge).Before(own)) {
-		// This node has seen an answer that the other one does not know of.
-		changed = s.clear(own) || changed
-		if !e.Served {
-			s.changedAt = now
-		}
-	}
-	for _, c := range e.Crashes {
-		if s.add(crash{engine: c.Engine, at: now.Add(-c.Age)}) {
-			changed = true
-		}
-	}
-	if changed {
-		s.changedAt = now
-	}
-	return changed
-}
-
-// Share returns the evidence for another node: parts with several crashes, and what
-// changed recently. Those with the most crashes come first.
-func (t *Tracker) Share(now time.Time) []Evidence { return t.share(now, 1, MaxShared) }
-
-// ShareStrong is like Share, but leaves out parts with a single crash. It is for
-// messages to all nodes.
-func (t *Tracker) ShareStrong(now time.Time, limit int) []Evidence {
-	return t.share(now, crashesToBlockUnserved, limit)
-}
-
-func (t *Tracker) share(now time.Time, minCrashes, limit int) []Evidence {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var chosen []*suspect
-	for _, s := range t.suspects {
-		recent := now.Sub(s.changedAt) < shareFor
-		count := countCrashes(s.crashes)
-		cleared := recent && len(s.crashes) == 0 && s.wasStrong
-		if count >= crashesToBlockUnserved || recent && count >= minCrashes || cleared {
-			chosen = append(chosen, s)
-		}
-	}
-	slices.SortFunc(chosen, func(a, b *suspect) int {
-		return cmp.Or(cmp.Compare(len(b.crashes), len(a.crashes)), b.changedAt.Compare(a.changedAt), cmp.Compare(a.part, b.part))
-	})
-	out := make([]Evidence, 0, min(limit, len(chosen)))
-	for _, s := range chosen[:min(limit, len(chosen))] {
-		out = append(out, s.evidence(now))
-	}
-	return out
-}
-
-func (s *suspect) evidence(now time.Time) Evidence {
-	e := Evidence{
-		Part: s.part,
-	}
-	if !s.served.IsZero() {
-		e.Served, e.ServedAge = true, max(0, now.Sub(s.served))
-	}
-	for _, c := range s.crashes {
-		e.Crashes = append(e.Crashes, Crash{
-			Engine: c.engine,
-			Age:    max(0, now.Sub(c.at)),
-		})
-	}
-	return e
-}
-
 // Blocked returns the number of blocked parts.
 func (t *Tracker) Blocked() int {
 	t.mu.Lock()
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -275,6 +275,27 @@
 	}
 }
 
+// TestOneNodesCrashesAreRefuted guards against a node that blocks a sound part on its own
+// crashes although the node that it reports them to has seen answers in between.
+func TestOneNodesCrashesAreRefuted(t *testing.T) {
+	now := testStart
+	a, coordinator := newTestTracker(), newTestTracker()
+	for i := 1; i <= crashesToBlock; i++ {
+		now = now.Add(time.Second)
+		coordinator.RecordServed(now.Add(-time.Millisecond), []string{"p"})
+		a.RecordCrash(now, engine(i), "r", []string{"p"})
+	}
+	if !isBlocked(a, now, "p") {
+		t.Fatal("the node does not block the part on what it has seen itself")
+	}
+	report := a.Share(now)
+	coordinator.Merge(now, report)
+	a.Merge(now, append(coordinator.ShareStrong(now, MaxShared), coordinator.Objections(now, report)...))
+	if isBlocked(a, now, "p") {
+		t.Error("the part is blocked although the coordinator has seen answers between the crashes")
+	}
+}
+
 // TestBoundedMemory guards against memory that grows with the number of parts.
 func TestBoundedMemory(t *testing.T) {
 	tr := newTestTracker()
