poison: pass on answers that another node does not know of

Cause: two gaps in the exchange of evidence, each of which lets a sound part stay blocked. A node that knows a later answer than the one in another node's evidence did not send it on (only where that evidence named none), and an answer before the crashes, heard after the time to object, did not lead to a new decision.

Change: such an answer is sent, and the first known answer counts as a change. TestAnyOrder exchanges three times instead of two: the third round passes on what speaks against crashes that the first has joined.

--- a/internal/poison/share.go
+++ b/internal/poison/share.go
@@ -33,11 +33,11 @@
 	if e.Served {
 		changed = s.clear(now.Add(-e.ServedAge))
 	}
-	if own := t.served[e.Part]; !own.IsZero() && (!e.Served || now.Add(-e.ServedAge).Before(own)) {
-		// This node has seen an answer that the other one does not know of.
-		changed = s.clear(own) || changed
-		if !e.Served {
-			s.changedAt = now
+	if known := t.knownAnswer(e.Part); !known.IsZero() && (!e.Served || now.Add(-e.ServedAge).Before(known)) {
+		changed = s.clear(known) || changed
+		if len(e.Crashes) >= crashesToBlockUnserved {
+			// The other node does not know of that answer and may block the part.
+			s.changedAt, s.wasStrong = now, true
 		}
 	}
 	for _, c := range e.Crashes {
@@ -51,6 +51,16 @@
 	return changed
 }
 
+// knownAnswer returns the time of the last answer to a part that this node has given or
+// heard of.
+func (t *Tracker) knownAnswer(part string) time.Time {
+	at := t.served[part]
+	if s := t.suspects[part]; s != nil && s.served.After(at) {
+		at = s.served
+	}
+	return at
+}
+
 // Objections returns what this node knows of answers to the parts in another node's
 // evidence that the other node does not know.
 func (t *Tracker) Objections(now time.Time, list []Evidence) []Evidence {
@@ -58,10 +68,7 @@
 	defer t.mu.Unlock()
 	var out []Evidence
 	for _, e := range list {
-		served := t.served[e.Part]
-		if s := t.suspects[e.Part]; s != nil && s.served.After(served) {
-			served = s.served
-		}
+		served := t.knownAnswer(e.Part)
 		if served.IsZero() || e.Served && !served.After(now.Add(-e.ServedAge)) {
 			continue
 		}
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -237,16 +237,17 @@
 	slices.SortFunc(s.crashes, func(a, b crash) int { return a.at.Compare(b.at) })
 }
 
-// clear records an answer and drops the crashes before it. It reports whether there
-// were any.
+// clear records an answer and drops the crashes before it. It reports whether the
+// evidence has changed: there were any, or no answer was known before.
 func (s *suspect) clear(at time.Time) bool {
 	if !at.After(s.served) {
 		return false
 	}
+	first := s.served.IsZero()
 	s.served = at
 	before := len(s.crashes)
 	s.crashes = slices.DeleteFunc(s.crashes, func(c crash) bool { return !c.at.After(at) })
-	return len(s.crashes) < before
+	return first || len(s.crashes) < before
 }
 
 // forget drops evidence that is too old.
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -275,6 +275,42 @@
 	}
 }
 
+// TestLateObjection guards against a block that rests on two crashes and lasts although
+// another node says, after the time to object, that it has seen an answer.
+func TestLateObjection(t *testing.T) {
+	a, b := newTestTracker(), newTestTracker()
+	b.RecordServed(testStart, []string{"p"})
+	now := testStart
+	for i := 1; i <= crashesToBlockUnserved; i++ {
+		now = now.Add(time.Second)
+		a.RecordCrash(now, engine(i), "r", []string{"p"})
+	}
+	now = now.Add(objectionTime)
+	if !isBlocked(a, now, "p") {
+		t.Fatal("the part is not blocked without an objection")
+	}
+	b.Merge(now, a.Share(now))
+	a.Merge(now, b.Share(now))
+	if isBlocked(a, now, "p") {
+		t.Error("the part is blocked although another node has seen an answer")
+	}
+}
+
+// TestLaterAnswerIsPassedOn guards against a block that lasts because the node that has
+// seen an answer after the crashes does not say so to one that knows an older answer.
+func TestLaterAnswerIsPassedOn(t *testing.T) {
+	a, b := newTestTracker(), newTestTracker()
+	a.RecordServed(testStart, []string{"p"})
+	last := crashThreeTimes(a, "p")
+	now := last.Add(time.Second)
+	b.RecordServed(now, []string{"p"})
+	b.Merge(now, a.Share(now))
+	a.Merge(now, b.Share(now))
+	if isBlocked(a, now, "p") || isBlocked(b, now, "p") {
+		t.Errorf("the part is blocked: %v at the node with the crashes, %v at the other", isBlocked(a, now, "p"), isBlocked(b, now, "p"))
+	}
+}
+
 // TestOneNodesCrashesAreRefuted guards against a node that blocks a sound part on its own
 // crashes although the node that it reports them to has seen answers in between.
 func TestOneNodesCrashesAreRefuted(t *testing.T) {
@@ -341,7 +377,9 @@
 				n.RecordCrash(now, engine(i), "r", []string{part})
 			}
 		}
-		for range 2 {
+		// The first round may join the crashes of several nodes, the second brings the answers
+		// that speak against them, and the third passes these on.
+		for range 3 {
 			for _, n := range nodes {
 				for _, o := range nodes {
 					if n != o {
