proc: log why callers' connections are closed

Change: counters of connections closed and of requests dropped, by reason; a line for each request that is dropped, for each connection that is closed with unread bytes, with its idle time and limits, and one with the numbers of connections when the listener closes. Ruled out: nothing yet.

--- a/internal/proc/idle.go
+++ b/internal/proc/idle.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -15,6 +17,8 @@
 // dropped without an answer, so that the caller may send it again.
 type callerConns struct {
 	idleLimit func() time.Duration
+	log       *slog.Logger
+	metrics   *metrics
 
 	mu      sync.Mutex
 	conns   map[net.Conn]*callerConn
@@ -26,6 +30,53 @@
 	timer  *time.Timer
 	busy   bool
 	closed bool
+	// reason, idleSince, limit and closedAt describe why the process closed it.
+	reason    closeReason
+	idleSince time.Time
+	limit     time.Duration
+	closedAt  time.Time
+}
+
+// closeReason is why the process closes a connection of a caller.
+type closeReason string
+
+const (
+	closeIdleLimit closeReason = "idle-limit"
+	closeStop      closeReason = "stop"
+)
+
+// close closes a connection and records why. The caller holds the lock.
+func (cc *callerConns) close(c net.Conn, conn *callerConn, reason closeReason) {
+	waiting := unreadBytes(c)
+	conn.closed, conn.reason, conn.closedAt = true, reason, time.Now()
+	_ = c.Close()
+	cc.metrics.connsClosed.WithLabelValues(string(reason)).Inc()
+	if waiting > 0 {
+		cc.log.Warn("connection closed with unread bytes", "reason", reason, "unread", waiting,
+			"idle-ms", time.Since(conn.idleSince).Milliseconds(), "limit-ms", conn.limit.Milliseconds(),
+			"limit-now-ms", cc.idleLimit().Milliseconds())
+	}
+}
+
+// unreadBytes returns how many bytes, at most 64, wait in the socket's receive buffer.
+func unreadBytes(c net.Conn) int {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	var n int
+	err = raw.Control(func(fd uintptr) {
+		var buf [64]byte
+		n, _, _ = syscall.Recvfrom(int(fd), buf[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	})
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
 }
 
 type connContextKey struct{}
@@ -65,10 +116,10 @@
 	}
 	conn.busy = false
 	limit := cc.idleLimit()
+	conn.idleSince, conn.limit = time.Now(), limit
 	switch {
 	case cc.stopped:
-		conn.closed = true
-		_ = c.Close()
+		cc.close(c, conn, closeStop)
 	case limit > 0:
 		conn.timer = time.AfterFunc(limit, func() { cc.closeIfIdle(c) })
 	}
@@ -77,9 +128,8 @@
 func (cc *callerConns) closeIfIdle(c net.Conn) {
 	cc.mu.Lock()
 	defer cc.mu.Unlock()
-	if conn := cc.conns[c]; conn != nil && !conn.busy {
-		conn.closed = true
-		_ = c.Close()
+	if conn := cc.conns[c]; conn != nil && !conn.busy && !conn.closed {
+		cc.close(c, conn, closeIdleLimit)
 	}
 }
 
@@ -93,6 +143,10 @@
 		return true
 	}
 	if conn.closed {
+		cc.metrics.requestsDropped.WithLabelValues(string(conn.reason)).Inc()
+		cc.log.Warn("request dropped without an answer", "reason", conn.reason, "closed-for-us", time.Since(conn.closedAt).Microseconds(),
+			"idle-ms", conn.closedAt.Sub(conn.idleSince).Milliseconds(), "limit-ms", conn.limit.Milliseconds(),
+			"limit-now-ms", cc.idleLimit().Milliseconds())
 		return false
 	}
 	conn.busy = true
@@ -126,6 +180,24 @@
 	})
 }
 
+// counts returns the numbers of connections by state: with a request, idle after an
+// answer, without a request so far.
+func (cc *callerConns) counts() (busy, idle, fresh int) {
+	cc.mu.Lock()
+	defer cc.mu.Unlock()
+	for _, conn := range cc.conns {
+		switch {
+		case conn.busy:
+			busy++
+		case conn.idleSince.IsZero():
+			fresh++
+		default:
+			idle++
+		}
+	}
+	return busy, idle, fresh
+}
+
 // stop closes the connections that are idle now, and the others once they become
 // idle. Connections without a request so far stay open, since their caller may be
 // about to send one.
@@ -136,8 +208,7 @@
 	for c, conn := range cc.conns {
 		if conn.timer != nil && !conn.busy && !conn.closed {
 			conn.timer.Stop()
-			conn.closed = true
-			_ = c.Close()
+			cc.close(c, conn, closeStop)
 		}
 	}
 }
--- a/internal/proc/observe.go
+++ b/internal/proc/observe.go
@@ -20,6 +20,8 @@
 	registry         *prometheus.Registry
 	requestsEnded    *prometheus.CounterVec
 	requestsRepeated *prometheus.CounterVec
+	connsClosed      *prometheus.CounterVec
+	requestsDropped  *prometheus.CounterVec
 	firstByte        *prometheus.HistogramVec
 	total            *prometheus.HistogramVec
 }
@@ -39,6 +41,14 @@
 			Name: "trefoildale_requests_repeated_total",
 			Help: "Attempts after the first one of a request, by service.",
 		}, []string{"service"}),
+		connsClosed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trefoildale_caller_connections_closed_total",
+			Help: "Idle connections of callers that the process closed, by reason.",
+		}, []string{"reason"}),
+		requestsDropped: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trefoildale_requests_dropped_total",
+			Help: "Requests that were read whole and got no answer, because their connection was closed, by the reason for that.",
+		}, []string{"reason"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "trefoildale_first_byte_seconds",
 			Help:    "Time from the arrival of a request to the first event or to the whole answer.",
@@ -50,7 +60,7 @@
 			Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.requestsEnded, m.requestsRepeated, m.firstByte, m.total, collectors.NewGoCollector())
+	m.registry.MustRegister(m.requestsEnded, m.requestsRepeated, m.connsClosed, m.requestsDropped, m.firstByte, m.total, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -229,6 +229,7 @@
 		ConnState:         p.callerConns.trackState,
 		ConnContext:       p.callerConns.withConn,
 	}
+	p.callerConns.log, p.callerConns.metrics = p.log.Logger, p.requestMetrics
 	p.callerConns.idleLimit = func() time.Duration { return platform.IdleLimit(p.server.Config()) }
 	p.readyServer = &http.Server{
 		Handler: platform.NewReadyHandler(func() bool { return !p.stopping.Load() && p.node.Ready() }),
@@ -336,6 +337,8 @@
 	// Requests that still arrive are refused, and those accepted before are finished.
 	p.server.RefuseFrom(p.clock.Now())
 	p.node.Leave(context.Background())
+	busy, idle, fresh := p.callerConns.counts()
+	p.log.Info("listener closes", "busy", busy, "idle", idle, "without-request", fresh)
 	ctx, cancel := context.WithTimeout(context.Background(), listenerCloseTime)
 	defer cancel()
 	if err := p.callerServer.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
