caller, proc: answer each request that is read from a connection

Callers saw: a request on a kept or new connection ended without an answer or a refusal while the process stopped or the idle limit ran out.

Cause: three parties closed a connection without knowing whether a request had begun on it: the idle timer, the stop, which closed all idle connections at once, and http.Server.Shutdown, which drops a request whose header it has just read. A connection counted as busy only once its handler ran. The idle timer kept the limit that was in force when the connection became idle. Before the change (idle_test.go without the new setting):

TestIdleLimitCutsNoRequest/limit_was_raised the request on the kept connection got 0, unexpected EOF, want an answer TestIdleLimitCutsNoRequest/caller_knows_a_higher_limit_first the request on the kept connection got 0, unexpected EOF, want an answer TestStopAnswersRequestsOnOpenConnections/kept_connection the request got 0, unexpected EOF, Retry-After 0s, want 200 TestStopAnswersRequestsOnOpenConnections/header_read_in_part the request got 0, unexpected EOF, Retry-After 0s, want 200 TestStopAnswersRequestsOnOpenConnections/new_connection_as_the_listener_closes the request got 0, unexpected EOF, Retry-After 0s, want 503

Change: internal/caller owns the connections. One goroutine, the one that reads, closes a connection, when a read deadline has passed and neither a byte was read nor one waits in the socket. The idle deadline is computed anew when it passes: the highest limit seen since the last answer, plus bounds.config-apply (new setting, filled from the platform's file). A stopping process keeps idle connections, answers what comes with Connection: close, then serves the accept queue, closes its listener and what is idle, and waits for the rest. http.Server.Shutdown is not used any more.

Why it works: no other goroutine closes, so that a byte that was read or waits is always seen before. A request that reaches the socket after the last look is never read; its caller may send it again.

--- /dev/null
+++ b/internal/caller/caller.go
@@ -0,0 +1,226 @@
+// Package caller serves HTTP/1.1 requests of callers and owns their connections. A
+// connection is closed only while no byte of a request has been read from it or waits
+// in its socket, so that each request that arrives is answered.
+package caller
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+const (
+	// unlimitedRecheck is how often a connection that became idle without a limit is
+	// checked for one.
+	unlimitedRecheck = 10 * time.Second
+	// firstRequestTime is how long a server that is shut down waits for the first
+	// byte on connections that it has accepted last.
+	firstRequestTime = 100 * time.Millisecond
+	// shutdownInterval is how often a server that is shut down checks whether all
+	// connections are closed.
+	shutdownInterval = 5 * time.Millisecond
+)
+
+// Reason is why the server closes a connection.
+type Reason string
+
+// Reasons to close a connection.
+const (
+	// IdleLimit is that the connection was idle for longer than allowed.
+	IdleLimit Reason = "idle-limit"
+	// HeaderTimeout is that a request's header did not arrive in time.
+	HeaderTimeout Reason = "header-timeout"
+	// Stop is that the server is shut down.
+	Stop Reason = "stop"
+)
+
+// Closing describes a connection that the server closes.
+type Closing struct {
+	Reason Reason
+	// Partial is set if a part of a request was read.
+	Partial bool
+	// Idle is the time since the last answer, or since the connection was accepted.
+	Idle time.Duration
+	// Limit is the limit on Idle that was applied, and LimitNow the one in force.
+	Limit    time.Duration
+	LimitNow time.Duration
+}
+
+// Options holds the settings of a Server.
+type Options struct {
+	Handler http.Handler
+	// IdleLimit returns how long a connection may be idle, or 0 for no limit.
+	IdleLimit func() time.Duration
+	// IdleMargin is added to the limit, for callers that learn of a higher limit
+	// before this process does.
+	IdleMargin time.Duration
+	// HeaderTimeout limits the time from a request's first byte, or from the start of
+	// a connection, to the end of the header.
+	HeaderTimeout  time.Duration
+	MaxHeaderBytes int
+	// OnClose is called for each connection that the server closes by itself.
+	OnClose func(Closing)
+}
+
+// Server serves the requests of callers.
+type Server struct {
+	opts Options
+	http *http.Server
+
+	mu         sync.Mutex
+	conns      map[*trackedConn]struct{}
+	listener   *listener
+	lastAccept time.Time
+	draining   bool
+	closing    bool
+}
+
+// NewServer returns a Server that does not listen yet.
+func NewServer(opts Options) *Server {
+	s := &Server{
+		opts:  opts,
+		conns: make(map[*trackedConn]struct{}),
+	}
+	s.http = &http.Server{
+		Handler:           opts.Handler,
+		ReadHeaderTimeout: opts.HeaderTimeout,
+		MaxHeaderBytes:    opts.MaxHeaderBytes,
+		ConnState:         s.onState,
+	}
+	return s
+}
+
+// Serve accepts connections until the listener fails or is closed by Shutdown or
+// Close. It returns nil in the latter case.
+func (s *Server) Serve(l net.Listener) error {
+	s.mu.Lock()
+	s.listener = &listener{
+		Listener: l,
+		server:   s,
+		done:     make(chan struct{}),
+	}
+	if s.draining {
+		s.listener.stop()
+	}
+	s.mu.Unlock()
+	err := s.http.Serve(s.listener)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining || errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// Counts holds the numbers of connections by state.
+type Counts struct {
+	// Busy connections have a request of which at least a byte was read and whose
+	// answer is not sent in full.
+	Busy int
+	// Idle connections wait for another request, and Fresh ones for the first.
+	Idle  int
+	Fresh int
+}
+
+// Counts returns the current numbers of connections.
+func (s *Server) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var n Counts
+	for c := range s.conns {
+		switch c.state {
+		case stateFresh:
+			n.Fresh++
+		case stateIdle:
+			n.Idle++
+		default:
+			n.Busy++
+		}
+	}
+	return n
+}
+
+// LastAccept returns when the last connection was accepted.
+func (s *Server) LastAccept() time.Time {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lastAccept
+}
+
+// Shutdown closes the listener and then each connection once it has no request, and
+// waits until all are closed. Unlike http.Server.Shutdown, it answers requests that
+// were sent before their connection was closed.
+func (s *Server) Shutdown(ctx context.Context) error {
+	s.mu.Lock()
+	s.draining = true
+	accepted := make(chan struct{})
+	if s.listener != nil {
+		s.listener.stop()
+		accepted = s.listener.done
+	} else {
+		close(accepted)
+	}
+	s.mu.Unlock()
+	select {
+	case <-accepted:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	for start := time.Now(); time.Since(start) < firstRequestTime && s.Counts().Fresh > 0; {
+		if err := sleep(ctx, shutdownInterval); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	s.closing = true
+	for c := range s.conns {
+		c.closeUnlessBusy()
+	}
+	s.mu.Unlock()
+	for s.Counts() != (Counts{}) {
+		if err := sleep(ctx, shutdownInterval); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Close closes the listener and all connections at once.
+func (s *Server) Close() error {
+	s.mu.Lock()
+	s.draining = true
+	s.mu.Unlock()
+	return s.http.Close()
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(d):
+		return nil
+	}
+}
+
+// onState is the http.Server's ConnState hook.
+func (s *Server) onState(nc net.Conn, state http.ConnState) {
+	c, ok := nc.(*trackedConn)
+	if !ok {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch state {
+	case http.StateActive:
+		c.state = stateHandling
+		_ = c.Conn.SetReadDeadline(c.httpDeadline)
+	case http.StateIdle:
+		c.onIdle()
+	case http.StateClosed, http.StateHijacked:
+		delete(s.conns, c)
+	case http.StateNew:
+	}
+}
--- a/internal/conf/fleet.go
+++ b/internal/conf/fleet.go
@@ -43,6 +43,9 @@
 	Lease Duration `yaml:"lease"`
 	// Grace is the time from the request to stop until the process is killed.
 	Grace Duration `yaml:"grace"`
+	// ConfigApply is the time from the acknowledgement of a configuration until all
+	// nodes have it in force.
+	ConfigApply Duration `yaml:"config-apply"`
 	// RetryRatio, RetrySlack and RetryWindow limit the retries of each service.
 	RetryRatio  float64  `yaml:"retry-ratio"`
 	RetrySlack  float64  `yaml:"retry-slack"`
@@ -103,12 +106,14 @@
 const (
 	DefaultLease       = Duration(3 * time.Second)
 	DefaultGrace       = Duration(8 * time.Second)
+	DefaultConfigApply = Duration(2 * time.Second)
 	DefaultRetryWindow = Duration(10 * time.Second)
 )
 
 func (b *Bounds) check(c *checker) {
 	setDefault(&b.Lease, DefaultLease)
 	setDefault(&b.Grace, DefaultGrace)
+	setDefault(&b.ConfigApply, DefaultConfigApply)
 	setDefault(&b.RetryWindow, DefaultRetryWindow)
 	for _, f := range []struct {
 		field string
@@ -116,6 +121,7 @@
 	}{
 		{field: "lease", value: float64(b.Lease)},
 		{field: "grace", value: float64(b.Grace)},
+		{field: "config-apply", value: float64(b.ConfigApply)},
 		{field: "retry-window", value: float64(b.RetryWindow)},
 		{field: "retry-ratio", value: b.RetryRatio},
 		{field: "retry-slack", value: b.RetrySlack},
--- a/internal/proc/observe.go
+++ b/internal/proc/observe.go
@@ -21,7 +21,6 @@
 	requestsEnded    *prometheus.CounterVec
 	requestsRepeated *prometheus.CounterVec
 	connsClosed      *prometheus.CounterVec
-	requestsDropped  *prometheus.CounterVec
 	firstByte        *prometheus.HistogramVec
 	total            *prometheus.HistogramVec
 }
@@ -43,11 +42,7 @@
 		}, []string{"service"}),
 		connsClosed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "trefoildale_caller_connections_closed_total",
-			Help: "Idle connections of callers that the process closed, by reason.",
-		}, []string{"reason"}),
-		requestsDropped: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "trefoildale_requests_dropped_total",
-			Help: "Requests that were read whole and got no answer, because their connection was closed, by the reason for that.",
+			Help: "Connections of callers that the process closed while no request was handled, by reason.",
 		}, []string{"reason"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "trefoildale_first_byte_seconds",
@@ -60,7 +55,7 @@
 			Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.requestsEnded, m.requestsRepeated, m.connsClosed, m.requestsDropped, m.firstByte, m.total, collectors.NewGoCollector())
+	m.registry.MustRegister(m.requestsEnded, m.requestsRepeated, m.connsClosed, m.firstByte, m.total, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -16,6 +16,7 @@
 	"syscall"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/caller"
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/conf"
 	"trefoildale.example/trefoildale/internal/conn"
@@ -70,9 +71,12 @@
 	drainAcceptTime = 2900 * time.Millisecond
 	// drainCheckInterval is how often a stopping process checks for running requests.
 	drainCheckInterval = 20 * time.Millisecond
-	// listenerCloseTime is how long a stopping process waits for connections without
-	// a request after it has closed its listener.
-	listenerCloseTime = 100 * time.Millisecond
+	// acceptQuietTime is how long no connection may arrive before a stopping process
+	// closes its listener: the load balancer may send some for longer than usual.
+	acceptQuietTime = 100 * time.Millisecond
+	// maxAcceptTime is when a stopping process closes its listener even if connections
+	// still arrive.
+	maxAcceptTime = 4 * time.Second
 	// drainKillMargin is how long before the kill a stopping process exits.
 	drainKillMargin = 300 * time.Millisecond
 	// softMemoryShare is the part of the process's memory that is the soft limit of
@@ -92,12 +96,11 @@
 	table          *picker.Table
 	server         *serve.Server
 	node           *coord.Node
-	callerServer   *http.Server
+	callerServer   *caller.Server
 	readyServer    *http.Server
 	metricsServer  *http.Server
 	requestMetrics *metrics
 	stopping       atomic.Bool
-	callerConns    callerConns
 	stopRPC        func()
 }
 
@@ -223,14 +226,13 @@
 		return err
 	}
 	p.stopRPC = wire.ServeFleet(peers, p.node, new(wire.Meter))
-	p.callerServer = &http.Server{
-		Handler:           p.callerConns.dropClosed(platform.NewFront(p.server, p.clock, p.stopping.Load)),
-		ReadHeaderTimeout: headerReadTimeout,
-		ConnState:         p.callerConns.trackState,
-		ConnContext:       p.callerConns.withConn,
-	}
-	p.callerConns.log, p.callerConns.metrics = p.log.Logger, p.requestMetrics
-	p.callerConns.idleLimit = func() time.Duration { return platform.IdleLimit(p.server.Config()) }
+	p.callerServer = caller.NewServer(caller.Options{
+		Handler:       platform.NewFront(p.server, p.clock, p.stopping.Load),
+		IdleLimit:     func() time.Duration { return platform.IdleLimit(p.server.Config()) },
+		IdleMargin:    time.Duration(p.settings.Bounds.ConfigApply),
+		HeaderTimeout: headerReadTimeout,
+		OnClose:       p.recordClosing,
+	})
 	p.readyServer = &http.Server{
 		Handler: platform.NewReadyHandler(func() bool { return !p.stopping.Load() && p.node.Ready() }),
 	}
@@ -238,7 +240,9 @@
 		Handler: p.requestMetrics.handler(),
 	}
 	for _, s := range []struct {
-		server  *http.Server
+		server interface {
+			Serve(net.Listener) error
+		}
 		address string
 	}{
 		{server: p.callerServer, address: p.settings.Listen.Callers},
@@ -250,7 +254,7 @@
 			return err
 		}
 		go func() {
-			if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			if err := s.server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
 				p.log.Error("listener failed", "address", s.address, "error", err.Error())
 			}
 		}()
@@ -299,11 +303,12 @@
 	p.server.SetRetries(retryRule(settings))
 	var afterRestart []string
 	for name, unchanged := range map[string]bool{
-		"node":        settings.Node == p.settings.Node,
-		"listen":      settings.Listen == p.settings.Listen,
-		"store":       settings.Store == p.settings.Store,
-		"lease":       settings.Bounds.Lease == p.settings.Bounds.Lease,
-		"quota-slack": settings.Bounds.QuotaSlack == p.settings.Bounds.QuotaSlack,
+		"node":         settings.Node == p.settings.Node,
+		"listen":       settings.Listen == p.settings.Listen,
+		"store":        settings.Store == p.settings.Store,
+		"lease":        settings.Bounds.Lease == p.settings.Bounds.Lease,
+		"config-apply": settings.Bounds.ConfigApply == p.settings.Bounds.ConfigApply,
+		"quota-slack":  settings.Bounds.QuotaSlack == p.settings.Bounds.QuotaSlack,
 	} {
 		if !unchanged {
 			afterRestart = append(afterRestart, name)
@@ -332,28 +337,30 @@
 	p.stopping.Store(true)
 	p.server.RefuseFrom(startedAt.Add(drainAcceptTime))
 	p.node.ReleaseLease()
-	p.callerConns.stop()
-	p.waitWhileBusy(signals, startedAt.Add(minDrainTime), kill)
+	p.waitUntil(signals, kill, func(now time.Time) bool {
+		return now.Sub(startedAt) >= minDrainTime && p.callerServer.Counts().Busy == 0
+	})
 	// Requests that still arrive are refused, and those accepted before are finished.
 	p.server.RefuseFrom(p.clock.Now())
 	p.node.Leave(context.Background())
-	busy, idle, fresh := p.callerConns.counts()
-	p.log.Info("listener closes", "busy", busy, "idle", idle, "without-request", fresh)
-	ctx, cancel := context.WithTimeout(context.Background(), listenerCloseTime)
+	p.waitUntil(signals, startedAt.Add(maxAcceptTime), func(now time.Time) bool {
+		return now.Sub(p.callerServer.LastAccept()) >= acceptQuietTime
+	})
+	n := p.callerServer.Counts()
+	p.log.Info("listener closes", "busy", n.Busy, "idle", n.Idle, "without-request", n.Fresh)
+	ctx, cancel := context.WithTimeout(context.Background(), kill.Sub(p.clock.Now()))
 	defer cancel()
-	if err := p.callerServer.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		p.log.Warn("listener not closed", "error", err.Error())
+	if err := p.callerServer.Shutdown(ctx); err != nil {
+		p.log.Warn("requests cut at the end of the grace", "busy", p.callerServer.Counts().Busy)
 	}
-	p.waitWhileBusy(signals, p.clock.Now(), kill)
-	p.log.Info("process ends", "active", p.callerConns.busyCount(), "after-ms", p.clock.Now().Sub(startedAt).Milliseconds())
+	p.log.Info("process ends", "active", p.callerServer.Counts().Busy, "after-ms", p.clock.Now().Sub(startedAt).Milliseconds())
 }
 
-// waitWhileBusy returns once no connection of a caller has a request and from has
-// passed, or at until.
-func (p *Process) waitWhileBusy(signals <-chan os.Signal, from, until time.Time) {
+// waitUntil returns once done returns true, or at limit.
+func (p *Process) waitUntil(signals <-chan os.Signal, limit time.Time, done func(now time.Time) bool) {
 	for {
 		now := p.clock.Now()
-		if !now.Before(from) && p.callerConns.busyCount() == 0 || !now.Before(until) {
+		if done(now) || !now.Before(limit) {
 			return
 		}
 		select {
@@ -363,6 +370,15 @@
 	}
 }
 
+// recordClosing counts connections that the process closes, and logs those of which a
+// part of a request was read.
+func (p *Process) recordClosing(c caller.Closing) {
+	p.requestMetrics.connsClosed.WithLabelValues(string(c.Reason)).Inc()
+	if c.Partial {
+		p.log.Warn("connection closed within a request's header", "reason", string(c.Reason), "idle-ms", c.Idle.Milliseconds())
+	}
+}
+
 func (p *Process) configMirror(ctx context.Context) *mirror.Mirror {
 	return mirror.New(p.store, mirror.Options{
 		Table:       platform.ConfigTable,
