caller, proc: close idle connections at once when the process stops

Change: a stopping process again closes idle connections at once, after a look for bytes that wait. The look reads the bytes instead of asking for them with MSG_PEEK, and needs no second deadline. The wait for a quiet accept queue is gone.

Open: why a close some time after the signal is crossed more often than one at the signal.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -70,12 +70,14 @@
 	opts Options
 	http *http.Server
 
-	mu         sync.Mutex
-	conns      map[*trackedConn]struct{}
-	listener   *listener
-	lastAccept time.Time
-	draining   bool
-	closing    bool
+	mu       sync.Mutex
+	conns    map[*trackedConn]struct{}
+	listener *listener
+	draining bool
+	// closingIdle is set once connections that wait for another request are closed,
+	// and closing once those without a request are closed too.
+	closingIdle bool
+	closing     bool
 }
 
 // NewServer returns a Server that does not listen yet.
@@ -143,13 +145,6 @@
 	return n
 }
 
-// LastAccept returns when the last connection was accepted.
-func (s *Server) LastAccept() time.Time {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.lastAccept
-}
-
 // Shutdown closes the listener and then each connection once it has no request, and
 // waits until all are closed. Unlike http.Server.Shutdown, it answers requests that
 // were sent before their connection was closed.
@@ -177,7 +172,7 @@
 	s.mu.Lock()
 	s.closing = true
 	for c := range s.conns {
-		c.closeUnlessBusy()
+		c.closeIfDue()
 	}
 	s.mu.Unlock()
 	for s.Counts() != (Counts{}) {
@@ -188,6 +183,17 @@
 	return nil
 }
 
+// CloseIdle closes the connections that wait for another request, and from now on each
+// one once it would do so.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closingIdle = true
+	for c := range s.conns {
+		c.closeIfDue()
+	}
+}
+
 // Close closes the listener and all connections at once.
 func (s *Server) Close() error {
 	s.mu.Lock()
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -11,8 +11,11 @@
 	"net/http"
 	"os"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 const request = "GET /%s HTTP/1.1\r\nHost: caller.example\r\n\r\n"
@@ -71,6 +74,24 @@
 	return err
 }
 
+// hasUnread reports whether bytes wait in the socket.
+func hasUnread(t *testing.T, c net.Conn) bool {
+	t.Helper()
+	raw, err := c.(syscall.Conn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return n > 0
+}
+
 // TestBytesThatWaitAreRead guards against requests that wait in the socket and get no
 // answer, because the process reads them only after the connection's deadline.
 func TestBytesThatWaitAreRead(t *testing.T) {
@@ -110,7 +131,7 @@
 				if _, err := peer.Write([]byte("GET")); err != nil {
 					t.Fatal(err)
 				}
-				for !hasUnread(accepted) {
+				for !hasUnread(t, accepted) {
 					time.Sleep(time.Millisecond)
 				}
 			}
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -42,21 +42,25 @@
 	// nextBegun is set if http.Server has read the first byte of the next request
 	// while it handled one.
 	nextBegun bool
-	// overdue is set while bytes are read after the deadline.
-	overdue bool
 }
 
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			extended, waiting := c.onDeadline(p)
+			switch {
+			case extended:
+				continue
+			case waiting > 0:
+				n, err = waiting, nil
+			}
+		}
 		if n > 0 {
 			c.onRead(n, len(p))
-			return n, err
-		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || !c.continueReading() {
-			return n, err
 		}
+		return n, err
 	}
 }
 
@@ -71,16 +75,12 @@
 	case stateFresh, stateIdle:
 		c.beginRequest()
 	case stateReading:
-		if c.overdue {
-			c.overdue = false
-			_ = c.Conn.SetReadDeadline(c.headerDeadline)
-		}
 	}
 }
 
 // beginRequest is called at the first byte of a request, with the server's lock held.
 func (c *trackedConn) beginRequest() {
-	c.state, c.nextBegun, c.overdue = stateReading, false, false
+	c.state, c.nextBegun = stateReading, false
 	c.headerDeadline = time.Now().Add(c.server.opts.HeaderTimeout)
 	_ = c.Conn.SetReadDeadline(c.headerDeadline)
 }
@@ -124,8 +124,8 @@
 		return
 	}
 	c.state = stateIdle
-	if c.server.closing {
-		c.closeUnlessBusy()
+	if c.isDue() {
+		c.closeIfDue()
 		return
 	}
 	_ = c.Conn.SetReadDeadline(c.idleDeadline())
@@ -139,39 +139,38 @@
 	return c.idleSince.Add(c.limit + c.server.opts.IdleMargin)
 }
 
-// closeUnlessBusy makes the reading goroutine close the connection, unless a request
-// has begun. The caller holds the server's lock.
-func (c *trackedConn) closeUnlessBusy() {
-	if c.state == stateFresh || c.state == stateIdle {
+// isDue reports whether the server is to close the connection because it stops. The
+// caller holds the server's lock.
+func (c *trackedConn) isDue() bool {
+	return c.state == stateIdle && (c.server.closingIdle || c.server.closing) || c.state == stateFresh && c.server.closing
+}
+
+// closeIfDue makes the reading goroutine close the connection. The caller holds the
+// server's lock.
+func (c *trackedConn) closeIfDue() {
+	if c.isDue() {
 		_ = c.Conn.SetReadDeadline(time.Now())
 	}
 }
 
-// continueReading is called when a read deadline has passed. It returns false if the
-// connection is to be closed, or if the read was ended by http.Server.
-func (c *trackedConn) continueReading() bool {
+// onDeadline is called when a read deadline has passed. It returns whether the deadline
+// was extended, or else how many bytes it has read into p. If there are none either, the
+// connection is to be closed, or the read was ended by http.Server.
+func (c *trackedConn) onDeadline(p []byte) (extended bool, waiting int) {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	if c.state == stateHandling {
-		return false
+		return false, 0
 	}
-	if c.state == stateIdle && !c.server.closing && c.extendIdle() {
-		return true
+	if c.state == stateIdle && !c.isDue() && c.extendIdle() {
+		return true, 0
 	}
-	if hasUnread(c.Conn) {
-		switch c.state {
-		case stateReading:
-			c.overdue = true
-			_ = c.Conn.SetReadDeadline(time.Time{})
-		default:
-			c.beginRequest()
-		}
-		return true
+	if n := readWaiting(c.Conn, p); n > 0 {
+		return false, n
 	}
 	reason := HeaderTimeout
 	switch {
-	case c.state == stateReading:
-	case c.server.closing:
+	case c.isDue():
 		reason = Stop
 	case c.state == stateIdle:
 		reason = IdleLimit
@@ -183,7 +182,7 @@
 		Limit:    c.limit,
 		LimitNow: c.server.opts.IdleLimit(),
 	})
-	return false
+	return false, 0
 }
 
 // extendIdle applies the limit in force and returns whether the connection may stay
@@ -202,21 +201,23 @@
 	return true
 }
 
-// hasUnread reports whether bytes wait in the socket. A read after its deadline fails
-// even then.
-func hasUnread(c net.Conn) bool {
+// readWaiting reads the bytes that wait in the socket. Conn.Read returns none of them
+// after its deadline.
+func readWaiting(c net.Conn, p []byte) int {
 	s, ok := c.(syscall.Conn)
 	if !ok {
-		return false
+		return 0
 	}
 	raw, err := s.SyscallConn()
 	if err != nil {
-		return false
+		return 0
 	}
 	n := 0
 	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, _ = unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		n, _ = unix.Read(int(fd), p)
 	})
-	return err == nil && n > 0
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
 }
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -57,17 +57,13 @@
 func (s *Server) track(c net.Conn) net.Conn {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.lastAccept = now
 	t := &trackedConn{
 		Conn:      c,
 		server:    s,
-		idleSince: now,
+		idleSince: time.Now(),
 	}
 	s.conns[t] = struct{}{}
-	if s.closing {
-		t.closeUnlessBusy()
-	}
+	t.closeIfDue()
 	return t
 }
 
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -71,12 +71,6 @@
 	drainAcceptTime = 2900 * time.Millisecond
 	// drainCheckInterval is how often a stopping process checks for running requests.
 	drainCheckInterval = 20 * time.Millisecond
-	// acceptQuietTime is how long no connection may arrive before a stopping process
-	// closes its listener: the load balancer may send some for longer than usual.
-	acceptQuietTime = 100 * time.Millisecond
-	// maxAcceptTime is when a stopping process closes its listener even if connections
-	// still arrive.
-	maxAcceptTime = 4 * time.Second
 	// drainKillMargin is how long before the kill a stopping process exits.
 	drainKillMargin = 300 * time.Millisecond
 	// softMemoryShare is the part of the process's memory that is the soft limit of
@@ -337,15 +331,14 @@
 	p.stopping.Store(true)
 	p.server.RefuseFrom(startedAt.Add(drainAcceptTime))
 	p.node.ReleaseLease()
+	// Callers that are idle go on at other nodes, which shortens the stop.
+	p.callerServer.CloseIdle()
 	p.waitUntil(signals, kill, func(now time.Time) bool {
 		return now.Sub(startedAt) >= minDrainTime && p.callerServer.Counts().Busy == 0
 	})
 	// Requests that still arrive are refused, and those accepted before are finished.
 	p.server.RefuseFrom(p.clock.Now())
 	p.node.Leave(context.Background())
-	p.waitUntil(signals, startedAt.Add(maxAcceptTime), func(now time.Time) bool {
-		return now.Sub(p.callerServer.LastAccept()) >= acceptQuietTime
-	})
 	n := p.callerServer.Counts()
 	p.log.Info("listener closes", "busy", n.Busy, "idle", n.Idle, "without-request", n.Fresh)
 	ctx, cancel := context.WithTimeout(context.Background(), kill.Sub(p.clock.Now()))
