serve, proc: answer requests that wait when the grace ends

Callers saw: a request that was accepted before a stop ended without an answer when the process ended, because its endpoint had not answered yet.

Cause: at the end of its grace the process ended with whatever was under way. Before the change:

TestEndOfGraceAnswersRequests the process ended first the request got 504, <nil>, want 502 before the process ends

(In the test the answer comes from a goroutine that outlives the process's end; in production its connection is cut.)

Change: 0.2 s before it exits the process interrupts its requests. One that was not sent to an endpoint is refused with 503 and a time to return, one that was sent gets 502, which does not say that it has not run. Streams that have begun break off as before.

--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -71,6 +71,9 @@
 	drainAcceptTime = 2900 * time.Millisecond
 	// drainCheckInterval is how often a stopping process checks for running requests.
 	drainCheckInterval = 20 * time.Millisecond
+	// interruptMargin is how long before its exit a stopping process answers the
+	// requests that still wait, with an error.
+	interruptMargin = 200 * time.Millisecond
 	// drainKillMargin is how long before the kill a stopping process exits.
 	drainKillMargin = 300 * time.Millisecond
 	// softMemoryShare is the part of the process's memory that is the soft limit of
@@ -333,6 +336,11 @@
 	p.node.ReleaseLease()
 	// Callers that are idle go on at other nodes, which shortens the stop.
 	p.callerServer.CloseIdle()
+	interrupt := time.AfterFunc(kill.Add(-interruptMargin).Sub(p.clock.Now()), func() {
+		p.log.Warn("requests interrupted at the end of the grace", "active", p.server.Active())
+		p.server.Interrupt()
+	})
+	defer interrupt.Stop()
 	p.waitUntil(signals, kill, func(now time.Time) bool {
 		return now.Sub(startedAt) >= minDrainTime && p.callerServer.Counts().Busy == 0
 	})
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -83,6 +83,8 @@
 	wait := c.deadline.Sub(c.opts.Clock.Now())
 	ctx, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
+	ctx, interrupt := context.WithCancelCause(ctx)
+	defer context.AfterFunc(c.interrupted, func() { interrupt(errInterrupted) })()
 	tokens := c.tokenCost()
 	if c.workspace != nil && c.workspace.Rate > 0 {
 		limit := min(maxAdmitWait, c.route.Objective/2)
@@ -112,13 +114,7 @@
 // its deadline.
 func (c *call) prepare() *Problem {
 	if from := c.refuseFrom.Load(); from != nil && !c.req.Arrived.Before(*from) {
-		return &Problem{
-			Status:     http.StatusServiceUnavailable,
-			Code:       "stopping",
-			Message:    "this node is about to stop",
-			NotRun:     true,
-			RetryAfter: stoppingRetryAfter,
-		}
+		return c.stoppingProblem()
 	}
 	if c.config == nil {
 		return &Problem{
@@ -162,6 +158,20 @@
 	return nil
 }
 
+// stoppingProblem returns the refusal of a request that another node can take.
+func (c *call) stoppingProblem() *Problem {
+	return &Problem{
+		Status:     http.StatusServiceUnavailable,
+		Code:       "stopping",
+		Message:    "this node is about to stop",
+		NotRun:     true,
+		RetryAfter: stoppingRetryAfter,
+	}
+}
+
+// errInterrupted is the cause of the end of requests that Server.Interrupt ends.
+var errInterrupted = errors.New("serve: the node ends")
+
 // tokenCost returns what the request counts against the rate of its workspace: 1
 // where the rate is in requests, tokens otherwise.
 func (c *call) tokenCost() float64 {
@@ -407,6 +417,16 @@
 // contextProblem returns the final answer after the deadline has passed or the
 // caller has closed the connection.
 func (c *call) contextProblem(ctx context.Context) *Problem {
+	if errors.Is(context.Cause(ctx), errInterrupted) {
+		if c.sentAttempts == 0 {
+			return c.stoppingProblem()
+		}
+		return &Problem{
+			Status:  http.StatusBadGateway,
+			Code:    "interrupted",
+			Message: "this node ends before the endpoint has answered; the request may have run",
+		}
+	}
 	if !c.opts.Clock.Now().Before(c.deadline.Add(-timerTolerance)) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
 		if c.sentAttempts == 0 {
 			return c.unavailableProblem("no endpoint could take the request in time")
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -105,6 +105,9 @@
 	probes  probes
 	// refuseFrom is the time from which a stopping process refuses requests.
 	refuseFrom atomic.Pointer[time.Time]
+	// interrupted ends when Interrupt is called.
+	interrupted context.Context
+	interrupt   context.CancelFunc
 
 	mu        sync.Mutex
 	nodes     int
@@ -122,12 +125,15 @@
 	if opts.MayTest == nil {
 		opts.MayTest = func() bool { return false }
 	}
+	interrupted, interrupt := context.WithCancel(context.Background())
 	return &Server{
-		opts:       opts,
-		nodes:      1,
-		retryRule:  opts.Retries,
-		budgets:    make(map[string]*picker.Budget),
-		meanPauses: make(map[pauseKey]float64),
+		interrupted: interrupted,
+		interrupt:   interrupt,
+		opts:        opts,
+		nodes:       1,
+		retryRule:   opts.Retries,
+		budgets:     make(map[string]*picker.Budget),
+		meanPauses:  make(map[pauseKey]float64),
 		probes: probes{
 			byKey: make(map[fleet.Key]*probe),
 		},
@@ -158,6 +164,10 @@
 // the process stops and might not finish them.
 func (s *Server) RefuseFrom(t time.Time) { s.refuseFrom.Store(&t) }
 
+// Interrupt ends all requests now: those without an answer so far get a final one, and
+// streams break off.
+func (s *Server) Interrupt() { s.interrupt() }
+
 // SetNodes sets the number of nodes that share the slack of the retry budget.
 func (s *Server) SetNodes(n int) {
 	s.mu.Lock()
