soak: reuse idle connections while their limit changes

Cause: callers of the soak reused connections within 60 ms and the idle limit never changed, so that it could not find requests that an idle limit or a stop cuts. Change: with incidents, each third caller waits for up to four fifths of the idle limit in force, which changes between 0.5 and 15 s. A request that ran and got no answer beside a planned stop is LOST, unless the process or its links were disturbed otherwise.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -61,10 +61,20 @@
 				tokens: req.tokens,
 			})
 		}
-		sleep(ctx, time.Duration(c.random.IntN(60))*time.Millisecond)
+		sleep(ctx, c.pause())
 	}
 }
 
+// pause returns the time until the next request. With incidents, some callers wait for
+// up to the time that they may keep an idle connection.
+func (c *caller) pause() time.Duration {
+	if c.run.opts.Incidents && c.number%idleCallerInterval == 0 {
+		limit := c.run.currentConfig().Limits.IdleTimeoutMS
+		return time.Duration(c.random.Float64() * reusableShare * limit * float64(time.Millisecond))
+	}
+	return time.Duration(c.random.IntN(60)) * time.Millisecond
+}
+
 // switchNode selects another node at random, a ready one if there is any, and
 // starts with new connections.
 func (c *caller) switchNode() {
@@ -142,13 +152,15 @@
 	requestCtx, cancel := context.WithTimeout(ctx, answerTimeout+time.Second)
 	defer cancel()
 	req.node, req.sent = c.node, time.Now()
-	stable := c.run.isStable(req.node)
+	stable, undisturbed := c.run.isStable(req.node), req.node.isUndisturbed()
 	res, err := c.client.Do(httpReq.WithContext(requestCtx))
 	if err == nil {
 		c.readAnswer(req, res)
 	}
 	req.ended = time.Now()
 	req.stable = stable && c.run.isStable(req.node)
+	stopping, _ := req.node.state()
+	req.stopping = undisturbed && stopping && req.node.isUndisturbed()
 	req.storeRefused = req.node.wasRefused()
 	if ctx.Err() == nil {
 		c.run.addRequest(req)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -108,7 +108,7 @@
 	case http.StatusForbidden, http.StatusBadRequest:
 		r.reportViolation("DENIED: %s (%s) at %.2f s got %d from %s", req.id, req.route.Name, at, req.status, req.node.name)
 	case 0:
-		if req.stable {
+		if req.stable || req.stopping && len(runs) > 0 {
 			r.reportViolation("LOST: %s (%s) at %.2f s got no answer from %s and ran %s", req.id, req.route.Name, at, req.node.name, r.describeRuns(runs))
 		}
 	}
--- a/internal/soak/incident.go
+++ b/internal/soak/incident.go
@@ -35,6 +35,10 @@
 	crashesUntilKnown = 5
 	// minSoundSample is from how many sound requests on their share is checked.
 	minSoundSample = 20
+	// idleCallerInterval makes each third caller keep idle connections, and reusableShare
+	// is the share of the idle limit for which callers may reuse one.
+	idleCallerInterval = 3
+	reusableShare      = 0.8
 )
 
 // deadlyPart is a part of prompts that crashes engines for some time.
@@ -59,15 +63,15 @@
 	_ = r.endpointProxies[id].SetDown(!alive)
 }
 
-// injectIncidents injects both kinds of incidents, beside the other faults. They have
+// injectIncidents injects all kinds of incidents, beside the other faults. They have
 // random numbers of their own, so that the faults of a seed stay the same.
 func (r *run) injectIncidents(ctx context.Context) {
-	var both sync.WaitGroup
+	var all sync.WaitGroup
 	until := time.Now().Add(r.opts.Faults)
-	for i, f := range []func(context.Context, *rand.Rand, time.Time){r.growConfigs, r.poisonPrompts} {
-		both.Go(func() { f(ctx, rand.New(rand.NewPCG(r.opts.Seed, uint64(i)+1<<32)), until) })
+	for i, f := range []func(context.Context, *rand.Rand, time.Time){r.growConfigs, r.poisonPrompts, r.changeIdleLimits} {
+		all.Go(func() { f(ctx, rand.New(rand.NewPCG(r.opts.Seed, uint64(i)+1<<32)), until) })
 	}
-	both.Wait()
+	all.Wait()
 }
 
 // growConfigs adds and removes many routes while the store turns some processes away and
@@ -103,6 +107,15 @@
 	r.changeConfig("added routes removed", func(c *site.Config) { c.Routes = c.Routes[:len(deployment().Routes)] })
 }
 
+// changeIdleLimits raises and lowers the limit on idle connections of callers.
+func (r *run) changeIdleLimits(ctx context.Context, random *rand.Rand, until time.Time) {
+	for time.Now().Before(until) && ctx.Err() == nil {
+		limit := []float64{500, 1000, 2000, 4000, 15_000}[random.IntN(5)]
+		r.changeConfig(fmt.Sprintf("idle limit is %v ms", limit), func(c *site.Config) { c.Limits.IdleTimeoutMS = limit })
+		sleep(ctx, time.Duration(500+random.IntN(3000))*time.Millisecond)
+	}
+}
+
 // refuseAtStore makes the store turn a process away for some time.
 func (r *run) refuseAtStore(ctx context.Context, n *node, duration time.Duration, outage site.Outage) {
 	n.setRefused(true)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -200,6 +200,14 @@
 	return n.disturbances == 0 && !n.stableSince.IsZero() && !n.stopping && !n.killed && time.Since(n.stableSince) > stablePeriod
 }
 
+// isUndisturbed reports whether the process was not killed, and neither it nor its links
+// are disturbed now.
+func (n *node) isUndisturbed() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.disturbances == 0 && !n.killed
+}
+
 func (n *node) state() (stopping, killed bool) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -47,6 +47,9 @@
 	// stable is set if the process was stable and the store undisturbed both
 	// when the request was sent and when it ended.
 	stable bool
+	// stopping is set if the request ended beside a planned stop of its process and
+	// neither the process nor its links were disturbed otherwise.
+	stopping bool
 	// storeRefused is set if the store turned the process away within stablePeriod
 	// before the request ended.
 	storeRefused bool
