caller, proc: log requests that end without an answer

Cause: the report counts cut requests but does not say whether the process had read them. Change: a connection that closes after a request was read, before a byte of the answer was written and not by its caller, is counted ("unanswered") and logged.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -35,6 +35,8 @@
 	HeaderTimeout Reason = "header-timeout"
 	// Stop is that the server is shut down.
 	Stop Reason = "stop"
+	// Unanswered is that the handler ended without an answer.
+	Unanswered Reason = "unanswered"
 )
 
 // Closing describes a connection that the server closes.
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -319,3 +319,34 @@
 		}
 	}
 }
+
+// TestUnansweredRequestIsReported guards against requests that are read and cut without
+// a trace in the log.
+func TestUnansweredRequestIsReported(t *testing.T) {
+	t.Parallel()
+	reasons := make(chan Reason, 2)
+	s, l := newTestServer(t, noLimit, func(_ http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/cut" {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	s.opts.OnClose = func(c Closing) { reasons <- c.Reason }
+	go func() { _ = s.Serve(l) }()
+	c := dial(t, l)
+	fmt.Fprintf(c, request, "answered")
+	if err := c.receive(); err != nil {
+		t.Fatal(err)
+	}
+	fmt.Fprintf(c, request, "cut")
+	if err := c.receive(); err == nil {
+		t.Error("the request got an answer")
+	}
+	select {
+	case reason := <-reasons:
+		if reason != Unanswered {
+			t.Errorf("closed for %q", reason)
+		}
+	case <-time.After(5 * time.Second):
+		t.Error("the request was not reported")
+	}
+}
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -42,6 +43,10 @@
 	// nextBegun is set if http.Server has read the first byte of the next request
 	// while it handled one.
 	nextBegun bool
+	// answerBegun is set once a byte of the answer was written, and peerClosed once the
+	// caller has closed the connection.
+	answerBegun atomic.Bool
+	peerClosed  atomic.Bool
 }
 
 // Read implements net.Conn.
@@ -60,10 +65,31 @@
 		if n > 0 {
 			c.onRead(n, len(p))
 		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.peerClosed.Store(true)
+		}
 		return n, err
 	}
 }
 
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.answerBegun.Store(true)
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.server.mu.Lock()
+	if c.state == stateHandling && !c.answerBegun.Load() && !c.peerClosed.Load() {
+		c.server.opts.OnClose(Closing{
+			Reason: Unanswered,
+		})
+	}
+	c.server.mu.Unlock()
+	return c.Conn.Close()
+}
+
 func (c *trackedConn) onRead(n, size int) {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
@@ -81,6 +107,7 @@
 // beginRequest is called at the first byte of a request, with the server's lock held.
 func (c *trackedConn) beginRequest() {
 	c.state, c.nextBegun = stateReading, false
+	c.answerBegun.Store(false)
 	c.headerDeadline = time.Now().Add(c.server.opts.HeaderTimeout)
 	_ = c.Conn.SetReadDeadline(c.headerDeadline)
 }
--- a/internal/proc/observe.go
+++ b/internal/proc/observe.go
@@ -42,7 +42,7 @@
 		}, []string{"service"}),
 		connsClosed: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "trefoildale_caller_connections_closed_total",
-			Help: "Connections of callers that the process closed while no request was handled, by reason.",
+			Help: "Connections of callers that the process closed without or before an answer, by reason.",
 		}, []string{"reason"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "trefoildale_first_byte_seconds",
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -372,10 +372,13 @@
 }
 
 // recordClosing counts connections that the process closes, and logs those of which a
-// part of a request was read.
+// request or a part of one was read.
 func (p *Process) recordClosing(c caller.Closing) {
 	p.requestMetrics.connsClosed.WithLabelValues(string(c.Reason)).Inc()
-	if c.Partial {
+	switch {
+	case c.Reason == caller.Unanswered:
+		p.log.Warn("request ended without an answer", "stopping", p.stopping.Load())
+	case c.Partial:
 		p.log.Warn("connection closed within a request's header", "reason", string(c.Reason), "idle-ms", c.Idle.Milliseconds())
 	}
 }
