node: answer requests that are read in part at the shutdown

Callers saw: a request whose header was read in part when a node closed its listener ended without an answer. Before the change:

TestShutdownAnswersRequestsReadInPart change_test.go:278: the request got no answer: unexpected EOF

Cause: the same as at the entry process of the platform: http.Server.Shutdown drops a request whose header it has read after it began. Change: the node's server for callers is a caller.Server, which announces the end of connections while it shuts down. The operators' server stays as it was.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -89,7 +89,7 @@
 		conns: make(map[*trackedConn]struct{}),
 	}
 	s.http = &http.Server{
-		Handler:           opts.Handler,
+		Handler:           http.HandlerFunc(s.serveHTTP),
 		ReadHeaderTimeout: opts.HeaderTimeout,
 		MaxHeaderBytes:    opts.MaxHeaderBytes,
 		ConnState:         s.onState,
@@ -97,6 +97,16 @@
 	return s
 }
 
+// serveHTTP announces the end of the connection while the server shuts down.
+func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
+	s.mu.Lock()
+	if s.draining {
+		w.Header().Set("Connection", "close")
+	}
+	s.mu.Unlock()
+	s.opts.Handler.ServeHTTP(w, r)
+}
+
 // Serve accepts connections until the listener fails or is closed by Shutdown or
 // Close. It returns nil in the latter case.
 func (s *Server) Serve(l net.Listener) error {
--- a/internal/local/change_test.go
+++ b/internal/local/change_test.go
@@ -1,8 +1,11 @@
 package local
 
 import (
+	"bufio"
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -238,3 +241,47 @@
 		t.Error("no request was served")
 	}
 }
+
+// TestShutdownAnswersRequestsReadInPart guards against requests that a node reads and
+// drops without an answer, because a part of them was read when its listener closed.
+func TestShutdownAnswersRequestsReadInPart(t *testing.T) {
+	t.Parallel()
+	f, _ := testFleet(t, Options{
+		Config:         testConfig(1),
+		NodesPerDomain: 1,
+	})
+	n := f.Nodes[0]
+	c, err := net.Dial("tcp", n.CallersAddr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte("GET /healthz HTTP/1.1\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan []string, 1)
+	go func() { ended <- n.Shutdown(t.Context()) }()
+	eventually(t, 15*time.Second, func() error {
+		other, err := net.Dial("tcp", n.CallersAddr)
+		if err != nil {
+			return nil
+		}
+		other.Close()
+		return errors.New("the listener is open")
+	})
+	if _, err := c.Write([]byte("Host: caller.example\r\n\r\n")); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		t.Fatalf("the request got no answer: %v", err)
+	}
+	defer res.Body.Close()
+	if res.StatusCode != http.StatusOK || !res.Close {
+		t.Errorf("the request got %d, connection closes: %v", res.StatusCode, res.Close)
+	}
+	if cut := <-ended; len(cut) > 0 {
+		t.Errorf("cut %v", cut)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -15,6 +15,7 @@
 	"k8s.io/klog/v2"
 
 	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/caller"
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/conf"
 	"trefoildale.example/trefoildale/internal/conn"
@@ -35,6 +36,10 @@
 	// drainNotice is how long the process keeps accepting requests after /readyz
 	// begins to fail, so that the load balancer stops sending them first.
 	drainNotice = 2 * time.Second
+	// headerTimeout is how long a caller or an operator may take to send a request's
+	// header, and callerIdleLimit how long a connection may be idle.
+	headerTimeout   = 10 * time.Second
+	callerIdleLimit = 2 * time.Minute
 	// releaseTimeout bounds the return of slots and leases at shutdown.
 	releaseTimeout = 10 * time.Second
 )
@@ -78,7 +83,7 @@
 	entry      *entry.Server
 	loop       *loop
 
-	callers *http.Server
+	callers *caller.Server
 	admin   *http.Server
 	// The addresses that the listeners are bound to.
 	CallersAddr string
@@ -215,7 +220,7 @@
 		node: n,
 	}, &n.meter)
 	n.onClose(stop)
-	n.callers = n.serve(callersL, n.entry.Handler())
+	n.callers = n.serveCallers(callersL)
 	n.admin = n.serve(adminL, n.adminHandler())
 	return nil
 }
@@ -229,12 +234,37 @@
 	return n.PeersAddr
 }
 
+// serveCallers serves callers' requests until the node is closed.
+func (n *Node) serveCallers(l net.Listener) *caller.Server {
+	srv := caller.NewServer(caller.Options{
+		Handler:        n.entry.Handler(),
+		IdleLimit:      func() time.Duration { return callerIdleLimit },
+		HeaderTimeout:  headerTimeout,
+		MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
+		OnClose: func(c caller.Closing) {
+			klog.V(2).InfoS("Connection closed", "reason", c.Reason, "partial", c.Partial, "idle", c.Idle)
+		},
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		if err := srv.Serve(l); err != nil {
+			klog.ErrorS(err, "Server stopped", "address", l.Addr().String())
+		}
+	}()
+	n.onClose(func() {
+		_ = srv.Close()
+		<-done
+	})
+	return srv
+}
+
 func (n *Node) serve(l net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{
 		Handler:           h,
 		MaxHeaderBytes:    n.settings.Limits.MaxHeaderBytes,
-		ReadHeaderTimeout: 10 * time.Second,
-		IdleTimeout:       2 * time.Minute,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       callerIdleLimit,
 	}
 	done := make(chan struct{})
 	go func() {
