caller: end a shutdown whose listener has failed

Cause: Shutdown waited for the accept loop to end, and a loop that had ended with an error before did not say so. A node whose shutdown has no time limit would have waited for ever. Change: the end of Serve is what Shutdown waits for. Test: TestShutdownAfterTheListenerFailed; with the code before it ends with "context deadline exceeded" by construction, which was not played.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -5,7 +5,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"sync"
@@ -110,20 +109,22 @@
 // Serve accepts connections until the listener fails or is closed by Shutdown or
 // Close. It returns nil in the latter case.
 func (s *Server) Serve(l net.Listener) error {
-	s.mu.Lock()
-	s.listener = &listener{
+	tracked := &listener{
 		Listener: l,
 		server:   s,
 		done:     make(chan struct{}),
 	}
+	s.mu.Lock()
+	s.listener = tracked
 	if s.draining {
-		s.listener.stop()
+		tracked.stop()
 	}
 	s.mu.Unlock()
-	err := s.http.Serve(s.listener)
+	err := s.http.Serve(tracked)
+	close(tracked.done)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.draining || errors.Is(err, http.ErrServerClosed) {
+	if s.draining {
 		return nil
 	}
 	return err
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -350,3 +350,19 @@
 		t.Error("the request was not reported")
 	}
 }
+
+// TestShutdownAfterTheListenerFailed guards against a shutdown that waits for ever for a
+// listener that has failed before.
+func TestShutdownAfterTheListenerFailed(t *testing.T) {
+	t.Parallel()
+	s, l := newTestServer(t, noLimit, nil)
+	_ = l.Close()
+	if err := s.Serve(l); err == nil {
+		t.Error("the failure was not reported")
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -16,7 +16,7 @@
 
 	server  *Server
 	stopped bool
-	// done is closed once no more connections are accepted.
+	// done is closed once Serve has returned.
 	done chan struct{}
 }
 
@@ -41,7 +41,6 @@
 		}
 		if c, err = acceptWaiting(l.Listener); err != nil {
 			_ = l.Close()
-			close(l.done)
 			return nil, net.ErrClosed
 		}
 	}
