--- /dev/null
+++ b/internal/caller/conn.go
@@ -0,0 +1,250 @@
+package caller
+
+import (
+	"errors"
+	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+type connState int
+
+const (
+	// stateFresh is that no byte has been read so far.
+	stateFresh connState = iota
+	// stateReading is that a part of a request's header was read.
+	stateReading
+	// stateHandling is that the header was read and the answer is not sent in full.
+	stateHandling
+	// stateIdle is that the answer was sent and no byte of another request was read.
+	stateIdle
+)
+
+// trackedConn is a connection of a caller. Its fields are guarded by the server's lock.
+//
+// Only the goroutine that reads closes it: when a read deadline passes, Read looks for
+// bytes in the socket first, and reads them if there are any.
+type trackedConn struct {
+	net.Conn
+
+	server    *Server
+	state     connState
+	idleSince time.Time
+	// limit is the highest limit on idle time seen since idleSince.
+	limit time.Duration
+	// httpDeadline is the read deadline that http.Server has set.
+	httpDeadline time.Time
+	// headerDeadline is the read deadline while a request's header is read.
+	headerDeadline time.Time
+	// nextBegun is set if http.Server has read the first byte of the next request
+	// while it handled one.
+	nextBegun bool
+	// answerBegun is set once a byte of the answer was written, and peerClosed once the
+	// caller has closed the connection.
+	answerBegun atomic.Bool
+	peerClosed  atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(p)
+		if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+			extended, waiting := c.onDeadline(p)
+			switch {
+			case extended:
+				continue
+			case waiting > 0:
+				n, err = waiting, nil
+			}
+		}
+		if n > 0 {
+			c.onRead(n, len(p))
+		}
+		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+			c.peerClosed.Store(true)
+		}
+		return n, err
+	}
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	c.answerBegun.Store(true)
+	return c.Conn.Write(p)
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.server.mu.Lock()
+	if c.state == stateHandling && !c.answerBegun.Load() && !c.peerClosed.Load() {
+		c.server.opts.OnClose(Closing{
+			Reason: Unanswered,
+		})
+	}
+	c.server.mu.Unlock()
+	return c.Conn.Close()
+}
+
+func (c *trackedConn) onRead(n, size int) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	switch c.state {
+	case stateHandling:
+		// While a request is handled, http.Server reads single bytes only to notice
+		// the end of the connection.
+		c.nextBegun = c.nextBegun || n == 1 && size == 1
+	case stateFresh, stateIdle:
+		c.beginRequest()
+	case stateReading:
+	}
+}
+
+// beginRequest is called at the first byte of a request, with the server's lock held.
+func (c *trackedConn) beginRequest() {
+	c.state, c.nextBegun = stateReading, false
+	c.answerBegun.Store(false)
+	c.headerDeadline = time.Now().Add(c.server.opts.HeaderTimeout)
+	_ = c.Conn.SetReadDeadline(c.headerDeadline)
+}
+
+// SetReadDeadline implements net.Conn. While a connection is idle or a header is read,
+// the server's own deadlines hold.
+func (c *trackedConn) SetReadDeadline(t time.Time) error {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.httpDeadline = t
+	if c.state == stateHandling || c.state == stateFresh && !c.server.closing {
+		return c.Conn.SetReadDeadline(t)
+	}
+	return nil
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *trackedConn) SyscallConn() (syscall.RawConn, error) {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return nil, errors.ErrUnsupported
+	}
+	return s.SyscallConn()
+}
+
+// CloseWrite lets http.Server end an answer without a reset where the caller still
+// sends.
+func (c *trackedConn) CloseWrite() error {
+	w, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return w.CloseWrite()
+}
+
+// onIdle is called with the server's lock held when an answer has been sent.
+func (c *trackedConn) onIdle() {
+	c.idleSince, c.limit = time.Now(), c.server.opts.IdleLimit()
+	if c.nextBegun {
+		c.beginRequest()
+		return
+	}
+	c.state = stateIdle
+	if c.isDue() {
+		c.closeIfDue()
+		return
+	}
+	_ = c.Conn.SetReadDeadline(c.idleDeadline())
+}
+
+// idleDeadline returns when an idle connection is to be checked next.
+func (c *trackedConn) idleDeadline() time.Time {
+	if c.limit == 0 {
+		return time.Now().Add(unlimitedRecheck)
+	}
+	return c.idleSince.Add(c.limit + c.server.opts.IdleMargin)
+}
+
+// isDue reports whether the server is to close the connection because it stops. The
+// caller holds the server's lock.
+func (c *trackedConn) isDue() bool {
+	return c.state == stateIdle && (c.server.closingIdle || c.server.closing) || c.state == stateFresh && c.server.closing
+}
+
+// closeIfDue makes the reading goroutine close the connection. The caller holds the
+// server's lock.
+func (c *trackedConn) closeIfDue() {
+	if c.isDue() {
+		_ = c.Conn.SetReadDeadline(time.Now())
+	}
+}
+
+// onDeadline is called when a read deadline has passed. It returns whether the deadline
+// was extended, or else how many bytes it has read into p. If there are none either, the
+// connection is to be closed, or the read was ended by http.Server.
+func (c *trackedConn) onDeadline(p []byte) (extended bool, waiting int) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	if c.state == stateHandling {
+		return false, 0
+	}
+	if c.state == stateIdle && !c.isDue() && c.extendIdle() {
+		return true, 0
+	}
+	if n := readWaiting(c.Conn, p); n > 0 {
+		return false, n
+	}
+	reason := HeaderTimeout
+	switch {
+	case c.isDue():
+		reason = Stop
+	case c.state == stateIdle:
+		reason = IdleLimit
+	}
+	c.server.opts.OnClose(Closing{
+		Reason:   reason,
+		Partial:  c.state == stateReading,
+		Idle:     time.Since(c.idleSince),
+		Limit:    c.limit,
+		LimitNow: c.server.opts.IdleLimit(),
+	})
+	return false, 0
+}
+
+// extendIdle applies the limit in force and returns whether the connection may stay
+// idle for longer.
+func (c *trackedConn) extendIdle() bool {
+	limit := c.server.opts.IdleLimit()
+	if limit == 0 || c.limit == 0 {
+		c.idleSince, c.limit = time.Now(), limit
+	}
+	c.limit = max(c.limit, limit)
+	deadline := c.idleDeadline()
+	if !deadline.After(time.Now()) {
+		return false
+	}
+	_ = c.Conn.SetReadDeadline(deadline)
+	return true
+}
+
+// readWaiting reads the bytes that wait in the socket. Conn.Read returns none of them
+// after its deadline.
+func readWaiting(c net.Conn, p []byte) int {
+	s, ok := c.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	n := 0
+	err = raw.Control(func(fd uintptr) {
+		n, _ = unix.Read(int(fd), p)
+	})
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
