caller: serve the accept queue when no descriptor is free

Callers saw: a reset of a new connection while the process stopped.

Cause: after the stop, any error of accept4 counted as an empty queue, and the listener was closed with the connections that waited in it. With a full table of descriptors (EMFILE) that is all of them.

TestAcceptQueueOutlivesDescriptorLimit the request got no answer: read tcp ...: connection reset by peer

Change: a temporary error goes to http.Server, which calls Accept again after a pause, until the stop's deadline. A second test, which passed before, guards the queue behind a connection that was reset.

--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"errors"
 	"net"
 	"os"
 	"syscall"
@@ -39,7 +40,13 @@
 		if !l.isStopped() {
 			return nil, err
 		}
-		if c, err = acceptWaiting(l.Listener); err != nil {
+		c, err = acceptWaiting(l.Listener)
+		var temporary interface{ Temporary() bool }
+		if errors.As(err, &temporary) && temporary.Temporary() && !errors.Is(err, unix.EAGAIN) {
+			// http.Server calls Accept again after a pause, as long as no descriptor is free.
+			return nil, err
+		}
+		if err != nil {
 			_ = l.Close()
 			return nil, net.ErrClosed
 		}
