caller: keep connections whose next request was read ahead

Callers saw: a closed connection instead of an answer, where the first bytes of a request came together with the one before (pipelining). No report names such callers; found by review.

Cause: a connection counted as idle while http.Server's buffer held bytes of the next request, so that the idle limit and the stop closed it.

TestBytesReadAheadAreAnswered/idle_limit the request that was read in part got no answer: unexpected EOF TestBytesReadAheadAreAnswered/stop the request that was read in part got no answer: unexpected EOF

Change: a read of an idle connection that is shorter than the buffer shows that bytes are buffered; the header's deadline holds from then on.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -24,6 +24,10 @@
 	stateIdle
 )
 
+// readBufferSize is the size of http.Server's buffer. A read between two requests is
+// shorter where the buffer holds bytes.
+const readBufferSize = 4 << 10
+
 // trackedConn is a connection of a caller. Its fields are guarded by the server's lock.
 //
 // Only the goroutine that reads closes it: when a read deadline passes, Read looks for
@@ -189,6 +193,11 @@
 	if c.state == stateHandling {
 		return false, 0
 	}
+	if c.state == stateIdle && len(p) < readBufferSize {
+		// The first bytes of the request were read together with the one before.
+		c.beginRequest()
+		return true, 0
+	}
 	if c.state == stateIdle && !c.isDue() && c.extendIdle() {
 		return true, 0
 	}
