caller: close a connection right after the last look for bytes

Callers saw: nothing that is shown. A request that reaches the socket between the last look and the close ends without an answer, and that time had no bound.

Where a stop closes all idle connections, each waits for the looks of the others.

TestCloseWaitsForNothing the connection was open when its close was recorded: read tcp ...: i/o timeout

Change: the connection is closed at the look, within the lock, and Close waits for the lock only after the close.

Result: go test -race ./internal/caller passes.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -402,3 +402,34 @@
 		})
 	}
 }
+
+// TestCloseWaitsForNothing guards against requests that get no answer because they arrive
+// between the last look for bytes and the close: that time must not depend on other
+// connections or on the log.
+func TestCloseWaitsForNothing(t *testing.T) {
+	t.Parallel()
+	s, l := newTestServer(t, func() time.Duration { return time.Millisecond }, nil)
+	peer := dial(t, l)
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.track(accepted).(*trackedConn)
+	c.state, c.limit = stateIdle, time.Millisecond
+	closed := make(chan error, 1)
+	s.opts.OnClose = func(Closing) {
+		_ = peer.SetReadDeadline(time.Now().Add(time.Second))
+		_, err := peer.in.ReadByte()
+		closed <- err
+	}
+	if err := accepted.SetReadDeadline(time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	var buf [readBufferSize]byte
+	if n, err := c.Read(buf[:]); !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("read %d bytes, %v; want the end of the deadline", n, err)
+	}
+	if err := <-closed; err != io.EOF {
+		t.Errorf("the connection was open when its close was recorded: %v", err)
+	}
+}
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -84,14 +84,16 @@
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
+	// The lock may be held for long, and requests that arrive meanwhile are not read.
+	err := c.Conn.Close()
 	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
 	if c.state == stateHandling && !c.answerBegun.Load() && !c.peerClosed.Load() {
 		c.server.opts.OnClose(Closing{
 			Reason: Unanswered,
 		})
 	}
-	c.server.mu.Unlock()
-	return c.Conn.Close()
+	return err
 }
 
 func (c *trackedConn) onRead(n, size int) {
@@ -204,6 +206,8 @@
 	if n := readWaiting(c.Conn, p); n > 0 {
 		return false, n
 	}
+	// http.Server closes it too, but later: a request may arrive in between.
+	_ = c.Conn.Close()
 	reason := HeaderTimeout
 	switch {
 	case c.isDue():
