--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -24,6 +24,10 @@
 	stateIdle
 )
 
+// readBufferSize is the size of http.Server's buffer. A read between two requests is
+// shorter where the buffer holds bytes.
+const readBufferSize = 4 << 10
+
 // trackedConn is a connection of a caller. Its fields are guarded by the server's lock.
 //
 // Only the goroutine that reads closes it: when a read deadline passes, Read looks for
@@ -80,14 +84,16 @@
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
+	// The lock may be held for long, and requests that arrive meanwhile are not read.
+	err := c.Conn.Close()
 	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
 	if c.state == stateHandling && !c.answerBegun.Load() && !c.peerClosed.Load() {
 		c.server.opts.OnClose(Closing{
 			Reason: Unanswered,
 		})
 	}
-	c.server.mu.Unlock()
-	return c.Conn.Close()
+	return err
 }
 
 func (c *trackedConn) onRead(n, size int) {
@@ -189,12 +195,19 @@
 	if c.state == stateHandling {
 		return false, 0
 	}
+	if c.state == stateIdle && len(p) < readBufferSize {
+		// The first bytes of the request were read together with the one before.
+		c.beginRequest()
+		return true, 0
+	}
 	if c.state == stateIdle && !c.isDue() && c.extendIdle() {
 		return true, 0
 	}
 	if n := readWaiting(c.Conn, p); n > 0 {
 		return false, n
 	}
+	// http.Server closes it too, but later: a request may arrive in between.
+	_ = c.Conn.Close()
 	reason := HeaderTimeout
 	switch {
 	case c.isDue():
