internal/fake/site: restore the stand-in's store from a copy

Change: all answers carry Store-Era, also refusals. Restore(age, rewriteAfter) takes the content back to that of the given time ago, lets versions go on from there, answers reads of history it does not have with 410, and later writes again what the operator and the endpoints had written.

--- a/internal/fake/site/site_test.go
+++ b/internal/fake/site/site_test.go
@@ -249,3 +249,68 @@
 		t.Error("the endpoint did not register again")
 	}
 }
+
+// TestRestore guards against a stand-in that, restored from a copy, keeps what was written
+// since, does not give out versions again, serves a feed from a version it does not have,
+// sends an answer without its era, or does not write again what the operator wrote.
+func TestRestore(t *testing.T) {
+	s, release := NewStore(StoreOptions{})
+	t.Cleanup(release)
+	h := s.Handler("a")
+	put := func(key, version string) (int, string) {
+		return call(t, h, "POST", "/rows-tx", `{"expected":[{"table":"own","key":"`+key+`","ver":`+version+`}],"put":[{"table":"own","key":"`+key+`","value":"eA=="}],"delete":[]}`)
+	}
+	if status, _ := put("old", "0"); status != http.StatusOK {
+		t.Fatalf("the first write got %d", status)
+	}
+	s.PutRow("op", "config", []byte("1"))
+	copied := time.Now()
+	put("new", "0")
+	s.PutRow("op", "config", []byte("2"))
+	waiting := make(chan int, 1)
+	go func() {
+		status, _ := call(t, h, "GET", "/rows-feed?table=own&after=4&wait_ms=2000", "")
+		waiting <- status
+	}()
+	time.Sleep(20 * time.Millisecond)
+	s.Restore(time.Since(copied), 100*time.Millisecond)
+	select {
+	case status := <-waiting:
+		if status != http.StatusGone {
+			t.Errorf("the feed that waited through the restore got %d", status)
+		}
+	case <-time.After(time.Second):
+		t.Error("the feed still waits")
+	}
+	if _, body := call(t, h, "GET", "/rows-get?table=own", ""); strings.Contains(body, "new") || !strings.Contains(body, "old") {
+		t.Errorf("the rows are %s", body)
+	}
+	if _, body := call(t, h, "GET", "/rows-get?table=op", ""); !strings.Contains(body, `"ver":2`) {
+		t.Errorf("the operator's row is not the one of the copy: %s", body)
+	}
+	if _, body := put("other", "0"); !strings.Contains(body, `"ver":3`) {
+		t.Errorf("the version of the first write after the restore is not the copy's and 1: %s", body)
+	}
+	for _, path := range []string{"/rows-get?table=op", "/rows-get?limit=x", "/rows-feed?table=op&after=999"} {
+		w := httptest.NewRecorder()
+		h.ServeHTTP(w, httptest.NewRequest("GET", path, nil))
+		if w.Header().Get(headerEra) != "1" {
+			t.Errorf("%s: status %d in era %q", path, w.Code, w.Header().Get(headerEra))
+		}
+	}
+	s.SetFaults("", StoreFaults{Outage: Busy})
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, httptest.NewRequest("GET", "/rows-get?table=op", nil))
+	if w.Code != http.StatusServiceUnavailable || w.Header().Get(headerEra) != "1" {
+		t.Errorf("a refusal has status %d and era %q", w.Code, w.Header().Get(headerEra))
+	}
+	s.SetFaults("", StoreFaults{})
+	for until := time.Now().Add(2 * time.Second); ; time.Sleep(5 * time.Millisecond) {
+		if _, body := call(t, h, "GET", "/rows-get?table=op", ""); strings.Contains(body, `"value":"Mg=="`) {
+			break
+		}
+		if time.Now().After(until) {
+			t.Fatal("the operator's lost row is not written again")
+		}
+	}
+}
--- a/internal/fake/site/store.go
+++ b/internal/fake/site/store.go
@@ -67,10 +67,12 @@
 	writes *rate.Limiter
 
 	mu               sync.Mutex
+	era              int64
 	version          int64
 	rows             map[rowKey]wireRow
 	history          []wireRow // in the order of versions
-	compactedVersion int64     // history up to this version is discarded
+	undo             []undoStep
+	compactedVersion int64 // history up to this version is discarded
 	changed          chan struct{}
 	objects          map[string][]byte
 	faults           map[string]StoreFaults // by client, "" for all
@@ -79,6 +81,21 @@
 	delayedWrites    sync.WaitGroup
 }
 
+// headerEra numbers the restores of the store.
+const headerEra = "Store-Era"
+
+// undoStep reverts the write of one row.
+type undoStep struct {
+	at     time.Time
+	key    rowKey
+	before wireRow
+	exists bool // the row existed before the write
+	lost   wireRow
+}
+
+// maxUndoSteps limits how many writes a restore can revert.
+const maxUndoSteps = 1 << 16
+
 type rowKey struct{ table, part, key string }
 
 type wireRow struct {
@@ -145,6 +162,65 @@
 	s.notify()
 }
 
+// Restore replaces the content of the store with that of the given time ago, and starts
+// a new era. Versions go on from the copy's. The lost rows of the operator and of the
+// endpoints are written again after rewriteAfter, in the order in which they were lost;
+// 0 means never.
+func (s *Store) Restore(age, rewriteAfter time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var lost []wireRow
+	for n := len(s.undo); n > 0 && time.Since(s.undo[n-1].at) < age; n-- {
+		u := s.undo[n-1]
+		s.undo = s.undo[:n-1]
+		s.version = *u.lost.Version - 1
+		delete(s.rows, u.key)
+		if u.exists {
+			s.rows[u.key] = u.before
+		}
+		if u.key.table == operatorTable || u.key.table == endpointTable {
+			lost = append(lost, u.lost)
+		}
+	}
+	s.era++
+	s.history = slices.DeleteFunc(s.history, func(r wireRow) bool { return *r.Version > s.version })
+	s.compactedVersion = min(s.compactedVersion, s.version)
+	s.notify()
+	if len(lost) == 0 || rewriteAfter == 0 {
+		return
+	}
+	restored := s.version
+	slices.Reverse(lost)
+	s.delayedWrites.Go(func() {
+		select {
+		case <-time.After(rewriteAfter):
+		case <-s.closed:
+			return
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		written := make(map[rowKey]bool)
+		for _, r := range s.history {
+			written[r.id()] = *r.Version > restored || written[r.id()]
+		}
+		for _, r := range lost {
+			if written[r.id()] {
+				continue
+			}
+			s.version++
+			s.set(wireRow{Table: r.Table, Part: r.Part, Key: r.Key, Value: r.Value}, r.Deleted)
+		}
+		s.notify()
+	})
+}
+
+// Era returns the number of restores.
+func (s *Store) Era() int64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 // PutRow writes a row on behalf of the operator or an endpoint, without conditions.
 func (s *Store) PutRow(table, key string, value []byte) {
 	s.mu.Lock()
@@ -169,6 +245,17 @@
 func (s *Store) set(r wireRow, drop bool) {
 	v := s.version
 	r.Version, r.Deleted = &v, drop
+	before, exists := s.rows[r.id()]
+	s.undo = append(s.undo, undoStep{
+		at:     time.Now(),
+		key:    r.id(),
+		before: before,
+		exists: exists,
+		lost:   r,
+	})
+	if len(s.undo) > maxUndoSteps {
+		s.undo = s.undo[1:]
+	}
 	if drop {
 		r.Value = nil
 		delete(s.rows, r.id())
@@ -223,6 +310,7 @@
 	}
 	s.mu.Lock()
 	s.calls[r.URL.Path]++
+	setEra(w, s.era)
 	s.mu.Unlock()
 	switch {
 	case fault.Outage == Busy:
@@ -258,6 +346,12 @@
 	Truncated bool      `json:"truncated"`
 	Version   int64     `json:"ver"`
 	NowMS     int64     `json:"now_ms"`
+
+	era int64
+}
+
+func setEra(w http.ResponseWriter, era int64) {
+	w.Header().Set(headerEra, strconv.FormatInt(era, 10))
 }
 
 func (s *Store) page(rows []wireRow, truncated bool) wirePage {
@@ -269,11 +363,16 @@
 		Truncated: truncated,
 		Version:   s.version,
 		NowMS:     time.Since(s.start).Milliseconds(),
+		era:       s.era,
 	}
 }
 
 func writeJSON(w http.ResponseWriter, status int, body any) {
 	w.Header().Set("Content-Type", "application/json")
+	if page, ok := body.(wirePage); ok {
+		// The era may have changed since the call arrived.
+		setEra(w, page.era)
+	}
 	w.WriteHeader(status)
 	// Encode fails if the client has disconnected; no other client is affected.
 	_ = json.NewEncoder(w).Encode(body)
@@ -330,7 +429,8 @@
 	until := time.Now().Add(min(maxFeedWait, time.Duration(wait)*time.Millisecond))
 	for {
 		s.mu.Lock()
-		if after < s.compactedVersion {
+		if after < s.compactedVersion || after > s.version {
+			setEra(w, s.era)
 			s.mu.Unlock()
 			w.WriteHeader(http.StatusGone)
 			return
