platform, mirror, fleet, proc: log the store's era, full reads and ignored changes

Change: the store's client reads Store-Era in every answer; a new era, a full read of a table with its reason, and changes of entries that are ignored for their version get one line each, and trefoildale_store_era is a gauge. No other behavior changes. Result: TestFullReadsAreReported, TestIgnoredChangesAreReported.

--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -274,9 +274,12 @@
 	return nil
 }
 
+// storeSource is the source of data that this node read itself.
+const storeSource = "store"
+
 // SetEndpoints applies changes of the endpoints' entries in the store.
 func (n *Node) SetEndpoints(ctx context.Context, changes []fleet.Change, version int64, complete bool) {
-	n.changeEndpoints(ctx, "store", func(r *fleet.Registry) bool {
+	n.changeEndpoints(ctx, storeSource, func(r *fleet.Registry) bool {
 		return r.Apply(n.opts.Clock.Now(), changes, version, complete)
 	})
 }
@@ -289,7 +292,12 @@
 	n.mu.Lock()
 	changed := change(n.registry)
 	list := n.registry.List()
+	ignored := n.registry.TakeIgnored()
 	n.mu.Unlock()
+	if source == storeSource && len(ignored) > 0 {
+		n.opts.Log.Info("changes of entries ignored", "reason", "older than the known version", "entry", ignored[0].Name,
+			"row-version", ignored[0].Version, "known-version", ignored[0].Known, "or-more", len(ignored))
+	}
 	if changed {
 		n.distributeEndpoints(ctx, list, source)
 	}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -30,6 +30,14 @@
 	removedVersions map[string]int64
 	version         int64
 	graceUntil      time.Time
+	ignored         []Ignored
+}
+
+// Ignored is a change that was not applied, and the version that was known instead.
+type Ignored struct {
+	Name    string
+	Version int64
+	Known   int64
 }
 
 type entry struct {
@@ -46,6 +54,27 @@
 	}
 }
 
+// maxIgnored limits the number of ignored changes that are kept for the log.
+const maxIgnored = 4
+
+// TakeIgnored returns some of the changes that were ignored since the last call because
+// of their versions.
+func (r *Registry) TakeIgnored() []Ignored {
+	out := r.ignored
+	r.ignored = nil
+	return out
+}
+
+func (r *Registry) recordIgnored(c Change, known int64) {
+	if len(r.ignored) < maxIgnored {
+		r.ignored = append(r.ignored, Ignored{
+			Name:    c.Name,
+			Version: c.Version,
+			Known:   known,
+		})
+	}
+}
+
 // maxRemoved limits the size of Registry.removedVersions. It suffices for several
 // hours with 2,600 endpoints.
 const maxRemoved = 4096
@@ -118,12 +147,14 @@
 	switch {
 	case e != nil && c.Version < e.version:
 		// The registry already has a later version from another reader.
+		r.recordIgnored(c, e.version)
 		return unchanged
 	case c.Endpoint == nil && r.remove(now, c.Name, c.Version):
 		return listChanged
 	case c.Endpoint == nil:
 		return unchanged
 	case e == nil && c.Version <= r.removedVersions[c.Name]:
+		r.recordIgnored(c, r.removedVersions[c.Name])
 		return unchanged
 	case e == nil:
 		delete(r.removedVersions, c.Name)
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -225,3 +225,21 @@
 		t.Errorf("the version is %d after a list of version 8", r.Version())
 	}
 }
+
+// TestIgnoredChangesAreReported guards against a change that is ignored because of its
+// version without a line in the log.
+func TestIgnoredChangesAreReported(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistry()
+	r.Apply(now, []Change{{Name: "a", Version: 9, Endpoint: testEndpoint("a", 1, false)}}, 9, true)
+	for range 2 * maxIgnored {
+		r.Apply(now, []Change{{Name: "a", Version: 5, Endpoint: testEndpoint("a", 1, true)}}, 9, false)
+	}
+	ignored := r.TakeIgnored()
+	if len(ignored) != maxIgnored || ignored[0] != (Ignored{Name: "a", Version: 5, Known: 9}) {
+		t.Errorf("reported %+v", ignored)
+	}
+	if len(r.TakeIgnored()) != 0 {
+		t.Error("a change is reported twice")
+	}
+}
--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -53,6 +53,9 @@
 	// OnAnswer is called for each answer of the store with rows or a version, after
 	// its rows were applied.
 	OnAnswer func()
+	// OnFullRead is called before the table is read in full, with the reason and the
+	// version after which changes were not read.
+	OnFullRead func(reason string, after int64)
 	// OnStateChange is called with the error when the store stops answering, and
 	// with nil when it answers again.
 	OnStateChange func(err error)
@@ -75,7 +78,8 @@
 
 // Run follows the table until the context ends.
 func (m *Mirror) Run(ctx context.Context) {
-	after := int64(-1)
+	after, reason := int64(-1), "first read"
+	readUpTo := int64(-1)  // before the full read
 	var lastRead time.Time // of the last answer
 	for ctx.Err() == nil {
 		if m.opts.Paused != nil && m.opts.Paused() {
@@ -83,8 +87,12 @@
 			continue
 		}
 		started := time.Now()
-		if started.Sub(lastRead) > fullReadAfter {
-			after = -1
+		if after >= 0 && started.Sub(lastRead) > fullReadAfter {
+			readUpTo, after, reason = after, -1, "last read too long ago"
+		}
+		if after < 0 && reason != "" && m.opts.OnFullRead != nil {
+			m.opts.OnFullRead(reason, readUpTo)
+			reason = ""
 		}
 		next, err := m.step(ctx, after)
 		if ctx.Err() != nil {
@@ -93,7 +101,7 @@
 		pause := m.opts.MinInterval - time.Since(started)
 		switch {
 		case errors.Is(err, ErrCompacted):
-			after, pause = -1, 0
+			readUpTo, after, reason, pause = after, -1, err.Error(), 0
 		case err != nil:
 			pause = m.opts.Backoff
 		default:
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -282,3 +282,42 @@
 		t.Error("no row was applied")
 	}
 }
+
+// TestFullReadsAreReported guards against a full read that the log does not explain.
+func TestFullReadsAreReported(t *testing.T) {
+	f := &fakeSource{rows: map[string]Row{}}
+	f.put("a", "1")
+	type read struct {
+		reason string
+		after  int64
+	}
+	reads, applied := make(chan read, 8), make(chan struct{}, 8)
+	m := New(f, Options{
+		Table:       "t",
+		Wait:        5 * time.Millisecond,
+		MinInterval: time.Millisecond,
+		Timeout:     time.Second,
+		Apply:       func([]Row, int64, bool) { applied <- struct{}{} },
+		OnFullRead:  func(reason string, after int64) { reads <- read{reason: reason, after: after} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	if got := <-reads; got.reason != "first read" || got.after != -1 {
+		t.Errorf("the first full read is reported as %+v", got)
+	}
+	<-applied
+	f.mu.Lock()
+	f.version, f.compacted = 9, 9
+	f.mu.Unlock()
+	if got := <-reads; got.reason != ErrCompacted.Error() || got.after != 1 {
+		t.Errorf("the second full read is reported as %+v", got)
+	}
+}
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -110,6 +110,9 @@
 	incarnation := strconv.FormatInt(clk.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
 	dial := conn.NewDialer(unresponsivePeerTimeout)
 	store, closeStore := platform.NewStore(settings.Store.Address, dial)
+	store.OnEra(func(before, era int64) {
+		log.Warn("store has a new era", "era", era, "before", before)
+	})
 	endpoints, closeEndpoints := platform.NewEndpoints(dial)
 	peers, closePeers := wire.NewClient(new(wire.Meter), dial)
 	p := &Process{
@@ -196,6 +199,9 @@
 	p.requestMetrics.addGauge("trefoildale_store_age_seconds", "Time since the store last answered this process.", func() float64 {
 		return p.node.StoreAge().Seconds()
 	})
+	p.requestMetrics.addGauge("trefoildale_store_era", "How often the store was restored from a copy, by its highest answer.", func() float64 {
+		return float64(p.store.Era())
+	})
 	p.requestMetrics.addGauge("trefoildale_endpoints", "Endpoints that are registered.", func() float64 { return float64(len(p.table.Endpoints())) })
 }
 
@@ -369,6 +375,7 @@
 		Backoff:     storeBackoff,
 		Paused:      p.node.IsStoreRelayed,
 		OnAnswer:    func() { p.node.RecordStoreAnswer(coord.ConfigReader) },
+		OnFullRead:  func(reason string, after int64) { p.logFullRead("configuration", reason, after) },
 		Apply: func(rows []mirror.Row, _ int64, _ bool) {
 			for _, r := range rows {
 				if r.Key != platform.ConfigKey || r.Deleted {
@@ -394,6 +401,7 @@
 		Backoff:     storeBackoff,
 		Paused:      p.node.IsStoreRelayed,
 		OnAnswer:    func() { p.node.RecordStoreAnswer(coord.EndpointReader) },
+		OnFullRead:  func(reason string, after int64) { p.logFullRead("endpoints", reason, after) },
 		Apply: func(rows []mirror.Row, version int64, complete bool) {
 			changes := make([]fleet.Change, len(rows))
 			for i, r := range rows {
@@ -420,6 +428,10 @@
 	})
 }
 
+func (p *Process) logFullRead(reader, reason string, after int64) {
+	p.log.Info("table read in full", "reader", reader, "reason", reason, "after", after, "era", p.store.Era())
+}
+
 func (p *Process) logStoreState(reader string, err error) {
 	if err != nil {
 		p.log.Warn("store lost", "reader", reader, "error", err.Error())
