internal/mirror: read the table in full when its version has fallen

Cause: a mirror went on from the higher of the store's version and its own. Where the store has lost changes, the versions up to its own are given out again and never read. Change: a version below the one read from makes the mirror read the table in full.

--- a/internal/mirror/mirror.go
+++ b/internal/mirror/mirror.go
@@ -156,6 +156,10 @@
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return 0, context.Canceled
 	}
+	if err == nil && version < after {
+		// The store has lost changes that were read.
+		err = ErrCompacted
+	}
 	m.reportState(err)
 	if err != nil {
 		return 0, err
@@ -166,7 +170,7 @@
 	if m.opts.OnAnswer != nil {
 		m.opts.OnAnswer()
 	}
-	return max(version, after), nil
+	return version, nil
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -321,3 +321,20 @@
 		t.Errorf("the second full read is reported as %+v", got)
 	}
 }
+
+// TestFallenVersion guards against a mirror that goes on from a version that the store no
+// longer has, so that the changes below it are never read.
+func TestFallenVersion(t *testing.T) {
+	f := &fakeSource{rows: map[string]Row{}}
+	for range 9 {
+		f.put("a", "old")
+	}
+	c := start(t, f, nil)
+	eventually(t, "the first read", c.hasRow("a", "old"))
+	f.mu.Lock()
+	f.version, f.rows = 2, map[string]Row{"b": {Key: "b", Value: []byte("copy"), Version: 1}}
+	f.mu.Unlock()
+	eventually(t, "the row of the copy", c.hasRow("b", "copy"))
+	f.put("c", "new")
+	eventually(t, "a change after the restore", c.hasRow("c", "new"))
+}
