internal/fleet: do not take the content of a restored store for news

What callers saw, in the tests: an engine that had said that it leaves, or that was gone, got requests again, because the copy from which the store was restored still had it as ready; engines whose entries the copy lacked got none until they wrote again. Cause: with a new era all rows of the copy are later than what the registry holds, so it took them all, at a node whose calls never failed also without the grace for missing ones. Change: an incarnation that leaves stays leaving, and stays away once it is removed. An entry that was removed otherwise counts again when it is written again after the first look at the new era, or by a new incarnation: running engines write every heartbeat. That is also how a row of another writer that the copy brings back is handled where its entry was removed; elsewhere it names no engine, and the grace keeps the engine's own entry. The first version of a new era begins the grace, and the list's own version moves into it, so that lists from before the restore are not taken as newer.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -5,6 +5,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"trefoildale.example/trefoildale/internal/store"
 )
 
 // missingGrace is how long endpoints without an entry are still used after an
@@ -23,14 +25,13 @@
 // Registry holds the registered endpoints. It is not safe for concurrent use.
 type Registry struct {
 	entries map[string]*entry
-	// removedVersions maps the names of removed entries to the version of the
-	// store at which they were missing. It rejects older changes, which a reader
-	// delivers when it resumes after a pause in which other nodes updated the
-	// registry.
-	removedVersions map[string]int64
-	version         int64
-	graceUntil      time.Time
-	ignored         []Ignored
+	// removed holds the entries that were removed. It rejects older changes, which a
+	// reader delivers when it resumes after a pause in which other nodes updated the
+	// registry, and entries that only a copy of the store still has.
+	removed    map[string]removal
+	version    int64
+	graceUntil time.Time
+	ignored    []Ignored
 }
 
 // Ignored is a change that was not applied, and the version that was known instead.
@@ -40,6 +41,15 @@
 	Known   int64
 }
 
+// removal is the end of an entry.
+type removal struct {
+	version     int64 // of the store at which the entry was missing
+	incarnation int64
+	// leaving is set if the endpoint had announced that it leaves. This incarnation does
+	// not return.
+	leaving bool
+}
+
 type entry struct {
 	endpoint     Endpoint
 	version      int64
@@ -49,8 +59,8 @@
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
 	return &Registry{
-		entries:         make(map[string]*entry),
-		removedVersions: make(map[string]int64),
+		entries: make(map[string]*entry),
+		removed: make(map[string]removal),
 	}
 }
 
@@ -75,7 +85,7 @@
 	}
 }
 
-// maxRemoved limits the size of Registry.removedVersions. It suffices for several
+// maxRemoved limits the size of Registry.removed. It suffices for several
 // hours with 2,600 endpoints.
 const maxRemoved = 4096
 
@@ -93,12 +103,44 @@
 // contains all entries, and others are removed. It reports whether the result of
 // List has changed, which includes changes that leave Version as it is.
 func (r *Registry) Apply(now time.Time, changes []Change, version int64, complete bool) bool {
+	r.enterEra(now, version)
 	effect := unchanged
 	named := make(map[string]bool, len(changes))
 	for _, c := range changes {
 		named[c.Name] = true
-		effect = max(effect, r.applyChange(now, c))
+		if !r.onlyInCopy(c) {
+			effect = max(effect, r.applyChange(now, c))
+		}
+	}
+	return r.finish(now, named, version, complete, effect)
+}
+
+// enterEra begins the grace for missing entries with the first version of a new era of
+// the store, and moves the version of the list into that era, so that lists of the former
+// one are no longer newer.
+func (r *Registry) enterEra(now time.Time, version int64) {
+	if r.version == 0 || store.Era(version) <= store.Era(r.version) {
+		return
 	}
+	r.graceUntil = now.Add(missingGrace)
+	r.version = version
+}
+
+// onlyInCopy reports whether a change may only repeat what the store had before it was
+// restored from a copy: its entry was removed since. A running endpoint writes again.
+func (r *Registry) onlyInCopy(c Change) bool {
+	gone, ok := r.removed[c.Name]
+	if !ok || c.Endpoint == nil || r.entries[c.Name] != nil || c.Endpoint.Incarnation > gone.incarnation || store.Era(c.Version) <= store.Era(gone.version) {
+		return false
+	}
+	gone.version = c.Version
+	r.removed[c.Name] = gone
+	r.recordIgnored(c, gone.version)
+	return true
+}
+
+// finish removes the entries that a complete list does not name, and sets the version.
+func (r *Registry) finish(now time.Time, named map[string]bool, version int64, complete bool, effect effect) bool {
 	if complete {
 		for name := range r.entries {
 			if !named[name] && r.remove(now, name, version) {
@@ -116,7 +158,14 @@
 // registry has at least that version even if nothing has changed, so the list is not
 // fetched again.
 func (r *Registry) Adopt(now time.Time, changes []Change, version int64) bool {
-	changed := r.Apply(now, changes, version, true)
+	r.enterEra(now, version)
+	effect := unchanged
+	named := make(map[string]bool, len(changes))
+	for _, c := range changes {
+		named[c.Name] = true
+		effect = max(effect, r.applyChange(now, c))
+	}
+	changed := r.finish(now, named, version, true, effect)
 	r.version = max(r.version, version)
 	return changed
 }
@@ -153,11 +202,14 @@
 		return listChanged
 	case c.Endpoint == nil:
 		return unchanged
-	case e == nil && c.Version <= r.removedVersions[c.Name]:
-		r.recordIgnored(c, r.removedVersions[c.Name])
+	case e == nil && c.Version <= r.removed[c.Name].version:
+		r.recordIgnored(c, r.removed[c.Name].version)
+		return unchanged
+	case e == nil && r.removed[c.Name].leaving && c.Endpoint.Incarnation <= r.removed[c.Name].incarnation:
+		r.recordIgnored(c, r.removed[c.Name].version)
 		return unchanged
 	case e == nil:
-		delete(r.removedVersions, c.Name)
+		delete(r.removed, c.Name)
 		r.entries[c.Name] = &entry{
 			endpoint: *c.Endpoint,
 			version:  c.Version,
@@ -167,8 +219,11 @@
 		// Ignore a delayed write of an earlier incarnation.
 		return unchanged
 	}
-	effect := changeEffect(e.endpoint, *c.Endpoint)
-	e.endpoint, e.version, e.missingSince = *c.Endpoint, c.Version, time.Time{}
+	after := *c.Endpoint
+	// An endpoint that leaves does not change its mind; the entry is older than its version.
+	after.Leaving = after.Leaving || e.endpoint.Leaving && after.Incarnation == e.endpoint.Incarnation
+	effect := changeEffect(e.endpoint, after)
+	e.endpoint, e.version, e.missingSince = after, c.Version, time.Time{}
 	return effect
 }
 
@@ -184,24 +239,29 @@
 		return false
 	}
 	delete(r.entries, name)
-	r.recordRemoval(name, version)
+	r.recordRemoval(name, removal{
+		version:     version,
+		incarnation: e.endpoint.Incarnation,
+		leaving:     e.endpoint.Leaving,
+	})
 	return true
 }
 
-// recordRemoval records the version at which an entry was removed. If there are
-// more than maxRemoved such records, it drops the oldest.
-func (r *Registry) recordRemoval(name string, version int64) {
-	r.removedVersions[name] = max(r.removedVersions[name], version)
-	if len(r.removedVersions) <= maxRemoved {
+// recordRemoval records the removal of an entry. If there are more than maxRemoved such
+// records, it drops the oldest.
+func (r *Registry) recordRemoval(name string, gone removal) {
+	gone.version = max(gone.version, r.removed[name].version)
+	r.removed[name] = gone
+	if len(r.removed) <= maxRemoved {
 		return
 	}
 	oldest := name
-	for n, v := range r.removedVersions {
-		if v < r.removedVersions[oldest] {
+	for n, g := range r.removed {
+		if g.version < r.removed[oldest].version {
 			oldest = n
 		}
 	}
-	delete(r.removedVersions, oldest)
+	delete(r.removed, oldest)
 }
 
 // Expire removes the endpoints whose entries are still missing at the end of the
