internal/lease: hold no lease by a row from a copy of the store

What callers would have seen: two coordinators at once after the store came back from a copy, so orders of two holders within lease_ms (ONE) and tokens issued twice. Cause: a candidate trusted the row that it read. A copy may show the lease as released, as missing, as its own or as its former incarnation's, or by a holder that lost it since; and a write sent before the restore may meet other content with the same version. A missing row was an error without end for a process that had seen it. Change: a record states the era of the row on top of which it was written. In a row of another era, or while the row is missing in a restored table, nobody holds the lease: a candidate whose lease is still valid on its own clock renews it on top of that row, all others wait the takeover delay from when they first saw it. A write that crossed a restore has the former era and counts the same way, wherever it lands. Who held the lease last is then not known, which IsFormerKnown reports. A holder of a former build states no era; it counts as the holder once its row was seen to change. Why it works: validity from before the restore ends at most one term after it, and all others wait longer than that from a later moment.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -7,6 +7,11 @@
 // plus a margin, or after the holder released the lease. The row is never
 // deleted, because its version is the epoch of the lease and must not restart
 // at 1.
+//
+// A table whose store was restored from a copy (see store.Era) may show an older row,
+// which anyone may have replaced since, or none. Nobody holds the lease by such a row. A
+// candidate whose lease is still valid on its own clock renews it on top of that row;
+// all others wait from when they first saw it.
 package lease
 
 import (
@@ -38,6 +43,10 @@
 	Write int64 `cbor:"4,keyasint"`
 	// Note is data from the holder for its successors.
 	Note []byte `cbor:"5,keyasint,omitempty"`
+	// Era is the era of the row on top of which the record was written. In a row of
+	// another era the record is from a copy, or the condition of its write was met by
+	// other content with the same version.
+	Era int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // Validate checks a decoded record.
@@ -126,8 +135,17 @@
 
 	known   bool // the row was read or written at least once
 	exists  bool
-	version int64
+	version int64 // of the row, or of the table when the row was found missing
 	record  Record
+	// foreign is set while the row is of another era than its record, or while it is
+	// missing in a restored table.
+	foreign bool
+	// rewritten is set if a foreign row was seen to change within its era: its writer does
+	// not state the era, as processes of former builds.
+	rewritten bool
+	// formerUnknown is set if the lease was free or expired on top of a foreign row: the
+	// holder before may not be the one that the table names.
+	formerUnknown bool
 	// seenAt is when this candidate first saw the current version, which was
 	// written before.
 	seenAt time.Time
@@ -166,7 +184,7 @@
 // Valid reports whether the candidate holds the lease at now, a time of its own
 // clock. It has to be checked directly before each use of the lease.
 func (l *Lease) Valid(now time.Time) bool {
-	return l.held && !l.releasing && l.releaseVersion < l.version && now.Before(l.validUntil)
+	return l.usable(now) && !l.releasing
 }
 
 // Until returns the end of the validity on the candidate's own clock, or zero if
@@ -188,8 +206,24 @@
 func (l *Lease) Epoch() int64 { return l.epoch }
 
 // Holder returns the holder in the last known row, or "" if the lease was
-// released.
-func (l *Lease) Holder() string { return l.record.Holder }
+// released or the row may be from a copy.
+func (l *Lease) Holder() string {
+	switch {
+	case l.foreign && l.held:
+		return l.settings.Holder
+	case l.foreign && !l.rewritten:
+		return ""
+	}
+	return l.record.Holder
+}
+
+// Version returns the version of the last known row.
+func (l *Lease) Version() int64 { return l.version }
+
+// IsFormerKnown reports whether the last other holder is certainly the one that
+// PreviousIncarnation returns. After the table was restored from a copy, another one may
+// have held the lease.
+func (l *Lease) IsFormerKnown() bool { return !l.formerUnknown }
 
 // PreviousIncarnation returns the last other incarnation that wrote the row, or ""
 // if this candidate has seen none.
@@ -205,7 +239,7 @@
 // Row returns the last known row without its note. The holder sends it to other
 // candidates, which then don't have to read the table.
 func (l *Lease) Row() (store.Row, bool) {
-	if !l.exists {
+	if !l.exists || l.foreign {
 		return store.Row{}, false
 	}
 	rec := l.record
@@ -259,6 +293,7 @@
 
 // Next returns the request that is due at now, or one of kind OpNone.
 func (l *Lease) Next(now time.Time) Op {
+	l.dropForeign(now)
 	switch {
 	case l.releasing && !l.held && len(l.pending) == 0:
 		return Op{}
@@ -295,8 +330,21 @@
 	}
 }
 
+// dropForeign ends the possession of a lease that expired before it could be renewed on
+// top of a foreign row: another candidate may have held it since.
+func (l *Lease) dropForeign(now time.Time) bool {
+	if !l.foreign || !l.held || now.Before(l.validUntil) {
+		return false
+	}
+	l.held, l.validUntil, l.formerUnknown = false, time.Time{}, true
+	return true
+}
+
 // canTake reports whether the candidate may take the lease at now.
 func (l *Lease) canTake(now time.Time) bool {
+	if l.foreign {
+		return !now.Before(l.seenAt.Add(takeoverDelay(l.record)))
+	}
 	if !l.exists || l.record.Holder == "" {
 		return true
 	}
@@ -320,6 +368,7 @@
 		Incarnation: l.settings.Incarnation,
 		Term:        l.settings.Term,
 		Write:       l.writes,
+		Era:         store.Era(l.version),
 	}
 	if release {
 		rec.Holder = ""
@@ -353,7 +402,8 @@
 		return
 	}
 	if op.release {
-		l.releaseVersion = max(l.releaseVersion, op.Version)
+		// An insert has no version of its own.
+		l.releaseVersion = max(l.releaseVersion, l.version)
 	}
 	l.pending = append(l.pending, pendingWrite{
 		write:   op.write,
@@ -379,13 +429,7 @@
 
 func (l *Lease) onRead(now time.Time, row store.Row, opErr error) (Event, error) {
 	if errors.Is(opErr, store.ErrNotFound) {
-		if l.known && l.exists {
-			// The version, and with it the epoch, would restart at 1.
-			return Event{}, fmt.Errorf("lease: row %s of version %d has disappeared", l.settings.Key, l.version)
-		}
-		l.known, l.mustRead, l.exists = true, false, false
-		l.nextDue = time.Time{}
-		return Event{}, nil
+		return l.onMissing(now, row.Version)
 	}
 	if opErr != nil {
 		l.nextDue = now.Add(l.settings.RenewInterval / 3)
@@ -398,35 +442,99 @@
 	if err := rec.Validate(); err != nil {
 		return Event{}, err
 	}
-	if l.known && l.exists && row.Version < l.version {
+	if l.known && row.Version < l.version {
 		// This is the delayed answer to an earlier read.
 		return Event{}, nil
 	}
 	l.mustRead = false
-	if rec.Holder == "" {
+	ev := l.observe(now, row.Version, rec)
+	if rec.Holder == "" && !l.foreign {
 		// A released lease may be taken at once.
 		l.nextDue = time.Time{}
 	}
-	ev := l.observe(now, row.Version, rec)
-	if !l.held && rec.Holder != "" {
-		// Try to take the lease as soon as that is allowed, if it is before the
-		// next read.
-		if end := l.seenAt.Add(takeoverDelay(rec)); end.Before(l.nextDue) {
-			l.nextDue = end
-		}
+	l.tryAsSoonAsAllowed()
+	return ev, nil
+}
+
+// tryAsSoonAsAllowed makes the next request due when the lease may be taken, if that is
+// before the next read.
+func (l *Lease) tryAsSoonAsAllowed() {
+	if l.held || l.record.Holder == "" && !l.foreign {
+		return
+	}
+	if end := l.seenAt.Add(takeoverDelay(l.record)); end.Before(l.nextDue) {
+		l.nextDue = end
+	}
+}
+
+// onMissing applies that the table has no row at a version of the table.
+func (l *Lease) onMissing(now time.Time, version int64) (Event, error) {
+	switch {
+	case l.known && version < l.version && store.Era(version) < store.Era(l.version):
+		// This is the delayed answer to an earlier read.
+		return Event{}, nil
+	case l.known && l.exists && store.Era(version) == store.Era(l.version):
+		// The version, and with it the epoch, would restart at 1.
+		return Event{}, fmt.Errorf("lease: row %s of version %d has disappeared", l.settings.Key, l.version)
+	}
+	if !l.known || l.exists || store.Era(version) != store.Era(l.version) {
+		l.seenAt = now
+	}
+	usable := l.usable(now)
+	l.known, l.mustRead, l.exists, l.rewritten, l.version = true, false, false, false, version
+	if store.Era(version) == 0 {
+		l.nextDue = time.Time{}
+		return Event{}, nil
+	}
+	l.record = Record{
+		Term: l.settings.Term,
 	}
+	ev := l.onForeign(usable)
+	l.tryAsSoonAsAllowed()
 	return ev, nil
 }
 
+// usable reports whether the lease is valid or would be if it were not to be released.
+func (l *Lease) usable(now time.Time) bool {
+	return l.held && l.releaseVersion < l.version && now.Before(l.validUntil)
+}
+
+// onForeign applies that the row is foreign. If the lease was usable, the next write
+// renews it on top of this row.
+func (l *Lease) onForeign(usable bool) Event {
+	l.foreign, l.pending = true, nil
+	if usable {
+		l.nextDue = time.Time{}
+		return Event{}
+	}
+	wasHeld := l.held
+	l.held, l.validUntil, l.formerUnknown = false, time.Time{}, true
+	if wasHeld {
+		return Event{
+			Kind:        EventLost,
+			Description: fmt.Sprintf("%s had expired here when its table was restored from a copy.", l.settings.Key),
+		}
+	}
+	return Event{}
+}
+
 // observe applies the record at a version of the row.
 func (l *Lease) observe(now time.Time, version int64, rec Record) Event {
 	if !l.known || !l.exists || version != l.version {
 		l.seenAt = now
 	}
-	wasHeld := l.held
+	wasHeld, usable := l.held, l.usable(now)
+	l.rewritten = l.foreign && l.exists && store.Era(version) == store.Era(l.version) && (l.rewritten || version > l.version)
 	l.known, l.exists, l.version, l.record = true, true, version, rec
+	if rec.Era != store.Era(version) {
+		if rec.Incarnation != l.settings.Incarnation {
+			l.previousIncarnation, l.previousNote = rec.Incarnation, nil
+		}
+		return l.onForeign(usable)
+	}
+	l.foreign = false
 	if rec.Incarnation != l.settings.Incarnation {
-		l.previousIncarnation, l.previousNote = rec.Incarnation, rec.Note
+		l.previousIncarnation, l.previousNote, l.formerUnknown = rec.Incarnation, rec.Note, false
 		l.held, l.validUntil = false, time.Time{}
 		l.dropStale(version)
 		if wasHeld {
@@ -490,7 +598,7 @@
 		if err := cbor.Unmarshal(op.Value, &rec); err != nil {
 			return Event{}, fmt.Errorf("lease: decode own record: %w", err)
 		}
-		if l.known && l.exists && row.Version <= l.version {
+		if l.known && row.Version <= l.version {
 			return Event{}, nil
 		}
 		return l.observe(now, row.Version, rec), nil
@@ -519,6 +627,12 @@
 // CheckExpired returns an EventExpired, only once, when the held lease has expired
 // on the candidate's own clock.
 func (l *Lease) CheckExpired(now time.Time) Event {
+	if l.dropForeign(now) {
+		return Event{
+			Kind:        EventLost,
+			Description: fmt.Sprintf("%s expired before it could be renewed after its table was restored from a copy.", l.settings.Key),
+		}
+	}
 	if !l.held || l.releasing || l.expired || now.Before(l.validUntil) {
 		return Event{}
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"pgregory.net/rapid"
 
 	"trefoildale.example/trefoildale/internal/clock"
@@ -24,32 +25,72 @@
 // table fakes the platform's table with one row.
 type table struct {
 	row  store.Row
-	fail error // returned instead of an answer
-	lose bool  // the next write takes effect, but its answer is lost
+	era  int64
+	next int64 // the version of the next write
+	// copies are the rows that a restore may bring back, and the version that it leads to.
+	copies []tableCopy
+	fail   error // returned instead of an answer
+	lose   bool  // the next write takes effect, but its answer is lost
 }
 
 func (t *table) apply(op lease.Op) (store.Row, error) {
 	switch {
 	case op.Kind == lease.OpRead && t.row.Version == 0:
-		return store.Row{}, store.ErrNotFound
+		return store.Row{
+			Version: store.Revision(t.era, t.next),
+		}, store.ErrNotFound
 	case op.Kind == lease.OpRead:
-		return t.row, nil
-	case op.Kind == lease.OpInsert && t.row.Version > 0, op.Kind == lease.OpUpdate && op.Version != t.row.Version:
+		return t.current(), nil
+	case op.Kind == lease.OpInsert && t.row.Version > 0, op.Kind == lease.OpUpdate && store.Version(op.Version) != t.row.Version:
 		return store.Row{}, store.ErrConflict
 	}
+	t.copies = append(t.copies, tableCopy{row: t.row, next: t.next})
+	t.next++
 	t.row = store.Row{
 		Key:     key,
 		Value:   op.Value,
-		Version: t.row.Version + 1,
+		Version: t.next,
 	}
-	return t.row, nil
+	return t.current(), nil
+}
+
+// tableCopy is a former content of a table.
+type tableCopy struct {
+	row  store.Row
+	next int64
+}
+
+func (t *table) current() store.Row {
+	row := t.row
+	row.Version = store.Revision(t.era, row.Version)
+	return row
+}
+
+// restore brings back the content before the last writes. Versions are given out again.
+func (t *table) restore(writes int) {
+	t.era++
+	if n := len(t.copies); n > 0 {
+		c := t.copies[max(0, n-writes)]
+		t.copies = t.copies[:max(0, n-writes)]
+		t.row, t.next = c.row, c.next
+	}
+}
+
+// applySent applies a write that was sent in an era. The table's client reports one that
+// is answered in a later era as unknown.
+func (t *table) applySent(op lease.Op, era int64) (store.Row, error) {
+	row, err := t.apply(op)
+	if err == nil && op.Kind != lease.OpRead && era != t.era {
+		return store.Row{}, store.ErrUnknown
+	}
+	return row, err
 }
 
 func (t *table) call(op lease.Op) (store.Row, error) {
 	if t.fail != nil {
 		return store.Row{}, t.fail
 	}
-	row, err := t.apply(op)
+	row, err := t.applySent(op, t.era)
 	if t.lose && op.Kind != lease.OpRead {
 		t.lose = false
 		return store.Row{}, store.ErrUnknown
@@ -187,6 +228,7 @@
 type inFlight struct {
 	from    *candidate
 	op      lease.Op
+	era     int64 // of the table when the request was sent
 	applied bool
 	row     store.Row
 	err     error
@@ -194,7 +236,8 @@
 
 // Guards against two processes that hold a valid lease at the same instant, each
 // by its own clock, under lost and late requests, outages, restarts, and paused
-// processes that later continue with old requests.
+// processes that later continue with old requests, and a table that is restored from a
+// copy.
 func TestNeverTwoHolders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tab := &table{}
@@ -249,13 +292,14 @@
 					c.op = &inFlight{
 						from: c,
 						op:   op,
+						era:  tab.era,
 					}
 				}
 			},
 			"arrive": func(t *rapid.T) {
 				if c := pick(t); c.op != nil && !c.op.applied {
 					c.op.applied = true
-					c.op.row, c.op.err = tab.apply(c.op.op)
+					c.op.row, c.op.err = tab.applySent(c.op.op, c.op.era)
 				}
 			},
 			"answer": func(t *rapid.T) {
@@ -285,6 +329,9 @@
 				}
 			},
 			"exchange": func(t *rapid.T) { exchange(pick(t)) },
+			"restore": func(t *rapid.T) {
+				tab.restore(rapid.IntRange(1, 6).Draw(t, "writes"))
+			},
 			// All other candidates are paused with their requests in progress until
 			// this one has taken the lease at the first instant at which it may.
 			"wait-out": func(t *rapid.T) {
@@ -329,3 +376,228 @@
 		})
 	})
 }
+
+// restoredLease is a table with a lease that a holds, and a second candidate b.
+type restoredLease struct {
+	t    *testing.T
+	clk  *clock.Fake
+	tab  *table
+	a, b *lease.Keeper
+}
+
+func newRestoredLease(t *testing.T) *restoredLease {
+	l := &restoredLease{
+		t:   t,
+		clk: clock.NewFake(),
+		tab: &table{},
+	}
+	l.a = lease.NewKeeper(l.tab, l.clk, settings("a"))
+	l.b = lease.NewKeeper(l.tab, l.clk, settings("b"))
+	l.step(l.a)
+	l.step(l.b)
+	l.check(true, false)
+	return l
+}
+
+func (l *restoredLease) step(k *lease.Keeper) {
+	l.t.Helper()
+	if _, err := k.Step(context.Background(), l.clk.Now()); err != nil {
+		l.t.Fatal(err)
+	}
+}
+
+func (l *restoredLease) check(a, b bool) {
+	l.t.Helper()
+	if now := l.clk.Now(); l.a.Valid(now) != a || l.b.Valid(now) != b {
+		l.t.Fatalf("a holds the lease: %v, want %v; b: %v, want %v", l.a.Valid(now), a, l.b.Valid(now), b)
+	}
+}
+
+// handOver gives the lease to b, which releases it and a takes it again.
+func (l *restoredLease) handOver() {
+	l.t.Helper()
+	l.a.Release()
+	l.step(l.a)
+	l.clk.Advance(3 * time.Second)
+	l.step(l.b)
+	l.check(false, true)
+	l.b.Release()
+	l.step(l.b)
+	l.a.Resume()
+	l.clk.Advance(3 * time.Second)
+	l.step(l.a)
+	l.check(true, false)
+}
+
+// TestHolderGoesOnAfterRestore guards against a holder that loses its lease, or an error
+// that never ends, because the table was restored from a copy in which the row is older or
+// missing; and against an epoch that falls.
+func TestHolderGoesOnAfterRestore(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		writes int
+	}{
+		{name: "an older row", writes: 1},
+		{name: "no row", writes: 9},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newRestoredLease(t)
+			l.clk.Advance(4 * time.Second)
+			l.step(l.a)
+			since, epoch := l.a.Since(), l.a.Epoch()
+			l.tab.restore(tc.writes)
+			l.clk.Advance(4 * time.Second)
+			l.step(l.b)
+			l.step(l.a)
+			l.check(true, false)
+			if l.a.Epoch() <= epoch || !l.a.Since().Equal(since) || l.a.Holder() != "a" {
+				t.Errorf("epoch %d after %d, holder %q since %v, want %v", l.a.Epoch(), epoch, l.a.Holder(), l.a.Since(), since)
+			}
+			for range 4 {
+				l.clk.Advance(4 * time.Second)
+				l.step(l.b)
+				l.step(l.a)
+				l.check(true, false)
+			}
+		})
+	}
+}
+
+// TestTakeoverAfterRestore guards against two holders, because a candidate takes a lease
+// at once that the copy shows as released, as missing, as its own or as that of its former
+// incarnation, while the holder may still use it; and against a candidate that takes the
+// copy's holder for the last one.
+func TestTakeoverAfterRestore(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		prepare func(l *restoredLease)
+	}{
+		{name: "released in the copy", prepare: func(l *restoredLease) {
+			l.a.Release()
+			l.step(l.a)
+			l.a.Resume()
+			l.clk.Advance(3 * time.Second)
+			l.step(l.a)
+			l.tab.restore(1)
+		}},
+		{name: "missing in the copy", prepare: func(l *restoredLease) { l.tab.restore(9) }},
+		{name: "missing in the copy, for a process that starts", prepare: func(l *restoredLease) {
+			l.tab.restore(9)
+			l.b = lease.NewKeeper(l.tab, l.clk, settings("b"))
+		}},
+		{name: "its own in the copy", prepare: func(l *restoredLease) {
+			l.handOver()
+			l.b.Resume()
+			l.tab.restore(2)
+		}},
+		{name: "of its former incarnation in the copy", prepare: func(l *restoredLease) {
+			l.handOver()
+			l.tab.restore(2)
+			set := settings("b")
+			set.Incarnation, set.ReclaimOwn = "b-2", true
+			l.b = lease.NewKeeper(l.tab, l.clk, set)
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			l := newRestoredLease(t)
+			tc.prepare(l)
+			l.check(true, false)
+			for end := l.clk.Now().Add(term); l.clk.Now().Before(end); l.clk.Advance(time.Second) {
+				l.step(l.b)
+				l.check(true, false)
+			}
+			// b may have seen the copy up to one interval between two reads later.
+			l.clk.Advance(5 * time.Second)
+			l.step(l.b)
+			l.check(false, true)
+			if l.b.IsFormerKnown() {
+				t.Errorf("the former holder is taken to be %q", l.b.PreviousIncarnation())
+			}
+			l.step(l.a)
+			l.check(false, true)
+		})
+	}
+}
+
+// TestExpiredHolderAfterRestore guards against a holder whose lease expired before the
+// table was restored, and which renews it on top of the copy although another one took it
+// in between.
+func TestExpiredHolderAfterRestore(t *testing.T) {
+	l := newRestoredLease(t)
+	l.clk.Advance(12 * time.Second) // a is paused meanwhile
+	l.step(l.b)
+	l.check(false, true)
+	l.tab.restore(1)
+	l.step(l.a)
+	l.check(false, true)
+	l.step(l.b)
+	l.check(false, true)
+	l.step(l.a)
+	l.check(false, true)
+}
+
+// TestWriteAcrossRestore guards against a second holder through a write that was sent
+// before the table was restored and met other content with the same version, and against
+// candidates that take the lease at once because of such a release.
+func TestWriteAcrossRestore(t *testing.T) {
+	for _, release := range []bool{false, true} {
+		t.Run(fmt.Sprint("release ", release), func(t *testing.T) {
+			l := newRestoredLease(t)
+			now := l.clk.Now().Add(3 * time.Second)
+			l.clk.Advance(3 * time.Second)
+			if release {
+				l.a.Release()
+			}
+			late := l.a.Next(now)
+			l.a.MarkSent(late, now)
+			_, _ = l.a.HandleResult(late, now, store.Row{}, store.ErrUnknown)
+			l.tab.restore(9)
+			l.step(l.b)
+			l.clk.Advance(12 * time.Second)
+			l.step(l.b) // takes the lease as version 1 of the new era
+			l.check(false, true)
+			if _, err := l.tab.apply(late); err != nil {
+				t.Fatal(err)
+			}
+			c := lease.NewKeeper(l.tab, l.clk, settings("c"))
+			l.a.Resume()
+			l.step(l.a)
+			l.step(c)
+			l.check(false, true)
+			l.clk.Advance(3 * time.Second)
+			l.step(l.a)
+			l.step(c)
+			l.step(l.b)
+			l.check(false, true)
+			if c.Valid(l.clk.Now()) {
+				t.Error("a third candidate took the lease")
+			}
+		})
+	}
+}
+
+// TestHolderOfFormerBuild guards against a holder that stays unknown, or whose lease is
+// taken from it, because its records do not state the era.
+func TestHolderOfFormerBuild(t *testing.T) {
+	l := newRestoredLease(t)
+	l.tab.restore(9)
+	for i := range 6 {
+		value, err := cbor.Marshal(lease.Record{
+			Holder:      "former",
+			Incarnation: "former-1",
+			Term:        term,
+			Write:       int64(i + 1),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.tab.next++
+		l.tab.row = store.Row{Key: key, Value: value, Version: l.tab.next}
+		l.clk.Advance(4 * time.Second)
+		l.step(l.b)
+		if want := map[bool]string{true: "former"}[i > 0]; l.b.Holder() != want {
+			t.Errorf("after %d renewals the holder is %q, want %q", i, l.b.Holder(), want)
+		}
+	}
+	l.check(false, false)
+}
