internal/coord: treat a new era of the store as a disturbance

What callers would have seen: orders of two holders within lease_ms (ONE) when the system starts again beside a store that was restored from a copy; a sound coordinator challenged because the store never failed a call. Cause: a new coordinator took the holder that the row names, or none, for the last one, and gave orders at once or on the word of a holder that was not the last; time since the last outage decides who may compete, and a restore without a failed call was none. Change: if the last holder is not known (lease.IsFormerKnown), a new coordinator asks nobody to resign, starts with small buckets and waits the full lease wait. A node whose lease ended by a row of a copy is no longer the coordinator for itself, and announces no holder from such a row. A new era counts as an outage. One log line says what the first lease row of an era means.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"slices"
 	"sync"
 	"testing"
@@ -33,8 +34,24 @@
 // testTable is the platform's table. It can be unavailable for some nodes.
 type testTable struct {
 	mu   sync.Mutex
-	rows map[string]store.Row
+	rows map[string]store.Row // with versions of the era
 	next int64
+	era  int64
+}
+
+// restore replaces the rows with those of a copy. Versions are given out again.
+func (f *testTable) restore(rows map[string]store.Row, next int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rows, f.next, f.era = map[string]store.Row{}, next, f.era+1
+	maps.Copy(f.rows, rows)
+}
+
+// copy returns the rows for a later restore.
+func (f *testTable) copy() (rows map[string]store.Row, next int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return maps.Clone(f.rows), f.next
 }
 
 // tableView is one node's access to the table.
@@ -51,8 +68,11 @@
 	}
 	r, ok := v.rows[key]
 	if !ok {
-		return store.Row{}, store.ErrNotFound
+		return store.Row{
+			Version: store.Revision(v.era, v.next),
+		}, store.ErrNotFound
 	}
+	r.Version = store.Revision(v.era, r.Version)
 	return r, nil
 }
 
@@ -66,7 +86,7 @@
 	if *v.down {
 		return store.Row{}, store.ErrUnavailable
 	}
-	if v.rows[key].Version != version {
+	if v.rows[key].Version != store.Version(version) {
 		return store.Row{}, store.ErrConflict
 	}
 	v.next++
@@ -75,7 +95,12 @@
 		Value:   value,
 		Version: v.next,
 	}
-	return v.rows[key], nil
+	if version != 0 && store.Era(version) != v.era {
+		return store.Row{}, store.ErrUnknown
+	}
+	r := v.rows[key]
+	r.Version = store.Revision(v.era, r.Version)
+	return r, nil
 }
 
 func (v tableView) Delete(context.Context, string, int64) error { return errors.New("not used") }
--- a/internal/coord/elect.go
+++ b/internal/coord/elect.go
@@ -66,6 +66,7 @@
 	// lease, or when it sent its first report.
 	coordinatorValidAt time.Time
 	failed             bool
+	era                int64 // of the last row, as logged
 	// resigning is set while this node leaves the lease to a larger one;
 	// resignedAt is when it began to.
 	resigning  bool
@@ -88,10 +89,14 @@
 	switch {
 	case !until.IsZero() && !held:
 		former, _, _ := strings.Cut(e.keeper.PreviousIncarnation(), "/")
+		if !e.keeper.IsFormerKnown() {
+			// The one that the copy of the store names may not be the last one.
+			former = ""
+		}
 		e.tenure = Tenure{
 			Since:  e.keeper.Since(),
 			Fence:  e.keeper.Epoch(),
-			First:  former == "",
+			First:  former == "" && e.keeper.IsFormerKnown(),
 			Former: former,
 		}
 		e.tenure.OrdersFrom = e.ordersFrom(e.tenure, e.keeper.PreviousNote())
@@ -110,6 +115,7 @@
 		tenure: e.tenure,
 	})
 	now = e.opts.Clock.Now()
+	e.logEra(event)
 	e.mu.Lock()
 	e.ownLease = nil
 	if row, ok := e.keeper.Row(); ok {
@@ -120,9 +126,14 @@
 		}
 	}
 	e.mu.Unlock()
-	if row, ok := e.keeper.Row(); ok {
-		e.setCoordinator(e.keeper.Holder(), !until.IsZero(), row.Version)
+	if _, ok := e.keeper.Row(); ok || e.keeper.Holder() != "" {
+		e.setCoordinator(e.keeper.Holder(), !until.IsZero(), e.keeper.Version())
+		return
 	}
+	// The holder is not known, for example from a copy of the store.
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.isCoordinator = false
 }
 
 // ordersFrom returns when a tenure may send its first order, given the note of
@@ -240,6 +251,17 @@
 	return e.resigning
 }
 
+// logEra logs what the first row of a new era of the store means for this node.
+func (e *election) logEra(event lease.EventKind) {
+	era := store.Era(e.keeper.Version())
+	if era == e.era {
+		return
+	}
+	e.opts.Log.Info("lease in a new era of the store", "era", era, "before", e.era, "holder", e.keeper.Holder(),
+		"held", !e.tenure.Until.IsZero(), "event", string(event), "known-former", e.keeper.IsFormerKnown())
+	e.era = era
+}
+
 func (e *election) logStoreState(err error) {
 	if failed := err != nil; failed != e.failed {
 		e.failed = failed
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -329,6 +329,15 @@
 	}
 }
 
+// StoreRestored records that the store was restored from a copy. A coordinator that has
+// not renewed its lease since then gets the time to do so, as after an outage.
+func (n *Node) StoreRestored() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.registry.StoreRecovered(n.opts.Clock.Now())
+	n.storeAnsweringSince = time.Time{}
+}
+
 // RecordStoreAnswer records that the store answered a reader.
 func (n *Node) RecordStoreAnswer(r StoreReader) {
 	n.mu.Lock()
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -110,9 +110,6 @@
 	incarnation := strconv.FormatInt(clk.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
 	dial := conn.NewDialer(unresponsivePeerTimeout)
 	store, closeStore := platform.NewStore(settings.Store.Address, dial)
-	store.OnEra(func(before, era int64) {
-		log.Warn("store has a new era", "era", era, "before", before)
-	})
 	endpoints, closeEndpoints := platform.NewEndpoints(dial)
 	peers, closePeers := wire.NewClient(new(wire.Meter), dial)
 	p := &Process{
@@ -161,6 +158,10 @@
 		Parts:             parts,
 	})
 	holder.Node = p.node
+	store.OnEra(func(before, era int64) {
+		log.Warn("store has a new era", "era", era, "before", before)
+		p.node.StoreRestored()
+	})
 	p.addGauges(parts)
 	release := func() {
 		closePeers()
