internal/coord: send versions and eras apart, for nodes of former builds

Cause: with revisions in messages, a node of a build without eras gets versions above all that its store gives it: from then on it ignores entries, lease rows and resignations. Change: messages carry plain versions in the fields of before and the eras beside them. A message without eras counts as of the newest era that the receiver knows. Result: with former builds beside this one, both follow each other and the store as before as long as the store is not restored; after a restore the former ones have the fault that they always had, and while they have it their lists may still be taken. Fences in orders are revisions: a coordinator of a former build after one of this build has lower fences.

--- a/internal/coord/documents.go
+++ b/internal/coord/documents.go
@@ -152,7 +152,7 @@
 	sent := n.opts.Clock.Now()
 	x := n.newExchange(sent)
 	x.TokenRequests, x.Parts, x.TokensOnly, x.VersionsOnly, x.DocumentsOnly = nil, nil, true, false, true
-	r, err := n.opts.Peers.Exchange(bounded, address, x)
+	r, err := n.exchange(bounded, address, x)
 	if err != nil {
 		n.opts.Log.Warn("newer documents not fetched", "source", address, "limit-ms", limit.Milliseconds(), "error", err.Error())
 		return documentsFetched{
@@ -191,10 +191,8 @@
 	if x.ListingVersion < n.registry.Version() {
 		listing = n.listing()
 		if unpacked {
-			listing = &Listing{
-				Version: n.registry.Version(),
-				Entries: n.registry.Changes(),
-			}
+			listing = newListing(n.registry.Version())
+			listing.Entries = plainEntries(n.registry.Changes())
 		}
 	}
 	return document, listing
--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -197,11 +197,9 @@
 // listing returns the endpoints for another node, from which it is not to be
 // changed. The caller holds the lock.
 func (n *Node) listing() *Listing {
-	if n.packedListing == nil || n.packedListing.Version != n.registry.Version() {
-		n.packedListing = &Listing{
-			Version: n.registry.Version(),
-			Packed:  packEntries(n.registry.Changes()),
-		}
+	if version := n.registry.Version(); n.packedListing == nil || n.packedVersion != version {
+		n.packedListing, n.packedVersion = newListing(version), version
+		n.packedListing.Packed = packEntries(n.registry.Changes())
 	}
 	return n.packedListing
 }
@@ -224,9 +222,9 @@
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
 	if own {
-		return n.HandleExchange(ctx, x)
+		return n.handleExchange(ctx, x)
 	}
-	r, err := n.opts.Peers.Exchange(ctx, address, x)
+	r, err := n.exchange(ctx, address, x)
 	if err != nil && ctx.Err() != nil {
 		// The connection may be dead without an error, so the next call must not
 		// use it.
@@ -235,6 +233,19 @@
 	return r, err
 }
 
+// exchange sends a message to another node.
+func (n *Node) exchange(ctx context.Context, address string, x *Exchange) (*Reply, error) {
+	x.split()
+	r, err := n.opts.Peers.Exchange(ctx, address, x)
+	if err != nil {
+		return nil, err
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	r.join(n.newestEra())
+	return r, nil
+}
+
 // applyReply applies the configuration, endpoints and members of another node's
 // reply, and the engine loads if it is a full reply of the coordinator.
 func (n *Node) applyReply(ctx context.Context, sent time.Time, r *Reply, source string) {
@@ -335,9 +346,23 @@
 	})
 }
 
-// HandleExchange answers a message of another node, or of this one if it is the
-// coordinator itself.
+// HandleExchange answers a message of another node.
 func (n *Node) HandleExchange(ctx context.Context, x *Exchange) (*Reply, error) {
+	joined := *x
+	n.mu.Lock()
+	joined.join(n.newestEra())
+	n.mu.Unlock()
+	r, err := n.handleExchange(ctx, &joined)
+	if err != nil {
+		return nil, err
+	}
+	r.split()
+	return r, nil
+}
+
+// handleExchange answers a message of another node, or of this one if it is the
+// coordinator itself.
+func (n *Node) handleExchange(ctx context.Context, x *Exchange) (*Reply, error) {
 	if x.UsePool {
 		return n.Admitter.servePool(x), nil
 	}
--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -40,6 +40,11 @@
 	Entries []fleet.Change `cbor:"2,keyasint,omitempty"`
 	// Packed holds the compressed entries.
 	Packed []byte `cbor:"3,keyasint,omitempty"`
+	// Era is the era of Version.
+	Era int64 `cbor:"4,keyasint,omitempty"`
+
+	hasEras   bool // the sender states eras
+	newestEra int64
 }
 
 // LeaseRow is the store's row of the coordinator's lease as the coordinator last
@@ -101,6 +106,7 @@
 	DocumentsOnly bool `cbor:"26,keyasint,omitempty"`
 	// Parts is the sender's evidence against parts of prompts.
 	Parts []poison.Evidence `cbor:"27,keyasint,omitempty"`
+	Eras  *Eras             `cbor:"28,keyasint,omitempty"`
 }
 
 // Pace is the time that an engine takes for a unit of work, relative to other
@@ -245,6 +251,7 @@
 	// Parts is the evidence against parts of prompts with which several engines crashed,
 	// or of all suspected ones if the sender is not the coordinator.
 	Parts []poison.Evidence `cbor:"25,keyasint,omitempty"`
+	Eras  *Eras             `cbor:"26,keyasint,omitempty"`
 }
 
 // Validate checks that the fraction of a decoded Reply is between 0 and 1.
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -135,8 +135,9 @@
 	mu                 sync.Mutex
 	document           Document
 	registry           *fleet.Registry
-	packedListing      *Listing // as of the registry's version when it was last sent
-	storeSilent        bool     // the store does not answer this node
+	packedListing      *Listing // as of packedVersion of the registry
+	packedVersion      int64
+	storeSilent        bool // the store does not answer this node
 	coordinatorAddress string
 	// leaseVersion is the version of the lease row that names
 	// coordinatorAddress. Older rows are ignored.
--- a/internal/coord/pack.go
+++ b/internal/coord/pack.go
@@ -46,7 +46,7 @@
 
 // packEntries encodes and compresses the entries of a Listing.
 func packEntries(entries []fleet.Change) []byte {
-	b, err := cbor.Marshal(entries)
+	b, err := cbor.Marshal(splitEntries(entries))
 	if err != nil {
 		// Entries consist of strings and numbers only, which always encode.
 		panic("coord: encode entries: " + err.Error())
@@ -65,15 +65,19 @@
 // entries decodes the entries of the listing.
 func (l *Listing) entries() ([]fleet.Change, error) {
 	if len(l.Packed) == 0 {
-		return l.Entries, nil
+		plain := make([]wireEntry, len(l.Entries))
+		for i, c := range l.Entries {
+			plain[i].Change = c
+		}
+		return l.joinEntries(plain), nil
 	}
 	b, err := unpack(l.Packed)
 	if err != nil {
 		return nil, err
 	}
-	var out []fleet.Change
+	var out []wireEntry
 	if err := cbor.Unmarshal(b, &out); err != nil {
 		return nil, fmt.Errorf("coord: decode entries: %w", err)
 	}
-	return out, nil
+	return l.joinEntries(out), nil
 }
