--- a/internal/store/revision.go
+++ b/internal/store/revision.go
@@ -12,7 +12,7 @@
 const MaxEra = 1<<(63-versionBits) - 1
 
 // Revision returns the revision of a version in an era.
-func Revision(era, version int64) int64 { return era<<versionBits | version&(1<<versionBits-1) }
+func Revision(era, version int64) int64 { return era<<versionBits + version }
 
 // Era returns the era of a revision.
 func Era(revision int64) int64 { return revision >> versionBits }
