internal/lease, internal/coord: serve on after an expiry in a restore's outage

Cause: the drill's outage is longer than the term, so the coordinator's lease has expired when the copy is first seen. It then stopped to be the coordinator at once, and nodes had no reports and tokens until the lease was taken anew, one takeover delay later. After any other expiry a coordinator goes on with all but orders until another node takes the lease. Change: the same holds here: the tenure stays, without validity, until a row of a holder is seen. Taking the lease anew begins a new tenure, with the full wait for orders.

--- a/internal/coord/elect.go
+++ b/internal/coord/elect.go
@@ -87,7 +87,7 @@
 	}
 	until := e.keeper.Until()
 	switch {
-	case !until.IsZero() && !held:
+	case !until.IsZero() && (!held || !e.keeper.Since().Equal(e.tenure.Since)):
 		former, _, _ := strings.Cut(e.keeper.PreviousIncarnation(), "/")
 		if !e.keeper.IsFormerKnown() {
 			// The one that the copy of the store names may not be the last one.
@@ -124,6 +124,11 @@
 			Version: row.Version,
 			Valid:   e.keeper.Valid(now),
 		}
+	} else if !until.IsZero() {
+		// The row is from a copy of the store, and not for others.
+		e.ownLease = &LeaseRow{
+			Valid: e.keeper.Valid(now),
+		}
 	}
 	e.mu.Unlock()
 	if _, ok := e.keeper.Row(); ok || e.keeper.Holder() != "" {
@@ -133,7 +138,7 @@
 	// The holder is not known, for example from a copy of the store.
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.isCoordinator = false
+	e.isCoordinator = !until.IsZero()
 }
 
 // ordersFrom returns when a tenure may send its first order, given the note of
@@ -209,7 +214,7 @@
 		}
 		e.coordinatorValid = reportedLease.Valid
 	}
-	if reportedLease != nil && reportedLease.Valid {
+	if reportedLease != nil && reportedLease.Valid && len(reportedLease.Value) > 0 {
 		row := store.Row{
 			Key:     leaseKey,
 			Value:   reportedLease.Value,
--- a/internal/coord/restore_test.go
+++ b/internal/coord/restore_test.go
@@ -252,3 +252,29 @@
 		t.Error("the store counts as answering since before its restore")
 	}
 }
+
+// TestExpiredCoordinatorAfterRestore guards against nodes without a coordinator, because the
+// lease expired in an outage at the end of which the store was restored from a copy: until
+// it is taken anew, the last coordinator serves all but orders, as after any expiry.
+func TestExpiredCoordinatorAfterRestore(t *testing.T) {
+	f := newTestFleet(t)
+	nodes, _ := f.startOrdering("a", "b", "c")
+	f.awaitMembers(nodes)
+	rows, next := f.table.copy()
+	for _, n := range nodes {
+		f.setDown(n, true)
+	}
+	time.Sleep(2 * testTerm)
+	f.table.restore(rows, next)
+	orders := f.orderCount()
+	for _, n := range nodes {
+		f.setDown(n, false)
+	}
+	f.eventually("orders after the restore", 8*time.Second, func() bool {
+		if !slices.ContainsFunc(nodes, func(n *testNode) bool { return n.IsCoordinator() }) {
+			t.Fatal("no node is the coordinator")
+		}
+		return f.orderCount() > orders
+	})
+	f.checkOrderGaps()
+}
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -161,6 +161,9 @@
 	heldSince  time.Time
 	held       bool // the row names this incarnation
 	expired    bool
+	// unresolved is set while the lease has expired on top of a foreign row and no row
+	// of another holder was seen since.
+	unresolved bool
 
 	writes  int64
 	pending []pendingWrite
@@ -188,9 +191,10 @@
 }
 
 // Until returns the end of the validity on the candidate's own clock, or zero if
-// the candidate doesn't hold the lease.
+// the candidate doesn't hold the lease. The end is past, and not zero, as long as the
+// lease has expired and nothing shows that another candidate took it.
 func (l *Lease) Until() time.Time {
-	if !l.held || l.releasing || l.releaseVersion >= l.version {
+	if !l.held && !l.unresolved || l.releasing || l.releaseVersion >= l.version {
 		return time.Time{}
 	}
 	return l.validUntil
@@ -336,7 +340,7 @@
 	if !l.foreign || !l.held || now.Before(l.validUntil) {
 		return false
 	}
-	l.held, l.validUntil, l.formerUnknown = false, time.Time{}, true
+	l.held, l.unresolved, l.formerUnknown = false, true, true
 	return true
 }
 
@@ -508,7 +512,8 @@
 		return Event{}
 	}
 	wasHeld := l.held
-	l.held, l.validUntil, l.formerUnknown = false, time.Time{}, true
+	l.unresolved = l.held || l.unresolved
+	l.held, l.formerUnknown = false, true
 	if wasHeld {
 		return Event{
 			Kind:        EventLost,
@@ -532,7 +537,7 @@
 		}
 		return l.onForeign(usable)
 	}
-	l.foreign = false
+	l.foreign, l.unresolved = false, false
 	if rec.Incarnation != l.settings.Incarnation {
 		l.previousIncarnation, l.previousNote, l.formerUnknown = rec.Incarnation, rec.Note, false
 		l.held, l.validUntil = false, time.Time{}
