--- a/internal/cmds/load_soak.go
+++ b/internal/cmds/load_soak.go
@@ -34,6 +34,7 @@
 			&cli.DurationFlag{Name: "faults", Usage: "for how long faults are injected", Value: 15 * time.Second},
 			&cli.StringFlag{Name: "out", Usage: "directory for settings and logs; those of runs without violations are removed", Value: "out/soak"},
 			&cli.BoolFlag{Name: "incidents", Usage: "add configurations that grow while the store turns processes away, and prompts that crash engines", Value: true},
+			&cli.BoolFlag{Name: "restores", Usage: "add restores of the store from a copy some seconds old"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print each fault"},
 		},
 		Action: runSoak,
@@ -118,6 +119,7 @@
 		Callers:   cmd.Int("callers"),
 		Faults:    cmd.Duration("faults"),
 		Incidents: cmd.Bool("incidents"),
+		Restores:  cmd.Bool("restores"),
 		Progress:  progress,
 	})
 	if err != nil {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,6 +74,8 @@
 	// the store turns processes away and links are slow, and a part of prompts that
 	// crashes engines.
 	Incidents bool
+	// Restores adds restores of the store from a copy.
+	Restores bool
 	// Progress receives a line for each fault; nil discards them.
 	Progress io.Writer
 }
@@ -131,6 +133,9 @@
 	if o.Incidents {
 		incidents.Go(func() { r.injectIncidents(ctx) })
 	}
+	if o.Restores {
+		incidents.Go(func() { r.injectRestores(ctx) })
+	}
 	r.inject(ctx)
 	incidents.Wait()
 	if err := r.awaitReady(ctx); err != nil {
