--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -55,7 +55,7 @@
 	all := readSeeds(t)
 	all[1] = "fixed seed"
 	for seed, cause := range all {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, seed, cause, false) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, cause, soak.Options{Seed: seed}) })
 	}
 }
 
@@ -64,25 +64,25 @@
 // the other under a part of prompts, beside the faults of TestSoak.
 func TestSoakIncidents(t *testing.T) {
 	for _, seed := range []uint64{1001, 1004} {
-		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, seed, "fixed seed", true) })
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, "fixed seed", soak.Options{Seed: seed, Incidents: true}) })
 	}
 }
 
-func runSeed(t *testing.T, seed uint64, cause string, incidents bool) {
+// TestSoakRestores guards against processes that go on from before a restore of the store
+// from a copy, or undo what was done since, beside the faults of TestSoak.
+func TestSoakRestores(t *testing.T) {
+	runSeed(t, "fixed seed", soak.Options{Seed: 5001, Restores: true})
+}
+
+// runSeed runs a seed with the kinds of faults in the options.
+func runSeed(t *testing.T, cause string, o soak.Options) {
 	program, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := soak.Run(context.Background(), soak.Options{
-		Seed:      seed,
-		Program:   []string{program},
-		Env:       []string{programEnv + "=1"},
-		Dir:       t.TempDir(),
-		Nodes:     4,
-		Callers:   12,
-		Faults:    15 * time.Second,
-		Incidents: incidents,
-	})
+	o.Program, o.Env, o.Dir = []string{program}, []string{programEnv + "=1"}, t.TempDir()
+	o.Nodes, o.Callers, o.Faults = 4, 12, 15*time.Second
+	r, err := soak.Run(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
