internal/coord: read no era into an absent version of a former build's message

Cause: puts the newest era on versions without one, also on fields that are absent. Found by reading the change again; no run has shown it.

--- a/internal/coord/eras.go
+++ b/internal/coord/eras.go
@@ -58,7 +58,7 @@
 
 // joinRevision returns the revision of a version. 0 means that there is none.
 func joinRevision(era, version int64) int64 {
-	if version == 0 && era == 0 {
+	if version == 0 {
 		return 0
 	}
 	return store.Revision(era, version)
--- a/internal/coord/eras_test.go
+++ b/internal/coord/eras_test.go
@@ -117,3 +117,23 @@
 		t.Errorf("the listing of a build without eras is ignored: %+v", list)
 	}
 }
+
+// TestMessageOfFormerBuild guards against a regular message of a build without eras that is
+// taken for a request to resign, or for one that names versions, once the store has an era.
+func TestMessageOfFormerBuild(t *testing.T) {
+	x := transcode[Exchange](t, &formerExchange{})
+	x.join(2)
+	if x.Resign != 0 || x.Term != 0 || x.ListingVersion != 0 {
+		t.Errorf("a message without versions is read as %+v", x)
+	}
+	r := transcode[Reply](t, &formerReply{})
+	r.join(2)
+	if r.LeaseVersion != 0 || r.Term != 0 || r.ListingVersion != 0 || r.MembersVersion.Term != 0 {
+		t.Errorf("a reply without versions is read as %+v", r)
+	}
+	x = transcode[Exchange](t, &formerExchange{Resign: 7, Term: 8, ListingVersion: 9})
+	x.join(2)
+	if x.Resign != store.Revision(2, 7) || x.Term != store.Revision(2, 8) || x.ListingVersion != store.Revision(2, 9) {
+		t.Errorf("a message with versions is read as %+v", x)
+	}
+}
