--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -135,8 +135,9 @@
 	mu                 sync.Mutex
 	document           Document
 	registry           *fleet.Registry
-	packedListing      *Listing // as of the registry's version when it was last sent
-	storeSilent        bool     // the store does not answer this node
+	packedListing      *Listing // as of packedVersion of the registry
+	packedVersion      int64
+	storeSilent        bool // the store does not answer this node
 	coordinatorAddress string
 	// leaseVersion is the version of the lease row that names
 	// coordinatorAddress. Older rows are ignored.
@@ -274,9 +275,12 @@
 	return nil
 }
 
+// storeSource is the source of data that this node read itself.
+const storeSource = "store"
+
 // SetEndpoints applies changes of the endpoints' entries in the store.
 func (n *Node) SetEndpoints(ctx context.Context, changes []fleet.Change, version int64, complete bool) {
-	n.changeEndpoints(ctx, "store", func(r *fleet.Registry) bool {
+	n.changeEndpoints(ctx, storeSource, func(r *fleet.Registry) bool {
 		return r.Apply(n.opts.Clock.Now(), changes, version, complete)
 	})
 }
@@ -289,7 +293,12 @@
 	n.mu.Lock()
 	changed := change(n.registry)
 	list := n.registry.List()
+	ignored := n.registry.TakeIgnored()
 	n.mu.Unlock()
+	if source == storeSource && len(ignored) > 0 {
+		n.opts.Log.Info("changes of entries ignored", "reason", "older than the known version", "entry", ignored[0].Name,
+			"row-version", ignored[0].Version, "known-version", ignored[0].Known, "or-more", len(ignored))
+	}
 	if changed {
 		n.distributeEndpoints(ctx, list, source)
 	}
@@ -321,6 +330,15 @@
 	}
 }
 
+// StoreRestored records that the store was restored from a copy. A coordinator that has
+// not renewed its lease since then gets the time to do so, as after an outage.
+func (n *Node) StoreRestored() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.registry.StoreRecovered(n.opts.Clock.Now())
+	n.storeAnsweringSince = time.Time{}
+}
+
 // RecordStoreAnswer records that the store answered a reader.
 func (n *Node) RecordStoreAnswer(r StoreReader) {
 	n.mu.Lock()
--- a/internal/mirror/mirror_test.go
+++ b/internal/mirror/mirror_test.go
@@ -282,3 +282,59 @@
 		t.Error("no row was applied")
 	}
 }
+
+// TestFullReadsAreReported guards against a full read that the log does not explain.
+func TestFullReadsAreReported(t *testing.T) {
+	f := &fakeSource{rows: map[string]Row{}}
+	f.put("a", "1")
+	type read struct {
+		reason string
+		after  int64
+	}
+	reads, applied := make(chan read, 8), make(chan struct{}, 8)
+	m := New(f, Options{
+		Table:       "t",
+		Wait:        5 * time.Millisecond,
+		MinInterval: time.Millisecond,
+		Timeout:     time.Second,
+		Apply:       func([]Row, int64, bool) { applied <- struct{}{} },
+		OnFullRead:  func(reason string, after int64) { reads <- read{reason: reason, after: after} },
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		m.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-done
+	})
+	if got := <-reads; got.reason != "first read" || got.after != -1 {
+		t.Errorf("the first full read is reported as %+v", got)
+	}
+	<-applied
+	f.mu.Lock()
+	f.version, f.compacted = 9, 9
+	f.mu.Unlock()
+	if got := <-reads; got.reason != ErrCompacted.Error() || got.after != 1 {
+		t.Errorf("the second full read is reported as %+v", got)
+	}
+}
+
+// TestFallenVersion guards against a mirror that goes on from a version that the store no
+// longer has, so that the changes below it are never read.
+func TestFallenVersion(t *testing.T) {
+	f := &fakeSource{rows: map[string]Row{}}
+	for range 9 {
+		f.put("a", "old")
+	}
+	c := start(t, f, nil)
+	eventually(t, "the first read", c.hasRow("a", "old"))
+	f.mu.Lock()
+	f.version, f.rows = 2, map[string]Row{"b": {Key: "b", Value: []byte("copy"), Version: 1}}
+	f.mu.Unlock()
+	eventually(t, "the row of the copy", c.hasRow("b", "copy"))
+	f.put("c", "new")
+	eventually(t, "a change after the restore", c.hasRow("c", "new"))
+}
