internal/fleet: keep in mind that an entry is missing when others name it

What callers would have seen: after a restore of the store, requests go to an endpoint that has ended and whose entry the copy lacks, at all nodes and for good. Cause: an entry that is missing is kept for the grace, and lists for other nodes still name it. A node that took such a list over forgot that the store did not have the entry. Since lists are taken over in both directions at a new era (a list that was taken over counts as newer than its source), the reader of the store forgot it too, and neither removed it.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -110,6 +110,7 @@
 		named[c.Name] = true
 		if !r.onlyInCopy(c) {
 			effect = max(effect, r.applyChange(now, c))
+			r.entryFound(c)
 		}
 	}
 	return r.finish(now, named, version, complete, effect)
@@ -223,10 +224,21 @@
 	// An endpoint that leaves does not change its mind; the entry is older than its version.
 	after.Leaving = after.Leaving || e.endpoint.Leaving && after.Incarnation == e.endpoint.Incarnation
 	effect := changeEffect(e.endpoint, after)
-	e.endpoint, e.version, e.missingSince = after, c.Version, time.Time{}
+	if c.Version > e.version {
+		e.missingSince = time.Time{}
+	}
+	e.endpoint, e.version = after, c.Version
 	return effect
 }
 
+// entryFound records that the store has an entry in this version. That another node names
+// it does not show this, since it may find it missing too.
+func (r *Registry) entryFound(c Change) {
+	if e := r.entries[c.Name]; e != nil && c.Endpoint != nil && c.Version == e.version {
+		e.missingSince = time.Time{}
+	}
+}
+
 func (r *Registry) remove(now time.Time, name string, version int64) bool {
 	e := r.entries[name]
 	if e == nil {
--- /dev/null
+++ b/internal/fleet/relay_test.go
@@ -0,0 +1,52 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/store"
+)
+
+// adoptNewer passes the list of one registry to another if it is newer, as nodes do.
+func adoptNewer(now time.Time, from, to *Registry) {
+	if from.Version() > to.Version() {
+		to.Adopt(now, from.Changes(), from.Version())
+	}
+}
+
+// TestMissingInListsOfOthers guards against an endpoint that stays in use for good after
+// its entry was lost with a restore of the store: nodes that pass on lists in which it
+// is still named make each other forget that the store does not have it.
+func TestMissingInListsOfOthers(t *testing.T) {
+	now := time.Unix(1000, 0)
+	reader, other := NewRegistry(), NewRegistry()
+	ready := []Change{
+		{Name: "a", Version: 90, Endpoint: testEndpoint("a", 1, false)},
+		{Name: "b", Version: 91, Endpoint: testEndpoint("b", 1, false)},
+		{Name: "c", Version: 92, Endpoint: testEndpoint("c", 1, false)},
+	}
+	reader.Apply(now, ready, 100, true)
+	adoptNewer(now, reader, other)
+	row := func(version int64, name string, leaving bool) []Change {
+		return []Change{{Name: name, Version: store.Revision(1, version), Endpoint: testEndpoint(name, 1, leaving)}}
+	}
+	// The copy does not have a, which has ended; c says that it leaves.
+	reader.Apply(now, append(row(50, "b", false), row(51, "c", true)...), store.Revision(1, 60), true)
+	for i := range 10 {
+		now = now.Add(500 * time.Millisecond)
+		adoptNewer(now, reader, other)
+		adoptNewer(now, other, reader)
+		if i < 4 {
+			// Other endpoints write their entries again.
+			reader.Apply(now, row(int64(70+i), string(rune('d'+i)), false), store.Revision(1, int64(70+i)), false)
+		}
+		adoptNewer(now, reader, other)
+		reader.Expire(now)
+		other.Expire(now)
+	}
+	for _, r := range []*Registry{reader, other} {
+		if got := endpointIDs(r); got != "b c! d e f g " {
+			t.Errorf("endpoints %q 5 s after the restore, want %q", got, "b c! d e f g ")
+		}
+	}
+}
