internal/fleet: remember endpoints whose entries did not return

What callers would have seen: requests go to an endpoint that is gone, because the store was restored from a copy that is from before an outage in which its entry expired. Cause: an entry that was still missing at the end of the grace was removed without a record of its removal, so that the copy's entry, or an older list of another node, counted as that of a new endpoint. Evidence: TestExpiredInCopy failed before: endpoints "a b " after the restore, want "b " Change: the end of the grace records the removal as of the version at which the entry was found missing. A running endpoint writes again at a later one.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -54,6 +54,7 @@
 	endpoint     Endpoint
 	version      int64
 	missingSince time.Time // when the entry was found missing during the grace
+	missingAt    int64     // the version at which it was
 }
 
 // NewRegistry returns an empty registry.
@@ -246,7 +247,7 @@
 	}
 	if now.Before(r.graceUntil) && !e.endpoint.Leaving {
 		if e.missingSince.IsZero() {
-			e.missingSince = now
+			e.missingSince, e.missingAt = now, version
 		}
 		return false
 	}
@@ -283,6 +284,10 @@
 	for name, e := range r.entries {
 		if !e.missingSince.IsZero() && !now.Before(r.graceUntil) {
 			delete(r.entries, name)
+			r.recordRemoval(name, removal{
+				version:     e.missingAt,
+				incarnation: e.endpoint.Incarnation,
+			})
 			changed = true
 		}
 	}
--- a/internal/fleet/relay_test.go
+++ b/internal/fleet/relay_test.go
@@ -50,3 +50,29 @@
 		}
 	}
 }
+
+// TestExpiredInCopy guards against an endpoint that gets requests again because a copy of
+// the store, from before an outage after which its entry did not return, still has it.
+func TestExpiredInCopy(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := NewRegistry()
+	r.Apply(now, []Change{
+		{Name: "a", Version: 90, Endpoint: testEndpoint("a", 1, false)},
+		{Name: "b", Version: 91, Endpoint: testEndpoint("b", 1, false)},
+	}, 100, true)
+	r.StoreRecovered(now)
+	r.Apply(now, []Change{{Name: "a", Version: 105}}, 105, false)
+	now = now.Add(missingGrace)
+	r.Expire(now)
+	if got := endpointIDs(r); got != "b " {
+		t.Fatalf("endpoints %q after the grace, want %q", got, "b ")
+	}
+	now = now.Add(3 * time.Second)
+	r.Apply(now, []Change{
+		{Name: "a", Version: store.Revision(1, 90), Endpoint: testEndpoint("a", 1, false)},
+		{Name: "b", Version: store.Revision(1, 91), Endpoint: testEndpoint("b", 1, false)},
+	}, store.Revision(1, 100), true)
+	if got := endpointIDs(r); got != "b " {
+		t.Errorf("endpoints %q after the restore, want %q", got, "b ")
+	}
+}
