internal/fleet: do not raise the version of a list that was taken over

What callers would have seen: nothing by itself; nodes fetched lists of endpoints from each other for nothing after a restore of the store. Cause: the first version of a new era was set as the list's version before the changes were applied, which then raised it once more. The list of a node that had taken it over was newer than that of its source, which took it back. Evidence: TestListVersionAtNewEra failed before: the list has version where the store was read and where it was taken over Change: the version enters the new era after the changes are applied.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -114,18 +114,25 @@
 			r.entryFound(c)
 		}
 	}
-	return r.finish(now, named, version, complete, effect)
+	changed := r.finish(now, named, version, complete, effect)
+	if r.isNewEra(version) {
+		// Lists of the former era are no longer newer.
+		r.version = version
+	}
+	return changed
+}
+
+// isNewEra reports whether a version is of a later era of the store than the list.
+func (r *Registry) isNewEra(version int64) bool {
+	return r.version != 0 && store.Era(version) > store.Era(r.version)
 }
 
 // enterEra begins the grace for missing entries with the first version of a new era of
-// the store, and moves the version of the list into that era, so that lists of the former
-// one are no longer newer.
+// the store.
 func (r *Registry) enterEra(now time.Time, version int64) {
-	if r.version == 0 || store.Era(version) <= store.Era(r.version) {
-		return
+	if r.isNewEra(version) {
+		r.graceUntil = now.Add(missingGrace)
 	}
-	r.graceUntil = now.Add(missingGrace)
-	r.version = version
 }
 
 // onlyInCopy reports whether a change may only repeat what the store had before it was
--- a/internal/fleet/relay_test.go
+++ b/internal/fleet/relay_test.go
@@ -76,3 +76,18 @@
 		t.Errorf("endpoints %q after the restore, want %q", got, "b ")
 	}
 }
+
+// TestListVersionAtNewEra guards against nodes that fetch each other's lists for nothing,
+// because the list that a node has taken over in a new era of the store counts as newer
+// than the one of the node that has read the store.
+func TestListVersionAtNewEra(t *testing.T) {
+	now := time.Unix(1000, 0)
+	reader, other := NewRegistry(), NewRegistry()
+	reader.Apply(now, []Change{{Name: "a", Version: 90, Endpoint: testEndpoint("a", 1, false)}}, 100, true)
+	adoptNewer(now, reader, other)
+	reader.Apply(now, []Change{{Name: "a", Version: store.Revision(1, 50), Endpoint: testEndpoint("a", 1, true)}}, store.Revision(1, 60), true)
+	adoptNewer(now, reader, other)
+	if other.Version() != reader.Version() {
+		t.Errorf("the list has version %d where the store was read and %d where it was taken over", reader.Version(), other.Version())
+	}
+}
