internal/coord: begin the grace for missing entries with the first list of an era

What callers would have seen: requests go to an endpoint for up to 2.7 s after its entry was removed while the store was stable (DRAIN), at a node that has not read the store since its restore, for example when the coordinator falls silent much later. Cause: the node's own first answer of a new era began the grace, although the node already had lists of that era from others, and the grace of that era was over. Evidence: TestEraLearnedLate failed before: 1 endpoints in use without an entry Change: only the first list of an era begins the grace (fleet.Registry), wherever it comes from. Result: with -race, TestEraLearnedLate, TestCoordinatorRenewsFirstAfterRestore, TestListsOfTwoEras, TestOlderConfigurationInCopy and TestCoordinatorGoesOnAfterRestore. One run of TestOneHolderAfterRestore beside other work failed in "the copy names a process that has left the lease to another, which ends" (not within 10s: orders of another holder, before its restore); five further runs of that case passed. It is not traced.

--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -331,11 +331,12 @@
 }
 
 // StoreRestored records that the store was restored from a copy. A coordinator that has
-// not renewed its lease since then gets the time to do so, as after an outage.
+// not renewed its lease since then gets the time to do so, as after an outage. Missing
+// entries get theirs from the first list of the new era, which may have come earlier from
+// another node.
 func (n *Node) StoreRestored() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.registry.StoreRecovered(n.opts.Clock.Now())
 	n.storeAnsweringSince = time.Time{}
 }
 
--- /dev/null
+++ b/internal/coord/relay_test.go
@@ -0,0 +1,25 @@
+package coord
+
+import (
+	"context"
+	"testing"
+
+	"trefoildale.example/trefoildale/internal/store"
+)
+
+// TestEraLearnedLate guards against an endpoint that stays in use for longer than its drain
+// time after its entry was removed, because this node reads the store for the first time
+// since its restore, long after all others have read it.
+func TestEraLearnedLate(t *testing.T) {
+	ctx := context.Background()
+	n := newTestFleet(t).prepare("a", 1)
+	if err := n.SetRawConfig(ctx, []byte("1"), "test"); err != nil {
+		t.Fatal(err)
+	}
+	n.SetEndpoints(ctx, testEndpoints, store.Revision(1, 60), true)
+	n.StoreRestored()
+	n.SetEndpoints(ctx, nil, store.Revision(1, 90), true)
+	if list := n.opts.Table.Endpoints(); len(list) != 0 {
+		t.Errorf("%d endpoints in use without an entry", len(list))
+	}
+}
