internal/lease: send rows between candidates in the test of two holders

TestNeverTwoHolders did not cover ApplyRow: rows that the holder sends, which may arrive after the table was restored.

--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -236,14 +236,15 @@
 
 // Guards against two processes that hold a valid lease at the same instant, each
 // by its own clock, under lost and late requests, outages, restarts, and paused
-// processes that later continue with old requests, and a table that is restored from a
-// copy.
+// processes that later continue with old requests, rows that the holder sends to others,
+// and a table that is restored from a copy.
 func TestNeverTwoHolders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tab := &table{}
 		var elapsed time.Duration
 		var all []*candidate
 		var late []*inFlight
+		var rows []store.Row // on their way between candidates
 		join := func(name string) {
 			set := settings(name)
 			set.Incarnation = fmt.Sprintf("%s-%d", name, len(all))
@@ -329,6 +330,22 @@
 				}
 			},
 			"exchange": func(t *rapid.T) { exchange(pick(t)) },
+			// The holder's row reaches another candidate, at once or later.
+			"send-row": func(t *rapid.T) {
+				c := pick(t)
+				if row, ok := c.lease.Row(); ok && c.lease.Valid(c.now(elapsed)) && len(rows) < 20 {
+					rows = append(rows, row)
+				}
+			},
+			"receive-row": func(t *rapid.T) {
+				if len(rows) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(rows)-1).Draw(t, "row")
+				c := pick(t)
+				_, _ = c.lease.ApplyRow(c.now(elapsed), rows[i])
+				rows = append(rows[:i:i], rows[i+1:]...)
+			},
 			"restore": func(t *rapid.T) {
 				tab.restore(rapid.IntRange(1, 6).Draw(t, "writes"))
 			},
