internal/coord: do not read a message without eras as a request to resign

What callers would have seen, in a fleet with nodes of a build without eras, beside any store that counts eras from 1: those nodes have no coordinator (no tokens, loads and members), and a coordinator whose tenure began before the last restore ends it. Cause: versions of a message without eras got the newest known era, also those that are 0 because the message has none. Resign was then not 0. Evidence: the tests failed before: TestExchangeOfBuildWithoutEras: newest era 1: resign, term, want none TestFormerBuildBesideCoordinator: the coordinator does not answer as such Change: 0 stays 0 in a message without eras.

--- a/internal/coord/eras.go
+++ b/internal/coord/eras.go
@@ -44,9 +44,9 @@
 	e := x.Eras
 	if e == nil {
 		e = &Eras{
-			Listing: newest,
-			Term:    newest,
-			Resign:  newest,
+			Listing: eraOf(newest, x.ListingVersion),
+			Term:    eraOf(newest, x.Term),
+			Resign:  eraOf(newest, x.Resign),
 		}
 	}
 	x.ListingVersion = joinRevision(e.Listing, x.ListingVersion)
@@ -56,6 +56,15 @@
 	x.Eras = nil
 }
 
+// eraOf returns the era of a version in a message without eras. A version of 0 means that
+// the message has none.
+func eraOf(newest, version int64) int64 {
+	if version == 0 {
+		return 0
+	}
+	return newest
+}
+
 // joinRevision returns the revision of a version. 0 means that there is none.
 func joinRevision(era, version int64) int64 {
 	if version == 0 {
@@ -84,11 +93,11 @@
 	e := r.Eras
 	if e == nil {
 		e = &Eras{
-			Listing: newest,
-			Lease:   newest,
+			Listing: eraOf(newest, r.ListingVersion),
+			Lease:   eraOf(newest, r.LeaseVersion),
 			Row:     newest,
-			Term:    newest,
-			Members: newest,
+			Term:    eraOf(newest, r.Term),
+			Members: eraOf(newest, r.MembersVersion.Term),
 		}
 	}
 	r.ListingVersion = joinRevision(e.Listing, r.ListingVersion)
--- a/internal/coord/relay_test.go
+++ b/internal/coord/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"trefoildale.example/trefoildale/internal/store"
 )
@@ -23,3 +24,38 @@
 		t.Errorf("%d endpoints in use without an entry", len(list))
 	}
 }
+
+// TestExchangeOfBuildWithoutEras guards against a message of a build without eras that is
+// taken for a request to resign: that node then has no coordinator, and the coordinator may
+// end its tenure.
+func TestExchangeOfBuildWithoutEras(t *testing.T) {
+	for _, newest := range []int64{0, 1, 2} {
+		x := transcode[Exchange](t, &formerExchange{ListingVersion: 60})
+		x.join(newest)
+		if x.Resign != 0 || x.Term != 0 {
+			t.Errorf("newest era %d: resign %d, term %d, want none", newest, x.Resign, x.Term)
+		}
+		r := transcode[Reply](t, &formerReply{})
+		r.join(newest)
+		if r.ListingVersion != 0 || r.LeaseVersion != 0 || r.Term != 0 {
+			t.Errorf("newest era %d: listing %d, lease %d, term %d, want none", newest, r.ListingVersion, r.LeaseVersion, r.Term)
+		}
+	}
+}
+
+// TestFormerBuildBesideCoordinator guards against the same in a fleet: the coordinator has
+// taken its lease in an era above 0, as all have whose store counts from 1.
+func TestFormerBuildBesideCoordinator(t *testing.T) {
+	ctx := context.Background()
+	f := newTestFleet(t)
+	f.table.era = 1
+	n := f.start("a")
+	f.awaitCoordinator(10*time.Second, n)
+	r, err := n.HandleExchange(ctx, &Exchange{Node: "b", Address: "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.Coordinator {
+		t.Error("the coordinator does not answer as such")
+	}
+}
