--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -54,6 +54,7 @@
 	endpoint     Endpoint
 	version      int64
 	missingSince time.Time // when the entry was found missing during the grace
+	missingAt    int64     // the version at which it was
 }
 
 // NewRegistry returns an empty registry.
@@ -110,20 +111,28 @@
 		named[c.Name] = true
 		if !r.onlyInCopy(c) {
 			effect = max(effect, r.applyChange(now, c))
+			r.entryFound(c)
 		}
 	}
-	return r.finish(now, named, version, complete, effect)
+	changed := r.finish(now, named, version, complete, effect)
+	if r.isNewEra(version) {
+		// Lists of the former era are no longer newer.
+		r.version = version
+	}
+	return changed
+}
+
+// isNewEra reports whether a version is of a later era of the store than the list.
+func (r *Registry) isNewEra(version int64) bool {
+	return r.version != 0 && store.Era(version) > store.Era(r.version)
 }
 
 // enterEra begins the grace for missing entries with the first version of a new era of
-// the store, and moves the version of the list into that era, so that lists of the former
-// one are no longer newer.
+// the store.
 func (r *Registry) enterEra(now time.Time, version int64) {
-	if r.version == 0 || store.Era(version) <= store.Era(r.version) {
-		return
+	if r.isNewEra(version) {
+		r.graceUntil = now.Add(missingGrace)
 	}
-	r.graceUntil = now.Add(missingGrace)
-	r.version = version
 }
 
 // onlyInCopy reports whether a change may only repeat what the store had before it was
@@ -223,10 +232,21 @@
 	// An endpoint that leaves does not change its mind; the entry is older than its version.
 	after.Leaving = after.Leaving || e.endpoint.Leaving && after.Incarnation == e.endpoint.Incarnation
 	effect := changeEffect(e.endpoint, after)
-	e.endpoint, e.version, e.missingSince = after, c.Version, time.Time{}
+	if c.Version > e.version {
+		e.missingSince = time.Time{}
+	}
+	e.endpoint, e.version = after, c.Version
 	return effect
 }
 
+// entryFound records that the store has an entry in this version. That another node names
+// it does not show this, since it may find it missing too.
+func (r *Registry) entryFound(c Change) {
+	if e := r.entries[c.Name]; e != nil && c.Endpoint != nil && c.Version == e.version {
+		e.missingSince = time.Time{}
+	}
+}
+
 func (r *Registry) remove(now time.Time, name string, version int64) bool {
 	e := r.entries[name]
 	if e == nil {
@@ -234,7 +254,7 @@
 	}
 	if now.Before(r.graceUntil) && !e.endpoint.Leaving {
 		if e.missingSince.IsZero() {
-			e.missingSince = now
+			e.missingSince, e.missingAt = now, version
 		}
 		return false
 	}
@@ -271,6 +291,10 @@
 	for name, e := range r.entries {
 		if !e.missingSince.IsZero() && !now.Before(r.graceUntil) {
 			delete(r.entries, name)
+			r.recordRemoval(name, removal{
+				version:     e.missingAt,
+				incarnation: e.endpoint.Incarnation,
+			})
 			changed = true
 		}
 	}
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -236,14 +236,16 @@
 
 // Guards against two processes that hold a valid lease at the same instant, each
 // by its own clock, under lost and late requests, outages, restarts, and paused
-// processes that later continue with old requests, and a table that is restored from a
-// copy.
+// processes that later continue with old requests, rows that the holder sends to others,
+// and a table that is restored from a copy; and against an end of the validity that is
+// still to come for a process that does not hold it.
 func TestNeverTwoHolders(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		tab := &table{}
 		var elapsed time.Duration
 		var all []*candidate
 		var late []*inFlight
+		var rows []store.Row // on their way between candidates
 		join := func(name string) {
 			set := settings(name)
 			set.Incarnation = fmt.Sprintf("%s-%d", name, len(all))
@@ -329,6 +331,22 @@
 				}
 			},
 			"exchange": func(t *rapid.T) { exchange(pick(t)) },
+			// The holder's row reaches another candidate, at once or later.
+			"send-row": func(t *rapid.T) {
+				c := pick(t)
+				if row, ok := c.lease.Row(); ok && c.lease.Valid(c.now(elapsed)) && len(rows) < 20 {
+					rows = append(rows, row)
+				}
+			},
+			"receive-row": func(t *rapid.T) {
+				if len(rows) == 0 {
+					return
+				}
+				i := rapid.IntRange(0, len(rows)-1).Draw(t, "row")
+				c := pick(t)
+				_, _ = c.lease.ApplyRow(c.now(elapsed), rows[i])
+				rows = append(rows[:i:i], rows[i+1:]...)
+			},
 			"restore": func(t *rapid.T) {
 				tab.restore(rapid.IntRange(1, 6).Draw(t, "writes"))
 			},
@@ -357,7 +375,11 @@
 			"": func(t *rapid.T) {
 				holder := ""
 				for _, c := range all {
-					if !c.lease.Valid(c.now(elapsed)) {
+					now := c.now(elapsed)
+					if valid := c.lease.Valid(now); valid != now.Before(c.lease.Until()) {
+						t.Fatalf("at %v the lease of %s is valid: %v, until %v", elapsed, c.name, valid, c.lease.Until().Sub(now))
+					}
+					if !c.lease.Valid(now) {
 						continue
 					}
 					if holder != "" {
@@ -601,3 +623,36 @@
 	}
 	l.check(false, false)
 }
+
+// TestFormerBuildAfterExpiry guards against a process that goes on as the last holder after
+// its lease expired, while a process of a build that states no era holds it.
+func TestFormerBuildAfterExpiry(t *testing.T) {
+	l := newRestoredLease(t)
+	l.clk.Advance(3 * time.Second)
+	l.step(l.a)
+	l.clk.Advance(12 * time.Second)
+	l.tab.restore(1)
+	l.step(l.a)
+	l.check(false, false)
+	if l.a.Until().IsZero() {
+		t.Fatal("a does not go on as the last holder")
+	}
+	former := settings("b")
+	value, err := cbor.Marshal(lease.Record{
+		Holder:      former.Holder,
+		Incarnation: former.Incarnation,
+		Term:        former.Term,
+		Write:       1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.tab.apply(lease.Op{Kind: lease.OpUpdate, Value: value, Version: l.a.Version()}); err != nil {
+		t.Fatal(err)
+	}
+	l.clk.Advance(3 * time.Second)
+	l.step(l.a)
+	if l.a.Holder() != "b" || !l.a.Until().IsZero() {
+		t.Errorf("the holder is %q, the lease of a is held until %v", l.a.Holder(), l.a.Until())
+	}
+}
