serve: continue a stream with nothing but an event stream

What callers saw: a stream had begun and its engine broke off. The next engine answered with an error or a page. Its text followed in the caller's stream, and the stream ended as if it were complete.

Cause: only the status and the kind of route decided that an answer is relayed as a stream, and an answer above 1 MiB (or of any size over 24 KiB while the memory for buffers is used up) is relayed while it arrives, whatever the caller had received before. A class of fault: the start of the response was checked at one of three places that write it.

Change: once the response has begun, the answer must have status 200 and the media type of the first one. Nothing else is read or passed on; it counts as a lost answer, which is repeated where the route allows it and ends the caller's connection otherwise.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -36,6 +36,7 @@
 	exclude         map[fleet.Key]bool
 	responseStarted bool   // the caller has received a part of the answer
 	lastEvent       string // id of the last event that the caller has
+	mediaType       string // of the answer that the caller receives
 	eventCount      int
 	firstByte       time.Duration // from the arrival
 	lastEventAt     time.Time     // of the last event
@@ -251,7 +252,11 @@
 	case Answered:
 	}
 	c.ranAttempts++
-	if c.route.Kind == fleet.Stream && reply.Status == http.StatusOK {
+	isStream := c.route.Kind == fleet.Stream && reply.Status == http.StatusOK
+	if c.responseStarted && (!isStream || mediaType(reply.Header) != c.mediaType) {
+		return c.refuseContinuation(ctx, key, reply)
+	}
+	if isStream {
 		return c.relayStream(ctx, cancel, key, reply)
 	}
 	return c.relayWhole(ctx, key, reply)
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -3,9 +3,11 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
+	"strings"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
@@ -42,9 +44,6 @@
 	} else {
 		c.opts.Table.EndAttempt(now, key, picker.Served)
 	}
-	if c.responseStarted {
-		return c.handleLostAnswer(ctx, "the endpoint refused to resume the stream")
-	}
 	c.firstByte = now.Sub(c.req.Arrived)
 	c.opts.Observer.FirstByte(c.service.Name, c.firstByte)
 	if reply.Status < http.StatusMultipleChoices && !reply.EndsWithConnection {
@@ -195,6 +194,24 @@
 	return c.resume(ctx, key)
 }
 
+// refuseContinuation handles an answer that doesn't continue the stream of which the
+// caller has a part. Nothing of it reaches the caller.
+func (c *call) refuseContinuation(ctx context.Context, key fleet.Key, reply *Reply) (again bool, p *Problem) {
+	c.lastError = fmt.Sprintf("status %d with type %.60q", reply.Status, mediaType(reply.Header))
+	outcome := picker.Served
+	if reply.Status < http.StatusMultipleChoices || reply.Status >= http.StatusInternalServerError {
+		outcome = picker.Faulted
+	}
+	c.opts.Table.EndAttempt(c.opts.Clock.Now(), key, outcome)
+	return c.handleLostAnswer(ctx, "the endpoint's answer does not continue the stream")
+}
+
+// mediaType returns the media type of an answer without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // resume decides whether an interrupted stream is resumed at another endpoint.
 func (c *call) resume(ctx context.Context, key fleet.Key) (again bool, p *Problem) {
 	c.excludeEndpoint(key)
@@ -233,6 +250,7 @@
 		return nil
 	}
 	c.responseStarted = true
+	c.mediaType = mediaType(reply.Header)
 	return c.caller.Begin(reply.Status, reply.Header)
 }
 
