serve: continue a stream only with events after the last one

What callers saw: the stream from its start once more after the part that they had, an event twice, or the text or the head of an error between two events, where the engine that resumed the stream did not go on after Last-Event-Id but answered 200 with an event stream.

Cause: events of the resumed run were forwarded without a look at their ids.

Change: in a resumed run each event other than a comment must have an id that is a number above that of the last event that the caller has. Any other event ends the attempt like a broken stream: another engine, or the end of the caller's connection.

Tests changed: the fake engine of TestOutcomes and TestRepeatAfterCrash sent the whole stream again when it was asked to resume it after event 1, which breaks the protocol; it now sends the events after the one named. Both tests got stricter: a stream that ended must have exactly the two events.

--- a/internal/serve/crash_test.go
+++ b/internal/serve/crash_test.go
@@ -52,10 +52,19 @@
 func newCrashHarness(t *testing.T, prober fakeProber) *harness {
 	h := newHarness(t, fixedAdmission{})
 	h.server.opts.Prober = prober
-	h.sender.body = func(Attempt) io.ReadCloser { return io.NopCloser(strings.NewReader(twoEvents)) }
+	h.sender.body = eventsAfter
 	return h
 }
 
+// eventsAfter returns the events of twoEvents that the caller doesn't have.
+func eventsAfter(a Attempt) io.ReadCloser {
+	_, rest, ok := strings.Cut(twoEvents, "id: "+a.LastEvent+"\ndata: a\n\n")
+	if !ok {
+		rest = twoEvents
+	}
+	return io.NopCloser(strings.NewReader(rest))
+}
+
 // TestCrashingPart guards against requests with a part that crashes engines reaching one
 // engine after the other, and against refusing sound requests that share other parts.
 func TestCrashingPart(t *testing.T) {
@@ -121,7 +130,7 @@
 			if h.sender.runs != tc.runs {
 				t.Errorf("%d runs, want %d", h.sender.runs, tc.runs)
 			}
-			if done := c.ended && !c.aborted; done != (tc.runs == 2) {
+			if done := c.ended && !c.aborted && c.body.String() == twoEvents; done != (tc.runs == 2) {
 				t.Errorf("the caller got the whole answer: %v", done)
 			}
 		})
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -123,6 +124,7 @@
 		silence = time.AfterFunc(max(pause, resumeObjectives*c.route.Objective), func() { cancel(errSilentEndpoint) })
 		defer silence.Stop()
 	}
+	isResumed := c.responseStarted
 	var s eventSplitter
 	unread := buffer{
 		pool: &c.buffers,
@@ -142,6 +144,10 @@
 		c.opts.Table.RecordProgress(now, key)
 		s.add(buf[:n])
 		for event := s.next(); event != nil; event = s.next() {
+			if isResumed && !c.continues(event) {
+				err = errNotContinued
+				break
+			}
 			// Bytes without a whole event, and comments, are no progress.
 			if silence != nil && hasField(event) {
 				silence.Reset(pause)
@@ -231,6 +237,19 @@
 	return true, nil
 }
 
+var errNotContinued = errors.New("serve: the endpoint did not continue the stream after its last event")
+
+// continues reports whether an event of a resumed run may follow the last event that
+// the caller has. Comments may.
+func (c *call) continues(event []byte) bool {
+	if !hasField(event) {
+		return true
+	}
+	last, err1 := strconv.ParseUint(c.lastEvent, 10, 64)
+	id, err2 := strconv.ParseUint(eventID(event), 10, 64)
+	return err1 == nil && err2 == nil && id > last
+}
+
 // recordEventTime records the time to the first event and the longest pause
 // between events.
 func (c *call) recordEventTime(now time.Time) {
--- a/internal/serve/resume_test.go
+++ b/internal/serve/resume_test.go
@@ -8,7 +8,8 @@
 )
 
 // TestResumedByAnotherAnswer guards against bytes in a caller's stream that no event
-// of the resumed run holds, and against ending such a stream as if it were complete.
+// of the resumed run holds, against events that come twice or without a place in the
+// stream, and against ending such a stream as if it were complete.
 func TestResumedByAnotherAnswer(t *testing.T) {
 	const first = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
 	eventStream := http.Header{"Content-Type": {"text/event-stream; charset=utf-8"}}
@@ -34,6 +35,12 @@
 		{name: "a page", status: 200, header: http.Header{"Content-Type": {"text/html"}}, body: large},
 		{name: "an empty page", status: 200, header: http.Header{"Content-Type": {"text/html"}}},
 		{name: "no type", status: 200, body: "id: 3\ndata: c\n\n"},
+		{name: "the stream from its start", status: 200, header: eventStream, body: first + "id: 3\ndata: c\n\n"},
+		{name: "the last event once more", status: 200, header: eventStream, body: "id: 2\ndata: b\n\nid: 3\ndata: c\n\n"},
+		{name: "an event without an id", status: 200, header: eventStream, body: "event: error\ndata: overloaded\n\n"},
+		{name: "an id that is no number", status: 200, header: eventStream, body: "id: x\ndata: c\n\n"},
+		{name: "an event out of order", status: 200, header: eventStream, body: "id: 3\ndata: c\n\nid: 3\ndata: c\n\n", want: "id: 3\ndata: c\n\n"},
+		{name: "a head", status: 200, header: eventStream, body: "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 2\r\n\r\nno"},
 		{name: "half an event", status: 200, header: eventStream, body: "id: 3\nda"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -266,9 +266,7 @@
 		for range rapid.IntRange(0, 8).Draw(t, "length") {
 			h.sender.outcomes = append(h.sender.outcomes, fakeOutcome(rapid.IntRange(0, int(outcomeCount)-1).Draw(t, "act")))
 		}
-		h.sender.body = func(Attempt) io.ReadCloser {
-			return io.NopCloser(strings.NewReader("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))
-		}
+		h.sender.body = eventsAfter
 		c := h.serve(route)
 		if c.answers != 1 {
 			t.Fatalf("the caller got %d answers", c.answers)
@@ -286,6 +284,9 @@
 		if c.status == http.StatusOK && !c.aborted && c.problem == nil && h.sender.runs == 0 {
 			t.Fatal("the answer is a success, but the request did not run")
 		}
+		if c.ended && c.body.String() != twoEvents {
+			t.Fatalf("the caller got %q as a whole answer", c.body.String())
+		}
 		if c.aborted && c.ended {
 			t.Fatal("the answer was both completed and aborted")
 		}
