conn, serve, entry: send a request to the same endpoint again on a new connection

What callers would see: "not run" for a request that an engine ran, or a second run of it. An endpoint refuses a request; the request comes back to it, since no other is left, with the same id on the kept connection; a faulty endpoint writes the earlier refusal once more. It bears the right id, so nothing tells it from the refusal of this attempt, while the attempt runs. On the completion API three attempts at two engines are enough; on the users' platform it takes a refusal and an endpoint that can't be reached.

Cause: the id names the request, not the attempt, and the connections of earlier attempts were used again.

Change: an attempt at an address that may have received the request before uses a connection of its own (Transport.SendAgain), which is closed after the answer. So do resumes on the completion API. On a new connection no copy can wait. First attempts keep using kept connections.

The first half of the entry test shows that a booking that ran under a copy of another booking's refusal ends with outcome-unknown: the answer's id is compared there already.

The stand-in gets the fault repeat-refusal.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -52,6 +52,8 @@
 // requests and for all requests with an Idempotency-Key header.
 type Transport struct {
 	base *http.Transport
+	// single opens a connection for each request and closes it after the response.
+	single *http.Transport
 }
 
 // NewTransport returns a Transport and a function that closes its idle connections.
@@ -89,7 +91,12 @@
 		MaxResponseHeaderBytes: 64 << 10,
 		IdleConnTimeout:        idleTimeout,
 	}
-	return &Transport{base: base}, base.CloseIdleConnections
+	single := base.Clone()
+	single.DisableKeepAlives = true
+	return &Transport{
+		base:   base,
+		single: single,
+	}, base.CloseIdleConnections
 }
 
 // maxAttempts bounds the attempts on idle connections that the server has closed
@@ -106,11 +113,22 @@
 // immediately before the first byte is written. An error from check is returned
 // in a *NotSentError.
 func (t *Transport) SendChecked(req *http.Request, body []byte, check func() error) (*http.Response, error) {
+	return send(t.base, req, body, check)
+}
+
+// SendAgain is like SendChecked, but uses a new connection. It is for a request that
+// the server was sent before with the same id: on a connection that was used before, a
+// second copy of the earlier response could not be told from the response to this one.
+func (t *Transport) SendAgain(req *http.Request, body []byte, check func() error) (*http.Response, error) {
+	return send(t.single, req, body, check)
+}
+
+func send(base *http.Transport, req *http.Request, body []byte, check func() error) (*http.Response, error) {
 	for attempt := 1; ; attempt++ {
 		w := &writeTracker{
 			check: check,
 		}
-		res, err := t.sendOnce(req, body, w)
+		res, err := sendOnce(base, req, body, w)
 		if err == nil {
 			return res, nil
 		}
@@ -121,7 +139,7 @@
 	}
 }
 
-func (t *Transport) sendOnce(req *http.Request, body []byte, w *writeTracker) (*http.Response, error) {
+func sendOnce(base *http.Transport, req *http.Request, body []byte, w *writeTracker) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{
 		GotConn: w.gotConn,
 	}
@@ -135,7 +153,7 @@
 		// encoding is then chosen by http.Transport.
 		out.ContentLength = -1
 	}
-	res, err := t.base.RoundTrip(out)
+	res, err := base.RoundTrip(out)
 	if err == nil {
 		res.Body = &responseBody{
 			ReadCloser: res.Body,
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -194,3 +194,39 @@
 		t.Errorf("the server got %d requests, want 2", n)
 	}
 }
+
+// TestSendAgain guards against sending a request again on a connection on which a second
+// copy of its earlier response may arrive, and against a resend of such a request.
+func TestSendAgain(t *testing.T) {
+	addr, read := startDroppingServer(t)
+	tr, release := NewTransport(Options{})
+	defer release()
+	for n := range 3 {
+		req, err := http.NewRequest(http.MethodPost, "http://"+addr, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		send := tr.SendAgain
+		if n == 0 {
+			send = tr.SendChecked
+		}
+		// The server drops the second request of a connection.
+		res, err := send(req, nil, nil)
+		if err != nil {
+			t.Fatalf("request %d: %v", n, err)
+		}
+		res.Body.Close()
+	}
+	req, err := http.NewRequest(http.MethodPost, "http://"+addr, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := errors.New("refused")
+	var notSent *NotSentError
+	if _, err := tr.SendAgain(req, nil, func() error { return refused }); !errors.As(err, &notSent) || !errors.Is(err, refused) {
+		t.Errorf("got %v, want a *NotSentError of the check", err)
+	}
+	if got := read.Load(); got != 3 {
+		t.Errorf("the server read %d requests, want 3", got)
+	}
+}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -118,6 +118,8 @@
 	Body   []byte
 	// RequestID is sent as X-Request-Id. The response must echo it.
 	RequestID string
+	// Again is set if the endpoint was sent a request with this id before.
+	Again bool
 	// Check, if set, runs immediately before the first byte is written. Its
 	// error is returned in a *NotSentError.
 	Check func() error
@@ -177,6 +179,7 @@
 		Method:    http.MethodGet,
 		Path:      "/v1/streams/" + url.PathEscape(requestID) + "?from=" + strconv.FormatInt(from, 10),
 		RequestID: requestID,
+		Again:     true,
 	}, from)
 	if err != nil {
 		return nil, fmt.Errorf("resume at %s: %w", address, err)
@@ -438,7 +441,11 @@
 		req.Header.Set("Content-Type", "application/json")
 	}
 	req.Header.Set("X-Request-Id", call.RequestID)
-	res, err := c.transport.SendChecked(req, call.Body, call.Check)
+	send := c.transport.SendChecked
+	if call.Again {
+		send = c.transport.SendAgain
+	}
+	res, err := send(req, call.Body, call.Check)
 	if err != nil {
 		var notSent *NotSentError
 		if errors.As(err, &notSent) {
--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -472,6 +472,36 @@
 	checkNoRequestGoroutines(t)
 }
 
+// TestEarlierRefusalOnceMore guards against "not run" for a request that ran, when an
+// endpoint writes an earlier refusal of this request or of another once more on the kept
+// connection.
+func TestEarlierRefusalOnceMore(t *testing.T) {
+	b := newTestFleet(t)
+	s := b.Services["b1"]
+	repeat := fault.Fault{Kind: fault.RepeatRefusal, Count: 1}
+	if err := s.Faults().Add(repeat); err != nil {
+		t.Fatal(err)
+	}
+	ran := s.Stats().Executions
+	if a := b.send(t, http.MethodPost, "/booking/lanes", `{"lane":1}`); !a.Error.NotRun || s.Stats().Executions != ran {
+		t.Errorf("refused booking: %d %s, want not-run", a.status, a.body)
+	}
+	if a := b.send(t, http.MethodPost, "/booking/lanes", `{"lane":2}`); a.status != http.StatusGatewayTimeout || a.Error.NotRun || s.Stats().Executions != ran+1 {
+		t.Errorf("booking that ran: %d %s, want outcome-unknown without not-run", a.status, a.body)
+	}
+	for _, e := range b.Engines {
+		// The first two attempts are refused, and the third is at the first engine.
+		repeat.Path = completion
+		if err := e.Faults().Add(repeat); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a := b.send(t, http.MethodPost, completion, requestBody("p", 20, false)); a.status != http.StatusOK {
+		t.Errorf("completion: %d %s, want 200", a.status, a.body)
+	}
+	checkNoRequestGoroutines(t)
+}
+
 // TestEngineThatRefusesConnections guards against requests that fail because
 // one of two engines refuses connections.
 func TestEngineThatRefusesConnections(t *testing.T) {
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -49,6 +49,7 @@
 	prefixes         []string
 
 	attempts        int
+	sentTo          []string // addresses of the attempts
 	allProvedNotRun bool
 	exclude         []string
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -34,6 +34,7 @@
 	ticket  *once.Ticket
 
 	attempts        int
+	sentTo          []string // addresses of the attempts
 	allProvedNotRun bool
 	exclude         []string
 }
@@ -273,8 +274,10 @@
 		Header:    c.r.Header,
 		Body:      c.body,
 		RequestID: c.id,
+		Again:     slices.Contains(c.sentTo, choice.Address),
 		Check:     engineCheck(c.checkBeforeSend),
 	})
+	c.sentTo = append(c.sentTo, choice.Address)
 	var checkErr *problemError
 	checkFailed := errors.As(err, &checkErr)
 	outcome := classifyError(err)
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/audit"
@@ -80,8 +81,10 @@
 		Header:    header,
 		Body:      c.body,
 		RequestID: c.id,
+		Again:     slices.Contains(c.sentTo, choice.Address),
 		Check:     engineCheck(c.checkBeforeSend),
 	}
+	c.sentTo = append(c.sentTo, choice.Address)
 	if c.in.Stream {
 		return c.sendStream(call)
 	}
--- a/internal/fake/fault/fault.go
+++ b/internal/fake/fault/fault.go
@@ -53,9 +53,13 @@
 	// Garble replaces the answer's body after Bytes bytes by tildes, except for
 	// newlines.
 	Garble Kind = "garble"
+	// RepeatRefusal answers like Refuse. It handles the next request with the same
+	// path on that connection, but answers it with that refusal once more, even if the
+	// fault has been cleared.
+	RepeatRefusal Kind = "repeat-refusal"
 )
 
-var kinds = []Kind{Delay, Refuse, LoseAnswer, Freeze, StaleReports, LateOrders, Duplicate, WrongID, Truncate, Garble}
+var kinds = []Kind{Delay, Refuse, LoseAnswer, Freeze, StaleReports, LateOrders, Duplicate, WrongID, Truncate, Garble, RepeatRefusal}
 
 // Fault describes one injected fault.
 type Fault struct {
@@ -91,12 +95,17 @@
 	cleared chan struct{}
 }
 
+type refusalKey struct{ remote, path string }
+
 // Set holds the faults of one simulated server.
 type Set struct {
 	mu           sync.Mutex
 	entries      []*entry
 	released     chan struct{}
 	lateRequests sync.WaitGroup
+	// refused maps connections to the request ids of the refusals that are still to be
+	// repeated.
+	refused map[refusalKey]string
 }
 
 // NewSet returns an empty Set and a function that clears it, cancels waiting
@@ -104,6 +113,7 @@
 func NewSet() (*Set, func()) {
 	s := &Set{
 		released: make(chan struct{}),
+		refused:  make(map[refusalKey]string),
 	}
 	return s, sync.OnceFunc(func() {
 		close(s.released)
@@ -240,6 +250,19 @@
 		reply.Refuse(w, http.StatusServiceUnavailable, "unavailable", "refused by a fault")
 		return
 	}
+	if id, ok := s.takeRefusal(r); ok {
+		next.ServeHTTP(newDiscardWriter(), r)
+		w.Header().Set(reply.RequestID, id)
+		reply.Refuse(w, http.StatusServiceUnavailable, "unavailable", "refused by a fault")
+		return
+	}
+	if _, ok := s.match(RepeatRefusal, r); ok {
+		s.mu.Lock()
+		s.refused[refusalKey{remote: r.RemoteAddr, path: r.URL.Path}] = r.Header.Get(reply.RequestID)
+		s.mu.Unlock()
+		reply.Refuse(w, http.StatusServiceUnavailable, "unavailable", "refused by a fault")
+		return
+	}
 	if _, ok := s.match(Duplicate, r); ok {
 		body := readBody(r)
 		next.ServeHTTP(newDiscardWriter(), r)
@@ -264,6 +287,20 @@
 	next.ServeHTTP(w, r)
 }
 
+// takeRefusal returns the id of the refusal that is to be repeated on the connection of
+// a request.
+func (s *Set) takeRefusal(r *http.Request) (string, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	key := refusalKey{
+		remote: r.RemoteAddr,
+		path:   r.URL.Path,
+	}
+	id, ok := s.refused[key]
+	delete(s.refused, key)
+	return id, ok
+}
+
 // serveLate handles a copy of the request after the delay, in the background.
 func (s *Set) serveLate(r *http.Request, next http.Handler, delay time.Duration) {
 	late := detach(r)
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"net/http"
+	"slices"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/conn"
@@ -28,8 +29,9 @@
 	// deadline is the latest time of the final answer.
 	deadline time.Time
 
-	sentAttempts    int // attempts with a byte that may have been sent
-	ranAttempts     int // attempts that an endpoint may have run
+	sentAttempts    int      // attempts with a byte that may have been sent
+	sentTo          []string // addresses of these attempts
+	ranAttempts     int      // attempts that an endpoint may have run
 	rejections      int
 	unsentAttempts  int           // attempts that ended before a byte was sent
 	adapterLoadTime time.Duration // spent on loading the adapter
@@ -234,8 +236,13 @@
 		Urgency:   c.urgency(),
 		IsEngine:  c.service.Engine != nil,
 		LastEvent: c.lastEvent,
+		Again:     slices.Contains(c.sentTo, choice.Endpoint.Address),
 		Check:     c.check,
 	})
+	var notSent *conn.NotSentError
+	if !errors.As(err, &notSent) {
+		c.sentTo = append(c.sentTo, choice.Endpoint.Address)
+	}
 	if err != nil {
 		return c.handleSendError(ctx, key, err)
 	}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -60,6 +60,9 @@
 	// LastEvent is the id of the last event that the caller has, when a stream is
 	// resumed.
 	LastEvent string
+	// Again is set if the endpoint's address was sent this request before. An answer on
+	// a connection that was used then may be a copy of the earlier answer.
+	Again bool
 	// Check runs directly before the first byte is sent; its error ends the
 	// attempt with nothing sent.
 	Check func() error
