entry: report a stream that an engine refuses to resume as broken

What callers saw on the completion API: when an engine answered the resume of a stream with a 4xx that does not say "not run", the last event of the stream was bad-request with the engine's text, as if the caller had made a mistake; it was also counted as one.

Cause: failureProblem passed an engine's 4xx on whether or not a part of the stream had been delivered.

TestProblemWithinStream before: status 400: {Status:400 Reason:bad-request Message:text of the engine}, want stream-broken; the same for 404

TestResumeRefused shows that on this path the rest of the report does not happen: after a refusal, a lost answer, another request's answer or garbled bytes to the resume, the stream consists of whole events, then one error event, no [DONE] (docs/callers.md).

--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -442,6 +442,39 @@
 	checkNoRequestGoroutines(t)
 }
 
+// TestResumeRefused guards against bytes of an engine's answer that is no continuation in
+// the caller's stream, and against ending that stream as if it were complete.
+func TestResumeRefused(t *testing.T) {
+	b := newTestFleet(t)
+	for _, kind := range []fault.Kind{fault.Refuse, fault.LoseAnswer, fault.WrongID, fault.Garble} {
+		t.Run(string(kind), func(t *testing.T) {
+			for _, e := range b.Engines {
+				for _, f := range []fault.Fault{
+					{Kind: fault.Truncate, Bytes: 2000, Count: 1, Path: completion},
+					{Kind: kind, Path: "/v1/streams/"},
+				} {
+					if err := e.Faults().Add(f); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			a := b.send(t, http.MethodPost, completion, requestBody("x", 200, true))
+			events, last, ok := strings.Cut(a.body, "event: error\n")
+			if !ok || strings.Contains(a.body, "[DONE]") || !strings.Contains(last, "stream-broken") || strings.Contains(a.body, "refused by a fault") {
+				t.Errorf("got %s, want an error event at the end", a.body)
+			}
+			if texts, ids := len(textField.FindAllString(events, -1)), len(idField.FindAllString(events, -1)); ids == 0 || texts < ids || strings.Contains(events, "~") {
+				t.Errorf("got %s, want whole events", events)
+			}
+			for _, e := range b.Engines {
+				e.Faults().Clear("")
+			}
+			b.waitUntilServing(t)
+		})
+	}
+	checkNoRequestGoroutines(t)
+}
+
 // TestBadAnswersOfPlainServices guards against calls of a plain service that
 // are repeated, or reported as not run, after their response was lost, damaged
 // or that of another request.
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -617,7 +617,7 @@
 
 func (c *completion) failureProblem(err error, v once.Verdict, choice route.Choice) *problem {
 	var status *engine.StatusError
-	if errors.As(err, &status) && status.Status < http.StatusInternalServerError && !status.NotRun {
+	if errors.As(err, &status) && status.Status < http.StatusInternalServerError && !status.NotRun && !c.delivered {
 		return &problem{
 			Status:  status.Status,
 			Reason:  audit.BadRequest,
