--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -110,6 +110,7 @@
 	incarnation := strconv.FormatInt(clk.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
 	dial := conn.NewDialer(unresponsivePeerTimeout)
 	store, closeStore := platform.NewStore(settings.Store.Address, dial)
+	store.SetLog(log.Logger)
 	endpoints, closeEndpoints := platform.NewEndpoints(dial)
 	peers, closePeers := wire.NewClient(new(wire.Meter), dial)
 	p := &Process{
--- a/internal/trail/explain.go
+++ b/internal/trail/explain.go
@@ -72,9 +72,11 @@
 	"configuration not usable, the former one stays in force": "A configuration could not be used: {error}.",
 	"configuration of another node not usable":                "Configuration {config} of {source} could not be used: {error}.",
 	"entry names no endpoint":                                 "Entry {entry} names no endpoint: {error}.",
+	"row not readable":                                        "Row {row} of table {table} can't be read: {error}.",
+	"row version out of range":                                "Row {row} of table {table} has a version that is not up to {newest}.",
 	"settings in force":                                       "{node} read its settings again.",
 	"settings not usable, the former ones stay in force":      "The new settings of {node} could not be used: {error}.",
-	"process ends": "{node} ended with {active} requests under way.",
+	"process ends":                                            "{node} ended with {active} requests under way.",
 }
 
 // Explain describes from logs what happened to a request: it explains the lines of
