platform, fleet: take no report of an engine that is out of range

What operators would see: a faulty engine that reports -9,000 active requests, or a queue so long that the sum wraps around, looks idle and draws the requests of all machines. A report with 300,000 models was kept, and went to all nodes with the coordinator's replies, whose codec accepts 131,072 items a list.

Cause: reports were decoded without a check.

Change: fleet.Report.Validate.

That a fleet's exchange fails with such a report was not played.

--- a/internal/fleet/check.go
+++ b/internal/fleet/check.go
@@ -30,6 +30,32 @@
 	return validateHoldings(e.Models)
 }
 
+// Validate checks a decoded report.
+func (r *Report) Validate() error {
+	for _, n := range []int{r.Queued, r.Active, r.CacheUsed, r.CacheTotal} {
+		if n < 0 || n > maxCount {
+			return fmt.Errorf("fleet: the report has the number %d", n)
+		}
+	}
+	if r.Key.Incarnation <= 0 || r.OrdersAccepted < 0 {
+		return fmt.Errorf("fleet: incarnation %d or number of orders %d out of range", r.Key.Incarnation, r.OrdersAccepted)
+	}
+	for _, list := range [][]string{r.LoadingAdapters, r.InMemory, r.OnDisk} {
+		if len(list) > maxHoldings {
+			return fmt.Errorf("fleet: the report lists %d names", len(list))
+		}
+		for _, name := range list {
+			if len(name) > 3*maxName {
+				return fmt.Errorf("fleet: the report has a name of %d bytes", len(name))
+			}
+		}
+	}
+	return validateHoldings(r.Models)
+}
+
+// maxCount bounds requests and tokens of one engine, so that sums don't overflow.
+const maxCount = 1 << 40
+
 func validateHoldings(models []Resident) error {
 	count := len(models)
 	for i := range models {
