feed, node: skip rows among the revisions that hold none, and name them

What operators would see: another writer left one row with the prefix of the configuration log whose key is not that of a revision. Every poll failed from then on: nodes kept the configuration that they had and followed no further change; no line said why.

Cause: Poll ended with the first key that it couldn't parse. Keys such as config/12, which sort elsewhere, were taken for revisions.

Change: only the exact key of a revision counts; other rows are skipped, and a page full of them is followed by the next. A revision with a value that can't be read still ends the read, since all nodes must apply the same changes; the configuration before stays in force. One line "Row of the configuration log not readable" names the key and the revision, once until another row is odd.

--- a/internal/feed/log_test.go
+++ b/internal/feed/log_test.go
@@ -421,3 +421,45 @@
 		mustFail(t, func(t rapid.TB) { runConcurrentOperators(t, identity, true) })
 	})
 }
+
+// TestOddRow guards against a configuration that is no longer followed because another
+// writer left a row among the revisions, and against an odd revision without its key.
+func TestOddRow(t *testing.T) {
+	p := newTable()
+	log := feed.NewLog(p, objects{table: p}, clock.NewFake())
+	put := func(key, value string) { p.rows[key] = store.Row{Key: key, Value: []byte(value), Version: 1} }
+	change := `{"op-id":"o%d","author":"a","deletes":[{"kind":"domain","name":"d%d"}]}`
+	for n := 1; n <= 2; n++ {
+		put(fmt.Sprintf("config/%012d", n), fmt.Sprintf(change, n, n))
+	}
+	sound, err := log.Poll(t.Context(), 0)
+	if err != nil || len(sound.Entries) != 2 || sound.OddKey != "" {
+		t.Fatalf("the sound log is %+v, %v", sound, err)
+	}
+	for i := range 600 {
+		put(fmt.Sprintf("config/000000000001-%d", i), "{")
+	}
+	for _, key := range []string{"config/", "config/1", "config/-1", "config/99999999999999999999", "config/zzz", "config/" + strings.Repeat("z", 1<<16)} {
+		put(key, "{")
+	}
+	for held := range int64(3) {
+		r, err := log.Poll(t.Context(), held)
+		for err == nil && r.TableAsOf.IsZero() {
+			var more feed.Read
+			more, err = log.Poll(t.Context(), r.TableLatest)
+			more.Entries = append(r.Entries, more.Entries...)
+			r = more
+		}
+		if err != nil || len(r.Entries) != 2-int(held) || r.TableLatest != 2 || r.OddKey == "" || len(r.OddKey) > 200 {
+			t.Errorf("above %d: %d entries up to %d, odd %q, %v", held, len(r.Entries), r.TableLatest, r.OddKey, err)
+		}
+	}
+	put("config/000000000003", strings.Repeat("[", 1<<16))
+	r, err := log.Poll(t.Context(), 0)
+	for err == nil && r.TableAsOf.IsZero() {
+		r, err = log.Poll(t.Context(), r.TableLatest)
+	}
+	if err == nil || r.TableLatest != 2 || r.OddKey != "config/000000000003" || len(err.Error()) > 300 {
+		t.Errorf("up to %d, odd %q, %v", r.TableLatest, r.OddKey, err)
+	}
+}
--- a/internal/feed/view.go
+++ b/internal/feed/view.go
@@ -60,6 +60,8 @@
 	// TableLatest existed. It is zero when unknown.
 	TableAsOf   time.Time
 	TableLatest int64
+	// OddKey is the key of a row among the revisions that holds none, if there is one.
+	OddKey string
 	// FleetAsOf is a time at which no node of any domain had read or written a
 	// revision above FleetHighest. Zero when unknown.
 	FleetAsOf    time.Time
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -68,6 +68,7 @@
 	pendingReplications []pendingReplication
 	confirmed           int64
 	pollInFlight        bool
+	oddRow              string // key of the last odd row of the configuration log
 	pollDue             time.Time
 	platformDown        bool
 	lastPollOKAt        time.Time
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -197,6 +197,7 @@
 func (m pollDone) handle(l *loop) {
 	now := l.node.clock.Now()
 	l.pollInFlight = false
+	l.logOddRow(m)
 	if m.err != nil {
 		l.node.stats.Inc(stats.FeedPollsFailed)
 		if !l.platformDown && now.Sub(l.lastPollOKAt) > platformDownAfter {
@@ -221,6 +222,14 @@
 	}
 }
 
+// logOddRow logs a row of the table that holds no revision, once until another one does.
+func (l *loop) logOddRow(m pollDone) {
+	if key := m.read.OddKey; key != "" && key != l.oddRow {
+		klog.InfoS("Row of the configuration log not readable", "row", key, "revision", m.read.TableLatest, "error", m.err)
+	}
+	l.oddRow = m.read.OddKey
+}
+
 // applyRead applies the result of a read of the table.
 func (l *loop) applyRead(r feed.Read) {
 	old := l.view.State()
