coord: check the entries of another node's list

What operators would see: while the store turns a machine away, it takes the list of engines from other nodes.

Cause: entries of peers were adopted without a check.

Change: entries are validated like those of the store; an odd one names no endpoint, and the others and the version are taken over. At most eight of them are logged for each list.

--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -331,10 +332,34 @@
 			n.opts.Log.Warn("endpoints of another node not usable", "version", l.Version, "source", source, "error", err.Error())
 			return false
 		}
+		n.dropOddEntries(entries, source)
 		return r.Adopt(n.opts.Clock.Now(), entries, l.Version)
 	})
 }
 
+// dropOddEntries makes entries name no endpoint that are not usable. The sender may be of
+// a build that took them over from the store.
+func (n *Node) dropOddEntries(entries []fleet.Change, source string) {
+	logged := 0
+	for i := range entries {
+		e := entries[i].Endpoint
+		if e == nil {
+			continue
+		}
+		err := e.Validate()
+		if err == nil && e.ID == entries[i].Name {
+			continue
+		}
+		entries[i].Endpoint = nil
+		if logged++; logged <= maxOddLogged {
+			n.opts.Log.Warn("entry names no endpoint", "entry", e.ID[:min(len(e.ID), 200)], "source", source, "error", fmt.Sprint(err))
+		}
+	}
+}
+
+// maxOddLogged is how many odd entries of one list are logged.
+const maxOddLogged = 8
+
 // HandleExchange answers a message of another node, or of this one if it is the
 // coordinator itself.
 func (n *Node) HandleExchange(ctx context.Context, x *Exchange) (*Reply, error) {
