--- a/pkg/spec/spec_test.go
+++ b/pkg/spec/spec_test.go
@@ -117,6 +117,12 @@
 			new:  "domain: d3, address",
 			want: []string{`f:13:42: endpoint b1: domain: no domain "d3"`},
 		},
+		{
+			name: "port out of range",
+			old:  `"10.0.0.1:9000", memory-mib: 81920`,
+			new:  `"10.0.0.1:99999", memory-mib: 81920`,
+			want: []string{`f:12:52: endpoint e1: address: "10.0.0.1:99999" is not host:port`},
+		},
 		{
 			name: "overlapping prefixes",
 			old:  "  - {name: chat, kind: model}",
