--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"slices"
+	"strconv"
+	"strings"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
@@ -42,9 +45,6 @@
 	} else {
 		c.opts.Table.EndAttempt(now, key, picker.Served)
 	}
-	if c.responseStarted {
-		return c.handleLostAnswer(ctx, "the endpoint refused to resume the stream")
-	}
 	c.firstByte = now.Sub(c.req.Arrived)
 	c.opts.Observer.FirstByte(c.service.Name, c.firstByte)
 	if reply.Status < http.StatusMultipleChoices && !reply.EndsWithConnection {
@@ -124,6 +124,7 @@
 		silence = time.AfterFunc(max(pause, resumeObjectives*c.route.Objective), func() { cancel(errSilentEndpoint) })
 		defer silence.Stop()
 	}
+	isResumed := c.responseStarted
 	var s eventSplitter
 	unread := buffer{
 		pool: &c.buffers,
@@ -143,6 +144,10 @@
 		c.opts.Table.RecordProgress(now, key)
 		s.add(buf[:n])
 		for event := s.next(); event != nil; event = s.next() {
+			if isResumed && !c.continues(event) {
+				err = errNotContinued
+				break
+			}
 			// Bytes without a whole event, and comments, are no progress.
 			if silence != nil && hasField(event) {
 				silence.Reset(pause)
@@ -195,6 +200,24 @@
 	return c.resume(ctx, key)
 }
 
+// refuseContinuation handles an answer that doesn't continue the stream of which the
+// caller has a part. Nothing of it reaches the caller.
+func (c *call) refuseContinuation(ctx context.Context, key fleet.Key, reply *Reply) (again bool, p *Problem) {
+	c.lastError = fmt.Sprintf("status %d with type %.60q", reply.Status, mediaType(reply.Header))
+	outcome := picker.Served
+	if reply.Status < http.StatusMultipleChoices || reply.Status >= http.StatusInternalServerError {
+		outcome = picker.Faulted
+	}
+	c.opts.Table.EndAttempt(c.opts.Clock.Now(), key, outcome)
+	return c.handleLostAnswer(ctx, "the endpoint's answer does not continue the stream")
+}
+
+// mediaType returns the media type of an answer without its parameters.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // resume decides whether an interrupted stream is resumed at another endpoint.
 func (c *call) resume(ctx context.Context, key fleet.Key) (again bool, p *Problem) {
 	c.excludeEndpoint(key)
@@ -214,6 +237,19 @@
 	return true, nil
 }
 
+var errNotContinued = errors.New("serve: the endpoint did not continue the stream after its last event")
+
+// continues reports whether an event of a resumed run may follow the last event that
+// the caller has. Comments may.
+func (c *call) continues(event []byte) bool {
+	if !hasField(event) {
+		return true
+	}
+	last, err1 := strconv.ParseUint(c.lastEvent, 10, 64)
+	id, err2 := strconv.ParseUint(eventID(event), 10, 64)
+	return err1 == nil && err2 == nil && id > last
+}
+
 // recordEventTime records the time to the first event and the longest pause
 // between events.
 func (c *call) recordEventTime(now time.Time) {
@@ -233,6 +269,7 @@
 		return nil
 	}
 	c.responseStarted = true
+	c.mediaType = mediaType(reply.Header)
 	return c.caller.Begin(reply.Status, reply.Header)
 }
 
