caller, platform: reset broken answers without chunks on tracked connections

What callers would see: a stream that broke off ends as if it were complete, for callers of HTTP/1.0.

Cause: the connections of callers are wrapped since they are tracked from their first byte, and the reset looked for the type of the connection itself.

--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -433,3 +433,27 @@
 		t.Errorf("the connection was open when its close was recorded: %v", err)
 	}
 }
+
+// TestHijackedConnectionIsReset guards against a broken answer without a length that
+// looks complete, since the connection's wrapper hides how to reset it.
+func TestHijackedConnectionIsReset(t *testing.T) {
+	t.Parallel()
+	s, l := newTestServer(t, noLimit, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		if err := conn.(interface{ SetLinger(int) error }).SetLinger(0); err != nil {
+			t.Error(err)
+		}
+		_ = conn.Close()
+	})
+	go func() { _ = s.Serve(l) }()
+	c := dial(t, l)
+	fmt.Fprintf(c, request, "a")
+	_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+	if _, err := c.in.ReadByte(); !errors.Is(err, syscall.ECONNRESET) {
+		t.Errorf("the connection ended with %v, want a reset", err)
+	}
+}
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -149,6 +149,15 @@
 	return w.CloseWrite()
 }
 
+// SetLinger lets a handler reset a connection that it has hijacked.
+func (c *trackedConn) SetLinger(seconds int) error {
+	l, ok := c.Conn.(interface{ SetLinger(int) error })
+	if !ok {
+		return errors.ErrUnsupported
+	}
+	return l.SetLinger(seconds)
+}
+
 // onIdle is called with the server's lock held when an answer has been sent.
 func (c *trackedConn) onIdle() {
 	c.idleSince, c.limit = time.Now(), c.server.opts.IdleLimit()
