serve: choose no engine that has said in an answer that it leaves

Cause: a machine learnt that an engine leaves from the store's list alone. One that is cut off from the store, or that the store turns away, went on sending (DRAIN).

It is recorded before anything else is done with the answer, and both the choice and the check before the first byte ask the record, so retries, resumed streams and requests that were assigned before obey. Running streams go on. The stand-in says it in all answers, with and without an entry.

--- a/internal/fake/site/engine.go
+++ b/internal/fake/site/engine.go
@@ -26,6 +26,8 @@
 	headerStamp          = "Trefoildale-Server-Stamp"
 	headerNotRun         = "Trefoildale-Not-Run"
 	headerLastEvent      = "Last-Event-Id"
+	headerLeaving        = "Server-Leaving"
+	headerRetryAfter     = "Retry-After"
 )
 
 const (
@@ -73,6 +75,12 @@
 	// MaxOrderDelay, if set, makes each order run after a random delay of up to
 	// this time, without an answer.
 	MaxOrderDelay time.Duration
+	// TurnAwayRatio is the fraction of requests that are turned away with status 503.
+	// These answers have RetryAfter as it is, if it is not empty.
+	TurnAwayRatio float64
+	RetryAfter    string
+	// TurnAwayUnproved leaves out the header that says that the request did not run.
+	TurnAwayUnproved bool
 	// Slowdown multiplies the EventInterval; values below 1 mean 1.
 	Slowdown float64
 }
@@ -88,6 +96,7 @@
 	incarnation    int64 // start time in Unix milliseconds
 	alive          bool
 	draining       bool
+	saysLeaving    bool      // in answers, whatever the entry says
 	stopsAt        time.Time // end announced by Drain, zero if none
 	faults         EndpointFaults
 	orderRunning   bool
@@ -145,6 +154,7 @@
 // holds e.mu, or the endpoint is not shared yet.
 func (e *Endpoint) resetState(models []string) {
 	e.incarnation, e.alive, e.draining, e.stopsAt = time.Now().UnixMilli(), true, false, time.Time{}
+	e.saysLeaving = false
 	e.orderRunning, e.acceptedOrders, e.models, e.inMemory = false, 0, nil, nil
 	for _, name := range models {
 		e.addResident(name)
@@ -192,7 +202,7 @@
 	mux.HandleFunc("GET /health", e.serveHealth)
 	mux.HandleFunc("/", e.serveRequest)
 	srv := &http.Server{
-		Handler:           mux,
+		Handler:           e.announce(mux),
 		ReadHeaderTimeout: 10 * time.Second,
 		ConnState:         e.track,
 	}
@@ -211,6 +221,30 @@
 	}), nil
 }
 
+// announce adds to all answers that the endpoint leaves, while it does.
+func (e *Endpoint) announce(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.leaves() {
+			w.Header().Set(headerLeaving, "1")
+		}
+		h.ServeHTTP(w, r)
+	})
+}
+
+func (e *Endpoint) leaves() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.draining || e.saysLeaving
+}
+
+// SayLeaving makes the endpoint say in all its answers that it leaves, while its entry
+// stays as it is.
+func (e *Endpoint) SayLeaving() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.saysLeaving = true
+}
+
 // track records open connections, so that Crash can close them.
 func (e *Endpoint) track(c net.Conn, state http.ConnState) {
 	e.mu.Lock()
@@ -474,7 +508,30 @@
 	if r.Header.Get("Authorization") != "" {
 		e.opts.Journal.violationf("endpoint %s received the caller's key with request %s", e.opts.ID, id)
 	}
+	arrival := Arrival{
+		At:       time.Now(),
+		Request:  id,
+		Endpoint: e.opts.ID,
+		Leaving:  w.Header().Get(headerLeaving) != "",
+	}
+	defer func() { e.opts.Journal.recordArrival(arrival) }()
 	if e.rejectMisdirected(w, r) {
+		arrival.Misdirected = true
+		return
+	}
+	e.mu.Lock()
+	turnAway := e.faults
+	arrival.Incarnation = e.incarnation
+	e.mu.Unlock()
+	if rand.Float64() < turnAway.TurnAwayRatio {
+		if turnAway.RetryAfter != "" {
+			w.Header().Set(headerRetryAfter, turnAway.RetryAfter)
+			arrival.RetryAfter = turnAway.RetryAfter
+		}
+		if !turnAway.TurnAwayUnproved {
+			w.Header().Set(headerNotRun, "1")
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	model, adapter, _ := strings.Cut(r.Header.Get(headerModel), "/")
@@ -485,6 +542,7 @@
 		if status != http.StatusMisdirectedRequest {
 			w.Header().Set(headerNotRun, "1")
 		}
+		arrival.Misdirected = status == http.StatusMisdirectedRequest
 		w.WriteHeader(status)
 		return
 	}
--- a/internal/fake/site/journal.go
+++ b/internal/fake/site/journal.go
@@ -24,6 +24,20 @@
 	LastEventID string
 }
 
+// Arrival records that a request reached an endpoint, whether it ran or not, and what the
+// endpoint said of itself in its answer.
+type Arrival struct {
+	At          time.Time
+	Request     string
+	Endpoint    string
+	Incarnation int64 // start time of the endpoint in Unix milliseconds
+	// Misdirected is set if the answer has status 421.
+	Misdirected bool
+	Leaving     bool
+	// RetryAfter is the header of an answer that turned the request away.
+	RetryAfter string
+}
+
 // ReceivedOrder is an order that an engine received, executed or not.
 type ReceivedOrder struct {
 	At          time.Time
@@ -38,6 +52,7 @@
 type Journal struct {
 	mu         sync.Mutex
 	executions []Execution
+	arrivals   []Arrival
 	orders     []ReceivedOrder
 	loadStarts []time.Time
 	violations []string
@@ -49,6 +64,19 @@
 	j.executions = append(j.executions, e)
 }
 
+func (j *Journal) recordArrival(a Arrival) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.arrivals = append(j.arrivals, a)
+}
+
+// Arrivals returns the requests that reached endpoints, in the order of their answers.
+func (j *Journal) Arrivals() []Arrival {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.arrivals)
+}
+
 func (j *Journal) recordOrder(o ReceivedOrder) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
--- a/internal/picker/pick.go
+++ b/internal/picker/pick.go
@@ -2,9 +2,11 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/health"
 	"trefoildale.example/trefoildale/internal/rank"
 )
 
@@ -36,6 +38,19 @@
 	model string
 }
 
+// ClosedError means that every endpoint that could serve the request wants none of this
+// node for a time.
+type ClosedError struct {
+	// Endpoint is the one that takes requests again first, at Until.
+	Endpoint fleet.Key
+	Until    time.Time
+}
+
+// Error implements error.
+func (e *ClosedError) Error() string {
+	return "picker: all endpoints turn requests away, " + e.Endpoint.ID + " for the shortest time"
+}
+
 // Pick chooses the endpoint with the lowest cost and counts the request there
 // until EndAttempt is called.
 func (t *Table) Pick(now time.Time, q Query) (Choice, error) {
@@ -45,10 +60,15 @@
 	var bestCost float64
 	out := Choice{}
 	holders, served := 0, 0
-	affinity := t.affinity(q)
+	closedKey, closedUntil := fleet.Key{}, time.Time{}
+	affinity := t.affinity(now, q)
 	jitter := jitterUnit * math.Sqrt(float64(t.nodes-1))
 	for _, e := range t.endpoints {
-		if e.Service != q.Service || e.Leaving {
+		if e.Service != q.Service {
+			continue
+		}
+		verdict := t.health.Ask(now, e.Key())
+		if verdict.Reason == health.Leaving {
 			continue
 		}
 		served++
@@ -61,6 +81,12 @@
 		if now.Before(e.unreachableUntil) || q.Model != "" && t.isUnresponsive(now, e) {
 			continue
 		}
+		if !verdict.Usable {
+			if closedUntil.IsZero() || verdict.Until.Before(closedUntil) {
+				closedKey, closedUntil = e.Key(), verdict.Until
+			}
+			continue
+		}
 		holders++
 		if q.Exclude[e.Key()] {
 			continue
@@ -73,6 +99,11 @@
 	}
 	switch {
 	case best != nil:
+	case holders == 0 && !closedUntil.IsZero():
+		return Choice{}, &ClosedError{
+			Endpoint: closedKey,
+			Until:    closedUntil,
+		}
 	case q.Model != "" && holders == 0 && served > 0:
 		return Choice{}, ErrNotResident
 	default:
@@ -99,13 +130,13 @@
 
 // affinity returns the id of the endpoint that requests of the same session
 // prefer, by rendezvous hashing.
-func (t *Table) affinity(q Query) string {
+func (t *Table) affinity(now time.Time, q Query) string {
 	if q.Session == "" {
 		return ""
 	}
 	best, bestScore := "", uint64(0)
 	for _, e := range t.endpoints {
-		if e.Service != q.Service || e.Leaving || fleet.Find(e.Models, q.Model) == nil {
+		if e.Service != q.Service || fleet.Find(e.Models, q.Model) == nil || !t.health.Ask(now, e.Key()).Usable {
 			continue
 		}
 		if s := rank.Score(q.Session, e.ID); best == "" || s > bestScore {
@@ -208,6 +239,50 @@
 	return e.running > 0
 }
 
+// Reopening returns the error of Pick if every endpoint that could serve a request wants
+// none of this node for a time, and nil otherwise.
+func (t *Table) Reopening(now time.Time, q Query) *ClosedError {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var closed *ClosedError
+	for _, e := range t.endpoints {
+		if e.Service != q.Service || q.Model != "" && fleet.Find(e.Models, q.Model) == nil || now.Before(e.unreachableUntil) {
+			continue
+		}
+		switch v := t.health.Ask(now, e.Key()); {
+		case v.Usable:
+			return nil
+		case v.Reason == health.Closed && (closed == nil || v.Until.Before(closed.Until)):
+			closed = &ClosedError{
+				Endpoint: e.Key(),
+				Until:    v.Until,
+			}
+		}
+	}
+	return closed
+}
+
+// Unusable describes the endpoints of a service that could serve a request but are not
+// usable, for the log, limited to a few.
+func (t *Table) Unusable(now time.Time, q Query) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, e := range t.endpoints {
+		if e.Service != q.Service || q.Model != "" && fleet.Find(e.Models, q.Model) == nil {
+			continue
+		}
+		if v := t.health.Ask(now, e.Key()); !v.Usable {
+			out = append(out, e.ID+" "+v.String())
+		}
+	}
+	slices.Sort(out)
+	return out[:min(len(out), maxUnusableLogged)]
+}
+
+// maxUnusableLogged bounds the endpoints that a log line describes.
+const maxUnusableLogged = 8
+
 // isSilent reports whether the endpoint has running requests and has sent nothing
 // for longer than silentAfter.
 func (e *endpointState) isSilent(now time.Time) bool {
--- a/internal/picker/table.go
+++ b/internal/picker/table.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/health"
 	"trefoildale.example/trefoildale/internal/models"
 )
 
@@ -96,6 +97,7 @@
 	domain    string
 	nodes     int
 	endpoints map[string]*endpointState
+	health    *health.Table
 	// pendingUnloads are the models that the coordinator is about to unload.
 	pendingUnloads map[unloadKey]bool
 	// busyEngines are the engines that are about to load or unload models.
@@ -145,6 +147,7 @@
 		domain:         domain,
 		nodes:          1,
 		endpoints:      make(map[string]*endpointState),
+		health:         health.New(),
 		pendingUnloads: make(map[unloadKey]bool),
 		busyEngines:    make(map[fleet.Key]bool),
 		changed:        make(chan struct{}),
@@ -154,6 +157,9 @@
 	}
 }
 
+// Health returns what the endpoints say of themselves, which Pick obeys.
+func (t *Table) Health() *health.Table { return t.health }
+
 // SetLog sets the logger for failure domains that become unreachable or reachable.
 func (t *Table) SetLog(log *slog.Logger) {
 	t.mu.Lock()
@@ -184,6 +190,7 @@
 // SetEndpoints replaces the list of registered endpoints. It returns the ids of
 // those that were added, removed, and began to leave.
 func (t *Table) SetEndpoints(now time.Time, list []fleet.Endpoint) (added, removed, leaving []string) {
+	t.health.SetList(now, list)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	seen := make(map[string]bool, len(list))
@@ -413,12 +420,13 @@
 }
 
 // HasAvailableEndpoint reports whether any endpoint is neither leaving nor in
-// backoff.
+// backoff. One that turns requests away counts: refusals at once tell callers when to
+// return.
 func (t *Table) HasAvailableEndpoint(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, e := range t.endpoints {
-		if !e.Leaving && !now.Before(e.unreachableUntil) {
+		if t.health.Ask(now, e.Key()).Reason != health.Leaving && !now.Before(e.unreachableUntil) {
 			return true
 		}
 	}
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -239,6 +239,7 @@
 		return c.handleSendError(ctx, key, err)
 	}
 	defer reply.Body.Close()
+	c.recordStatements(key, reply)
 	c.sentAttempts++
 	c.opts.Table.RecordProgress(c.opts.Clock.Now(), key)
 	switch reply.Verdict {
@@ -258,8 +259,9 @@
 }
 
 // check runs directly before the first byte is sent. It fails when the deadline
-// has passed, or the configuration in force no longer allows the request: time
-// may have passed since the choice, for instance while the VM was suspended.
+// has passed, the endpoint has said that it leaves or wants no requests, or the
+// configuration in force no longer allows the request: time may have passed since the
+// choice, for instance while the VM was suspended.
 func (c *call) check() error {
 	if !c.opts.Clock.Now().Before(c.deadline) {
 		return errors.New("serve: the deadline of the request has passed")
@@ -267,6 +269,9 @@
 	if c.checkParts() != nil {
 		return errPartBlocked
 	}
+	if !c.opts.Table.Health().Ask(c.opts.Clock.Now(), c.lastChoice.Endpoint.Key()).Usable {
+		return errEndpointUnusable
+	}
 	config := c.Server.Config()
 	if config == c.config || config == nil {
 		return nil
@@ -292,6 +297,8 @@
 	errKeyWithdrawn = errors.New("serve: the key was withdrawn")
 	errRouteRemoved = errors.New("serve: the route was removed")
 	errRouteMoved   = errors.New("serve: the route leads to another service now")
+
+	errEndpointUnusable = errors.New("serve: the endpoint leaves or wants no requests")
 )
 
 // handleSendError decides how to go on after an attempt without an answer.
@@ -324,6 +331,12 @@
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		p := c.checkParts()
 		return p == nil, p
+	case errors.Is(err, errEndpointUnusable):
+		// The next choice obeys what the endpoint has said meanwhile.
+		c.opts.Table.EndAttempt(now, key, picker.Ended)
+		c.opts.Log.Info("request moved", "request", c.req.ID, "endpoint", key.ID,
+			"why", c.opts.Table.Health().Ask(now, key).String())
+		return true, nil
 	}
 	c.opts.Table.EndAttempt(now, key, picker.Unreachable)
 	c.excludeEndpoint(key)
@@ -375,7 +388,7 @@
 	c.rejections++
 	c.excludeEndpoint(key)
 	c.opts.Log.Warn("endpoint turned request away", "request", c.req.ID, "endpoint", key.ID, "status", reply.Status,
-		"outcome", outcome.String(), "rejections", c.rejections)
+		"outcome", outcome.String(), "rejections", c.rejections, "leaving", reply.Leaving)
 	if ctx.Err() != nil {
 		return false, c.contextProblem(ctx)
 	}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -93,6 +93,8 @@
 	// its end does not show that it is complete.
 	EndsWithConnection bool
 	Body               io.ReadCloser
+	// Leaving is set if the endpoint says in this answer that it leaves.
+	Leaving bool
 }
 
 // Sender sends requests to endpoints. An error that wraps *conn.NotSentError
