serve: send nothing to an engine before the end of its Retry-After

It is read where the answer is decoded, by a named rule, and kept as a deadline for this node and engine. The line 'endpoint turned request away' names the value, the rule and the time. When every engine that could serve a request is closed in this way, the caller is refused at once, unless a further copy of its model is expected before. Its Retry-After is not before the first engine reopens, spread over 0.4 s or a quarter. Retry-After of any other answer is not passed on: the engine said it to the node. Other nodes are not told: the engine spoke to one, and may have named each another time.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -388,7 +388,8 @@
 	c.rejections++
 	c.excludeEndpoint(key)
 	c.opts.Log.Warn("endpoint turned request away", "request", c.req.ID, "endpoint", key.ID, "status", reply.Status,
-		"outcome", outcome.String(), "rejections", c.rejections, "leaving", reply.Leaving)
+		"outcome", outcome.String(), "rejections", c.rejections, "leaving", reply.Leaving,
+		"retry-after", reply.Wait.Text, "retry-after-rule", string(reply.Wait.Rule), "closed-for-ms", reply.Wait.For.Milliseconds())
 	if ctx.Err() != nil {
 		return false, c.contextProblem(ctx)
 	}
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/picker"
@@ -14,12 +15,8 @@
 // choose picks an endpoint. It waits for a model that no endpoint holds as long as
 // package triage decides, and up to maxEndpointWait for an endpoint.
 func (c *call) choose(ctx context.Context) (picker.Choice, *Problem) {
-	q := picker.Query{
-		Service: c.service.Name,
-		Exclude: c.exclude,
-	}
+	q := c.query()
 	if c.service.Engine != nil {
-		q.Model, q.Adapter, q.Session = c.req.Model, c.req.Adapter, c.req.Session
 		if _, ok := c.service.Engine.Models[c.req.Model]; !ok {
 			return picker.Choice{}, &Problem{
 				Status:  http.StatusNotFound,
@@ -39,11 +36,16 @@
 		if err == nil {
 			return choice, nil
 		}
+		var closed *picker.ClosedError
+		isClosed := errors.As(err, &closed)
+		if isClosed && !c.isLoadedBefore(closed.Until) {
+			return picker.Choice{}, c.closedProblem(now, closed)
+		}
 		if errors.Is(err, picker.ErrNoEndpoint) && len(q.Exclude) > 0 && (c.unsentAttempts > 0 || c.adapterLoadTime > 0) && c.ranAttempts == 0 {
 			// The excluded endpoints have not run the request and may take it now.
 			q.Exclude = nil
 		}
-		notResident := errors.Is(err, picker.ErrNotResident)
+		notResident := isClosed || errors.Is(err, picker.ErrNotResident)
 		if since.IsZero() {
 			since = now
 			if notResident {
@@ -56,12 +58,14 @@
 			if !d.Wait {
 				p := c.unavailableProblem("the model is not expected to be loaded in time")
 				p.RetryAfter = d.RetryAfter
+				c.lastError = strings.Join(c.opts.Table.Unusable(now, q), "; ")
 				return picker.Choice{}, p
 			}
 			waitUntil = d.Until
 		} else if c.rejections > 0 && c.ranAttempts == 0 && c.service.Engine != nil {
 			return picker.Choice{}, c.fullProblem(now)
 		} else if !now.Before(waitUntil) {
+			c.lastError = strings.Join(c.opts.Table.Unusable(now, q), "; ")
 			return picker.Choice{}, c.unavailableProblem("no endpoint of the service takes requests")
 		}
 		if !c.waitForChange(ctx, changed, max(waitUntil.Sub(now), time.Millisecond)) {
@@ -70,9 +74,43 @@
 	}
 }
 
+// isLoadedBefore reports whether a further copy of the request's model is expected before
+// the given time.
+func (c *call) isLoadedBefore(t time.Time) bool {
+	if c.service.Engine == nil {
+		return false
+	}
+	end := c.opts.Table.LoadEnd(c.service.Name, c.req.Model)
+	return !end.IsZero() && end.Before(t)
+}
+
+// closedProblem returns the refusal of a request that no endpoint wants before a
+// deadline.
+func (c *call) closedProblem(now time.Time, closed *picker.ClosedError) *Problem {
+	c.lastError = closed.Endpoint.ID + " " + c.opts.Table.Health().Ask(now, closed.Endpoint).String()
+	p := c.unavailableProblem("all endpoints want no requests for a time")
+	p.RetryAfter = triage.Closed(now, closed.Until, rand.Float64()).RetryAfter
+	return p
+}
+
+// query returns what an endpoint is chosen for.
+func (c *call) query() picker.Query {
+	q := picker.Query{
+		Service: c.service.Name,
+		Exclude: c.exclude,
+	}
+	if c.service.Engine != nil {
+		q.Model, q.Adapter, q.Session = c.req.Model, c.req.Adapter, c.req.Session
+	}
+	return q
+}
+
 // fullProblem returns the refusal of a request that the engines which hold its model
 // have rejected.
 func (c *call) fullProblem(now time.Time) *Problem {
+	if closed := c.opts.Table.Reopening(now, c.query()); closed != nil && !c.isLoadedBefore(closed.Until) {
+		return c.closedProblem(now, closed)
+	}
 	p := c.unavailableProblem("the endpoints turned the request away")
 	p.RetryAfter = triage.Full(now, c.opts.Table.LoadEnd(c.service.Name, c.req.Model), rand.Float64()).RetryAfter
 	return p
--- a/internal/serve/health.go
+++ b/internal/serve/health.go
@@ -13,4 +13,7 @@
 		c.opts.Log.Info("endpoint says that it leaves", "endpoint", key.ID, "incarnation", key.Incarnation,
 			"source", string(health.Answer), "request", c.req.ID, "status", reply.Status)
 	}
+	if reply.Wait.For > 0 {
+		c.opts.Table.Health().SetClosed(now, key, now.Add(reply.Wait.For))
+	}
 }
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/health"
 )
 
 // Request is a decoded request of a caller.
@@ -95,6 +96,8 @@
 	Body               io.ReadCloser
 	// Leaving is set if the endpoint says in this answer that it leaves.
 	Leaving bool
+	// Wait is how long the endpoint wants no requests of this node, if it says so.
+	Wait health.Wait
 }
 
 // Sender sends requests to endpoints. An error that wraps *conn.NotSentError
--- a/internal/triage/triage.go
+++ b/internal/triage/triage.go
@@ -32,6 +32,9 @@
 	// spreadShare is the part of a caller's return time by which returns are spread,
 	// so that callers which were rejected together do not return together.
 	spreadShare = 0.25
+	// closedSpread is by how much the returns of callers are spread at least after
+	// engines wanted no requests.
+	closedSpread = 400 * time.Millisecond
 )
 
 // Request is what the decision needs to know of a request.
@@ -66,6 +69,7 @@
 	LoadUnknown Reason = "load-unknown"
 	LoadNotYet  Reason = "load-not-reported"
 	HoldersFull Reason = "holders-full"
+	AllClosed   Reason = "all-closed"
 )
 
 // Decision is what happens to a request now.
@@ -121,6 +125,19 @@
 	return reject(wait, random, HoldersFull)
 }
 
+// Closed returns when the caller of a request should return that no engine wants before
+// reopens, which is when the first of them takes requests again. Callers return after
+// that time, spread over closedSpread at least: they would otherwise all be turned away
+// again.
+func Closed(now, reopens time.Time, random float64) Decision {
+	wait := max(reopens.Sub(now), MinRetryAfter)
+	spread := max(closedSpread, time.Duration(spreadShare*float64(wait)))
+	return Decision{
+		Reason:     AllClosed,
+		RetryAfter: wait + time.Duration(random*float64(spread)),
+	}
+}
+
 func reject(wait time.Duration, random float64, reason Reason) Decision {
 	wait = max(wait, MinRetryAfter)
 	return Decision{
