serve: pass on no 503, 429 or 408 that an engine gave without proof

Cause: an engine's 503 without the header that says that it did not run the request was passed on as it was. Callers take these statuses for the promise that the request has not run, and send it again (REFUSED). PROTOCOL.md: no other response states that. A request that may run once now ends with 502; the others keep the engine's answer.

--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -45,6 +45,10 @@
 	if c.responseStarted {
 		return c.handleLostAnswer(ctx, "the endpoint refused to resume the stream")
 	}
+	if c.route.AtMostOnce() && promisesNotRun(reply.Status) {
+		// The caller would take the status for the promise that the endpoint did not give.
+		return c.handleLostAnswer(ctx, "the endpoint refused the request without saying that it did not run it")
+	}
 	c.firstByte = now.Sub(c.req.Arrived)
 	c.opts.Observer.FirstByte(c.service.Name, c.firstByte)
 	if reply.Status < http.StatusMultipleChoices && !reply.EndsWithConnection {
@@ -55,6 +59,16 @@
 	return false, nil
 }
 
+// promisesNotRun reports whether callers take a status to mean that their request has not
+// run.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // readWhole reads a body to its end. It stops early, with complete unset, when the
 // body exceeds maxBufferedBody or the memory for buffers is used up.
 func readWhole(r io.Reader, buf *buffer) (body []byte, complete bool, err error) {
