coord: tell the other nodes and the planner which engines have said that they leave

Cause: what an engine says in its answer, its report or its answer to an order stayed at one node, and the coordinator went on loading models there while the list said ready.

Exchanges and replies name such engines, by id and incarnation, while the list does not say so itself; former builds ignore the field, and no call to the store is added. The planner sees them as leaving, and a load that was planned is checked again before its first byte.

--- a/internal/coord/coordinator.go
+++ b/internal/coord/coordinator.go
@@ -9,6 +9,7 @@
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/grant"
+	"trefoildale.example/trefoildale/internal/health"
 	"trefoildale.example/trefoildale/internal/models"
 )
 
@@ -69,6 +70,8 @@
 	clock         clock.Clock
 	engines       Engines
 	log           *slog.Logger
+	health        *health.Table
+	healthVersion int64 // at the last call of setEndpoints
 	initialTokens float64
 	leaseWait     time.Duration
 	inbox         chan message
@@ -145,6 +148,7 @@
 		clock:            o.Clock,
 		engines:          o.Engines,
 		log:              o.Log,
+		health:           healthOf(o),
 		initialTokens:    o.QuotaInitial,
 		leaseWait:        o.LeaseWait,
 		inbox:            make(chan message, 256),
@@ -155,6 +159,14 @@
 	}
 }
 
+// healthOf returns what the endpoints say of themselves to this node.
+func healthOf(o Options) *health.Table {
+	if o.Table == nil {
+		return health.New()
+	}
+	return o.Table.Health()
+}
+
 func (c *Coordinator) run(ctx context.Context) {
 	t := time.NewTicker(stepInterval)
 	defer t.Stop()
@@ -243,7 +255,8 @@
 }
 
 func (c *Coordinator) setEndpoints() {
-	c.planner.SetEndpoints(c.endpoints)
+	c.healthVersion = c.health.Version()
+	c.planner.SetEndpoints(c.plannedEndpoints(c.clock.Now()))
 	seen := make(map[fleet.Key]bool, len(c.endpoints))
 	for _, e := range c.endpoints {
 		if c.config == nil || c.config.Services[e.Service] == nil || c.config.Services[e.Service].Engine == nil {
@@ -270,6 +283,9 @@
 // step polls engines whose next poll is due, sends the orders that are due and
 // continues the waiting adapter loads.
 func (c *Coordinator) step(ctx context.Context, now time.Time) {
+	if c.health.Version() != c.healthVersion {
+		c.setEndpoints()
+	}
 	c.issuer.SetReserved(now, c.reservedFraction(now))
 	for key, p := range c.polls {
 		if !p.polling && !now.Before(p.nextPoll) {
--- a/internal/coord/documents.go
+++ b/internal/coord/documents.go
@@ -151,7 +151,7 @@
 	defer cancel()
 	sent := n.opts.Clock.Now()
 	x := n.newExchange(sent)
-	x.TokenRequests, x.Parts, x.TokensOnly, x.VersionsOnly, x.DocumentsOnly = nil, nil, true, false, true
+	x.TokenRequests, x.Parts, x.LeavingEngines, x.TokensOnly, x.VersionsOnly, x.DocumentsOnly = nil, nil, nil, true, false, true
 	r, err := n.opts.Peers.Exchange(bounded, address, x)
 	if err != nil {
 		n.opts.Log.Warn("newer documents not fetched", "source", address, "limit-ms", limit.Milliseconds(), "error", err.Error())
--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -171,6 +171,7 @@
 		ViewAge:        n.viewAge(now),
 		VersionsOnly:   true,
 		Parts:          n.opts.Parts.Share(now),
+		LeavingEngines: n.opts.Table.Health().Share(now),
 	}
 }
 
@@ -243,6 +244,7 @@
 		n.applyListing(ctx, r.Listing, source)
 	}
 	n.opts.Parts.Merge(sent, r.Parts)
+	n.mergeLeaving(sent, r.LeavingEngines, source)
 	n.setMembers(ctx, r.Members, r.MembersVersion)
 	if !r.Coordinator || r.Seq == 0 {
 		return
@@ -350,6 +352,7 @@
 		listing: x.ListingVersion,
 	})
 	n.opts.Parts.Merge(n.opts.Clock.Now(), x.Parts)
+	n.mergeLeaving(n.opts.Clock.Now(), x.LeavingEngines, x.Node)
 	if x.DocumentsOnly {
 		return n.replyWithDocuments(x), nil
 	}
@@ -390,6 +393,7 @@
 	if objections := n.opts.Parts.Objections(now, x.Parts); len(objections) > 0 {
 		r.Parts = append(r.Parts, objections[:min(len(objections), poison.MaxShared-len(r.Parts))]...)
 	}
+	r.LeavingEngines = n.opts.Table.Health().Share(now)
 	if !x.TokensOnly {
 		r.Lease = n.ownLease
 	}
--- /dev/null
+++ b/internal/coord/health.go
@@ -0,0 +1,40 @@
+package coord
+
+import (
+	"slices"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/health"
+)
+
+// SetLeaving records that an engine has said that it leaves. The next exchange tells the
+// other nodes.
+func (n *Node) SetLeaving(key fleet.Key, from health.Source) {
+	if n.opts.Table.Health().SetLeaving(n.opts.Clock.Now(), key, from) {
+		n.opts.Log.Info("endpoint says that it leaves", "endpoint", key.ID, "incarnation", key.Incarnation, "source", string(from))
+	}
+}
+
+// mergeLeaving records which engines another node has heard to leave.
+func (n *Node) mergeLeaving(now time.Time, list []health.Statement, source string) {
+	if len(list) == 0 {
+		return
+	}
+	for _, s := range n.opts.Table.Health().Merge(now, list) {
+		n.opts.Log.Info("endpoint says that it leaves", "endpoint", s.Key.ID, "incarnation", s.Key.Incarnation,
+			"source", string(health.Peer), "peer", source, "age-ms", s.Age.Milliseconds())
+	}
+}
+
+// plannedEndpoints returns the endpoints as the planner sees them: those that have said
+// that they leave are marked, whatever the list says.
+func (c *Coordinator) plannedEndpoints(now time.Time) []fleet.Endpoint {
+	out := slices.Clone(c.endpoints)
+	for i := range out {
+		if c.health.Ask(now, out[i].Key()).Reason == health.Leaving {
+			out[i].Leaving = true
+		}
+	}
+	return out
+}
--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -12,6 +12,7 @@
 
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/grant"
+	"trefoildale.example/trefoildale/internal/health"
 	"trefoildale.example/trefoildale/internal/models"
 	"trefoildale.example/trefoildale/internal/poison"
 )
@@ -101,6 +102,9 @@
 	DocumentsOnly bool `cbor:"26,keyasint,omitempty"`
 	// Parts is the sender's evidence against parts of prompts.
 	Parts []poison.Evidence `cbor:"27,keyasint,omitempty"`
+	// LeavingEngines lists engines that have said that they leave and that the list of
+	// endpoints does not name as leaving.
+	LeavingEngines []health.Statement `cbor:"30,keyasint,omitempty"`
 }
 
 // Pace is the time that an engine takes for a unit of work, relative to other
@@ -139,6 +143,9 @@
 	if len(x.TokenRequests)+len(x.Work)+len(x.Waiting)+len(x.Running)+len(x.Deposits) > maxItems {
 		return fmt.Errorf("coord: exchange of node %.64q has too many list items", x.Node)
 	}
+	if err := health.ValidateAll(x.LeavingEngines); err != nil {
+		return err
+	}
 	return poison.ValidateAll(x.Parts)
 }
 
@@ -245,6 +252,8 @@
 	// Parts is the evidence against parts of prompts with which several engines crashed,
 	// or of all suspected ones if the sender is not the coordinator.
 	Parts []poison.Evidence `cbor:"25,keyasint,omitempty"`
+	// LeavingEngines is as in an Exchange.
+	LeavingEngines []health.Statement `cbor:"30,keyasint,omitempty"`
 }
 
 // Validate checks that the fraction of a decoded Reply is between 0 and 1.
@@ -252,6 +261,9 @@
 	if r.Fraction < 0 || r.Fraction > 1 {
 		return fmt.Errorf("coord: fraction %v is not between 0 and 1", r.Fraction)
 	}
+	if err := health.ValidateAll(r.LeavingEngines); err != nil {
+		return err
+	}
 	return poison.ValidateAll(r.Parts)
 }
 
--- a/internal/coord/orders.go
+++ b/internal/coord/orders.go
@@ -9,6 +9,7 @@
 	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/grant"
+	"trefoildale.example/trefoildale/internal/health"
 	"trefoildale.example/trefoildale/internal/models"
 )
 
@@ -101,9 +102,13 @@
 			return errLeaseOver
 		default:
 		}
-		if !c.clock.Now().Before(until) {
+		now := c.clock.Now()
+		if !now.Before(until) {
 			return errLeaseOver
 		}
+		if o.Load && c.health.Ask(now, o.Key).Reason == health.Leaving {
+			return errEngineLeaves
+		}
 		return nil
 	}
 	c.sending[o.Key]++
@@ -111,9 +116,12 @@
 		finished := orderFinished{
 			order: o,
 		}
-		finished.answer, finished.err = models.Refused, errLeaseOver
+		finished.answer = models.Refused
 		for range maxOrderAttempts {
-			if check() != nil {
+			if err := check(); err != nil {
+				if finished.tries == 0 {
+					finished.err = err
+				}
 				break
 			}
 			finished.sent, finished.tries = c.clock.Now(), finished.tries+1
@@ -134,7 +142,10 @@
 	}()
 }
 
-var errLeaseOver = errors.New("coord: the lease ended before the order was sent")
+var (
+	errLeaseOver    = errors.New("coord: the lease ended before the order was sent")
+	errEngineLeaves = errors.New("coord: the engine leaves")
+)
 
 func (m orderFinished) apply(ctx context.Context, c *Coordinator, now time.Time) {
 	if m.answer == models.NoAnswer || m.answer == models.Refused {
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -158,6 +158,7 @@
 		Parts:             parts,
 	})
 	holder.Node = p.node
+	endpoints.SetListener(p.node)
 	p.addGauges(parts)
 	release := func() {
 		closePeers()
