entry: obey what engines say of themselves on the completion API

Cause: Retry-After of an engine's refusal was decoded as text and decided nothing there, and nothing but the load report said that an engine leaves.

The client decodes both once (Statement) in answers, stream heads and errors; engines of the completion API say X-Leaving. The routing table asks the same record as the platform's path: the choice, the request that waited in an endpoint's queue and the check before the first byte obey. A load report sampled later that does not say leaving is of another process, since one that leaves does not return. When every endpoint wants none for a time the caller is refused at once, spread over whole seconds.

The tests with Table.Hear switched off (the state before): --- FAIL: TestHear/leaves the endpoint gets requests: true, want false a request that was assigned to the endpoint may be sent --- FAIL: TestHear/wants_none_for_3_s and TestEnginesThatTurnAway logged endpoint b1 turning away three attempts of each of the callers' requests within its 3 s.

--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/conn"
+	"trefoildale.example/trefoildale/internal/health"
 )
 
 // NotSentError reports that no byte of a request was written to the endpoint.
@@ -39,8 +40,29 @@
 	Code    string
 	Message string
 	// NotRun means that the endpoint states that the request had no effect.
-	NotRun     bool
-	RetryAfter string
+	NotRun bool
+	Statement
+}
+
+// Statement is what an endpoint says of itself in an answer.
+type Statement struct {
+	// Leaving is set if the endpoint leaves and takes no new requests.
+	Leaving bool
+	// Wait is how long the endpoint wants no requests of this process, if it says so.
+	Wait health.Wait
+}
+
+// headerLeaving is "1" in all answers of an endpoint that leaves.
+const headerLeaving = "X-Leaving"
+
+func decodeStatement(res *http.Response) Statement {
+	s := Statement{
+		Leaving: res.Header.Get(headerLeaving) == "1",
+	}
+	if text, ok := res.Header["Retry-After"]; ok && res.StatusCode == http.StatusServiceUnavailable {
+		s.Wait = health.ParseWait(text[0], res.Header.Get("Date"), time.Now())
+	}
+	return s
 }
 
 // Error implements error.
@@ -52,6 +74,7 @@
 // after the request may have been written.
 type BadResponseError struct {
 	Err error
+	Statement
 }
 
 // Error implements error.
@@ -85,6 +108,19 @@
 	seq       atomic.Uint64
 }
 
+// StatementOf returns what the endpoint said of itself in an answer that is an error.
+func StatementOf(err error) Statement {
+	var status *StatusError
+	var bad *BadResponseError
+	switch {
+	case errors.As(err, &status):
+		return status.Statement
+	case errors.As(err, &bad):
+		return bad.Statement
+	}
+	return Statement{}
+}
+
 // NewClient returns a Client and a function that closes its idle connections.
 func NewClient(opts Options) (*Client, func()) {
 	if opts.MaxAnswerBytes == 0 {
@@ -130,6 +166,7 @@
 	Body   []byte
 	// Usage is set if a completion reports it.
 	Usage *Usage
+	Statement
 }
 
 // Call sends a request to an endpoint that is not an engine. It returns any
@@ -355,9 +392,10 @@
 		return nil, &BadResponseError{Err: fmt.Errorf("answer exceeds %d bytes", c.opts.MaxAnswerBytes)}
 	}
 	return &Response{
-		Status: res.StatusCode,
-		Header: res.Header,
-		Body:   body,
+		Status:    res.StatusCode,
+		Header:    res.Header,
+		Body:      body,
+		Statement: decodeStatement(res),
 	}, nil
 }
 
@@ -370,14 +408,17 @@
 		} `json:"error"`
 	}
 	if err := json.Unmarshal(a.Body, &body); err != nil {
-		return &BadResponseError{Err: fmt.Errorf("status %d: %w", a.Status, err)}
+		return &BadResponseError{
+			Err:       fmt.Errorf("status %d: %w", a.Status, err),
+			Statement: a.Statement,
+		}
 	}
 	return &StatusError{
-		Status:     a.Status,
-		Code:       body.Error.Code,
-		Message:    body.Error.Message,
-		NotRun:     body.Error.NotRun,
-		RetryAfter: a.Header.Get("Retry-After"),
+		Status:    a.Status,
+		Code:      body.Error.Code,
+		Message:   body.Error.Message,
+		NotRun:    body.Error.NotRun,
+		Statement: a.Statement,
 	}
 }
 
@@ -475,6 +516,7 @@
 // called from any.
 type Stream struct {
 	Header http.Header
+	Statement
 
 	ctx       context.Context
 	cancel    context.CancelFunc
@@ -507,6 +549,7 @@
 	}
 	return &Stream{
 		Header:    res.Header,
+		Statement: decodeStatement(res),
 		ctx:       ctx,
 		cancel:    cancel,
 		body:      res.Body,
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -300,6 +300,10 @@
 		return c.queueProblem(err), false
 	}
 	defer release()
+	if !c.opts.Routes.Usable(c.opts.Clock.Now(), choice) {
+		// The request waited at the endpoint. The next choice obeys what it has said.
+		return nil, true
+	}
 	if p := c.readmit(); p != nil {
 		return p, false
 	}
@@ -331,6 +335,9 @@
 	if err == nil {
 		return nil, false
 	}
+	if errors.Is(err, errEndpointUnusable) {
+		return nil, true
+	}
 	var checkErr *problemError
 	if errors.As(err, &checkErr) {
 		return checkErr.problem, false
@@ -379,7 +386,8 @@
 // isEndpointFault reports whether the endpoint caused the error of an attempt.
 func (c *completion) isEndpointFault(err error, outcome once.Outcome) bool {
 	var checkErr *problemError
-	return outcome != once.Answered && outcome != once.Declined && c.ctx.Err() == nil && !errors.As(err, &checkErr)
+	return outcome != once.Answered && outcome != once.Declined && c.ctx.Err() == nil &&
+		!errors.As(err, &checkErr) && !errors.Is(err, errEndpointUnusable)
 }
 
 // checkBeforeSend checks directly before the first byte is sent whether the key and
@@ -423,6 +431,9 @@
 func (c *completion) pick() (route.Choice, *problem) {
 	for {
 		choice, err := c.opts.Picker.Pick(c.routeRequest())
+		if p := c.closedProblem(err, c.allProvedNotRun); p != nil {
+			return route.Choice{}, p
+		}
 		switch {
 		case err == nil && (c.adapter == "" || choice.AdapterReady):
 			return choice, nil
@@ -461,6 +472,9 @@
 		if errors.Is(err, route.ErrUnknown) {
 			return nil
 		}
+		if p := c.closedProblem(err, c.allProvedNotRun); p != nil {
+			return p
+		}
 		left := c.onDemandDeadline.Sub(c.opts.Clock.Now())
 		if left <= 0 {
 			return &problem{
@@ -586,6 +600,13 @@
 	if verdict.Action == once.OverBudget {
 		c.opts.Stats.Inc(stats.RetriesOverBudget)
 	}
+	if outcome == once.Declined && !c.delivered {
+		if _, err := c.opts.Picker.Pick(c.routeRequest()); err != nil {
+			if p := c.closedProblem(err, verdict.NotRun); p != nil {
+				return p, false
+			}
+		}
+	}
 	return c.failureProblem(err, verdict, choice), false
 }
 
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -251,6 +251,9 @@
 		req.Exclude = nil
 		choice, err = c.opts.Picker.Pick(req)
 	}
+	if p := c.closedProblem(err, c.allProvedNotRun); p != nil {
+		return nil, p, false
+	}
 	if err != nil {
 		return nil, &problem{
 			Status:     http.StatusServiceUnavailable,
@@ -273,10 +276,16 @@
 		Header:    c.r.Header,
 		Body:      c.body,
 		RequestID: c.id,
-		Check:     engineCheck(c.checkBeforeSend),
+		Check:     c.endpointCheck(choice, c.checkBeforeSend),
 	})
+	if err != nil {
+		c.hear(choice, engine.StatementOf(err))
+	} else {
+		c.hear(choice, answer.Statement)
+	}
 	var checkErr *problemError
-	checkFailed := errors.As(err, &checkErr)
+	unusable := errors.Is(err, errEndpointUnusable)
+	checkFailed := errors.As(err, &checkErr) || unusable
 	outcome := classifyError(err)
 	if err == nil && answer.Status >= http.StatusInternalServerError {
 		outcome = once.Faulted
@@ -285,6 +294,10 @@
 		Now:    c.opts.Clock.Now(),
 		Failed: outcome != once.Answered && c.ctx.Err() == nil && !checkFailed,
 	})
+	if unusable {
+		c.attempts--
+		return nil, nil, true
+	}
 	if checkFailed {
 		return nil, checkErr.problem, false
 	}
@@ -387,6 +400,7 @@
 var unforwardedHeaders = map[string]bool{
 	"Connection":        true,
 	"Content-Length":    true,
+	"X-Leaving":         true,
 	"Keep-Alive":        true,
 	"Transfer-Encoding": true,
 	"X-Request-Id":      true,
@@ -413,6 +427,10 @@
 			h[name] = values
 		}
 	}
+	if a.Status != http.StatusServiceUnavailable && a.Status != http.StatusTooManyRequests {
+		// The endpoint says it to this process, not to the caller of this answer.
+		h.Del("Retry-After")
+	}
 	h.Set("X-Request-Id", c.id)
 	c.w.WriteHeader(a.Status)
 	// A write error means that the caller has disconnected.
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -80,19 +80,21 @@
 		Header:    header,
 		Body:      c.body,
 		RequestID: c.id,
-		Check:     engineCheck(c.checkBeforeSend),
+		Check:     c.endpointCheck(choice, c.checkBeforeSend),
 	}
 	if c.in.Stream {
-		return c.sendStream(call)
+		return c.sendStream(choice, call)
 	}
-	return c.sendWhole(call)
+	return c.sendWhole(choice, call)
 }
 
-func (c *completion) sendWhole(call engine.Call) error {
+func (c *completion) sendWhole(choice route.Choice, call engine.Call) error {
 	answer, err := c.opts.Engines.Complete(c.ctx, call)
 	if err != nil {
+		c.hear(choice, engine.StatementOf(err))
 		return err
 	}
+	c.hear(choice, answer.Statement)
 	c.timing.token(c.arrived, c.opts.Clock.Now())
 	c.recordUsage(answer.Usage)
 	h := c.w.Header()
@@ -115,12 +117,14 @@
 	}
 }
 
-func (c *completion) sendStream(call engine.Call) error {
+func (c *completion) sendStream(choice route.Choice, call engine.Call) error {
 	// Until the endpoint reports the usage, the delivered tokens are considered used.
 	stream, err := c.opts.Engines.Stream(c.ctx, call)
 	if err != nil {
+		c.hear(choice, engine.StatementOf(err))
 		return err
 	}
+	c.hear(choice, stream.Statement)
 	out := http.NewResponseController(c.w)
 	for resumes := 0; ; resumes++ {
 		err = c.forward(stream, out)
--- a/internal/fake/fault/fault.go
+++ b/internal/fake/fault/fault.go
@@ -70,6 +70,8 @@
 	Delay spec.Duration `json:"delay,omitempty"`
 	// Bytes applies to Truncate and Garble.
 	Bytes int `json:"bytes,omitempty"`
+	// RetryAfter is sent with the answers of Refuse, if it is not empty.
+	RetryAfter string `json:"retry-after,omitempty"`
 	// Hits is the number of requests affected so far.
 	Hits int `json:"hits"`
 }
@@ -236,7 +238,10 @@
 	if e, ok := s.match(Delay, r); ok && !s.sleep(r.Context(), time.Duration(e.Delay)) {
 		panic(http.ErrAbortHandler)
 	}
-	if _, ok := s.match(Refuse, r); ok {
+	if f, ok := s.match(Refuse, r); ok {
+		if f.RetryAfter != "" {
+			w.Header().Set("Retry-After", f.RetryAfter)
+		}
 		reply.Refuse(w, http.StatusServiceUnavailable, "unavailable", "refused by a fault")
 		return
 	}
--- a/internal/fake/model/model.go
+++ b/internal/fake/model/model.go
@@ -322,6 +322,11 @@
 			reply.Refuse(w, http.StatusBadRequest, engine.CodeKeyReceived, "the request carries a caller's key")
 			return
 		}
+		e.mu.Lock()
+		if e.leaving {
+			w.Header().Set("X-Leaving", "1")
+		}
+		e.mu.Unlock()
 		mux.ServeHTTP(w, r)
 	}))
 }
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -76,6 +76,19 @@
 	return "is usable"
 }
 
+// ClosedError means that every engine that could serve a request wants none of this node
+// for a time.
+type ClosedError struct {
+	// Engine is the one that takes requests again first, at Until.
+	Engine fleet.Key
+	Until  time.Time
+}
+
+// Error implements error.
+func (e *ClosedError) Error() string {
+	return "health: all engines turn requests away, " + e.Engine.ID + " for the shortest time"
+}
+
 // record is the evidence about an engine. A record that a snapshot holds is not changed.
 type record struct {
 	incarnation int64
--- a/internal/picker/pick.go
+++ b/internal/picker/pick.go
@@ -38,19 +38,6 @@
 	model string
 }
 
-// ClosedError means that every endpoint that could serve the request wants none of this
-// node for a time.
-type ClosedError struct {
-	// Endpoint is the one that takes requests again first, at Until.
-	Endpoint fleet.Key
-	Until    time.Time
-}
-
-// Error implements error.
-func (e *ClosedError) Error() string {
-	return "picker: all endpoints turn requests away, " + e.Endpoint.ID + " for the shortest time"
-}
-
 // Pick chooses the endpoint with the lowest cost and counts the request there
 // until EndAttempt is called.
 func (t *Table) Pick(now time.Time, q Query) (Choice, error) {
@@ -100,9 +87,9 @@
 	switch {
 	case best != nil:
 	case holders == 0 && !closedUntil.IsZero():
-		return Choice{}, &ClosedError{
-			Endpoint: closedKey,
-			Until:    closedUntil,
+		return Choice{}, &health.ClosedError{
+			Engine: closedKey,
+			Until:  closedUntil,
 		}
 	case q.Model != "" && holders == 0 && served > 0:
 		return Choice{}, ErrNotResident
@@ -241,10 +228,10 @@
 
 // Reopening returns the error of Pick if every endpoint that could serve a request wants
 // none of this node for a time, and nil otherwise.
-func (t *Table) Reopening(now time.Time, q Query) *ClosedError {
+func (t *Table) Reopening(now time.Time, q Query) *health.ClosedError {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var closed *ClosedError
+	var closed *health.ClosedError
 	for _, e := range t.endpoints {
 		if e.Service != q.Service || q.Model != "" && fleet.Find(e.Models, q.Model) == nil || now.Before(e.unreachableUntil) {
 			continue
@@ -253,9 +240,9 @@
 		case v.Usable:
 			return nil
 		case v.Reason == health.Closed && (closed == nil || v.Until.Before(closed.Until)):
-			closed = &ClosedError{
-				Endpoint: e.Key(),
-				Until:    v.Until,
+			closed = &health.ClosedError{
+				Engine: e.Key(),
+				Until:  v.Until,
 			}
 		}
 	}
--- a/internal/route/end.go
+++ b/internal/route/end.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
 
@@ -35,6 +36,12 @@
 	layoutLeaving   atomic.Bool // set in the layout of the domain's planner
 	reportedLeaving atomic.Bool // set in the endpoint's load report
 
+	// starts counts the processes that this endpoint has been, as far as its load reports
+	// show. saidLeaving is when the current one said in an answer that it leaves, as Unix
+	// time in ns; 0 if it did not.
+	starts      atomic.Int64
+	saidLeaving atomic.Int64
+
 	failures      atomic.Int32
 	ejections     atomic.Int32
 	ejectedUntil  atomic.Int64 // Unix time in ns; 0 when not ejected
@@ -78,6 +85,15 @@
 // Attempts that are still running at it no longer change the domain's health.
 func (e *endpoint) retire() { e.setDomain(&domain{}) }
 
+// key identifies the process behind the endpoint for package health. An endpoint that was
+// replaced in the configuration has another id.
+func (e *endpoint) key() fleet.Key {
+	return fleet.Key{
+		ID:          e.spec.Name,
+		Incarnation: int64(e.id)<<32 + e.starts.Load(),
+	}
+}
+
 func (e *endpoint) leaving() bool {
 	return e.vmLeaving.Load() || e.layoutLeaving.Load() || e.reportedLeaving.Load()
 }
@@ -141,6 +157,11 @@
 	e.reported.Store(int64(l.Running) + int64(l.Queued))
 	e.sinceReport.Store(after)
 	e.reportedLeaving.Store(l.Leaving)
+	if said := e.saidLeaving.Load(); said != 0 && !l.Leaving && sampled.UnixNano() > said {
+		// A process that leaves does not return, so this is another one.
+		e.saidLeaving.Store(0)
+		e.starts.Add(1)
+	}
 }
 
 // recordCacheEvent tracks the sequence number of a cache event. After a gap,
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/health"
 )
 
 // Errors returned by Pick.
@@ -73,11 +75,13 @@
 	// fields count candidates that were skipped or, for Unhealthy, penalized.
 	Candidates int
 	Leaving    int
+	Closed     int
 	Ejected    int
 	Excluded   int
 	Unhealthy  int
 
 	state *endpoint
+	key   fleet.Key
 	speed float64
 }
 
@@ -260,6 +264,9 @@
 		case e.leaving():
 			out.Leaving++
 			continue
+		case !t.health.Ask(r.Now, e.key()).Usable:
+			out.Closed++
+			continue
 		case len(r.Exclude) > 0 && slices.Contains(r.Exclude, e.spec.Name):
 			out.Excluded++
 			continue
@@ -303,15 +310,30 @@
 		Candidates: len(list),
 	}
 	t.filter(r, list, nil, &out)
-	isolated := 0
+	isolated, open := 0, 0
 	var best *candidate
+	var closed *health.ClosedError
 	for i := range list {
 		c := &list[i]
 		if c.endpoint.domain.Load().isolated.Load() {
 			isolated++
 			continue
 		}
-		if c.endpoint.leaving() || slices.Contains(r.Exclude, c.endpoint.spec.Name) {
+		v := t.health.Ask(r.Now, c.endpoint.key())
+		if c.endpoint.leaving() || v.Reason == health.Leaving {
+			continue
+		}
+		if v.Reason == health.Closed {
+			if closed == nil || v.Until.Before(closed.Until) {
+				closed = &health.ClosedError{
+					Engine: c.endpoint.key(),
+					Until:  v.Until,
+				}
+			}
+			continue
+		}
+		open++
+		if slices.Contains(r.Exclude, c.endpoint.spec.Name) {
 			continue
 		}
 		if best == nil || c.endpoint.ejectedUntil.Load() < best.endpoint.ejectedUntil.Load() {
@@ -321,6 +343,9 @@
 	if isolated == len(list) {
 		return Choice{}, fmt.Errorf("%w: %s%s is only in domains that cannot be reached", ErrNotResident, r.Model, r.Service)
 	}
+	if open == 0 && closed != nil {
+		return Choice{}, closed
+	}
 	if best == nil {
 		return Choice{}, fmt.Errorf("%w: %s%s has %d endpoints, %d leaving, %d excluded", ErrNoEndpoint, r.Model, r.Service, len(list), out.Leaving, out.Excluded)
 	}
@@ -472,9 +497,25 @@
 	out.Hit = x.hit
 	out.Distance = e.domain.Load().distance
 	out.Outstanding = int(e.outstanding())
-	out.state, out.speed = e, e.speed
+	out.state, out.key, out.speed = e, e.key(), e.speed
+}
+
+// Hear records what an endpoint said of itself in an answer that arrived at now. It
+// reports whether the endpoint newly leaves.
+func (t *Table) Hear(now time.Time, c Choice, s engine.Statement) bool {
+	if s.Wait.For > 0 {
+		t.health.SetClosed(now, c.key, now.Add(s.Wait.For))
+	}
+	if !s.Leaving || c.key != c.state.key() || !t.health.SetLeaving(now, c.key, health.Answer) {
+		return false
+	}
+	c.state.saidLeaving.Store(now.UnixNano())
+	return true
 }
 
+// Usable reports whether the chosen endpoint still takes new requests.
+func (t *Table) Usable(now time.Time, c Choice) bool { return t.health.Ask(now, c.key).Usable }
+
 // Start records the first attempt of a request at the chosen endpoint. The
 // prefixes are treated as cached there from now on, because the endpoint's cache
 // events arrive late.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -21,6 +21,8 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/health"
 	"trefoildale.example/trefoildale/internal/place"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
@@ -145,6 +147,7 @@
 	budget         retryBudget
 	waitPerRequest waitEstimate
 	domains        atomic.Pointer[map[string]*domain]
+	health         *health.Table
 
 	mu        sync.Mutex // guards the fields below; Pick does not take it
 	cfg       *spec.Config
@@ -174,6 +177,7 @@
 	set.defaults()
 	t := &Table{
 		settings:  set,
+		health:    health.New(),
 		prefixes:  newPrefixes(set.Prefixes),
 		endpoints: map[string]*endpoint{},
 		layouts:   map[string]place.Layout{},
@@ -225,6 +229,7 @@
 			delete(t.applied, name)
 		}
 	}
+	t.setHealthList()
 	idx := &index{
 		models:   make(map[string]*target, len(cfg.Models)),
 		services: make(map[string]*target, len(plain)),
@@ -253,6 +258,18 @@
 	t.idx.Store(idx)
 }
 
+// setHealthList drops what endpoints said that are gone.
+func (t *Table) setHealthList() {
+	list := make([]fleet.Endpoint, 0, len(t.endpoints))
+	for name, e := range t.endpoints {
+		list = append(list, fleet.Endpoint{
+			ID:          name,
+			Incarnation: e.key().Incarnation,
+		})
+	}
+	t.health.SetList(time.Now(), list)
+}
+
 func (t *Table) setDomains(cfg *spec.Config) {
 	regions := map[string]string{}
 	for _, d := range cfg.Domains {
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/health"
 	"trefoildale.example/trefoildale/internal/picker"
 	"trefoildale.example/trefoildale/internal/triage"
 )
@@ -36,7 +37,7 @@
 		if err == nil {
 			return choice, nil
 		}
-		var closed *picker.ClosedError
+		var closed *health.ClosedError
 		isClosed := errors.As(err, &closed)
 		if isClosed && !c.isLoadedBefore(closed.Until) {
 			return picker.Choice{}, c.closedProblem(now, closed)
@@ -86,10 +87,10 @@
 
 // closedProblem returns the refusal of a request that no endpoint wants before a
 // deadline.
-func (c *call) closedProblem(now time.Time, closed *picker.ClosedError) *Problem {
-	c.lastError = closed.Endpoint.ID + " " + c.opts.Table.Health().Ask(now, closed.Endpoint).String()
+func (c *call) closedProblem(now time.Time, closed *health.ClosedError) *Problem {
+	c.lastError = closed.Engine.ID + " " + c.opts.Table.Health().Ask(now, closed.Engine).String()
 	p := c.unavailableProblem("all endpoints want no requests for a time")
-	p.RetryAfter = triage.Closed(now, closed.Until, rand.Float64()).RetryAfter
+	p.RetryAfter = triage.Closed(now, closed.Until, time.Millisecond, rand.Float64()).RetryAfter
 	return p
 }
 
--- a/internal/triage/triage.go
+++ b/internal/triage/triage.go
@@ -128,10 +128,10 @@
 // Closed returns when the caller of a request should return that no engine wants before
 // reopens, which is when the first of them takes requests again. Callers return after
 // that time, spread over closedSpread at least: they would otherwise all be turned away
-// again.
-func Closed(now, reopens time.Time, random float64) Decision {
+// again. Callers are told whole numbers of unit.
+func Closed(now, reopens time.Time, unit time.Duration, random float64) Decision {
 	wait := max(reopens.Sub(now), MinRetryAfter)
-	spread := max(closedSpread, time.Duration(spreadShare*float64(wait)))
+	spread := max(closedSpread, 2*unit, time.Duration(spreadShare*float64(wait)))
 	return Decision{
 		Reason:     AllClosed,
 		RetryAfter: wait + time.Duration(random*float64(spread)),
