soak: check that processes obey what endpoints say of themselves

Endpoints say that they leave, with and without an entry that says so, and turn requests away with every kind of Retry-After. From what endpoints see, no request that was sent later than 2 s after a process had passed on the word reaches a leaving endpoint, and two at most reach one between half a second after its 503 and the end of that time; a start or pause of the process, or a disturbed link to the endpoint, excuses it. An engine that named an hour is restarted in the run: until then nothing reaches it.

--- a/internal/cmds/load_soak.go
+++ b/internal/cmds/load_soak.go
@@ -34,6 +34,7 @@
 			&cli.DurationFlag{Name: "faults", Usage: "for how long faults are injected", Value: 15 * time.Second},
 			&cli.StringFlag{Name: "out", Usage: "directory for settings and logs; those of runs without violations are removed", Value: "out/soak"},
 			&cli.BoolFlag{Name: "incidents", Usage: "add configurations that grow while the store turns processes away, and prompts that crash engines", Value: true},
+			&cli.BoolFlag{Name: "statements", Usage: "add endpoints that say that they leave or want no requests for a time", Value: true},
 			&cli.BoolFlag{Name: "verbose", Usage: "print each fault"},
 		},
 		Action: runSoak,
@@ -110,15 +111,16 @@
 		progress = cmd.Root().Writer
 	}
 	r, err := soak.Run(ctx, soak.Options{
-		Seed:      seed,
-		Program:   []string{cmd.String("program")},
-		Former:    former,
-		Dir:       dir,
-		Nodes:     cmd.Int("nodes"),
-		Callers:   cmd.Int("callers"),
-		Faults:    cmd.Duration("faults"),
-		Incidents: cmd.Bool("incidents"),
-		Progress:  progress,
+		Seed:       seed,
+		Program:    []string{cmd.String("program")},
+		Former:     former,
+		Dir:        dir,
+		Nodes:      cmd.Int("nodes"),
+		Callers:    cmd.Int("callers"),
+		Faults:     cmd.Duration("faults"),
+		Incidents:  cmd.Bool("incidents"),
+		Statements: cmd.Bool("statements"),
+		Progress:   progress,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -43,6 +43,7 @@
 	r.checkKeys(rec.requests, runs)
 	r.checkOrders()
 	r.checkDrains(executions, rec)
+	r.checkStatements(rec)
 	r.checkLoads()
 	for _, d := range rec.deadly {
 		r.checkDeadlyPart(d, executions, rec.requests)
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -42,9 +42,11 @@
 	{name: "pause", inject: func(ctx context.Context, r *run, c faultParams) {
 		c.node.beginDisturbance()
 		defer c.node.endDisturbance()
+		r.noteInterruption(c.node.name)
 		c.node.signal(syscall.SIGSTOP)
 		sleep(ctx, c.duration)
 		c.node.signal(syscall.SIGCONT)
+		r.noteInterruption(c.node.name)
 		r.noteRecovery(c.node.name)
 	}},
 	{name: "reload", inject: func(ctx context.Context, _ *run, c faultParams) {
@@ -106,7 +108,10 @@
 	}},
 	{name: "endpoint-way", inject: func(ctx context.Context, r *run, c faultParams) {
 		p := r.endpointLinks()[c.endpoint]
+		id := r.site.Endpoints[c.endpoint].ID()
+		r.noteInterruption(id)
 		p.disturb(ctx, c)
+		r.noteInterruption(id)
 	}},
 	{name: "answers-lost", inject: func(ctx context.Context, r *run, c faultParams) {
 		r.endpointFault(ctx, c, site.EndpointFaults{
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -122,6 +122,7 @@
 		out.Close()
 		return err
 	}
+	n.run.noteInterruption(n.name)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	exited := make(chan struct{})
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -17,7 +17,10 @@
 	drains     []event
 	deadly     []deadlyPart
 	recoveries []event
-	locks      map[string]*sync.Mutex
+	// interruptions are the starts and pauses of processes and what disturbs their links
+	// to endpoints.
+	interruptions []event
+	locks         map[string]*sync.Mutex
 }
 
 // writtenConfig is a configuration with the time at which the store acknowledged
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,6 +74,8 @@
 	// the store turns processes away and links are slow, and a part of prompts that
 	// crashes engines.
 	Incidents bool
+	// Statements adds endpoints that say that they leave or want no requests for a time.
+	Statements bool
 	// Progress receives a line for each fault; nil discards them.
 	Progress io.Writer
 }
@@ -131,6 +133,9 @@
 	if o.Incidents {
 		incidents.Go(func() { r.injectIncidents(ctx) })
 	}
+	if o.Statements {
+		incidents.Go(func() { r.injectStatements(ctx) })
+	}
 	r.inject(ctx)
 	incidents.Wait()
 	if err := r.awaitReady(ctx); err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -68,21 +68,30 @@
 	}
 }
 
+// TestSoakStatements guards against requests to endpoints that have said in an answer that
+// they leave or want none for a time, beside the faults of TestSoak.
+func TestSoakStatements(t *testing.T) {
+	runOptions(t, "fixed seed", soak.Options{
+		Seed:       2001,
+		Statements: true,
+	})
+}
+
 func runSeed(t *testing.T, seed uint64, cause string, incidents bool) {
+	runOptions(t, cause, soak.Options{
+		Seed:      seed,
+		Incidents: incidents,
+	})
+}
+
+func runOptions(t *testing.T, cause string, o soak.Options) {
 	program, err := os.Executable()
 	if err != nil {
 		t.Fatal(err)
 	}
-	r, err := soak.Run(context.Background(), soak.Options{
-		Seed:      seed,
-		Program:   []string{program},
-		Env:       []string{programEnv + "=1"},
-		Dir:       t.TempDir(),
-		Nodes:     4,
-		Callers:   12,
-		Faults:    15 * time.Second,
-		Incidents: incidents,
-	})
+	o.Program, o.Env, o.Dir = []string{program}, []string{programEnv + "=1"}, t.TempDir()
+	o.Nodes, o.Callers, o.Faults = 4, 12, 15*time.Second
+	r, err := soak.Run(context.Background(), o)
 	if err != nil {
 		t.Fatal(err)
 	}
