--- a/internal/soak/statement.go
+++ b/internal/soak/statement.go
@@ -131,6 +131,7 @@
 		q := rec.requests[a.Request]
 		if !passedOn.IsZero() && q.sent.Sub(passedOn) > drainBound && !rec.interrupted(passedOn, a.At, k.node.name) {
 			r.reportViolation("DRAIN: %s reached %s from %s, sent %v after that had passed on its word that it leaves", a.Request, k.endpoint, k.node.name, q.sent.Sub(passedOn))
+			return
 		}
 		// A request without an answer may not have passed the word on.
 		if a.Leaving && q.status != 0 && (passedOn.IsZero() || q.ended.Before(passedOn)) {
@@ -156,6 +157,7 @@
 		}
 		if late > allowedAfterRefusal {
 			r.reportViolation("BUDGET: %d requests reached %s from %s within %s s after it had turned %s away", late, k.endpoint, k.node.name, a.RetryAfter, a.Request)
+			return
 		}
 	}
 }
