--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -34,6 +34,7 @@
 	ticket  *once.Ticket
 
 	attempts        int
+	sentTo          []string // addresses of the attempts
 	allProvedNotRun bool
 	exclude         []string
 }
@@ -276,8 +277,10 @@
 		Header:    c.r.Header,
 		Body:      c.body,
 		RequestID: c.id,
+		Again:     slices.Contains(c.sentTo, choice.Address),
 		Check:     c.endpointCheck(choice, c.checkBeforeSend),
 	})
+	c.sentTo = append(c.sentTo, choice.Address)
 	if err != nil {
 		c.hear(choice, engine.StatementOf(err))
 	} else {
