--- a/internal/health/health_test.go
+++ b/internal/health/health_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -240,3 +241,27 @@
 		t.Errorf("a question takes %v allocations", n)
 	}
 }
+
+// TestConcurrent guards against questions that race with what engines say.
+func TestConcurrent(t *testing.T) {
+	h := New()
+	list := listOf(1, false)
+	var all sync.WaitGroup
+	for _, f := range []func(int){
+		func(int) { h.Ask(t0, key(1)) },
+		func(i int) { h.SetClosed(t0, key(1), t0.Add(time.Duration(i))) },
+		func(i int) { h.SetLeaving(t0, key(int64(i%3)), Answer) },
+		func(int) { h.SetList(t0, list) },
+		func(int) { h.Merge(t0, h.Share(t0)) },
+	} {
+		all.Go(func() {
+			for i := range 500 {
+				f(i)
+			}
+		})
+	}
+	all.Wait()
+	if h.Ask(t0, key(2)).Usable {
+		t.Error("the word of the newest incarnation was lost")
+	}
+}
--- a/internal/triage/triage_test.go
+++ b/internal/triage/triage_test.go
@@ -172,3 +172,32 @@
 		})
 	}
 }
+
+// TestClosedEngines guards against callers that return before any engine takes requests
+// again, or all at once, in every unit in which they are told the time.
+func TestClosedEngines(t *testing.T) {
+	now := time.Unix(1000, 0)
+	for _, unit := range []time.Duration{time.Millisecond, time.Second} {
+		for _, opensIn := range []time.Duration{-time.Second, 0, 200 * time.Millisecond, 3 * time.Second, time.Minute} {
+			perUnit := map[time.Duration]int{}
+			const callers = 100
+			for i := range callers {
+				d := Closed(now, now.Add(opensIn), unit, float64(i)/callers)
+				if d.Wait || d.Reason != AllClosed || d.RetryAfter < max(opensIn, MinRetryAfter) {
+					t.Fatalf("decided %+v, the first engine takes requests in %v", d, opensIn)
+				}
+				least := max(opensIn, MinRetryAfter)
+				if most := least + max(closedSpread, 2*unit, least/4); d.RetryAfter > most {
+					t.Fatalf("a caller returns after %v, the first engine takes requests in %v", d.RetryAfter, opensIn)
+				}
+				// Callers are told whole units, rounded up.
+				perUnit[(d.RetryAfter+unit-1).Truncate(unit)]++
+			}
+			for at, n := range perUnit {
+				if n > callers*2/3 {
+					t.Errorf("%d of %d callers return after %v", n, callers, at)
+				}
+			}
+		}
+	}
+}
