--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -59,14 +59,14 @@
 			if !d.Wait {
 				p := c.unavailableProblem("the model is not expected to be loaded in time")
 				p.RetryAfter = d.RetryAfter
-				c.lastError = strings.Join(c.opts.Table.Unusable(now, q), "; ")
+				c.explainUnusable(now, q)
 				return picker.Choice{}, p
 			}
 			waitUntil = d.Until
 		} else if c.rejections > 0 && c.ranAttempts == 0 && c.service.Engine != nil {
 			return picker.Choice{}, c.fullProblem(now)
 		} else if !now.Before(waitUntil) {
-			c.lastError = strings.Join(c.opts.Table.Unusable(now, q), "; ")
+			c.explainUnusable(now, q)
 			return picker.Choice{}, c.unavailableProblem("no endpoint of the service takes requests")
 		}
 		if !c.waitForChange(ctx, changed, max(waitUntil.Sub(now), time.Millisecond)) {
@@ -85,6 +85,14 @@
 	return !end.IsZero() && end.Before(t)
 }
 
+// explainUnusable makes the log of the refusal name the endpoints that leave or want no
+// requests, if there are any.
+func (c *call) explainUnusable(now time.Time, q picker.Query) {
+	if list := c.opts.Table.Unusable(now, q); len(list) > 0 {
+		c.lastError = strings.Join(list, "; ")
+	}
+}
+
 // closedProblem returns the refusal of a request that no endpoint wants before a
 // deadline.
 func (c *call) closedProblem(now time.Time, closed *health.ClosedError) *Problem {
