--- a/internal/entry/entry_test.go
+++ b/internal/entry/entry_test.go
@@ -442,6 +442,39 @@
 	checkNoRequestGoroutines(t)
 }
 
+// TestResumeRefused guards against bytes of an engine's answer that is no continuation in
+// the caller's stream, and against ending that stream as if it were complete.
+func TestResumeRefused(t *testing.T) {
+	b := newTestFleet(t)
+	for _, kind := range []fault.Kind{fault.Refuse, fault.LoseAnswer, fault.WrongID, fault.Garble} {
+		t.Run(string(kind), func(t *testing.T) {
+			for _, e := range b.Engines {
+				for _, f := range []fault.Fault{
+					{Kind: fault.Truncate, Bytes: 2000, Count: 1, Path: completion},
+					{Kind: kind, Path: "/v1/streams/"},
+				} {
+					if err := e.Faults().Add(f); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			a := b.send(t, http.MethodPost, completion, requestBody("x", 200, true))
+			events, last, ok := strings.Cut(a.body, "event: error\n")
+			if !ok || strings.Contains(a.body, "[DONE]") || !strings.Contains(last, "stream-broken") || strings.Contains(a.body, "refused by a fault") {
+				t.Errorf("got %s, want an error event at the end", a.body)
+			}
+			if texts, ids := len(textField.FindAllString(events, -1)), len(idField.FindAllString(events, -1)); ids == 0 || texts < ids || strings.Contains(events, "~") {
+				t.Errorf("got %s, want whole events", events)
+			}
+			for _, e := range b.Engines {
+				e.Faults().Clear("")
+			}
+			b.waitUntilServing(t)
+		})
+	}
+	checkNoRequestGoroutines(t)
+}
+
 // TestBadAnswersOfPlainServices guards against calls of a plain service that
 // are repeated, or reported as not run, after their response was lost, damaged
 // or that of another request.
@@ -472,6 +505,36 @@
 	checkNoRequestGoroutines(t)
 }
 
+// TestEarlierRefusalOnceMore guards against "not run" for a request that ran, when an
+// endpoint writes an earlier refusal of this request or of another once more on the kept
+// connection.
+func TestEarlierRefusalOnceMore(t *testing.T) {
+	b := newTestFleet(t)
+	s := b.Services["b1"]
+	repeat := fault.Fault{Kind: fault.RepeatRefusal, Count: 1}
+	if err := s.Faults().Add(repeat); err != nil {
+		t.Fatal(err)
+	}
+	ran := s.Stats().Executions
+	if a := b.send(t, http.MethodPost, "/booking/lanes", `{"lane":1}`); !a.Error.NotRun || s.Stats().Executions != ran {
+		t.Errorf("refused booking: %d %s, want not-run", a.status, a.body)
+	}
+	if a := b.send(t, http.MethodPost, "/booking/lanes", `{"lane":2}`); a.status != http.StatusGatewayTimeout || a.Error.NotRun || s.Stats().Executions != ran+1 {
+		t.Errorf("booking that ran: %d %s, want outcome-unknown without not-run", a.status, a.body)
+	}
+	for _, e := range b.Engines {
+		// The first two attempts are refused, and the third is at the first engine.
+		repeat.Path = completion
+		if err := e.Faults().Add(repeat); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if a := b.send(t, http.MethodPost, completion, requestBody("p", 20, false)); a.status != http.StatusOK {
+		t.Errorf("completion: %d %s, want 200", a.status, a.body)
+	}
+	checkNoRequestGoroutines(t)
+}
+
 // TestEngineThatRefusesConnections guards against requests that fail because
 // one of two engines refuses connections.
 func TestEngineThatRefusesConnections(t *testing.T) {
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -113,6 +113,7 @@
 	incarnation := strconv.FormatInt(clk.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
 	dial := conn.NewDialer(unresponsivePeerTimeout)
 	store, closeStore := platform.NewStore(settings.Store.Address, dial)
+	store.SetLog(log.Logger)
 	store.OnEra(func(before, era int64) {
 		log.Warn("store has a new era", "era", era, "before", before)
 	})
