--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -301,6 +301,10 @@
 		return c.queueProblem(err), false
 	}
 	defer release()
+	if !c.opts.Routes.Usable(c.opts.Clock.Now(), choice) {
+		// The request waited at the endpoint. The next choice obeys what it has said.
+		return nil, true
+	}
 	if p := c.readmit(); p != nil {
 		return p, false
 	}
@@ -332,6 +336,9 @@
 	if err == nil {
 		return nil, false
 	}
+	if errors.Is(err, errEndpointUnusable) {
+		return nil, true
+	}
 	var checkErr *problemError
 	if errors.As(err, &checkErr) {
 		return checkErr.problem, false
@@ -380,7 +387,8 @@
 // isEndpointFault reports whether the endpoint caused the error of an attempt.
 func (c *completion) isEndpointFault(err error, outcome once.Outcome) bool {
 	var checkErr *problemError
-	return outcome != once.Answered && outcome != once.Declined && c.ctx.Err() == nil && !errors.As(err, &checkErr)
+	return outcome != once.Answered && outcome != once.Declined && c.ctx.Err() == nil &&
+		!errors.As(err, &checkErr) && !errors.Is(err, errEndpointUnusable)
 }
 
 // checkBeforeSend checks directly before the first byte is sent whether the key and
@@ -424,6 +432,9 @@
 func (c *completion) pick() (route.Choice, *problem) {
 	for {
 		choice, err := c.opts.Picker.Pick(c.routeRequest())
+		if p := c.closedProblem(err, c.allProvedNotRun); p != nil {
+			return route.Choice{}, p
+		}
 		switch {
 		case err == nil && (c.adapter == "" || choice.AdapterReady):
 			return choice, nil
@@ -462,6 +473,9 @@
 		if errors.Is(err, route.ErrUnknown) {
 			return nil
 		}
+		if p := c.closedProblem(err, c.allProvedNotRun); p != nil {
+			return p
+		}
 		left := c.onDemandDeadline.Sub(c.opts.Clock.Now())
 		if left <= 0 {
 			return &problem{
@@ -587,6 +601,13 @@
 	if verdict.Action == once.OverBudget {
 		c.opts.Stats.Inc(stats.RetriesOverBudget)
 	}
+	if outcome == once.Declined && !c.delivered {
+		if _, err := c.opts.Picker.Pick(c.routeRequest()); err != nil {
+			if p := c.closedProblem(err, verdict.NotRun); p != nil {
+				return p, false
+			}
+		}
+	}
 	return c.failureProblem(err, verdict, choice), false
 }
 
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/health"
 )
 
 // Request is a decoded request of a caller.
@@ -96,6 +97,10 @@
 	// its end does not show that it is complete.
 	EndsWithConnection bool
 	Body               io.ReadCloser
+	// Leaving is set if the endpoint says in this answer that it leaves.
+	Leaving bool
+	// Wait is how long the endpoint wants no requests of this node, if it says so.
+	Wait health.Wait
 }
 
 // Sender sends requests to endpoints. An error that wraps *conn.NotSentError
