models: compare the costs of evicting only copies

1/maxPace was a division of integer constants and therefore 0. Where a model has no second copy, the cost of its eviction was +Inf, or NaN without demand. The engine and the model to evict for a model that no engine holds were then the first of the list, in place of those with the least demand.

Infinite costs also kept only copies from being evicted for a further copy of another model; that is now a condition of its own and stays as it was.

TestRarestModelIsEvicted failed before: e1 has the steps [{true m2}], want [{false m6} {true m4}]; e0 has [{false m0} {true m4}], where m0 had 400 times the demand of m6.

--- a/internal/models/models_test.go
+++ b/internal/models/models_test.go
@@ -640,3 +640,35 @@
 		}
 	}
 }
+
+// TestRarestModelIsEvicted guards against unloading a model with more demand than another
+// one that could go in its place. Without a second copy both had an infinite cost, and the
+// first engine and its first model were chosen.
+func TestRarestModelIsEvicted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(now, now)
+	p.SetConfig(now, testConfig(6))
+	ends := []fleet.Endpoint{{ID: "e0", Incarnation: 1, Service: "lm"}, {ID: "e1", Incarnation: 1, Service: "lm"}}
+	p.SetEndpoints(ends)
+	// m4 fits in the place of either model of either engine.
+	held := [][]fleet.Resident{{{Model: "m0"}, {Model: "m1"}}, {{Model: "m3"}, {Model: "m6"}}}
+	class := p.services["lm"].class
+	class.Models["m6"] = fleet.Model{Name: "m6", WeightsMB: 72700}
+	p.SetConfig(now, &fleet.Config{Version: 2, Services: map[string]*fleet.Service{"lm": {Name: "lm", Engine: class}}})
+	for _, x := range []struct {
+		model string
+		work  float64
+	}{{model: "m0", work: 4000}, {model: "m1", work: 3000}, {model: "m3", work: 2000}, {model: "m6", work: 10}} {
+		p.RecordDemand(now, "lm", x.model, x.work)
+	}
+	now = now.Add(2 * forcedIdleAfter)
+	for i, e := range ends {
+		p.SetReport(now, fleet.Report{Key: e.Key(), Models: held[i], OnDisk: []string{"m4"}})
+	}
+	p.SetWaiting(now, []Waiting{{Service: "lm", Model: "m4", Count: 1}})
+	p.Step(now)
+	want := []step{{model: "m6"}, {load: true, model: "m4"}}
+	if got := p.engines["e1"].steps; !slices.Equal(got, want) {
+		t.Errorf("e1 has the steps %v, want %v; e0 has %v", got, want, p.engines["e0"].steps)
+	}
+}
--- a/internal/models/plan.go
+++ b/internal/models/plan.go
@@ -325,8 +325,8 @@
 
 // chooseEvictions chooses the models to unload so that m fits into the engine's
 // memory, those with the lowest cost first. The only loaded copy of a model is
-// evicted only when it is idle; force shortens the idle time for copies without running
-// requests. ok reports whether m fits then.
+// evicted only with force and when it is idle, which takes a shorter time for copies
+// without running requests. ok reports whether m fits then.
 func (p *Planner) chooseEvictions(now time.Time, s *service, l *layout, e *engine, m *model, force bool) (evict []string, cost float64, ok bool) {
 	free := e.class.WeightsMB - e.usedMB()
 	if free >= m.WeightsMB {
@@ -348,15 +348,12 @@
 		// A copy that is still being loaded serves no requests yet.
 		others := l.ready[r.Model] - 1
 		sinceRequest := min(now.Sub(x.lastRequest), now.Sub(p.startedAt))
-		idle := x.waiting == 0 && (sinceRequest > idleAfter || force && sinceRequest > forcedIdleAfter && p.running[runKey{key: e.Key(), item: r.Model}] == 0)
-		if others < 1 && !idle {
+		idle := x.waiting == 0 && (sinceRequest > idleAfter || sinceRequest > forcedIdleAfter && p.running[runKey{key: e.Key(), item: r.Model}] == 0)
+		if others < 1 && !(force && idle) {
 			continue
 		}
 		runningCount := float64(p.running[runKey{key: e.Key(), item: r.Model}])
-		cost := x.demand/max(1/maxPace, l.speed[r.Model]-e.speed()) - x.demand/l.speed[r.Model] + runningCount*l.meanLoad*0.02
-		if others < 1 && !force {
-			cost += l.meanLoad * 0.1
-		}
+		cost := x.demand/max(minSpeed, l.speed[r.Model]-e.speed()) - x.demand/l.speed[r.Model] + runningCount*l.meanLoad*0.02
 		list = append(list, candidate{
 			name: r.Model,
 			mb:   x.WeightsMB + float64(len(r.Adapters))*x.AdapterMB,
@@ -446,9 +443,9 @@
 	return true
 }
 
-// maxPace bounds the pace of an engine: 1/maxPace is the lowest speed that a
-// model's holders are assumed to have together.
-const maxPace = 4
+// minSpeed is the lowest speed that a model's holders are assumed to have together,
+// none included.
+const minSpeed = 0.25
 
 // maxReplicaCandidates is how many models, those with the highest demand per
 // copy, are considered for another copy.
@@ -456,7 +453,7 @@
 
 // demandPerCopy returns the model's demand relative to the speed of its holders.
 func (l *layout) demandPerCopy(m *model) float64 {
-	return m.demand / max(l.speed[m.Name], 1/maxPace)
+	return m.demand / max(l.speed[m.Name], minSpeed)
 }
 
 // imbalanceReduction returns by how much the imbalance falls when the engine with
@@ -469,8 +466,8 @@
 			continue
 		}
 		before := l.speed[name]
-		l.shiftLoads(name, x.demand/max(before-speed, 1/maxPace)-x.demand/before)
-		l.shiftLoad(at, -x.demand/max(before-speed, 1/maxPace))
+		l.shiftLoads(name, x.demand/max(before-speed, minSpeed)-x.demand/before)
+		l.shiftLoad(at, -x.demand/max(before-speed, minSpeed))
 	}
 	before := l.speed[m.Name]
 	l.shiftLoads(m.Name, m.demand/(before+speed)-m.demand/before)
