models: evict no model whose room is not needed

Models are chosen for eviction by their cost until the new one fits. A small model that was chosen first was unloaded also where a larger one chosen after it made room enough by itself.

TestEvictionsAreNeeded failed before: e0 unloads [m2 m0] (true), want [m0].

--- a/internal/models/models_test.go
+++ b/internal/models/models_test.go
@@ -672,3 +672,27 @@
 		t.Errorf("e1 has the steps %v, want %v; e0 has %v", got, want, p.engines["e0"].steps)
 	}
 }
+
+// TestEvictionsAreNeeded guards against unloading a small model beside a large one that
+// makes enough room by itself: its requests were refused and the load took longer.
+func TestEvictionsAreNeeded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(now, now)
+	p.SetConfig(now, testConfig(6))
+	e := fleet.Endpoint{ID: "e0", Incarnation: 1, Service: "lm"}
+	p.SetEndpoints([]fleet.Endpoint{e})
+	// m2 has 34,300 MB and the lowest cost, but m3 with 65,100 MB does not fit in its place.
+	p.RecordDemand(now, "lm", "m0", 100)
+	p.RecordDemand(now, "lm", "m1", 200)
+	p.RecordDemand(now, "lm", "m2", 10)
+	now = now.Add(2 * forcedIdleAfter)
+	p.SetReport(now, fleet.Report{
+		Key:    e.Key(),
+		Models: []fleet.Resident{{Model: "m0"}, {Model: "m1"}, {Model: "m2"}},
+	})
+	s := p.services["lm"]
+	evict, _, ok := p.chooseEvictions(now, s, p.layout(now, s), p.engines["e0"], s.models["m3"], true)
+	if want := []string{"m0"}; !ok || !slices.Equal(evict, want) {
+		t.Errorf("e0 unloads %v (%v), want %v", evict, ok, want)
+	}
+}
--- a/internal/models/plan.go
+++ b/internal/models/plan.go
@@ -361,14 +361,24 @@
 		})
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	var chosen []candidate
 	for _, c := range list {
 		if free >= m.WeightsMB {
 			break
 		}
-		evict = append(evict, c.name)
+		chosen = append(chosen, c)
 		free += c.mb
+	}
+	// A larger model may make room enough without the smaller ones chosen before it.
+	for _, c := range slices.Backward(chosen) {
+		if free-c.mb >= m.WeightsMB {
+			free -= c.mb
+			continue
+		}
+		evict = append(evict, c.name)
 		cost += c.cost
 	}
+	slices.Reverse(evict)
 	return evict, cost, free >= m.WeightsMB
 }
 
