models: evict rare models sooner the more requests wait

The only copy of a model is evicted for a model that no engine holds if it had no request for 1.2 s.

The 1.2 s are now divided by the number of waiting requests, if the held model has less demand than the absent one. While the copy is absent, about as many of its requests wait as wait now for the other model, or fewer.

TestModelInDemandReplacesRareModel failed before: unloaded within 2.5 s: false, want true.

--- a/internal/models/models.go
+++ b/internal/models/models.go
@@ -80,6 +80,11 @@
 	// forcedIdleAfter replaces idleAfter for a copy without running requests when
 	// requests wait for a model that no engine holds.
 	forcedIdleAfter = 1200 * time.Millisecond
+	// minForcedIdle is the lower bound of forcedIdleAfter divided by the number of
+	// waiting requests, which applies to copies of models with less demand: evicting
+	// them keeps fewer requests waiting. It covers the interval at which nodes report
+	// running requests.
+	minForcedIdle = 450 * time.Millisecond
 	// storeRateShare is the fraction of the weight store's rate that is used, and
 	// storeLoadBurst is how many loads from the store may begin at once.
 	storeRateShare = 0.9
--- a/internal/models/models_test.go
+++ b/internal/models/models_test.go
@@ -696,3 +696,51 @@
 		t.Errorf("e0 unloads %v (%v), want %v", evict, ok, want)
 	}
 }
+
+// TestModelInDemandReplacesRareModel guards against a model with most of the demand that
+// stays unloaded for seconds because the models that the engine holds get a request now
+// and then, and against evicting those for a model with less demand or a single request.
+func TestModelInDemandReplacesRareModel(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		work    float64 // of each request for the absent model
+		waiting int
+		want    bool
+	}{
+		{name: "a multiple of the demand", work: 100, waiting: 5, want: true},
+		{name: "a single request", work: 100, waiting: 1},
+		{name: "less demand", work: 2, waiting: 5},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := New(now, now)
+			p.SetConfig(now, testConfig(6))
+			e := fleet.Endpoint{ID: "e0", Incarnation: 1, Service: "lm"}
+			p.SetEndpoints([]fleet.Endpoint{e})
+			unloaded := false
+			for i := range 50 {
+				now = now.Add(50 * time.Millisecond)
+				p.SetReport(now, fleet.Report{
+					Key:    e.Key(),
+					Models: []fleet.Resident{{Model: "m0"}, {Model: "m1"}},
+					OnDisk: []string{"m3"},
+				})
+				if i%14 == 0 {
+					p.RecordDemand(now, "lm", "m0", 100)
+					p.RecordDemand(now, "lm", "m1", 100)
+				}
+				if i%2 == 0 {
+					p.RecordDemand(now, "lm", "m3", tc.work)
+				}
+				p.SetWaiting(now, []Waiting{{Service: "lm", Model: "m3", Count: tc.waiting}})
+				for _, o := range p.Step(now) {
+					unloaded = unloaded || !o.Load
+					p.RecordAnswer(now, o, Refused)
+				}
+			}
+			if unloaded != tc.want {
+				t.Errorf("unloaded within 2.5 s: %v, want %v", unloaded, tc.want)
+			}
+		})
+	}
+}
--- a/internal/models/plan.go
+++ b/internal/models/plan.go
@@ -326,7 +326,8 @@
 // chooseEvictions chooses the models to unload so that m fits into the engine's
 // memory, those with the lowest cost first. The only loaded copy of a model is
 // evicted only with force and when it is idle, which takes a shorter time for copies
-// without running requests. ok reports whether m fits then.
+// without running requests, shorter still the more requests wait for m. ok reports
+// whether m fits then.
 func (p *Planner) chooseEvictions(now time.Time, s *service, l *layout, e *engine, m *model, force bool) (evict []string, cost float64, ok bool) {
 	free := e.class.WeightsMB - e.usedMB()
 	if free >= m.WeightsMB {
@@ -348,7 +349,12 @@
 		// A copy that is still being loaded serves no requests yet.
 		others := l.ready[r.Model] - 1
 		sinceRequest := min(now.Sub(x.lastRequest), now.Sub(p.startedAt))
-		idle := x.waiting == 0 && (sinceRequest > idleAfter || sinceRequest > forcedIdleAfter && p.running[runKey{key: e.Key(), item: r.Model}] == 0)
+		unusedFor := forcedIdleAfter
+		if m.waiting > 1 && m.demand > x.demand {
+			unusedFor = max(minForcedIdle, forcedIdleAfter/time.Duration(m.waiting))
+		}
+		isRunning := p.running[runKey{key: e.Key(), item: r.Model}] > 0
+		idle := x.waiting == 0 && (sinceRequest > idleAfter || sinceRequest > unusedFor && !isRunning)
 		if others < 1 && !(force && idle) {
 			continue
 		}
