quota: ask another node of a domain when one does not answer

The pool of a workspace borrows tokens from one node of each other domain, the first by rank among those it knows. If that node was gone, the whole domain counted as unreachable for 0.5 s, and the same node was asked again after that, for up to 5 s until the membership exchange removed it.

A node that does not answer is left out for 0.5 s, and the next one of its domain is asked at once.

TestAnotherNodeIsAsked failed before: asked [n2], want the other node after n2.

--- a/internal/quota/deposit.go
+++ b/internal/quota/deposit.go
@@ -55,10 +55,13 @@
 // to borrow from.
 const formerPoolDomain = "(former pool)"
 
-// lendersOf returns the nodes that can be asked for tokens of a domain.
+// lendersOf returns the nodes that can be asked for tokens of a domain, without those
+// that did not answer a moment ago.
 func (n *Node) lendersOf(now time.Time, ws *workspaceState, domain string) []string {
 	if domain != formerPoolDomain {
-		return n.pools[domain]
+		return slices.DeleteFunc(slices.Clone(n.pools[domain]), func(name string) bool {
+			return now.Before(n.unreachableUntil[name])
+		})
 	}
 	if ws.formerPool == "" || ws.formerPool == n.self.node || !now.Before(ws.formerPoolUntil) {
 		return nil
--- a/internal/quota/draw.go
+++ b/internal/quota/draw.go
@@ -472,6 +472,11 @@
 		ws.available[d.domain], ws.estimated[d.domain] = a.Available, a.Available
 	}
 	switch {
+	case err != nil && d.domain != formerPoolDomain:
+		n.unreachableUntil[d.to] = now.Add(unreachableRetryDelay)
+		// While there is another node of the domain, the next round asks that one.
+		delete(ws.tried, d.domain)
+		ws.domainUnreachable = ws.domainUnreachable || len(n.lendersOf(now, ws, d.domain)) == 0
 	case err != nil:
 		ws.domainUnreachable = true
 		ws.retryAt[d.domain] = now.Add(unreachableRetryDelay)
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -11,6 +11,7 @@
 
 	"pgregory.net/rapid"
 
+	"trefoildale.example/trefoildale/internal/rank"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
 
@@ -404,3 +405,61 @@
 		}
 	}
 }
+
+// TestAnotherNodeIsAsked guards against refusing requests as long as a domain's first node
+// for the workspace is known but gone, although other nodes of the domain would lend
+// tokens: other domains learn of a replaced node up to 5 s later.
+func TestAnotherNodeIsAsked(t *testing.T) {
+	now := time.Unix(1000, 0)
+	n := NewNode(now, "n1", 1, "d1")
+	cfg := &spec.Config{
+		Revision: 1,
+		Domains:  []spec.Domain{{Name: "d1"}, {Name: "d2"}},
+		Workspaces: []spec.Workspace{{
+			Name:                "w0",
+			RateTokensPerSecond: 1000,
+			BurstTokens:         10_000,
+		}},
+		Limits: spec.Limits{SlotTerm: spec.Duration(10 * time.Second)},
+	}
+	n.SetConfig(now, cfg, 1)
+	n.SetMembers(now, nil, map[string][]string{"d2": {"n2", "n3"}})
+	gone := rank.First("w0", []string{"n2", "n3"})
+	var asked []string
+	answerDraws := func() {
+		for range 5 {
+			for _, d := range n.TakeEffects().Draws {
+				asked = append(asked, d.To)
+				if d.To == gone {
+					n.DrawDone(now, d.To, d.Msg.ID.Seq, DrawReply{}, errors.New("connection refused"))
+					continue
+				}
+				n.DrawDone(now, d.To, d.Msg.ID.Seq, DrawReply{
+					ID:    d.Msg.ID,
+					Epoch: 1,
+					Grants: []DrawGrant{{
+						Workspace:  "w0",
+						Tokens:     d.Msg.Items[0].Want,
+						TermMillis: 1000,
+						Loan:       1,
+					}},
+				}, nil)
+			}
+		}
+	}
+	for i := range 2 {
+		asked = nil
+		n.Need(now, DrawItem{
+			Workspace: "w0",
+			Need:      100 * int64(i+1),
+			Want:      100 * int64(i+1),
+		})
+		answerDraws()
+		if len(asked) == 0 || asked[len(asked)-1] == gone {
+			t.Errorf("asked %v, want the other node after %s", asked, gone)
+		}
+		if i > 0 && slices.Contains(asked, gone) {
+			t.Errorf("asked %v, want none that did not answer a moment ago", asked)
+		}
+	}
+}
