entry: wait for a local copy when other domains cannot be reached

A model that only engines of other domains hold was tried there three times, and the request then failed with 502 endpoint-failed ("the answer of endpoint assistant-d2 did not arrive whole") although no connection was opened. For 15 s after a cut the domain still counts as reachable, so that nothing loaded the model in the own domain either: TestWithdrawnKeyStopsEverywhere, case no_other_domains, 1 of 5 runs on beside other work. No answer was cut off and the withdrawn key has no part in it.

An endpoint of another domain that could not be reached stays excluded for the request. If no other one has the model, the request counts as waiting for it, the planner loads it in the own domain, and the request is sent there.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -51,6 +51,9 @@
 	attempts        int
 	allProvedNotRun bool
 	exclude         []string
+	// unreachable is how many of the excluded endpoints are in other domains and could
+	// not be reached.
+	unreachable int
 
 	delivered bool
 	used      int64
@@ -426,11 +429,12 @@
 		switch {
 		case err == nil && (c.adapter == "" || choice.AdapterReady):
 			return choice, nil
-		case errors.Is(err, route.ErrNoEndpoint) && len(c.exclude) > 0:
+		case errors.Is(err, route.ErrNoEndpoint) && len(c.exclude) > c.unreachable:
 			// Every endpoint has failed once. The retry policy limits further attempts.
-			c.exclude = nil
+			c.exclude, c.unreachable = nil, 0
 		case err == nil, errors.Is(err, route.ErrNotResident), errors.Is(err, route.ErrNoEndpoint):
-			// The model may be resident at leaving endpoints, which take no new work.
+			// The model may be resident at leaving endpoints, which take no new work, or
+			// only in other domains, which cannot be reached.
 			if p := c.awaitResident(); p != nil {
 				return route.Choice{}, p
 			}
@@ -461,6 +465,10 @@
 		if errors.Is(err, route.ErrUnknown) {
 			return nil
 		}
+		if errors.Is(err, route.ErrNotResident) {
+			// An endpoint that has the model later may be an excluded one that is back.
+			c.exclude, c.unreachable = nil, 0
+		}
 		left := c.onDemandDeadline.Sub(c.opts.Clock.Now())
 		if left <= 0 {
 			return &problem{
@@ -573,6 +581,9 @@
 	c.allProvedNotRun = c.allProvedNotRun && outcome.ProvedNotRun()
 	if verdict.Action == once.Retry {
 		c.exclude = append(slices.Clone(c.exclude), choice.Endpoint)
+		if outcome == once.NotSent && choice.Remote {
+			c.unreachable++
+		}
 		c.opts.Stats.Inc(stats.RetriesDone)
 		c.opts.Audit.Record(audit.Event{
 			Reason:    retryReason(outcome),
@@ -627,10 +638,14 @@
 	if c.delivered {
 		reason = audit.StreamBroken
 	}
+	message := "the answer of endpoint " + choice.Endpoint + " did not arrive whole"
+	if v.NotRun {
+		message = "endpoint " + choice.Endpoint + " could not be reached or did not take the request"
+	}
 	return &problem{
 		Status:     http.StatusBadGateway,
 		Reason:     reason,
-		Message:    "the answer of endpoint " + choice.Endpoint + " did not arrive whole",
+		Message:    message,
 		NotRun:     v.NotRun,
 		RetryAfter: time.Second,
 	}
--- a/internal/local/outage_test.go
+++ b/internal/local/outage_test.go
@@ -3,10 +3,13 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fake/fault"
+	"trefoildale.example/trefoildale/internal/route"
 )
 
 // withdrawBound is how long a key may still be accepted after its withdrawal.
@@ -148,3 +151,56 @@
 		})
 	}
 }
+
+// hidingPicker leaves an endpoint out of the choice while hidden is set, as if it had no
+// copy of the model.
+type hidingPicker struct {
+	*route.Table
+	endpoint string
+	hidden   *atomic.Bool
+}
+
+func (p hidingPicker) Pick(r route.Request) (route.Choice, error) {
+	if p.hidden.Load() {
+		r.Exclude = append(slices.Clone(r.Exclude), p.endpoint)
+	}
+	return p.Table.Pick(r)
+}
+
+// Guards against failing a request with 502 whose model only another domain has, which
+// cannot be reached: it is loaded in the own domain, and the request waits for that.
+func TestModelOnlyInUnreachableDomainIsLoaded(t *testing.T) {
+	t.Parallel()
+	network := NewNetwork()
+	var hidden atomic.Bool
+	f, keys := testFleet(t, Options{
+		Config:         testConfig(2),
+		NodesPerDomain: 1,
+		Network:        network,
+		Picker: func(table *route.Table) route.Picker {
+			return hidingPicker{
+				Table:    table,
+				endpoint: "assistant-d1",
+				hidden:   &hidden,
+			}
+		},
+	})
+	hidden.Store(true)
+	eventually(t, 20*time.Second, func() error {
+		before := f.Engines["assistant-d2"].Stats().Requests
+		if a := complete(t, f, 0, keys["club"], 1); a.status != http.StatusOK || f.Engines["assistant-d2"].Stats().Requests == before {
+			return fmt.Errorf("assistant-d2 does not serve node 0 yet: %d %s", a.status, a.body)
+		}
+		return nil
+	})
+	network.Cut("d1", "d2")
+	// The load in the own domain takes longer than three attempts to connect.
+	loaded := time.AfterFunc(8*time.Second, func() {
+		hidden.Store(false)
+		f.Engines["assistant-d1"].Restart()
+	})
+	defer loaded.Stop()
+	if a := complete(t, f, 0, keys["club"], 1); a.status != http.StatusOK {
+		t.Errorf("got %d %s, want status 200", a.status, a.body)
+	}
+}
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -60,6 +60,8 @@
 	Address  string
 	Domain   string
 	Version  string
+	// Remote is set if the endpoint is in another domain.
+	Remote bool
 	// AdapterReady is false when the adapter has to be loaded first.
 	AdapterReady bool
 	Reason       Reason
@@ -465,7 +467,7 @@
 func (t *Table) fillChoice(out *Choice, r *Request, x *scored, waitPerRequest float64, reason Reason) {
 	e := x.candidate.endpoint
 	out.Endpoint, out.Address, out.Domain = e.spec.Name, e.spec.Address, e.spec.Domain
-	out.Version = x.candidate.version
+	out.Version, out.Remote = x.candidate.version, e.spec.Domain != t.settings.Domain
 	out.AdapterReady = r.Adapter == "" || slices.Contains(x.candidate.adapters, r.Adapter)
 	out.Reason = reason
 	out.Wait = time.Duration(x.load * waitPerRequest * float64(time.Second))
