soak: print the recovery window and why its requests were not served

RECOVER gave only two numbers, so that its causes had to be read from the logs, which are removed after a run without violations. The check and its bound are as before.

--- a/internal/cmds/load_soak.go
+++ b/internal/cmds/load_soak.go
@@ -130,7 +130,7 @@
 }
 
 func printSoak(w io.Writer, r *soak.Result) {
-	fmt.Fprintf(w, "seed %d: %d requests, %d served, %d faults, %d broken\n", r.Seed, r.Requests, r.Served, r.Faults, len(r.Violations))
+	fmt.Fprintf(w, "seed %d: %d requests, %d served, %d of %d after recovery, %d faults, %d broken\n", r.Seed, r.Requests, r.Served, r.RecoveredServed, r.Recovered, r.Faults, len(r.Violations))
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  %s\n", v)
 	}
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -56,7 +56,7 @@
 		Requests: len(rec.requests),
 		Faults:   r.faults,
 	}
-	late, lateServed := 0, 0
+	reasons := map[string]int{}
 	for _, a := range rec.requests {
 		served := a.status == http.StatusOK && a.complete && a.problem == ""
 		if served {
@@ -64,14 +64,16 @@
 		}
 		// Refusals of a workspace over its rate and of a withdrawn key are correct.
 		if a.sent.Sub(recoveredAt) > recoverBound && a.status != http.StatusTooManyRequests && a.status != http.StatusUnauthorized && !r.isAddedRoute(a.route) {
-			late++
+			out.Recovered++
 			if served {
-				lateServed++
+				out.RecoveredServed++
+				continue
 			}
+			reasons[a.describeFailure()]++
 		}
 	}
-	if late == 0 || float64(lateServed) < recoveredShare*float64(late) {
-		r.reportViolation("RECOVER: %d of %d requests were served later than %v after the last fault", lateServed, late, recoverBound)
+	if out.Recovered == 0 || float64(out.RecoveredServed) < recoveredShare*float64(out.Recovered) {
+		r.reportViolation("RECOVER: %d of %d requests were served later than %v after the last fault; the others by answer: %v", out.RecoveredServed, out.Recovered, recoverBound, reasons)
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -59,6 +61,22 @@
 	answer  string
 }
 
+// describeFailure returns the status and message of an answer without success, which are
+// the same for all requests that failed for the same reason.
+func (r *request) describeFailure() string {
+	var body struct {
+		Error struct {
+			Message string `json:"message"`
+		} `json:"error"`
+	}
+	// An answer that is cut off or of another form has no message.
+	_ = json.Unmarshal([]byte(r.answer), &body)
+	if r.status == 0 {
+		return "no answer"
+	}
+	return strings.TrimSpace(fmt.Sprintf("%d %s", r.status, body.Error.Message))
+}
+
 // faultLock returns the lock that serializes faults with the same process and
 // endpoint.
 func (rec *record) faultLock(c faultParams) *sync.Mutex {
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -84,6 +84,10 @@
 	Requests int
 	Served   int
 	Faults   int
+	// Recovered and RecoveredServed count the requests of the recovery window that must
+	// be served, and those that were.
+	Recovered       int
+	RecoveredServed int
 	// Violations describes each violation of a guarantee.
 	Violations []string
 }
