soak: leave suspended time out of the check that a process stops

The bound of 8 s now counts the time in which the process was not suspended, and stays as it was for all others.

--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -37,6 +37,8 @@
 	exited   chan struct{}
 	stopping bool // SIGTERM was sent, or is about to be
 	killed   bool // SIGKILL was sent, or is about to be
+	// suspended is set from SIGSTOP to SIGCONT.
+	suspended bool
 	// disturbances counts the faults that affect the process or its links now.
 	// stableSince is the end of the last one, or the last start; it is zero
 	// after the process has exited.
@@ -125,7 +127,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	exited := make(chan struct{})
-	n.cmd, n.exited, n.stopping, n.killed = cmd, exited, false, false
+	n.cmd, n.exited, n.stopping, n.killed, n.suspended = cmd, exited, false, false, false
 	n.stableSince = time.Now()
 	go func() {
 		err := cmd.Wait()
@@ -152,6 +154,10 @@
 		n.stopping = true
 	case syscall.SIGKILL:
 		n.killed = true
+	case syscall.SIGSTOP:
+		n.suspended = true
+	case syscall.SIGCONT:
+		n.suspended = false
 	}
 	// An error means that the process has already exited.
 	_ = n.cmd.Process.Signal(s)
@@ -206,16 +212,33 @@
 	return n.stopping, n.killed
 }
 
-// waitExit waits for the process to exit. It returns false on timeout.
+// exitCheckInterval is how often waitExit checks whether the process is suspended.
+const exitCheckInterval = 20 * time.Millisecond
+
+// waitExit waits for the process to exit. It returns false on timeout. Time in which the
+// process is suspended does not count, since it cannot act on a signal then.
 func (n *node) waitExit(within time.Duration) bool {
 	n.mu.Lock()
 	exited := n.exited
 	n.mu.Unlock()
-	select {
-	case <-exited:
-		return true
-	case <-time.After(within):
-		return false
+	tick := time.NewTicker(exitCheckInterval)
+	defer tick.Stop()
+	last := time.Now()
+	for deadline := last.Add(within); ; {
+		select {
+		case <-exited:
+			return true
+		case <-tick.C:
+		}
+		now := time.Now()
+		n.mu.Lock()
+		if n.suspended {
+			deadline = deadline.Add(now.Sub(last))
+		}
+		n.mu.Unlock()
+		if last = now; !now.Before(deadline) {
+			return false
+		}
 	}
 }
 
