models: expect unloads without running requests to end sooner

A planned load that first needs an unload was expected 700 ms later, the time in which the unloaded model's running requests end. The only copy of a model is evicted only while none of its requests run.

Without running requests the time is that until a report shows the unload.

TestLoadEndAfterUnload failed before, with the former time in both cases: loads are ready in 2.05 s, want 1.75 s.

--- a/internal/models/models.go
+++ b/internal/models/models.go
@@ -555,7 +555,7 @@
 		if s == nil {
 			continue
 		}
-		for name, at := range e.loadEnds(now) {
+		for name, at := range p.loadEnds(now, e) {
 			if e.class.Models[name].Name == "" {
 				continue
 			}
@@ -576,7 +576,7 @@
 
 // loadEnds returns when the loads of the engine that are under way or planned are
 // expected to end, by model.
-func (e *engine) loadEnds(now time.Time) map[string]time.Time {
+func (p *Planner) loadEnds(now time.Time, e *engine) map[string]time.Time {
 	var out map[string]time.Time
 	add := func(name string, at time.Time) {
 		if out == nil {
@@ -590,7 +590,7 @@
 	start := now
 	for _, step := range e.steps {
 		if !step.load {
-			start = latest(start, e.plannedAt.Add(unloadNotice)).Add(unloadTime)
+			start = latest(start, e.plannedAt.Add(unloadNotice)).Add(p.unloadTime(e, step.model))
 			continue
 		}
 		if _, ok := out[step.model]; !ok {
@@ -600,9 +600,17 @@
 	return out
 }
 
-// unloadTime is how long an unload usually takes: its order, the requests that
+// unloadTime returns how long an unload usually takes: its order, the requests that
 // still run, and the report that shows its end.
-const unloadTime = 700 * time.Millisecond
+func (p *Planner) unloadTime(e *engine, model string) time.Duration {
+	if p.running[runKey{key: e.Key(), item: model}] == 0 {
+		return reportLag
+	}
+	return unloadDrainTime
+}
+
+// unloadDrainTime is how long an unload usually takes while requests run.
+const unloadDrainTime = 700 * time.Millisecond
 
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/models/models_test.go
+++ b/internal/models/models_test.go
@@ -744,3 +744,36 @@
 		})
 	}
 }
+
+// TestLoadEndAfterUnload guards against an expected time of a load that is too late, so
+// that requests are refused that the load would serve: an unload without running requests
+// does not wait for any.
+func TestLoadEndAfterUnload(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		running int
+		want    time.Duration
+	}{
+		{name: "no running requests", want: unloadNotice + reportLag + time.Second},
+		{name: "a running request", running: 1, want: unloadNotice + unloadDrainTime + time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := New(now, now)
+			config := testConfig(6)
+			m := config.Services["lm"].Engine.Models["m4"]
+			m.DiskLoad = time.Second
+			config.Services["lm"].Engine.Models["m4"] = m
+			p.SetConfig(now, config)
+			e := fleet.Endpoint{ID: "e0", Incarnation: 1, Service: "lm"}
+			p.SetEndpoints([]fleet.Endpoint{e})
+			p.SetReport(now, fleet.Report{Key: e.Key(), Models: []fleet.Resident{{Model: "m1"}}, OnDisk: []string{"m4"}})
+			p.SetRunning([]Running{{Key: e.Key(), Model: "m1", Count: tc.running}})
+			p.setSteps(now, p.engines["e0"], []string{"m1"}, "m4", "demand-absent")
+			loads := p.Loads(now)
+			if len(loads) != 1 || loads[0].ReadyIn != tc.want {
+				t.Errorf("loads are %+v, want one that is ready in %v", loads, tc.want)
+			}
+		})
+	}
+}
