--- a/internal/proc/observe.go
+++ b/internal/proc/observe.go
@@ -20,6 +20,7 @@
 	registry         *prometheus.Registry
 	requestsEnded    *prometheus.CounterVec
 	requestsRepeated *prometheus.CounterVec
+	connsClosed      *prometheus.CounterVec
 	firstByte        *prometheus.HistogramVec
 	total            *prometheus.HistogramVec
 }
@@ -39,6 +40,10 @@
 			Name: "trefoildale_requests_repeated_total",
 			Help: "Attempts after the first one of a request, by service.",
 		}, []string{"service"}),
+		connsClosed: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trefoildale_caller_connections_closed_total",
+			Help: "Connections of callers that the process closed while no request was handled, by reason.",
+		}, []string{"reason"}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "trefoildale_first_byte_seconds",
 			Help:    "Time from the arrival of a request to the first event or to the whole answer.",
@@ -50,7 +55,7 @@
 			Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.requestsEnded, m.requestsRepeated, m.firstByte, m.total, collectors.NewGoCollector())
+	m.registry.MustRegister(m.requestsEnded, m.requestsRepeated, m.connsClosed, m.firstByte, m.total, collectors.NewGoCollector())
 	return m
 }
 
