route, health: ask about endpoints only while one has said something

The question per candidate cost the choice among 2,600 endpoints of the completion API about a third (22750 and 21281 ns/op before the record, 25694 and 33309 with it, beside load 25 to 36). Without evidence it is not asked: 19252 and 22237, against 20355 and 18987 of in the same minute. Expired evidence is dropped with the next change.

--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -131,6 +131,9 @@
 // Version returns a number that changes whenever an engine begins or ceases to leave.
 func (t *Table) Version() int64 { return t.version.Load() }
 
+// IsEmpty reports whether there is no evidence about any engine, so that all are usable.
+func (t *Table) IsEmpty() bool { return len(*t.records.Load()) == 0 }
+
 // Ask reports whether an incarnation of an engine is usable for a new request at now.
 // Evidence about a later incarnation under the same id holds too: the earlier one has
 // ended.
@@ -212,6 +215,7 @@
 		return
 	}
 	next := maps.Clone(old)
+	maps.DeleteFunc(next, func(_ string, r record) bool { return r.isEmpty(now) })
 	next[key.ID] = r
 	if len(next) > maxRecords {
 		drop(now, next, key.ID)
--- a/internal/route/pick.go
+++ b/internal/route/pick.go
@@ -255,6 +255,7 @@
 // others in out.
 func (t *Table) filter(r *Request, list []candidate, available []scored, out *Choice) []scored {
 	var last *endpoint
+	ask := !t.health.IsEmpty()
 	for i := range list {
 		c := &list[i]
 		e := c.endpoint
@@ -266,7 +267,7 @@
 		case e.leaving():
 			out.Leaving++
 			continue
-		case !t.health.Ask(r.Now, e.key()).Usable:
+		case ask && !t.health.Ask(r.Now, e.key()).Usable:
 			out.Closed++
 			continue
 		case len(r.Exclude) > 0 && slices.Contains(r.Exclude, e.spec.Name):
