--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -52,6 +52,9 @@
 	sentTo          []string // addresses of the attempts
 	allProvedNotRun bool
 	exclude         []string
+	// unreachable is how many of the excluded endpoints are in other domains and could
+	// not be reached.
+	unreachable int
 
 	delivered bool
 	used      int64
@@ -301,6 +304,10 @@
 		return c.queueProblem(err), false
 	}
 	defer release()
+	if !c.opts.Routes.Usable(c.opts.Clock.Now(), choice) {
+		// The request waited at the endpoint. The next choice obeys what it has said.
+		return nil, true
+	}
 	if p := c.readmit(); p != nil {
 		return p, false
 	}
@@ -332,6 +339,9 @@
 	if err == nil {
 		return nil, false
 	}
+	if errors.Is(err, errEndpointUnusable) {
+		return nil, true
+	}
 	var checkErr *problemError
 	if errors.As(err, &checkErr) {
 		return checkErr.problem, false
@@ -380,7 +390,8 @@
 // isEndpointFault reports whether the endpoint caused the error of an attempt.
 func (c *completion) isEndpointFault(err error, outcome once.Outcome) bool {
 	var checkErr *problemError
-	return outcome != once.Answered && outcome != once.Declined && c.ctx.Err() == nil && !errors.As(err, &checkErr)
+	return outcome != once.Answered && outcome != once.Declined && c.ctx.Err() == nil &&
+		!errors.As(err, &checkErr) && !errors.Is(err, errEndpointUnusable)
 }
 
 // checkBeforeSend checks directly before the first byte is sent whether the key and
@@ -424,14 +435,18 @@
 func (c *completion) pick() (route.Choice, *problem) {
 	for {
 		choice, err := c.opts.Picker.Pick(c.routeRequest())
+		if p := c.closedProblem(err, c.allProvedNotRun); p != nil {
+			return route.Choice{}, p
+		}
 		switch {
 		case err == nil && (c.adapter == "" || choice.AdapterReady):
 			return choice, nil
-		case errors.Is(err, route.ErrNoEndpoint) && len(c.exclude) > 0:
+		case errors.Is(err, route.ErrNoEndpoint) && len(c.exclude) > c.unreachable:
 			// Every endpoint has failed once. The retry policy limits further attempts.
-			c.exclude = nil
+			c.exclude, c.unreachable = nil, 0
 		case err == nil, errors.Is(err, route.ErrNotResident), errors.Is(err, route.ErrNoEndpoint):
-			// The model may be resident at leaving endpoints, which take no new work.
+			// The model may be resident at leaving endpoints, which take no new work, or
+			// only in other domains, which cannot be reached.
 			if p := c.awaitResident(); p != nil {
 				return route.Choice{}, p
 			}
@@ -462,6 +477,13 @@
 		if errors.Is(err, route.ErrUnknown) {
 			return nil
 		}
+		if p := c.closedProblem(err, c.allProvedNotRun); p != nil {
+			return p
+		}
+		if errors.Is(err, route.ErrNotResident) {
+			// An endpoint that has the model later may be an excluded one that is back.
+			c.exclude, c.unreachable = nil, 0
+		}
 		left := c.onDemandDeadline.Sub(c.opts.Clock.Now())
 		if left <= 0 {
 			return &problem{
@@ -574,6 +596,9 @@
 	c.allProvedNotRun = c.allProvedNotRun && outcome.ProvedNotRun()
 	if verdict.Action == once.Retry {
 		c.exclude = append(slices.Clone(c.exclude), choice.Endpoint)
+		if outcome == once.NotSent && choice.Remote {
+			c.unreachable++
+		}
 		c.opts.Stats.Inc(stats.RetriesDone)
 		c.opts.Audit.Record(audit.Event{
 			Reason:    retryReason(outcome),
@@ -587,6 +612,13 @@
 	if verdict.Action == once.OverBudget {
 		c.opts.Stats.Inc(stats.RetriesOverBudget)
 	}
+	if outcome == once.Declined && !c.delivered {
+		if _, err := c.opts.Picker.Pick(c.routeRequest()); err != nil {
+			if p := c.closedProblem(err, verdict.NotRun); p != nil {
+				return p, false
+			}
+		}
+	}
 	return c.failureProblem(err, verdict, choice), false
 }
 
@@ -628,10 +660,14 @@
 	if c.delivered {
 		reason = audit.StreamBroken
 	}
+	message := "the answer of endpoint " + choice.Endpoint + " did not arrive whole"
+	if v.NotRun {
+		message = "endpoint " + choice.Endpoint + " could not be reached or did not take the request"
+	}
 	return &problem{
 		Status:     http.StatusBadGateway,
 		Reason:     reason,
-		Message:    "the answer of endpoint " + choice.Endpoint + " did not arrive whole",
+		Message:    message,
 		NotRun:     v.NotRun,
 		RetryAfter: time.Second,
 	}
--- a/internal/models/models.go
+++ b/internal/models/models.go
@@ -80,6 +80,11 @@
 	// forcedIdleAfter replaces idleAfter for a copy without running requests when
 	// requests wait for a model that no engine holds.
 	forcedIdleAfter = 1200 * time.Millisecond
+	// minForcedIdle is the lower bound of forcedIdleAfter divided by the number of
+	// waiting requests, which applies to copies of models with less demand: evicting
+	// them keeps fewer requests waiting. It covers the interval at which nodes report
+	// running requests.
+	minForcedIdle = 450 * time.Millisecond
 	// storeRateShare is the fraction of the weight store's rate that is used, and
 	// storeLoadBurst is how many loads from the store may begin at once.
 	storeRateShare = 0.9
@@ -550,7 +555,7 @@
 		if s == nil {
 			continue
 		}
-		for name, at := range e.loadEnds(now) {
+		for name, at := range p.loadEnds(now, e) {
 			if e.class.Models[name].Name == "" {
 				continue
 			}
@@ -571,7 +576,7 @@
 
 // loadEnds returns when the loads of the engine that are under way or planned are
 // expected to end, by model.
-func (e *engine) loadEnds(now time.Time) map[string]time.Time {
+func (p *Planner) loadEnds(now time.Time, e *engine) map[string]time.Time {
 	var out map[string]time.Time
 	add := func(name string, at time.Time) {
 		if out == nil {
@@ -585,7 +590,7 @@
 	start := now
 	for _, step := range e.steps {
 		if !step.load {
-			start = latest(start, e.plannedAt.Add(unloadNotice)).Add(unloadTime)
+			start = latest(start, e.plannedAt.Add(unloadNotice)).Add(p.unloadTime(e, step.model))
 			continue
 		}
 		if _, ok := out[step.model]; !ok {
@@ -595,9 +600,17 @@
 	return out
 }
 
-// unloadTime is how long an unload usually takes: its order, the requests that
+// unloadTime returns how long an unload usually takes: its order, the requests that
 // still run, and the report that shows its end.
-const unloadTime = 700 * time.Millisecond
+func (p *Planner) unloadTime(e *engine, model string) time.Duration {
+	if p.running[runKey{key: e.Key(), item: model}] == 0 {
+		return reportLag
+	}
+	return unloadDrainTime
+}
+
+// unloadDrainTime is how long an unload usually takes while requests run.
+const unloadDrainTime = 700 * time.Millisecond
 
 func latest(a, b time.Time) time.Time {
 	if a.After(b) {
--- a/internal/models/models_test.go
+++ b/internal/models/models_test.go
@@ -640,3 +640,140 @@
 		}
 	}
 }
+
+// TestRarestModelIsEvicted guards against unloading a model with more demand than another
+// one that could go in its place. Without a second copy both had an infinite cost, and the
+// first engine and its first model were chosen.
+func TestRarestModelIsEvicted(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(now, now)
+	p.SetConfig(now, testConfig(6))
+	ends := []fleet.Endpoint{{ID: "e0", Incarnation: 1, Service: "lm"}, {ID: "e1", Incarnation: 1, Service: "lm"}}
+	p.SetEndpoints(ends)
+	// m4 fits in the place of either model of either engine.
+	held := [][]fleet.Resident{{{Model: "m0"}, {Model: "m1"}}, {{Model: "m3"}, {Model: "m6"}}}
+	class := p.services["lm"].class
+	class.Models["m6"] = fleet.Model{Name: "m6", WeightsMB: 72700}
+	p.SetConfig(now, &fleet.Config{Version: 2, Services: map[string]*fleet.Service{"lm": {Name: "lm", Engine: class}}})
+	for _, x := range []struct {
+		model string
+		work  float64
+	}{{model: "m0", work: 4000}, {model: "m1", work: 3000}, {model: "m3", work: 2000}, {model: "m6", work: 10}} {
+		p.RecordDemand(now, "lm", x.model, x.work)
+	}
+	now = now.Add(2 * forcedIdleAfter)
+	for i, e := range ends {
+		p.SetReport(now, fleet.Report{Key: e.Key(), Models: held[i], OnDisk: []string{"m4"}})
+	}
+	p.SetWaiting(now, []Waiting{{Service: "lm", Model: "m4", Count: 1}})
+	p.Step(now)
+	want := []step{{model: "m6"}, {load: true, model: "m4"}}
+	if got := p.engines["e1"].steps; !slices.Equal(got, want) {
+		t.Errorf("e1 has the steps %v, want %v; e0 has %v", got, want, p.engines["e0"].steps)
+	}
+}
+
+// TestEvictionsAreNeeded guards against unloading a small model beside a large one that
+// makes enough room by itself: its requests were refused and the load took longer.
+func TestEvictionsAreNeeded(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(now, now)
+	p.SetConfig(now, testConfig(6))
+	e := fleet.Endpoint{ID: "e0", Incarnation: 1, Service: "lm"}
+	p.SetEndpoints([]fleet.Endpoint{e})
+	// m2 has 34,300 MB and the lowest cost, but m3 with 65,100 MB does not fit in its place.
+	p.RecordDemand(now, "lm", "m0", 100)
+	p.RecordDemand(now, "lm", "m1", 200)
+	p.RecordDemand(now, "lm", "m2", 10)
+	now = now.Add(2 * forcedIdleAfter)
+	p.SetReport(now, fleet.Report{
+		Key:    e.Key(),
+		Models: []fleet.Resident{{Model: "m0"}, {Model: "m1"}, {Model: "m2"}},
+	})
+	s := p.services["lm"]
+	evict, _, ok := p.chooseEvictions(now, s, p.layout(now, s), p.engines["e0"], s.models["m3"], true)
+	if want := []string{"m0"}; !ok || !slices.Equal(evict, want) {
+		t.Errorf("e0 unloads %v (%v), want %v", evict, ok, want)
+	}
+}
+
+// TestModelInDemandReplacesRareModel guards against a model with most of the demand that
+// stays unloaded for seconds because the models that the engine holds get a request now
+// and then, and against evicting those for a model with less demand or a single request.
+func TestModelInDemandReplacesRareModel(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		work    float64 // of each request for the absent model
+		waiting int
+		want    bool
+	}{
+		{name: "a multiple of the demand", work: 100, waiting: 5, want: true},
+		{name: "a single request", work: 100, waiting: 1},
+		{name: "less demand", work: 2, waiting: 5},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := New(now, now)
+			p.SetConfig(now, testConfig(6))
+			e := fleet.Endpoint{ID: "e0", Incarnation: 1, Service: "lm"}
+			p.SetEndpoints([]fleet.Endpoint{e})
+			unloaded := false
+			for i := range 50 {
+				now = now.Add(50 * time.Millisecond)
+				p.SetReport(now, fleet.Report{
+					Key:    e.Key(),
+					Models: []fleet.Resident{{Model: "m0"}, {Model: "m1"}},
+					OnDisk: []string{"m3"},
+				})
+				if i%14 == 0 {
+					p.RecordDemand(now, "lm", "m0", 100)
+					p.RecordDemand(now, "lm", "m1", 100)
+				}
+				if i%2 == 0 {
+					p.RecordDemand(now, "lm", "m3", tc.work)
+				}
+				p.SetWaiting(now, []Waiting{{Service: "lm", Model: "m3", Count: tc.waiting}})
+				for _, o := range p.Step(now) {
+					unloaded = unloaded || !o.Load
+					p.RecordAnswer(now, o, Refused)
+				}
+			}
+			if unloaded != tc.want {
+				t.Errorf("unloaded within 2.5 s: %v, want %v", unloaded, tc.want)
+			}
+		})
+	}
+}
+
+// TestLoadEndAfterUnload guards against an expected time of a load that is too late, so
+// that requests are refused that the load would serve: an unload without running requests
+// does not wait for any.
+func TestLoadEndAfterUnload(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		running int
+		want    time.Duration
+	}{
+		{name: "no running requests", want: unloadNotice + reportLag + time.Second},
+		{name: "a running request", running: 1, want: unloadNotice + unloadDrainTime + time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := time.Unix(1000, 0)
+			p := New(now, now)
+			config := testConfig(6)
+			m := config.Services["lm"].Engine.Models["m4"]
+			m.DiskLoad = time.Second
+			config.Services["lm"].Engine.Models["m4"] = m
+			p.SetConfig(now, config)
+			e := fleet.Endpoint{ID: "e0", Incarnation: 1, Service: "lm"}
+			p.SetEndpoints([]fleet.Endpoint{e})
+			p.SetReport(now, fleet.Report{Key: e.Key(), Models: []fleet.Resident{{Model: "m1"}}, OnDisk: []string{"m4"}})
+			p.SetRunning([]Running{{Key: e.Key(), Model: "m1", Count: tc.running}})
+			p.setSteps(now, p.engines["e0"], []string{"m1"}, "m4", "demand-absent")
+			loads := p.Loads(now)
+			if len(loads) != 1 || loads[0].ReadyIn != tc.want {
+				t.Errorf("loads are %+v, want one that is ready in %v", loads, tc.want)
+			}
+		})
+	}
+}
--- a/internal/models/plan.go
+++ b/internal/models/plan.go
@@ -325,8 +325,9 @@
 
 // chooseEvictions chooses the models to unload so that m fits into the engine's
 // memory, those with the lowest cost first. The only loaded copy of a model is
-// evicted only when it is idle; force shortens the idle time for copies without running
-// requests. ok reports whether m fits then.
+// evicted only with force and when it is idle, which takes a shorter time for copies
+// without running requests, shorter still the more requests wait for m. ok reports
+// whether m fits then.
 func (p *Planner) chooseEvictions(now time.Time, s *service, l *layout, e *engine, m *model, force bool) (evict []string, cost float64, ok bool) {
 	free := e.class.WeightsMB - e.usedMB()
 	if free >= m.WeightsMB {
@@ -348,15 +349,17 @@
 		// A copy that is still being loaded serves no requests yet.
 		others := l.ready[r.Model] - 1
 		sinceRequest := min(now.Sub(x.lastRequest), now.Sub(p.startedAt))
-		idle := x.waiting == 0 && (sinceRequest > idleAfter || force && sinceRequest > forcedIdleAfter && p.running[runKey{key: e.Key(), item: r.Model}] == 0)
-		if others < 1 && !idle {
+		unusedFor := forcedIdleAfter
+		if m.waiting > 1 && m.demand > x.demand {
+			unusedFor = max(minForcedIdle, forcedIdleAfter/time.Duration(m.waiting))
+		}
+		isRunning := p.running[runKey{key: e.Key(), item: r.Model}] > 0
+		idle := x.waiting == 0 && (sinceRequest > idleAfter || sinceRequest > unusedFor && !isRunning)
+		if others < 1 && !(force && idle) {
 			continue
 		}
 		runningCount := float64(p.running[runKey{key: e.Key(), item: r.Model}])
-		cost := x.demand/max(1/maxPace, l.speed[r.Model]-e.speed()) - x.demand/l.speed[r.Model] + runningCount*l.meanLoad*0.02
-		if others < 1 && !force {
-			cost += l.meanLoad * 0.1
-		}
+		cost := x.demand/max(minSpeed, l.speed[r.Model]-e.speed()) - x.demand/l.speed[r.Model] + runningCount*l.meanLoad*0.02
 		list = append(list, candidate{
 			name: r.Model,
 			mb:   x.WeightsMB + float64(len(r.Adapters))*x.AdapterMB,
@@ -364,14 +367,24 @@
 		})
 	}
 	slices.SortFunc(list, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
+	var chosen []candidate
 	for _, c := range list {
 		if free >= m.WeightsMB {
 			break
 		}
-		evict = append(evict, c.name)
+		chosen = append(chosen, c)
 		free += c.mb
+	}
+	// A larger model may make room enough without the smaller ones chosen before it.
+	for _, c := range slices.Backward(chosen) {
+		if free-c.mb >= m.WeightsMB {
+			free -= c.mb
+			continue
+		}
+		evict = append(evict, c.name)
 		cost += c.cost
 	}
+	slices.Reverse(evict)
 	return evict, cost, free >= m.WeightsMB
 }
 
@@ -446,9 +459,9 @@
 	return true
 }
 
-// maxPace bounds the pace of an engine: 1/maxPace is the lowest speed that a
-// model's holders are assumed to have together.
-const maxPace = 4
+// minSpeed is the lowest speed that a model's holders are assumed to have together,
+// none included.
+const minSpeed = 0.25
 
 // maxReplicaCandidates is how many models, those with the highest demand per
 // copy, are considered for another copy.
@@ -456,7 +469,7 @@
 
 // demandPerCopy returns the model's demand relative to the speed of its holders.
 func (l *layout) demandPerCopy(m *model) float64 {
-	return m.demand / max(l.speed[m.Name], 1/maxPace)
+	return m.demand / max(l.speed[m.Name], minSpeed)
 }
 
 // imbalanceReduction returns by how much the imbalance falls when the engine with
@@ -469,8 +482,8 @@
 			continue
 		}
 		before := l.speed[name]
-		l.shiftLoads(name, x.demand/max(before-speed, 1/maxPace)-x.demand/before)
-		l.shiftLoad(at, -x.demand/max(before-speed, 1/maxPace))
+		l.shiftLoads(name, x.demand/max(before-speed, minSpeed)-x.demand/before)
+		l.shiftLoad(at, -x.demand/max(before-speed, minSpeed))
 	}
 	before := l.speed[m.Name]
 	l.shiftLoads(m.Name, m.demand/(before+speed)-m.demand/before)
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -163,6 +163,7 @@
 		log.Warn("store has a new era", "era", era, "before", before)
 		p.node.StoreRestored()
 	})
+	endpoints.SetListener(p.node)
 	p.addGauges(parts)
 	release := func() {
 		closePeers()
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -74,6 +74,8 @@
 	// the store turns processes away and links are slow, and a part of prompts that
 	// crashes engines.
 	Incidents bool
+	// Statements adds endpoints that say that they leave or want no requests for a time.
+	Statements bool
 	// Restores adds restores of the store from a copy.
 	Restores bool
 	// Progress receives a line for each fault; nil discards them.
@@ -86,6 +88,10 @@
 	Requests int
 	Served   int
 	Faults   int
+	// Recovered and RecoveredServed count the requests of the recovery window that must
+	// be served, and those that were.
+	Recovered       int
+	RecoveredServed int
 	// Violations describes each violation of a guarantee.
 	Violations []string
 }
@@ -133,6 +139,9 @@
 	if o.Incidents {
 		incidents.Go(func() { r.injectIncidents(ctx) })
 	}
+	if o.Statements {
+		incidents.Go(func() { r.injectStatements(ctx) })
+	}
 	if o.Restores {
 		incidents.Go(func() { r.injectRestores(ctx) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -71,7 +71,19 @@
 // TestSoakRestores guards against processes that go on from before a restore of the store
 // from a copy, or undo what was done since, beside the faults of TestSoak.
 func TestSoakRestores(t *testing.T) {
-	runSeed(t, "fixed seed", soak.Options{Seed: 5001, Restores: true})
+	runSeed(t, "fixed seed", soak.Options{
+		Seed:     5001,
+		Restores: true,
+	})
+}
+
+// TestSoakStatements guards against requests to endpoints that have said in an answer that
+// they leave or want none for a time, beside the faults of TestSoak.
+func TestSoakStatements(t *testing.T) {
+	runSeed(t, "fixed seed", soak.Options{
+		Seed:       2001,
+		Statements: true,
+	})
 }
 
 // runSeed runs a seed with the kinds of faults in the options.
