quota: use tokens of the own node when the pool has no slots

When a node joins that is first by rank for a workspace, it is the pool at once, without slots or deposits of its own. It answered draws with "no slots", and the asking node passed that on to its requests although the former pool, or a node that had not deposited with the new one yet, still had tokens.

A pool without slots now counts like one that does not answer: the node uses its own tokens and asks the other domains.

TestPoolWithoutSlots failed before: n00 has 10000 tokens and got none of them; denials: [{Workspace:w0 Reason:no slots Available:0 ...}].

--- a/internal/quota/draw.go
+++ b/internal/quota/draw.go
@@ -440,6 +440,12 @@
 		}); i >= 0 {
 			a = reply.Available[i]
 		}
+		if ws := n.workspaces[it.Workspace]; ws != nil && a.Reason == ReasonNoSlots {
+			// The pool has just changed and has no deposits yet; those of this node may
+			// still be its own.
+			n.serveLocal(now, ws, it)
+			continue
+		}
 		n.deny(now, it.Workspace, a.Reason, a.Available, time.Duration(a.AfterMillis)*time.Millisecond)
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -463,3 +463,43 @@
 		}
 	}
 }
+
+// TestPoolWithoutSlots guards against refusing requests of a node that has tokens of its
+// own because the pool is a new node without slots and deposits.
+func TestPoolWithoutSlots(t *testing.T) {
+	f := newFleet(1, 1, 2, &faults{})
+	f.configure(1000, 10_000, 1, 20*time.Second)
+	f.startAll()
+	f.run(20 * time.Second)
+	for _, s := range f.nodes {
+		ws := s.node.workspaces["w0"]
+		if ws.pool != s.name {
+			continue
+		}
+		joined := ""
+		for i := 0; rank.First("w0", append([]string{joined}, s.node.members...)) != joined || joined == ""; i++ {
+			joined = fmt.Sprintf("new%d", i)
+		}
+		now := s.clock()
+		s.node.SetMembers(now, append([]string{joined}, s.node.members...), nil)
+		s.node.TakeEffects()
+		s.node.Need(now, DrawItem{
+			Workspace: "w0",
+			Need:      100,
+			Want:      100,
+		})
+		for _, d := range s.node.TakeEffects().Draws {
+			s.node.DrawDone(now, d.To, d.Msg.ID.Seq, DrawReply{
+				ID:        d.Msg.ID,
+				Epoch:     1,
+				Available: []DrawAvailability{{Workspace: "w0", Reason: ReasonNoSlots}},
+			}, nil)
+		}
+		fx := s.node.TakeEffects()
+		if len(fx.Grants) == 0 {
+			t.Errorf("%s has %d tokens and got none of them; denials: %+v", s.name, s.node.available(now, ws), fx.Denials)
+		}
+		return
+	}
+	t.Fatal("no node is the pool")
+}
