--- a/internal/coord/relay_test.go
+++ b/internal/coord/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"time"
 
 	"trefoildale.example/trefoildale/internal/store"
 )
@@ -23,3 +24,20 @@
 		t.Errorf("%d endpoints in use without an entry", len(list))
 	}
 }
+
+// TestFormerBuildBesideCoordinator guards against a node of a build without eras that has no
+// coordinator, because its regular messages are taken for requests to resign.
+func TestFormerBuildBesideCoordinator(t *testing.T) {
+	ctx := context.Background()
+	f := newTestFleet(t)
+	f.table.era = 1
+	n := f.start("a")
+	f.awaitCoordinator(10*time.Second, n)
+	r, err := n.HandleExchange(ctx, &Exchange{Node: "b", Address: "b"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !r.Coordinator {
+		t.Error("the coordinator does not answer as such")
+	}
+}
