internal/lease: let the last holder end when a former build holds the lease

What callers would have seen, in a fleet of two builds: after a restore of the store in whose outage the lease expired, the last coordinator goes on for good beside the one of the former build, and both issue tokens (QUOTA). Cause: rows of a build that states no era are never those of a holder, and only such a row ended the last tenure. Evidence: TestFormerBuildAfterExpiry failed before: the holder is "b", the lease of a is held until 2026-01-01 00:00:13 Change: a foreign row that changes within its era ends it too.

--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -542,7 +542,7 @@
 		if rec.Incarnation != l.settings.Incarnation {
 			l.previousIncarnation, l.previousNote = rec.Incarnation, nil
 		}
-		return l.onForeign(usable, isLast)
+		return l.onForeign(usable, isLast && !l.rewritten)
 	}
 	l.foreign, l.unresolved = false, false
 	if rec.Incarnation != l.settings.Incarnation {
--- a/internal/lease/lease_test.go
+++ b/internal/lease/lease_test.go
@@ -623,3 +623,36 @@
 	}
 	l.check(false, false)
 }
+
+// TestFormerBuildAfterExpiry guards against a process that goes on as the last holder after
+// its lease expired, while a process of a build that states no era holds it.
+func TestFormerBuildAfterExpiry(t *testing.T) {
+	l := newRestoredLease(t)
+	l.clk.Advance(3 * time.Second)
+	l.step(l.a)
+	l.clk.Advance(12 * time.Second)
+	l.tab.restore(1)
+	l.step(l.a)
+	l.check(false, false)
+	if l.a.Until().IsZero() {
+		t.Fatal("a does not go on as the last holder")
+	}
+	former := settings("b")
+	value, err := cbor.Marshal(lease.Record{
+		Holder:      former.Holder,
+		Incarnation: former.Incarnation,
+		Term:        former.Term,
+		Write:       1,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := l.tab.apply(lease.Op{Kind: lease.OpUpdate, Value: value, Version: l.a.Version()}); err != nil {
+		t.Fatal(err)
+	}
+	l.clk.Advance(3 * time.Second)
+	l.step(l.a)
+	if l.a.Holder() != "b" || !l.a.Until().IsZero() {
+		t.Errorf("the holder is %q, the lease of a is held until %v", l.a.Holder(), l.a.Until())
+	}
+}
