--- a/review/stand/refused.go
+++ b/review/stand/refused.go
@@ -82,7 +82,8 @@
 }
 
 const (
-	bookings       = 12
+	bookings       = 60
+	bookingServers = 4
 	bookingTimeout = 2500 * time.Millisecond
 	bookingWork    = 30 * time.Millisecond
 	// largeBody is the size of a failure's body that has an end.
@@ -91,8 +92,8 @@
 	maxRead = 4 << 20
 )
 
-// playRefusedLarge lets one of two servers of a booking service run its requests and then
-// answer with a failure whose body is large or has no end.
+// playRefusedLarge lets one of four servers of a booking service run its requests and answer
+// two of five with a failure whose body is large or has no end.
 func playRefusedLarge(w *world, trouble bool) (verdict, error) {
 	config := baseConfig(1)
 	config.Services = []site.Service{
@@ -103,7 +104,7 @@
 	}
 	config.Routes = []site.Route{route("book", "/book/", kindOnce, "booking")}
 	ran := newRuns()
-	var failures atomic.Int64
+	var arrivals, failures atomic.Int64 // at the failing server
 	sound := func(e *engine, rw http.ResponseWriter, r *http.Request) {
 		id := r.Header.Get(headerID)
 		ran.add(id, e.id)
@@ -113,6 +114,10 @@
 		_, _ = rw.Write([]byte("booked " + id + "\n"))
 	}
 	failing := func(e *engine, rw http.ResponseWriter, r *http.Request) {
+		if n := arrivals.Add(1) % 5; n != 1 && n != 3 {
+			sound(e, rw, r)
+			return
+		}
 		id := r.Header.Get(headerID)
 		ran.add(id, e.id)
 		// Every second failure has an end.
@@ -137,11 +142,11 @@
 	if err := w.setConfig(config); err != nil {
 		return "", err
 	}
-	first := sound
-	if trouble {
-		first = failing
-	}
-	for i, answer := range []func(*engine, http.ResponseWriter, *http.Request){first, sound} {
+	for i := range bookingServers {
+		answer := sound
+		if i == 0 && trouble {
+			answer = failing
+		}
 		if _, err := w.addEngine(fmt.Sprintf("i-booking-%d", i+1), "booking", nil, nil, answer); err != nil {
 			return "", err
 		}
