serve: judge a refusal before its body is read

A booking that had run was answered 503 if the failing endpoint's body was above 1 MiB or had no end: callers take 503 for the promise that it has not run. The check of the status stood behind the reading of the whole body, and large bodies left through relayLarge before it. The same way out passed on large errors of requests that may be repeated.

The status is judged first now. The other pipeline takes such an answer for a lost one (engine.TestLargeAnswerIsLost, passed before).

--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -18,15 +18,21 @@
 // relayWhole sends an answer that is not a stream to the caller. It buffers the
 // answer first, so that an incomplete one is never taken for complete.
 func (c *call) relayWhole(ctx context.Context, key fleet.Key, reply *Reply) (again bool, p *Problem) {
+	outcome := picker.Served
+	if reply.Status >= http.StatusInternalServerError {
+		outcome = picker.Faulted
+	}
+	if c.route.AtMostOnce() && promisesNotRun(reply.Status) {
+		// The caller would take the status for the promise that the endpoint did not give.
+		c.opts.Table.EndAttempt(c.opts.Clock.Now(), key, outcome)
+		return c.handleLostAnswer(ctx, "the endpoint refused the request without saying that it did not run it")
+	}
 	buf := buffer{
 		pool: &c.buffers,
 	}
 	defer buf.release()
 	body, complete, err := readWhole(reply.Body, &buf)
 	now := c.opts.Clock.Now()
-	if err == nil && !complete {
-		return c.relayLarge(ctx, key, reply, body)
-	}
 	if err != nil {
 		c.lastError = err.Error()
 		if ctx.Err() != nil {
@@ -37,18 +43,16 @@
 		c.watchCrash(now)
 		return c.handleLostAnswer(ctx, "the endpoint's answer broke off")
 	}
-	if reply.Status >= http.StatusInternalServerError {
-		c.opts.Table.EndAttempt(now, key, picker.Faulted)
+	if outcome == picker.Faulted {
 		if again, _ := c.handleLostAnswer(ctx, "the endpoint answered with an error"); again {
+			c.opts.Table.EndAttempt(now, key, outcome)
 			return true, nil
 		}
-	} else {
-		c.opts.Table.EndAttempt(now, key, picker.Served)
 	}
-	if c.route.AtMostOnce() && promisesNotRun(reply.Status) {
-		// The caller would take the status for the promise that the endpoint did not give.
-		return c.handleLostAnswer(ctx, "the endpoint refused the request without saying that it did not run it")
+	if !complete {
+		return c.relayLarge(ctx, key, reply, body, outcome)
 	}
+	c.opts.Table.EndAttempt(now, key, outcome)
 	c.firstByte = now.Sub(c.req.Arrived)
 	c.opts.Observer.FirstByte(c.service.Name, c.firstByte)
 	if reply.Status < http.StatusMultipleChoices && !reply.EndsWithConnection {
@@ -93,8 +97,9 @@
 const readSize = 8 << 10
 
 // relayLarge sends an answer that is too large to be buffered to the caller as it
-// arrives, beginning with the part that was read.
-func (c *call) relayLarge(ctx context.Context, key fleet.Key, reply *Reply, head []byte) (again bool, p *Problem) {
+// arrives, beginning with the part that was read. The attempt ends with the given outcome
+// if the answer arrives whole.
+func (c *call) relayLarge(ctx context.Context, key fleet.Key, reply *Reply, head []byte, outcome picker.Outcome) (again bool, p *Problem) {
 	c.responseStarted = true
 	err := c.caller.Begin(reply.Status, reply.Header)
 	if err == nil {
@@ -113,7 +118,7 @@
 	}
 	now := c.opts.Clock.Now()
 	if errors.Is(err, io.EOF) {
-		c.opts.Table.EndAttempt(now, key, picker.Served)
+		c.opts.Table.EndAttempt(now, key, outcome)
 		c.caller.End()
 		c.recordServed(reply.Status)
 		return false, nil
