serve: keep a request's state when its configuration changes

A stream that its caller had resumed got events twice, in an answer that ended as complete, when its route was moved and its engine crashed: applying the configuration again went through prepare, which set the position in the stream back to that of the arrival. The check of the first event compares with the same field and passed them. It also forgot the excluded endpoints, allowed a second run where the new route forbids it, and charged the repeat to the former service only.

Arrival and configuration are apart now.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -113,12 +113,30 @@
 	}
 }
 
-// prepare finds the route, the workspace and the service of the request, and sets
-// its deadline.
+// prepare finds the route, the workspace and the service of an arrived request, and sets
+// its deadline and its position in the stream.
 func (c *call) prepare() *Problem {
 	if from := c.refuseFrom.Load(); from != nil && !c.req.Arrived.Before(*from) {
 		return c.stoppingProblem()
 	}
+	if p := c.applyConfig(); p != nil {
+		return p
+	}
+	timeout := c.route.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if c.req.Wait > 0 {
+		timeout = min(timeout, c.req.Wait)
+	}
+	c.deadline = c.req.Arrived.Add(timeout)
+	c.lastEvent = c.req.LastEvent
+	return nil
+}
+
+// applyConfig finds the route, the workspace and the service of the request in c.config.
+// It changes nothing else, since attempts may have been made.
+func (c *call) applyConfig() *Problem {
 	if c.config == nil {
 		return &Problem{
 			Status:     http.StatusServiceUnavailable,
@@ -149,15 +167,6 @@
 		}
 	}
 	c.service = c.config.Services[c.route.Target(c.req.ID)]
-	timeout := c.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if c.req.Wait > 0 {
-		timeout = min(timeout, c.req.Wait)
-	}
-	c.deadline = c.req.Arrived.Add(timeout)
-	c.lastEvent = c.req.LastEvent
 	return nil
 }
 
@@ -370,21 +379,26 @@
 	return true, nil
 }
 
-// reapplyConfig prepares the request again with the configuration that came into
-// force while it waited. The deadline stays.
+// reapplyConfig takes over the configuration that came into force while the request
+// waited. The deadline, the attempts and the position in the stream stay.
 func (c *call) reapplyConfig() (again bool, p *Problem) {
-	workspace := c.workspace
+	workspace, service := c.workspace, c.service
 	c.config = c.Server.Config()
-	deadline := c.deadline
-	if p := c.prepare(); p != nil {
+	if p := c.applyConfig(); p != nil {
 		p.NotRun = c.ranAttempts == 0
 		return false, p
 	}
-	c.deadline = deadline
+	c.opts.Log.Info("configuration applied again", "request", c.req.ID, "config", c.config.Version, "route", c.route.Name,
+		"service", c.service.Name, "former-service", service.Name, "ran", c.ranAttempts, "after-event", c.lastEvent)
 	if workspace != nil && (c.workspace == nil || c.workspace.Name != workspace.Name) {
 		return false, c.unavailableProblem("the configuration changed while the request waited")
 	}
-	c.exclude = nil
+	if c.ranAttempts > 0 && (c.route.AtMostOnce() || c.ranAttempts >= max(1, c.route.MaxAttempts)) {
+		return false, c.unavailableProblem("the route does not allow another attempt any more")
+	}
+	if c.service.Name != service.Name && c.sentAttempts > 0 && !c.allowRepeat(c.service.Name) {
+		return false, c.unavailableProblem("the service to which the route leads now has no retries left")
+	}
 	c.unsentAttempts++
 	if c.unsentAttempts >= maxUnsentAttempts {
 		return false, c.unavailableProblem("the configuration changed while the request waited")
