serve: keep a silent attempt open until another engine goes on

Streams of a stopping process were cut because their sound engine wrote nothing for 1.4 s: a timer cancelled the attempt before it was known whether another engine could continue the stream. Without one (the only holder of the model, no attempts or retries left, others full or silent) the answer was aborted, though the engine went on.

A hedge asks another engine while the silent attempt stays open; whichever sends the next event first goes on, and the other attempt is ended. A refused resume logs its reason.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -48,6 +48,8 @@
 	lastError       string
 	// brokenProbe tells whether the engine at which the last attempt broke off crashed.
 	brokenProbe *probe
+	// hedge is the one whose search makes the attempts, nil for the request's own attempts.
+	hedge *hedge
 	// testsPart is set if the request tests a blocked part of prompts.
 	testsPart bool
 }
@@ -230,6 +232,12 @@
 	if p != nil {
 		return false, p
 	}
+	return c.attemptAt(ctx, choice)
+}
+
+// attemptAt is attempt at a chosen endpoint.
+func (c *call) attemptAt(requestCtx context.Context, choice picker.Choice) (again bool, p *Problem) {
+	ctx := requestCtx
 	c.lastChoice, c.brokenProbe = choice, nil
 	key := choice.Endpoint.Key()
 	if !choice.HasAdapter {
@@ -280,11 +288,11 @@
 	}
 	c.ranAttempts++
 	isStream := c.route.Kind == fleet.Stream && reply.Status == http.StatusOK
-	if c.responseStarted && (!isStream || mediaType(reply.Header) != c.mediaType) {
+	if c.responseStarted && (!isStream || mediaType(reply.Header) != c.mediaType) || c.hedge.isOpen() && !isStream {
 		return c.refuseContinuation(ctx, key, reply)
 	}
 	if isStream {
-		return c.relayStream(ctx, cancel, key, reply)
+		return c.relayStream(requestCtx, ctx, cancel, key, reply)
 	}
 	return c.relayWhole(ctx, key, reply)
 }
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -135,21 +135,25 @@
 	}
 }
 
-// relayStream sends the events of a stream to the caller as they arrive.
-func (c *call) relayStream(ctx context.Context, cancel context.CancelCauseFunc, key fleet.Key, reply *Reply) (again bool, p *Problem) {
-	var silence *time.Timer
-	pause := max(minResumeSilence, resumePauses*c.route.MaxPause)
+// relayStream sends the events of a stream to the caller as they arrive. If the endpoint of
+// a resumable stream falls silent, another one may continue it; requestCtx is the context
+// of the attempts there.
+func (c *call) relayStream(requestCtx, ctx context.Context, cancel context.CancelCauseFunc, key fleet.Key, reply *Reply) (again bool, p *Problem) {
+	outer, isResumed := c.hedge, c.responseStarted
+	var h *hedge
 	if c.route.Resumable {
-		silence = time.AfterFunc(max(pause, resumeObjectives*c.route.Objective), func() { cancel(errSilentEndpoint) })
-		defer silence.Stop()
+		pause := max(minResumeSilence, resumePauses*c.route.MaxPause)
+		var stop func()
+		h, stop = c.newHedge(requestCtx, key, max(pause, resumeObjectives*c.route.Objective), pause, func() { cancel(errSilentEndpoint) })
+		defer stop()
 	}
-	isResumed := c.responseStarted
 	var s eventSplitter
 	unread := buffer{
 		pool: &c.buffers,
 	}
 	defer unread.release()
 	buf := make([]byte, readSize)
+	var held []byte // comments that the caller has not got
 	var first, last time.Time
 	events := 0
 	var err error
@@ -163,15 +167,40 @@
 		c.opts.Table.RecordProgress(now, key)
 		s.add(buf[:n])
 		for event := s.next(); event != nil; event = s.next() {
-			if isResumed && !c.continues(event) {
+			// Bytes without a whole event, and comments, are no progress. Comments wait
+			// for an event while another endpoint may send it.
+			isProgress := hasField(event)
+			if !isProgress && (outer.isOpen() || !h.pauseSearch()) {
+				held = append(held, event...)
+				continue
+			}
+			if isProgress && h.takeBack() {
+				err = errSilentEndpoint
+				break
+			}
+			if isProgress && isResumed && !c.continues(event) {
 				err = errNotContinued
 				break
 			}
-			// Bytes without a whole event, and comments, are no progress.
-			if silence != nil && hasField(event) {
-				silence.Reset(pause)
+			if isProgress && !outer.claim() {
+				err = errTakenBack
+				break
+			}
+			if len(held) > 0 {
+				event, held = append(held, event...), nil
+			}
+			werr := c.forwardEvent(reply, event)
+			if werr == nil {
+				c.recordEventTime(now)
 			}
-			if werr := c.forwardEvent(reply, event); werr != nil {
+			// A search may use the call's state from here on.
+			if isProgress {
+				h.rearm()
+			} else {
+				h.allowSearch()
+			}
+			if werr != nil {
+				h.takeBack()
 				c.lastError = werr.Error()
 				c.opts.Table.EndAttempt(now, key, picker.Ended)
 				return false, &Problem{
@@ -185,35 +214,47 @@
 				first = now
 			}
 			last = now
-			c.recordEventTime(now)
 		}
-		if len(s.unread) > maxEvent || !unread.grow(len(s.unread)) {
+		if unfinished := len(s.unread) + len(held); unfinished > maxEvent || !unread.grow(unfinished) {
 			err = errors.New("serve: an event is larger than allowed")
 		}
 	}
 	now := c.opts.Clock.Now()
+	if errors.Is(context.Cause(ctx), errSilentEndpoint) {
+		c.opts.Table.EndAttempt(now, key, picker.Faulted)
+		h.join()
+		return false, h.problem
+	}
+	complete := errors.Is(err, io.EOF) && len(s.unread) == 0 && (events > 0 || !reply.EndsWithConnection)
+	if complete && h.takeBack() || !complete && h.join() {
+		c.opts.Table.EndAttempt(now, key, picker.Faulted)
+		return false, h.problem
+	}
 	if events > 2 {
 		c.recordPause(c.service.Name, c.req.Model, key, last.Sub(first)/time.Duration(events-1))
 	}
-	complete := errors.Is(err, io.EOF) && len(s.unread) == 0 && (events > 0 || !reply.EndsWithConnection)
 	if events > 0 && (complete && !reply.EndsWithConnection || last.Sub(first) >= provenAfter) {
 		c.recordProof()
 	}
-	if complete {
+	if complete && outer.claim() {
 		c.opts.Table.EndAttempt(now, key, picker.Served)
-		if err := c.startResponse(reply); err == nil {
+		err := c.startResponse(reply)
+		if err == nil && len(held) > 0 {
+			err = c.caller.Event(held)
+		}
+		if err == nil {
 			c.caller.End()
 		}
 		c.recordServed(reply.Status)
 		return false, nil
 	}
 	c.lastError = err.Error()
-	if ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilentEndpoint) {
+	if ctx.Err() != nil {
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		return false, c.contextProblem(ctx)
 	}
 	c.opts.Table.EndAttempt(now, key, picker.Faulted)
-	if !errors.Is(context.Cause(ctx), errSilentEndpoint) && (events == 0 || now.Sub(first) < provenAfter) {
+	if events == 0 || now.Sub(first) < provenAfter {
 		c.watchCrash(now)
 	}
 	return c.resume(ctx, key)
@@ -237,33 +278,59 @@
 	return strings.ToLower(strings.TrimSpace(name))
 }
 
-// resume decides whether an interrupted stream is resumed at another endpoint.
+// resume decides whether a stream that its endpoint broke off is resumed at another one.
 func (c *call) resume(ctx context.Context, key fleet.Key) (again bool, p *Problem) {
 	c.excludeEndpoint(key)
-	broken := &Problem{
-		Status:  http.StatusBadGateway,
-		Code:    "stream-broken",
-		Message: "the endpoint broke off the stream",
-	}
-	if !c.route.Resumable || c.ranAttempts >= max(1, c.route.MaxAttempts) {
-		return false, broken
-	}
-	if c.mayCrashAgain(ctx) || !c.opts.Clock.Now().Before(c.deadline) || !c.allowRepeat(c.service.Name) {
-		return false, broken
+	reason := c.whyNoResume()
+	switch {
+	case reason != "":
+	case c.mayCrashAgain(ctx):
+		reason = "the prompt may have crashed the engine"
+	case !c.allowRepeat(c.service.Name):
+		reason = noRetriesLeft
+	}
+	if reason != "" {
+		c.opts.Log.Warn("stream not resumed", "request", c.req.ID, "endpoint", key.ID, "after-event", c.lastEvent,
+			"why", reason, "error", c.lastError, "ran", c.ranAttempts)
+		return false, brokenProblem()
 	}
 	c.opts.Log.Warn("stream resumed", "request", c.req.ID, "endpoint", key.ID, "after-event", c.lastEvent,
 		"error", c.lastError, "ran", c.ranAttempts)
 	return true, nil
 }
 
+const noRetriesLeft = "no retries left"
+
+// whyNoResume returns why no other endpoint may continue the stream, or "". Whether retries
+// are left is not checked, since the check counts one.
+func (c *call) whyNoResume() string {
+	switch {
+	case !c.route.Resumable:
+		return "the route does not allow it"
+	case c.ranAttempts >= max(1, c.route.MaxAttempts):
+		return "no attempts left"
+	case !c.opts.Clock.Now().Before(c.deadline):
+		return "the deadline has passed"
+	}
+	return ""
+}
+
+func brokenProblem() *Problem {
+	return &Problem{
+		Status:  http.StatusBadGateway,
+		Code:    "stream-broken",
+		Message: "the endpoint broke off the stream",
+	}
+}
+
 var errNotContinued = errors.New("serve: the endpoint did not continue the stream after its last event")
 
+// errTakenBack ends an attempt of a hedge whose silent endpoint has gone on.
+var errTakenBack = errors.New("serve: the silent endpoint has gone on with the stream")
+
 // continues reports whether an event of a resumed run may follow the last event that
-// the caller has. Comments may.
+// the caller has.
 func (c *call) continues(event []byte) bool {
-	if !hasField(event) {
-		return true
-	}
 	last, err1 := strconv.ParseUint(c.lastEvent, 10, 64)
 	id, err2 := strconv.ParseUint(eventID(event), 10, 64)
 	return err1 == nil && err2 == nil && id > last
