coord: keep missing entries only after an outage that can expire them

Requests reached a server up to 2.8 s after its entry was removed (2 s are allowed), because the coordinator had lost the store for half a second: each read that succeeded after a failed one began a grace of 2.3 s for missing entries, also for removals that the feed states, and the other nodes take the coordinator's list.

The grace begins now only if the store has answered neither this node nor another one that told it for two heartbeats of the endpoints; entries expire after three. The heartbeat is the setting store.heartbeat.

--- a/internal/conf/fleet.go
+++ b/internal/conf/fleet.go
@@ -33,6 +33,8 @@
 // FleetStore holds the settings for requests to the platform's store.
 type FleetStore struct {
 	Address string `yaml:"address"`
+	// Heartbeat is how often endpoints write their entries.
+	Heartbeat Duration `yaml:"heartbeat"`
 }
 
 // Bounds holds the limits that the platform's operators set for all nodes
@@ -100,10 +102,15 @@
 	if host, port, ok := splitAddress(s.Address); !ok || host == "" || port == 0 {
 		c.add("address", "%q is not host:port", s.Address)
 	}
+	setDefault(&s.Heartbeat, DefaultHeartbeat)
+	if s.Heartbeat < 0 {
+		c.add("heartbeat", "is below zero")
+	}
 }
 
-// Defaults of Bounds.
+// Defaults of FleetStore and Bounds.
 const (
+	DefaultHeartbeat   = Duration(1200 * time.Millisecond)
 	DefaultLease       = Duration(3 * time.Second)
 	DefaultGrace       = Duration(8 * time.Second)
 	DefaultConfigApply = Duration(2 * time.Second)
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -74,6 +74,10 @@
 	competeAfter = 900 * time.Millisecond
 	// gossipInterval is the time between two gossip rounds.
 	gossipInterval = 200 * time.Millisecond
+	// expiredAfterBeats is for how many heartbeats the store must have answered nobody
+	// before entries can have expired meanwhile: endpoints' entries expire after three
+	// without a write, and the last write may be up to one older than the outage.
+	expiredAfterBeats = 2
 	// expiryInterval is how often endpoints are removed whose entries did not
 	// return after an outage of the store.
 	expiryInterval = 400 * time.Millisecond
@@ -105,6 +109,8 @@
 	// LeaseWait how long a new coordinator waits before its first order.
 	LeaseTerm time.Duration
 	LeaseWait time.Duration
+	// Heartbeat is how often endpoints write their entries.
+	Heartbeat time.Duration
 	// QuotaInitial is how many tokens a new coordinator may issue at once for each
 	// workspace. QuotaDisconnected is how many tokens all nodes that do not reach
 	// the coordinator may together save up beyond their fractions.
@@ -317,17 +323,32 @@
 	})
 }
 
-// SetStoreState records whether the store answers this node; err is nil if it
-// does.
+// SetStoreState records whether the store answers this node; err is nil if it does. Only
+// after an outage in which entries of running endpoints can have expired does a missing
+// entry not mean at once that its endpoint is gone: a shorter one, or one of this node's
+// path to the store alone, must not delay removals in the whole fleet.
 func (n *Node) SetStoreState(err error) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.storeSilent = err != nil
-	if err == nil {
-		n.registry.StoreRecovered(n.opts.Clock.Now())
-	} else {
+	if err != nil {
 		n.storeAnsweringSince = time.Time{}
+		return
+	}
+	now := n.opts.Clock.Now()
+	silent := n.storeOutage(now)
+	keeps := silent >= expiredAfterBeats*n.opts.Heartbeat
+	if keeps {
+		n.registry.StoreRecovered(now)
 	}
+	n.opts.Log.Info("missing entries after an outage", "kept", keeps, "store-silent-ms", silent.Milliseconds(),
+		"own-answer-age-ms", now.Sub(n.storeSeenAt[EndpointReader]).Milliseconds(), "heartbeat-ms", n.opts.Heartbeat.Milliseconds())
+}
+
+// storeOutage returns the time since the store last answered this node's reader of
+// endpoints, or another node that has told this one. The caller holds the lock.
+func (n *Node) storeOutage(now time.Time) time.Duration {
+	return min(now.Sub(n.storeSeenAt[EndpointReader]), now.Sub(n.confirmedAt), now.Sub(n.storeViewAt))
 }
 
 // StoreRestored records that the store was restored from a copy. A coordinator that has
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -154,6 +154,7 @@
 		Server:            p.server,
 		LeaseTerm:         leaseTerm,
 		LeaseWait:         time.Duration(settings.Bounds.Lease) + leaseWaitMargin,
+		Heartbeat:         time.Duration(settings.Store.Heartbeat),
 		QuotaInitial:      settings.Bounds.QuotaSlack * quotaInitialShare,
 		QuotaDisconnected: settings.Bounds.QuotaSlack * quotaDisconnectedShare,
 		Parts:             parts,
