serve: do not take over a configuration that refuses a running request

The hedge's first search was refused by the new configuration, but the call had taken it over; the second search found no workspace left to check. With a removed route it would have read a nil route and ended the process.

A call keeps its former configuration when the new one refuses it, and the searches of its hedge end then. TestSilentEngineAndWithdrawnKey ends with that nil route before, and passes after.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -48,6 +48,9 @@
 	lastError       string
 	// brokenProbe tells whether the engine at which the last attempt broke off crashed.
 	brokenProbe *probe
+	// isRefusedByConfig is set once a configuration that came into force refuses further
+	// attempts.
+	isRefusedByConfig bool
 	// hedge is the one whose search makes the attempts, nil for the request's own attempts.
 	hedge *hedge
 	// testsPart is set if the request tests a blocked part of prompts.
@@ -388,25 +391,31 @@
 }
 
 // reapplyConfig takes over the configuration that came into force while the request
-// waited. The deadline, the attempts and the position in the stream stay.
+// waited. The deadline, the attempts and the position in the stream stay. If that
+// configuration refuses the request, the call keeps the former one, since an attempt that
+// was sent under it may still go on.
 func (c *call) reapplyConfig() (again bool, p *Problem) {
-	workspace, service := c.workspace, c.service
+	config, route, workspace, service := c.config, c.route, c.workspace, c.service
 	c.config = c.Server.Config()
-	if p := c.applyConfig(); p != nil {
+	p = c.applyConfig()
+	switch {
+	case p != nil:
 		p.NotRun = c.ranAttempts == 0
+	case workspace != nil && (c.workspace == nil || c.workspace.Name != workspace.Name):
+		p = c.unavailableProblem("the configuration changed while the request waited")
+	case c.ranAttempts > 0 && (c.route.AtMostOnce() || c.ranAttempts >= max(1, c.route.MaxAttempts)):
+		p = c.unavailableProblem("the route does not allow another attempt any more")
+	case c.service.Name != service.Name && c.sentAttempts > 0 && !c.allowRepeat(c.service.Name):
+		p = c.unavailableProblem("the service to which the route leads now has no retries left")
+	}
+	c.opts.Log.Info("configuration applied again", "request", c.req.ID, "config", c.configVersion(), "former-config", config.Version,
+		"route", c.routeName(), "service", c.serviceName(), "former-service", service.Name, "refused", p != nil,
+		"ran", c.ranAttempts, "after-event", c.lastEvent)
+	if p != nil {
+		c.isRefusedByConfig = true
+		c.config, c.route, c.workspace, c.service = config, route, workspace, service
 		return false, p
 	}
-	c.opts.Log.Info("configuration applied again", "request", c.req.ID, "config", c.config.Version, "route", c.route.Name,
-		"service", c.service.Name, "former-service", service.Name, "ran", c.ranAttempts, "after-event", c.lastEvent)
-	if workspace != nil && (c.workspace == nil || c.workspace.Name != workspace.Name) {
-		return false, c.unavailableProblem("the configuration changed while the request waited")
-	}
-	if c.ranAttempts > 0 && (c.route.AtMostOnce() || c.ranAttempts >= max(1, c.route.MaxAttempts)) {
-		return false, c.unavailableProblem("the route does not allow another attempt any more")
-	}
-	if c.service.Name != service.Name && c.sentAttempts > 0 && !c.allowRepeat(c.service.Name) {
-		return false, c.unavailableProblem("the service to which the route leads now has no retries left")
-	}
 	c.unsentAttempts++
 	if c.unsentAttempts >= maxUnsentAttempts {
 		return false, c.unavailableProblem("the configuration changed while the request waited")
--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -218,7 +218,7 @@
 			c.logSilence(h, "asks", next.Endpoint.ID)
 		}
 		if again, p = c.attemptAt(ctx, next); p != nil {
-			return p, false
+			return p, c.isRefusedByConfig
 		}
 	}
 	return nil, false
--- a/internal/serve/hedge_test.go
+++ b/internal/serve/hedge_test.go
@@ -228,3 +228,54 @@
 		})
 	}
 }
+
+// TestSilentEngineAndWithdrawnKey guards against a second engine that gets a request whose
+// key was withdrawn while the first one was silent, without its workspace, because an
+// earlier search took over the configuration that refused it.
+func TestSilentEngineAndWithdrawnKey(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		edit func(*fleet.Config)
+	}{
+		{name: "key withdrawn", edit: func(c *fleet.Config) { c.Keys = nil }},
+		{name: "key withdrawn, anonymous callers allowed", edit: func(c *fleet.Config) {
+			c.Keys = nil
+			for i := range c.Routes {
+				c.Routes[i].AllowAnonymous = true
+			}
+		}},
+		{name: "route removed", edit: func(c *fleet.Config) { c.Routes = c.Routes[:3] }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, fixedAdmission{})
+			var configs []*fleet.Config
+			for version := int64(2); version <= 3; version++ {
+				c := testConfig(version)
+				for i := range c.Routes {
+					c.Routes[i].Timeout = 5 * time.Second
+				}
+				if version == 3 {
+					tc.edit(c)
+				}
+				if err := c.Prepare(); err != nil {
+					t.Fatal(err)
+				}
+				configs = append(configs, c)
+			}
+			h.server.SetConfig(configs[0])
+			h.sender.body = func(a Attempt) io.ReadCloser {
+				if a.LastEvent != "" {
+					return newSteppedBody(step{text: eventsFrom(a.LastEvent, 1)})
+				}
+				h.server.SetConfig(configs[1])
+				// Long enough for two searches.
+				return newSteppedBody(step{text: eventsFrom("", 2)}, step{after: 2*minResumeSilence + 400*time.Millisecond, text: eventsFrom("2", 1)})
+			}
+			c := h.serve("resume")
+			if got := eventIDs(c.body.String()); got != "1 2 3" || !c.ended || h.sender.runs != 1 {
+				t.Errorf("the caller got events %s, ended %v, after %d runs", got, c.ended, h.sender.runs)
+			}
+		})
+	}
+}
