conn: reset connections whose order was given up

An order that is not answered within 250 ms is given up by closing its connection, which leaves its bytes to the system: it sends them again until TCP_USER_TIMEOUT, 6 s, so they arrive after the cut.

Connections for orders and reports are reset when they are closed, which drops what has not arrived. The proxy drops held bytes when a client resets.

--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -45,6 +45,10 @@
 	// MaxIdlePerHost bounds the idle connections kept per server; the default is
 	// 64.
 	MaxIdlePerHost int
+	// ResetOnClose makes the close of a connection drop what has not reached the server.
+	// After a usual close, the system goes on sending it, so that a request which was
+	// given up during a network partition arrives after the partition.
+	ResetOnClose bool
 }
 
 // Transport sends HTTP/1.1 requests. Unlike http.Transport, it never resends a
@@ -82,6 +86,11 @@
 			if err != nil {
 				return nil, err
 			}
+			if l, ok := c.(interface{ SetLinger(int) error }); ok && opts.ResetOnClose {
+				if err := l.SetLinger(0); err != nil {
+					return nil, errors.Join(err, c.Close())
+				}
+			}
 			return &trackedConn{Conn: c}, nil
 		},
 		DisableCompression:  true,
--- a/internal/fake/proxy/proxy.go
+++ b/internal/fake/proxy/proxy.go
@@ -381,6 +381,12 @@
 				due:  due,
 			}
 		}
+		if errors.Is(err, syscall.ECONNRESET) {
+			// A reset also drops what is held on the way.
+			p.mu.Lock()
+			conn.reset()
+			p.mu.Unlock()
+		}
 		if err != nil {
 			break
 		}
