conf: accept settings whose template lacks the heartbeat

The template used a section for the heartbeat. The heartbeat is a quoted placeholder now, and empty text means the default.

TestHeartbeat covers both forms and bad values.

--- a/internal/conf/conf_test.go
+++ b/internal/conf/conf_test.go
@@ -63,3 +63,33 @@
 		t.Errorf("got:\n%v\nwant:\n%s", err, want)
 	}
 }
+
+// TestHeartbeat guards against a process that does not start because the platform's template
+// leaves the heartbeat empty, and against one that is no time.
+func TestHeartbeat(t *testing.T) {
+	for _, tc := range []struct {
+		text string
+		want time.Duration // 0 for an error
+	}{
+		{text: "", want: time.Duration(DefaultHeartbeat)},
+		{text: `heartbeat-ms: ""`, want: time.Duration(DefaultHeartbeat)},
+		{text: `heartbeat-ms: "800"`, want: 800 * time.Millisecond},
+		{text: "heartbeat-ms: 1200.5", want: 1200500 * time.Microsecond},
+		{text: `heartbeat-ms: "-1"`},
+		{text: `heartbeat-ms: "NaN"`},
+		{text: `heartbeat-ms: "1e12"`},
+		{text: `heartbeat-ms: "soon"`},
+	} {
+		s, err := DecodeFleet("f", []byte(`node: {name: n1, domain: d1}
+listen: {callers: "10.0.0.1:1", ready: "10.0.0.1:2", peers: "10.0.0.1:3", metrics: "10.0.0.1:4"}
+store:
+  address: "10.0.0.9:80"
+  `+tc.text+"\n"))
+		switch {
+		case tc.want == 0 && err == nil:
+			t.Errorf("%q was taken as %v", tc.text, time.Duration(s.Store.Heartbeat))
+		case tc.want != 0 && (err != nil || time.Duration(s.Store.Heartbeat) != tc.want):
+			t.Errorf("%q: got %v, want %v", tc.text, err, tc.want)
+		}
+	}
+}
--- a/internal/conf/fleet.go
+++ b/internal/conf/fleet.go
@@ -34,7 +34,7 @@
 type FleetStore struct {
 	Address string `yaml:"address"`
 	// Heartbeat is how often endpoints write their entries.
-	Heartbeat Duration `yaml:"heartbeat"`
+	Heartbeat Milliseconds `yaml:"heartbeat-ms"`
 }
 
 // Bounds holds the limits that the platform's operators set for all nodes
@@ -103,14 +103,11 @@
 		c.add("address", "%q is not host:port", s.Address)
 	}
 	setDefault(&s.Heartbeat, DefaultHeartbeat)
-	if s.Heartbeat < 0 {
-		c.add("heartbeat", "is below zero")
-	}
 }
 
 // Defaults of FleetStore and Bounds.
 const (
-	DefaultHeartbeat   = Duration(1200 * time.Millisecond)
+	DefaultHeartbeat   = Milliseconds(1200 * time.Millisecond)
 	DefaultLease       = Duration(3 * time.Second)
 	DefaultGrace       = Duration(8 * time.Second)
 	DefaultConfigApply = Duration(2 * time.Second)
