serve: ask the engine whether an answer that ended early was whole

Beside a part that crashes engines, all sound requests with the same first part were refused for good where answers are short and end with their connection: such an answer looks the same as one cut by a crash and proved no part, so two crashes blocked a part that all prompts share, and its test proved nothing. The same form hid crashes: a stream cut between two events counted as whole.

The engine is asked after the end of such an answer, if a part of the prompt is not proved since its last crash.

--- a/internal/serve/crash.go
+++ b/internal/serve/crash.go
@@ -28,11 +28,13 @@
 	Crashed(ctx context.Context, e fleet.Endpoint) (bool, error)
 }
 
-// probe is the question whether an engine has crashed. crashed is set before done is
-// closed.
+// probe is the question whether an engine has crashed. The answer is set before done is
+// closed; it is neither crashed nor alive if the engine can't be asked.
 type probe struct {
-	done    chan struct{}
-	crashed bool
+	startedAt time.Time
+	done      chan struct{}
+	crashed   bool
+	alive     bool
 }
 
 // probes holds the probes that are running or ended a moment ago.
@@ -42,16 +44,17 @@
 }
 
 // probeEngine starts a probe of an engine, or returns the one that another request
-// started.
-func (s *Server) probeEngine(e fleet.Endpoint) *probe {
+// started, unless that was before since.
+func (s *Server) probeEngine(e fleet.Endpoint, since time.Time) *probe {
 	s.probes.mu.Lock()
 	defer s.probes.mu.Unlock()
 	key := e.Key()
-	if p := s.probes.byKey[key]; p != nil {
+	if p := s.probes.byKey[key]; p != nil && !p.startedAt.Before(since) {
 		return p
 	}
 	p := &probe{
-		done: make(chan struct{}),
+		startedAt: s.opts.Clock.Now(),
+		done:      make(chan struct{}),
 	}
 	s.probes.byKey[key] = p
 	go func() {
@@ -61,12 +64,14 @@
 		if err != nil {
 			s.opts.Log.Info("crash not confirmed", "endpoint", e.ID, "error", err.Error())
 		}
-		p.crashed = crashed
+		p.crashed, p.alive = crashed, err == nil && !crashed
 		close(p.done)
 		time.AfterFunc(probeSharedFor, func() {
 			s.probes.mu.Lock()
 			defer s.probes.mu.Unlock()
-			delete(s.probes.byKey, key)
+			if s.probes.byKey[key] == p {
+				delete(s.probes.byKey, key)
+			}
 		})
 	}()
 	return p
@@ -80,7 +85,7 @@
 		return
 	}
 	e := c.lastChoice.Endpoint
-	p := c.probeEngine(e)
+	p := c.probeEngine(e, time.Time{})
 	c.brokenProbe = p
 	go func() {
 		<-p.done
@@ -90,6 +95,26 @@
 	}()
 }
 
+// watchEnd is called when an answer that looks whole ended with its connection before the
+// engine had written for provenAfter: a crash would look the same. Whether the engine runs
+// on tells them apart. It is asked only if that clears a part of the prompt.
+func (c *call) watchEnd(at time.Time) {
+	if c.opts.Prober == nil || c.service.Engine == nil || len(c.req.Parts) == 0 || c.opts.Parts.AllServed(c.req.Parts) {
+		return
+	}
+	e, req := c.lastChoice.Endpoint, c.req
+	p := c.probeEngine(e, at)
+	go func() {
+		<-p.done
+		switch {
+		case p.crashed:
+			c.opts.Parts.RecordCrash(at, e.Key(), req.ID, req.Parts)
+		case p.alive:
+			c.opts.Parts.RecordServed(at, req.Parts)
+		}
+	}()
+}
+
 // mayCrashAgain reports whether the last attempt ended with a crash of its engine that a
 // part of the prompt may have caused. It waits for the probe of the engine if that
 // matters.
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -55,7 +55,11 @@
 	c.opts.Table.EndAttempt(now, key, outcome)
 	c.firstByte = now.Sub(c.req.Arrived)
 	c.opts.Observer.FirstByte(c.service.Name, c.firstByte)
-	if reply.Status < http.StatusMultipleChoices && !reply.EndsWithConnection {
+	switch {
+	case reply.Status >= http.StatusMultipleChoices:
+	case reply.EndsWithConnection:
+		c.watchEnd(now)
+	default:
 		c.recordProof()
 	}
 	c.caller.Respond(reply.Status, reply.Header, body)
@@ -233,8 +237,12 @@
 	if events > 2 {
 		c.recordPause(c.service.Name, c.req.Model, key, last.Sub(first)/time.Duration(events-1))
 	}
-	if events > 0 && (complete && !reply.EndsWithConnection || last.Sub(first) >= provenAfter) {
+	switch {
+	case events == 0:
+	case complete && !reply.EndsWithConnection, last.Sub(first) >= provenAfter:
 		c.recordProof()
+	case complete:
+		c.watchEnd(now)
 	}
 	if complete && outer.claim() {
 		c.opts.Table.EndAttempt(now, key, picker.Served)
