--- a/internal/serve/hedge_test.go
+++ b/internal/serve/hedge_test.go
@@ -139,7 +139,8 @@
 			if tc.engines > 0 {
 				h.table.SetEndpoints(time.Now(), []fleet.Endpoint{{ID: "lm0", Incarnation: 1, Service: "lm", Domain: "north", Slots: 64, Models: []fleet.Resident{{Model: "m1"}}}})
 			}
-			for tc.noBudget && h.server.allowRepeat("lm") {
+			if tc.noBudget {
+				h.useUpRetries("lm")
 			}
 			h.sender.outcomes = tc.outcomes
 			var bodies []*steppedBody
--- a/internal/serve/moved_test.go
+++ b/internal/serve/moved_test.go
@@ -65,8 +65,7 @@
 			h.table.SetEndpoints(time.Now(), list)
 			if tc.usedUp {
 				h.server.SetRetries(RetryRule{Ratio: 0.2, Slack: 2})
-				for h.server.allowRepeat("lm2") {
-				}
+				h.useUpRetries("lm2")
 			}
 			config := movedConfig(2, tc.edit)
 			if err := config.Prepare(); err != nil {
@@ -121,6 +120,15 @@
 	}
 }
 
+// useUpRetries uses up the retry budget of a service and returns how many were left.
+func (h *harness) useUpRetries(service string) int {
+	n := 0
+	for h.server.allowRepeat(service) {
+		n++
+	}
+	return n
+}
+
 // eventsFrom returns count events that follow the one with the given id.
 func eventsFrom(last string, count int) string {
 	from, _ := strconv.Atoi(last)
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -128,7 +128,10 @@
 	n.restartMu.Lock()
 	defer n.restartMu.Unlock()
 	// Before it is ready, a process may not handle the signal yet.
-	for !n.ready() && sleep(ctx, 50*time.Millisecond) {
+	for !n.ready() {
+		if !sleep(ctx, 50*time.Millisecond) {
+			return
+		}
 	}
 	r.mu.Lock()
 	r.record.stops = append(r.record.stops, event{name: n.name, at: time.Now()})
