--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -15,6 +15,7 @@
 const (
 	plannedEngines       = 9
 	plannedPlain         = 3
+	callersPerEngine     = 5
 	plannedEventInterval = 40 * time.Millisecond
 	// lateAcceptBound is how long after the signal to stop a request may be sent whose
 	// stream the end of the grace may cut, if its engine is at work in the last
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -277,7 +277,8 @@
 func (r *run) engineCount() int {
 	switch {
 	case r.opts.Planned:
-		return plannedEngines
+		// More callers than the engines can queue would be refused all the time.
+		return max(plannedEngines, r.opts.Callers/callersPerEngine)
 	case r.opts.Incidents:
 		return 8
 	}
