--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -139,6 +139,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	// A search without success has armed the timer at its end.
 	h.isArmed = false
 	h.timer.Stop()
 	return h.hasContinued
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -49,15 +49,7 @@
 		r.noteInterruption(c.node.name)
 		r.noteRecovery(c.node.name)
 	}},
-	{name: "reload", inject: func(ctx context.Context, _ *run, c faultParams) {
-		// SIGHUP ends a process that does not handle it yet, so wait until it is ready.
-		for !c.node.ready() && sleep(ctx, 100*time.Millisecond) {
-			if stopping, killed := c.node.state(); stopping || killed {
-				return
-			}
-		}
-		c.node.signal(syscall.SIGHUP)
-	}},
+	{name: "reload", inject: func(ctx context.Context, r *run, c faultParams) { r.reloadReady(ctx, c.node) }},
 	{name: "peers", inject: func(ctx context.Context, r *run, c faultParams) {
 		c.disturbLink(ctx, c.node.peers)
 		r.noteRecovery(c.node.name)
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -160,7 +160,7 @@
 	}
 }
 
-// reloadReady sends SIGHUP to a process once it handles the signal.
+// reloadReady sends SIGHUP to a process once it is ready: before that, the signal may end it.
 func (r *run) reloadReady(ctx context.Context, n *node) {
 	for !n.ready() && sleep(ctx, 100*time.Millisecond) {
 		if stopping, killed := n.state(); stopping || killed {
