drain: decide which requests a stopping process can finish

A stopping process has one time for all requests, 2.9 s after the signal, whatever they need; in a calm rolling stop 7 of 13 streams that were cut at the end of the grace had been accepted after the signal. The package holds the decision that both request paths need: a plan of the stop, and how long requests of a kind take by their output tokens, learned from those that were answered. Not in use yet.

Tests: TestStop, TestExpect, TestExpectSpread.

--- /dev/null
+++ b/internal/drain/drain_test.go
@@ -0,0 +1,94 @@
+package drain
+
+import (
+	"testing"
+	"time"
+)
+
+// TestStop guards against requests that a stopping process accepts and cuts at its end,
+// and against rejections of requests that it could finish.
+func TestStop(t *testing.T) {
+	began := time.Unix(1000, 0)
+	stop := &Stop{
+		AcceptUntil: began.Add(3 * time.Second),
+		EndsAt:      began.Add(7 * time.Second),
+	}
+	for _, tc := range []struct {
+		name    string
+		stop    *Stop
+		at      time.Duration
+		need    time.Duration
+		arrival Reason
+		start   Reason
+	}{
+		{name: "not stopping", at: time.Second, need: time.Hour},
+		{name: "short", stop: stop, at: time.Second, need: time.Second},
+		{name: "unknown", stop: stop, at: 2 * time.Second},
+		{name: "ends just before", stop: stop, at: 2 * time.Second, need: 5*time.Second - 1},
+		{name: "ends with the process", stop: stop, at: 2 * time.Second, need: 5 * time.Second, arrival: TooLong, start: TooLong},
+		{name: "short and late", stop: stop, at: 3 * time.Second, need: time.Second, arrival: TooLate},
+		{name: "long and late", stop: stop, at: 3 * time.Second, need: time.Hour, arrival: TooLate, start: TooLong},
+		{name: "after the end", stop: stop, at: 8 * time.Second, arrival: TooLate, start: TooLong},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			now := began.Add(tc.at)
+			if got := tc.stop.Arrival(now, tc.need); got != tc.arrival {
+				t.Errorf("an arrival is %q, want %q", got, tc.arrival)
+			}
+			if got := tc.stop.Start(now, tc.need); got != tc.start {
+				t.Errorf("a start is %q, want %q", got, tc.start)
+			}
+		})
+	}
+}
+
+// TestExpect guards against long requests that are accepted because they are expected to be
+// as short as the others.
+func TestExpect(t *testing.T) {
+	var times Times
+	large, small := Kind{Service: "lm", Model: "large"}, Kind{Service: "lm", Model: "small"}
+	plain := Kind{Service: "app"}
+	for range 200 {
+		times.Record(large, Sample{First: 200 * time.Millisecond, Rest: 4 * time.Second, Tokens: 100})
+		times.Record(small, Sample{First: 100 * time.Millisecond, Rest: time.Second, Tokens: 100})
+		times.Record(plain, Sample{First: 60 * time.Millisecond})
+	}
+	for _, tc := range []struct {
+		name   string
+		kind   Kind
+		tokens float64
+		least  time.Duration
+		most   time.Duration
+	}{
+		{name: "large, long", kind: large, tokens: 400, least: 16 * time.Second, most: 17 * time.Second},
+		{name: "large, short", kind: large, tokens: 10, least: 500 * time.Millisecond, most: 700 * time.Millisecond},
+		{name: "small, long", kind: small, tokens: 400, least: 4 * time.Second, most: 5 * time.Second},
+		{name: "unknown model", kind: Kind{Service: "lm", Model: "new"}, tokens: 100, least: 2 * time.Second, most: 6 * time.Second},
+		{name: "without tokens", kind: plain, least: 60 * time.Millisecond, most: 70 * time.Millisecond},
+		{name: "unknown service", kind: Kind{Service: "other"}, tokens: 400},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := times.Expect(tc.kind, tc.tokens); got < tc.least || got > tc.most {
+				t.Errorf("expected to take %v, want %v to %v", got, tc.least, tc.most)
+			}
+		})
+	}
+}
+
+// TestExpectSpread guards against an expectation that half of the requests exceed.
+func TestExpectSpread(t *testing.T) {
+	var times Times
+	kind := Kind{Service: "lm", Model: "a"}
+	const tokens = 100
+	longer := 0
+	for i := range 1000 {
+		rest := time.Duration(1+i*7%10) * time.Second
+		if i >= 500 && times.Expect(kind, tokens) < rest {
+			longer++
+		}
+		times.Record(kind, Sample{Rest: rest, Tokens: tokens})
+	}
+	if longer > 50 {
+		t.Errorf("%d of 500 requests took longer than expected, want at most 50", longer)
+	}
+}
