soak: suspend processes around the signal to stop

A process was never late in handling the signal, and one that outlasted the grace was not killed. Half of the stops now have a suspension of 0.1 to 0.5 s before, across or just after the signal, and each process is killed at the end of the grace.

--- a/internal/cmds/load_soak.go
+++ b/internal/cmds/load_soak.go
@@ -84,7 +84,7 @@
 			}
 			mu.Lock()
 			defer mu.Unlock()
-			printSoak(cmd.Root().Writer, r, cmd.Bool("verbose"))
+			printSoak(cmd.Root().Writer, r)
 			if len(r.Violations) > 0 {
 				failed++
 			}
@@ -140,12 +140,13 @@
 	return r, nil
 }
 
-func printSoak(w io.Writer, r *soak.Result, verbose bool) {
-	fmt.Fprintf(w, "seed %d: %d requests, %d served, %d of %d after recovery, %d faults, %d broken\n", r.Seed, r.Requests, r.Served, r.RecoveredServed, r.Recovered, r.Faults, len(r.Violations))
-	if verbose {
-		for _, answer := range slices.Sorted(maps.Keys(r.Unserved)) {
-			fmt.Fprintf(w, "  %d not served: %s\n", r.Unserved[answer], answer)
-		}
+func printSoak(w io.Writer, r *soak.Result) {
+	fmt.Fprintf(w, "seed %d: %d requests, %d served (%.1f %%), %d of %d after recovery, %d faults, %d broken\n", r.Seed, r.Requests, r.Served, 100*float64(r.Served)/float64(max(1, r.Requests)), r.RecoveredServed, r.Recovered, r.Faults, len(r.Violations))
+	for _, answer := range slices.Sorted(maps.Keys(r.Unserved)) {
+		fmt.Fprintf(w, "  %d not served: %s\n", r.Unserved[answer], answer)
+	}
+	for _, reason := range slices.Sorted(maps.Keys(r.Excused)) {
+		fmt.Fprintf(w, "  %d without a whole answer: %s\n", r.Excused[reason], reason)
 	}
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  %s\n", v)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -49,8 +49,9 @@
 		r.checkDeadlyPart(d, executions, rec.requests)
 	}
 	r.checkAddedRoutes(rec.requests)
+	var excused map[string]int
 	if r.opts.Planned {
-		r.checkPlanned(rec, runs)
+		excused = r.checkPlanned(rec, runs)
 	}
 	for _, w := range r.site.Journal.Violations() {
 		r.reportViolation("ENDPOINT: %s", w)
@@ -60,6 +61,7 @@
 		Requests: len(rec.requests),
 		Faults:   r.faults,
 		Unserved: map[string]int{},
+		Excused:  excused,
 	}
 	reasons := map[string]int{}
 	for _, a := range rec.requests {
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -39,16 +39,7 @@
 	{name: "stop", inject: func(ctx context.Context, r *run, c faultParams) {
 		r.restart(ctx, c.node, syscall.SIGTERM, 200*time.Millisecond)
 	}},
-	{name: "pause", inject: func(ctx context.Context, r *run, c faultParams) {
-		c.node.beginDisturbance()
-		defer c.node.endDisturbance()
-		r.noteInterruption(c.node.name)
-		c.node.signal(syscall.SIGSTOP)
-		sleep(ctx, c.duration)
-		c.node.signal(syscall.SIGCONT)
-		r.noteInterruption(c.node.name)
-		r.noteRecovery(c.node.name)
-	}},
+	{name: "pause", inject: func(ctx context.Context, r *run, c faultParams) { r.suspend(ctx, c.node, c.duration) }},
 	{name: "reload", inject: func(ctx context.Context, r *run, c faultParams) { r.reloadReady(ctx, c.node) }},
 	{name: "peers", inject: func(ctx context.Context, r *run, c faultParams) {
 		c.disturbLink(ctx, c.node.peers)
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -251,6 +251,20 @@
 	}
 }
 
+// awaitExit waits for the process to exit, suspended or not. It returns false at the
+// deadline.
+func (n *node) awaitExit(deadline time.Time) bool {
+	n.mu.Lock()
+	exited := n.exited
+	n.mu.Unlock()
+	select {
+	case <-exited:
+		return true
+	case <-time.After(time.Until(deadline)):
+		return false
+	}
+}
+
 // kill kills the process at the end of the run.
 func (n *node) kill() {
 	n.mu.Lock()
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -31,6 +30,10 @@
 	stopSilenceShare = 0.7
 	// secondSignalShare is the share of stops with a second signal.
 	secondSignalShare = 0.5
+	// delayShare is the share of stops whose process is suspended around the signal, for
+	// minDelay to maxDelay.
+	delayShare         = 0.5
+	minDelay, maxDelay = 100 * time.Millisecond, 500 * time.Millisecond
 )
 
 // plannedEvents is how many events a stream has at most, by route. Those that may be
@@ -89,6 +92,11 @@
 				if r.random.Float64() < stopSilenceShare {
 					w.endpoint, w.silentAfter, w.silentFor = r.random.IntN(plannedEngines), seconds(0, 6), seconds(1, 2)
 				}
+				if r.random.Float64() < delayShare {
+					w.delay = seconds(minDelay.Seconds(), maxDelay.Seconds())
+					// Before, across or just after the signal.
+					w.delayAt = seconds(-maxDelay.Seconds(), minDelay.Seconds())
+				}
 				all.Go(func() { r.stopAndStart(ctx, n, w) })
 			}
 		case 2:
@@ -115,13 +123,28 @@
 	// again is a second signal, 0 for none.
 	again      syscall.Signal
 	againAfter time.Duration
+	// delay is for how long the process is suspended from delayAt on, which counts from
+	// the signal and may be negative.
+	delay   time.Duration
+	delayAt time.Duration
 	// endpoint is the engine that falls silent, if silentFor is not zero.
 	endpoint    int
 	silentAfter time.Duration
 	silentFor   time.Duration
 }
 
-// stopAndStart stops a process by a signal and starts it again.
+// stop is a signal to stop a process that is killed graceBound after it.
+type stop struct {
+	node *node
+	at   time.Time
+	// resumed is the end of the suspension around the signal, zero if there was none.
+	resumed time.Time
+	// killed is set if the process ran until the end of the grace.
+	killed bool
+}
+
+// stopAndStart stops a process by a signal, kills it at the end of the grace as the
+// platform does, and starts it again.
 func (r *run) stopAndStart(ctx context.Context, n *node, w stopWork) {
 	sleep(ctx, w.after)
 	var beside sync.WaitGroup
@@ -134,10 +157,24 @@
 			return
 		}
 	}
+	s := &stop{
+		node: n,
+		at:   time.Now().Add(max(0, -w.delayAt)),
+	}
 	r.mu.Lock()
-	r.record.stops = append(r.record.stops, event{name: n.name, at: time.Now()})
-	r.logf("stop: %s, second signal %v after %v, silence %v", n.name, w.again, w.againAfter, w.silentFor)
+	r.record.stops = append(r.record.stops, s)
+	r.logf("stop: %s, suspended for %v at %v, second signal %v after %v, silence %v", n.name, w.delay, w.delayAt, w.again, w.againAfter, w.silentFor)
 	r.mu.Unlock()
+	if w.delay > 0 {
+		beside.Go(func() {
+			sleep(ctx, time.Until(s.at.Add(w.delayAt)))
+			r.suspend(ctx, n, w.delay)
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			s.resumed = time.Now()
+		})
+	}
+	sleep(ctx, time.Until(s.at))
 	n.signal(syscall.SIGTERM)
 	if w.silentFor > 0 {
 		beside.Go(func() { r.silenceEngine(ctx, w.endpoint, w.silentAfter, w.silentFor) })
@@ -148,10 +185,15 @@
 			n.signal(w.again)
 		})
 	}
-	if !n.waitExit(graceBound) {
-		r.reportViolation("STOP: process %s still runs %v after SIGTERM", n.name, graceBound)
+	if !n.awaitExit(s.at.Add(graceBound)) {
 		n.signal(syscall.SIGKILL)
 		n.waitExit(graceBound)
+		r.mu.Lock()
+		s.killed = true
+		r.mu.Unlock()
+		if w.delay == 0 {
+			r.reportViolation("STOP: process %s still runs %v after SIGTERM", n.name, graceBound)
+		}
 	}
 	// The second signal is for this process only.
 	beside.Wait()
@@ -160,6 +202,18 @@
 	}
 }
 
+// suspend suspends a process for a time.
+func (r *run) suspend(ctx context.Context, n *node, d time.Duration) {
+	n.beginDisturbance()
+	defer n.endDisturbance()
+	r.noteInterruption(n.name)
+	n.signal(syscall.SIGSTOP)
+	sleep(ctx, d)
+	n.signal(syscall.SIGCONT)
+	r.noteInterruption(n.name)
+	r.noteRecovery(n.name)
+}
+
 // reloadReady sends SIGHUP to a process once it is ready: before that, the signal may end it.
 func (r *run) reloadReady(ctx context.Context, n *node) {
 	for !n.ready() && sleep(ctx, 100*time.Millisecond) {
@@ -207,53 +261,3 @@
 		*keys = append(*keys, fmt.Sprintf("key-%d", variant))
 	}
 }
-
-// checkPlanned checks that each request got a complete answer, where nothing but planned
-// work and silences of sound engines happened.
-func (r *run) checkPlanned(rec record, runs map[string][]site.Execution) {
-	for _, q := range rec.requests {
-		took := q.ended.Sub(q.sent)
-		switch {
-		case q.complete:
-		case took >= r.timeout(q.route)-deadlineSlack:
-		case q.status == 0 && len(runs[q.id]) == 0 && took <= lostSlack:
-			// It crossed the close of its connection.
-		case rec.endedWithGrace(q):
-		default:
-			r.reportViolation("LOST: %s", r.describeLost(rec, q, runs[q.id]))
-		}
-	}
-}
-
-// endedWithGrace reports whether the end of a stop may have cut a request: it was sent soon
-// after the signal and its engine was at work until shortly before the end.
-func (rec *record) endedWithGrace(q *request) bool {
-	return slices.ContainsFunc(rec.stops, func(e event) bool {
-		return e.name == q.node.name && !q.sent.After(e.at.Add(lateAcceptBound)) && q.ended.After(e.at.Add(lastSixth)) && q.ended.Before(e.at.Add(graceBound+time.Second))
-	})
-}
-
-// describeLost describes a lost request beside the stops of its process, configurations, and
-// the silences of the engines that ran it.
-func (r *run) describeLost(rec record, q *request, runs []site.Execution) string {
-	at := func(t time.Time) float64 { return t.Sub(r.began).Seconds() }
-	text := fmt.Sprintf("%s (%s) at %s: sent %.2f s, ended %.2f s, status %d, %d of %d events, ran %s", q.id, q.route.Name, q.node.name,
-		at(q.sent), at(q.ended), q.status, q.events, site.Events(q.tokens), r.describeRuns(runs))
-	var beside []string
-	for _, e := range rec.stops {
-		if e.name == q.node.name && e.at.Before(q.ended) && q.sent.Before(e.at.Add(graceBound+time.Second)) {
-			beside = append(beside, fmt.Sprintf("stop at %.2f s", at(e.at)))
-		}
-	}
-	for _, c := range rec.configs {
-		if c.at.Before(q.ended) && q.sent.Before(c.at.Add(configBound+time.Second)) {
-			beside = append(beside, fmt.Sprintf("configuration at %.2f s", at(c.at)))
-		}
-	}
-	for _, s := range rec.silences {
-		if s.from.Before(q.ended) && s.to.After(q.sent) && slices.ContainsFunc(runs, func(x site.Execution) bool { return x.Endpoint == s.endpoint }) {
-			beside = append(beside, fmt.Sprintf("%s silent %.2f to %.2f s", s.endpoint, at(s.from), at(s.to)))
-		}
-	}
-	return text + "; " + strings.Join(beside, ", ")
-}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -22,7 +22,7 @@
 	// interruptions are the starts and pauses of processes and what disturbs their links
 	// to endpoints.
 	interruptions []event
-	stops         []event   // signals to stop
+	stops         []*stop
 	silences      []silence // of engines
 	locks         map[string]*sync.Mutex
 }
