soak: play the newer kinds of trouble and changes beside planned work

Beside planned work only sound engines fell silent, and the configuration changed in five ways. A whole request without a whole answer is a violation unless its engine broke it off, its time was over or the end of the grace cut it; so is a refusal without a reason at a process that is neither stopping nor disturbed. Each has a timeline from all logs.

--- a/internal/cmds/load_soak.go
+++ b/internal/cmds/load_soak.go
@@ -36,9 +36,9 @@
 			&cli.DurationFlag{Name: "faults", Usage: "for how long faults are injected", Value: 15 * time.Second},
 			&cli.StringFlag{Name: "out", Usage: "directory for settings and logs; those of runs without violations are removed", Value: "out/soak"},
 			&cli.BoolFlag{Name: "incidents", Usage: "add configurations that grow while the store turns processes away, and prompts that crash engines", Value: true},
-			&cli.BoolFlag{Name: "statements", Usage: "add endpoints that say that they leave or want no requests for a time", Value: true},
+			&cli.BoolFlag{Name: "statements", Usage: "add endpoints that say that they leave or want no requests for a time; with --planned, answers in other forms too", Value: true},
 			&cli.BoolFlag{Name: "restores", Usage: "add restores of the store from a copy some seconds old"},
-			&cli.BoolFlag{Name: "planned", Usage: "planned work and engines that are silent for a moment in place of all faults, in a deployment with three domains; use --nodes 8 --callers 48"},
+			&cli.BoolFlag{Name: "planned", Usage: "planned work (stops, reloads, configurations) in place of all faults, beside engines that are silent for a moment and what the other flags add, in a deployment with three domains; use --nodes 8 --callers 48"},
 			&cli.BoolFlag{Name: "verbose", Usage: "print each fault"},
 		},
 		Action: runSoak,
@@ -56,9 +56,6 @@
 	if runs < 1 || parallel < 1 || cmd.Int("nodes") < 1 || cmd.Int("callers") < 1 || cmd.Duration("faults") <= 0 {
 		return Usagef("%s: runs, parallel, nodes, callers and faults must be above zero", cmd.FullName())
 	}
-	if cmd.Bool("planned") && cmd.Bool("restores") {
-		return Usagef("%s: --planned and --restores exclude each other", cmd.FullName())
-	}
 	for _, flag := range []string{"program", "former"} {
 		path := cmd.String(flag)
 		if flag == "former" && path == "" {
@@ -125,8 +122,8 @@
 		Nodes:      cmd.Int("nodes"),
 		Callers:    cmd.Int("callers"),
 		Faults:     cmd.Duration("faults"),
-		Incidents:  cmd.Bool("incidents") && !cmd.Bool("planned"),
-		Statements: cmd.Bool("statements") && !cmd.Bool("planned"),
+		Incidents:  cmd.Bool("incidents"),
+		Statements: cmd.Bool("statements"),
 		Restores:   cmd.Bool("restores"),
 		Planned:    cmd.Bool("planned"),
 		Progress:   progress,
--- a/internal/fake/site/engine.go
+++ b/internal/fake/site/engine.go
@@ -83,6 +83,9 @@
 	TurnAwayUnproved bool
 	// Slowdown multiplies the EventInterval; values below 1 mean 1.
 	Slowdown float64
+	// FormRatio is the fraction of answers that have one of Forms.
+	FormRatio float64
+	Forms     []Form
 }
 
 // Endpoint simulates an engine or an endpoint of a plain service.
@@ -108,7 +111,7 @@
 	active         int
 	queued         int
 	slotFreed      chan struct{}
-	conns          map[net.Conn]struct{}
+	conns          map[net.Conn]*connState
 	deadly         DeadlyPart
 	// silentUntil is when an endpoint that is silent for a moment goes on.
 	silentUntil time.Time
@@ -146,7 +149,7 @@
 		opts:      o,
 		stopped:   make(chan struct{}),
 		slotFreed: make(chan struct{}),
-		conns:     make(map[net.Conn]struct{}),
+		conns:     make(map[net.Conn]*connState),
 	}
 	e.resetState(o.InitialModels)
 	return e
@@ -207,6 +210,7 @@
 		Handler:           e.announce(mux),
 		ReadHeaderTimeout: 10 * time.Second,
 		ConnState:         e.track,
+		ConnContext:       withConn,
 	}
 	done := make(chan struct{})
 	go func() {
@@ -277,10 +281,13 @@
 			_ = c.Close()
 			return
 		}
-		e.conns[c] = struct{}{}
+		e.conns[c] = new(connState)
 	case http.StateClosed, http.StateHijacked:
 		delete(e.conns, c)
 	case http.StateActive, http.StateIdle:
+		if s := e.conns[c]; s != nil {
+			s.idle = state == http.StateIdle
+		}
 	}
 }
 
@@ -536,14 +543,29 @@
 		Endpoint: e.opts.ID,
 		Leaving:  w.Header().Get(headerLeaving) != "",
 	}
-	defer func() { e.opts.Journal.recordArrival(arrival) }()
+	finished := false
+	defer func() {
+		e.mu.Lock()
+		crashed := !e.alive || e.incarnation != arrival.Incarnation
+		e.mu.Unlock()
+		switch {
+		case e.metSecond(r, arrival.At):
+			arrival.Broken = "second answer on its connection"
+		case !finished && crashed:
+			arrival.Broken = "crash"
+		}
+		arrival.Ended = time.Now()
+		e.opts.Journal.recordArrival(arrival)
+	}()
+	e.mu.Lock()
+	arrival.Incarnation = e.incarnation
+	e.mu.Unlock()
 	if e.rejectMisdirected(w, r) {
 		arrival.Misdirected = true
 		return
 	}
 	e.mu.Lock()
 	turnAway := e.faults
-	arrival.Incarnation = e.incarnation
 	e.mu.Unlock()
 	if rand.Float64() < turnAway.TurnAwayRatio {
 		if turnAway.RetryAfter != "" {
@@ -585,18 +607,46 @@
 		LastEventID: r.Header.Get(headerLastEvent),
 	})
 	if rand.Float64() < faults.LostAnswerRatio {
+		arrival.Broken = "answer lost"
 		panic(http.ErrAbortHandler)
 	}
+	form := faults.drawForm()
+	arrival.Form = form
+	switch form {
+	case Unframed:
+		// net/http ends such an answer with its connection.
+		w.Header().Set("Transfer-Encoding", "identity")
+	case Early:
+		// An error means a connection that cannot do it; the body is read first then.
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		defer e.readBody(r, id, bodyPause)
+	case Repeated, ForeignAfter:
+		defer e.writeSecond(r, id, form)
+	case EndlessHead, EndlessBody:
+		arrival.Broken = "answer without end"
+		e.writeEndless(w, id, form)
+		return
+	case Usual:
+	}
+	if form != Early && !e.readBody(r, id, 0) {
+		return
+	}
 	w.Header().Set(headerStamp, e.opts.ID+"."+id)
 	step := time.Duration(float64(e.opts.EventInterval) * max(1, faults.Slowdown))
 	if rand.Float64() < faults.ErrorRatio {
 		w.WriteHeader(http.StatusInternalServerError)
+		finished = true
 		return
 	}
 	if e.opts.Class == nil {
-		if e.work(r, step) {
-			fmt.Fprint(w, PlainAnswer(id))
+		if !e.work(r, step) {
+			return
+		}
+		if form != Unframed {
+			w.Header().Set("Content-Length", strconv.Itoa(len(PlainAnswer(id))))
 		}
+		fmt.Fprint(w, PlainAnswer(id))
+		finished = http.NewResponseController(w).Flush() == nil
 		return
 	}
 	w.Header().Set("Content-Type", "text/event-stream")
@@ -620,6 +670,7 @@
 			return
 		}
 	}
+	finished = true
 }
 
 // PlainAnswer returns the body of a plain service's answer to a request.
--- a/internal/fake/site/journal.go
+++ b/internal/fake/site/journal.go
@@ -36,6 +36,11 @@
 	Leaving     bool
 	// RetryAfter is the header of an answer that turned the request away.
 	RetryAfter string
+	Form       Form
+	// Broken is why the endpoint gave no whole answer, empty if it did or if the client
+	// left.
+	Broken string
+	Ended  time.Time
 }
 
 // ReceivedOrder is an order that an engine received, executed or not.
--- a/internal/fake/site/site.go
+++ b/internal/fake/site/site.go
@@ -12,6 +12,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 )
@@ -46,6 +47,19 @@
 	Attempts    int     `json:"attempts"`
 	Resumable   bool    `json:"resumable"`
 	PauseMS     float64 `json:"gap_target_ms"` // longest pause between events
+	// Split divides the requests among services, if Service is empty.
+	Split []Share `json:"split,omitempty"`
+}
+
+// Share is the part of a route's requests that goes to a service.
+type Share struct {
+	Service string  `json:"service"`
+	Weight  float64 `json:"weight"`
+}
+
+// LeadsTo reports whether requests of the route may go to a service.
+func (r Route) LeadsTo(service string) bool {
+	return r.Service == service || slices.ContainsFunc(r.Split, func(s Share) bool { return s.Service == service })
 }
 
 // RunsAtMostOnce reports whether a request of the route must run at most once.
@@ -197,12 +211,15 @@
 	// part if there are none.
 	Parts   []string
 	Timeout time.Duration
+	// Body and BodyBytes are the request's body, {} if there is none.
+	Body      io.Reader
+	BodyBytes int64
 	// LastEventID is the id of the last event received, if the request resumes a
 	// stream.
 	LastEventID string
 }
 
-// requestBody is the body of all caller requests.
+// requestBody is the body of caller requests without one of their own.
 const requestBody = "{}"
 
 // Request encodes a caller's request.
@@ -215,6 +232,9 @@
 	// its body cannot be rewound. NopCloser hides the rewind, so that each request
 	// id is sent once.
 	r.Body, r.ContentLength = io.NopCloser(strings.NewReader(requestBody)), int64(len(requestBody))
+	if c.Body != nil {
+		r.Body, r.ContentLength = io.NopCloser(c.Body), c.BodyBytes
+	}
 	r.Host = c.Host
 	for name, value := range c.header() {
 		if value != "" {
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -7,9 +7,11 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/http/httptrace"
 	"slices"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fake/site"
@@ -18,6 +20,8 @@
 const (
 	// answerTimeout bounds the wait for a complete answer.
 	answerTimeout = 4 * time.Second
+	// maxAnswer is how many bytes of an answer are read at most.
+	maxAnswer = 1 << 20
 	// maxRetryDelay bounds the delay before a retry, whatever Retry-After says.
 	maxRetryDelay = time.Second
 	// newestKeyShare is the share of requests that carry the newest extra key
@@ -136,11 +140,18 @@
 
 // drawRoute draws a route, now and then one that was added.
 func (c *caller) drawRoute(routes []site.Route) *site.Route {
-	fixed := len(c.run.base.Routes)
-	if len(routes) > fixed && c.random.Float64() < addedRouteShare {
-		return &routes[fixed+c.random.IntN(len(routes)-fixed)]
+	if c.random.Float64() < addedRouteShare {
+		added := slices.DeleteFunc(slices.Clone(routes), func(x site.Route) bool { return !isAddedRoute(&x) })
+		if len(added) > 0 {
+			return &added[c.random.IntN(len(added))]
+		}
+	}
+	// Callers do not know that a route is removed for a moment.
+	base := c.run.base.Routes[c.random.IntN(len(c.run.base.Routes))]
+	if i := slices.IndexFunc(routes, func(x site.Route) bool { return x.Name == base.Name }); i >= 0 {
+		return &routes[i]
 	}
-	return &routes[c.random.IntN(fixed)]
+	return &base
 }
 
 // send sends a request, checks its answer and records both. It reports whether
@@ -161,19 +172,39 @@
 		req.parts = c.drawParts()
 		callerReq.Parts = req.parts
 	}
+	requestCtx, cancel := context.WithTimeout(ctx, callerReq.Timeout+time.Second)
+	defer cancel()
+	c.drawBody(requestCtx, req, &callerReq)
 	httpReq, err := callerReq.Request()
 	if err != nil {
 		panic("soak: encode request: " + err.Error())
 	}
-	requestCtx, cancel := context.WithTimeout(ctx, callerReq.Timeout+time.Second)
-	defer cancel()
+	var mu sync.Mutex
+	connected, written := false, time.Time{}
+	requestCtx = httptrace.WithClientTrace(requestCtx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			mu.Lock()
+			defer mu.Unlock()
+			connected = true
+		},
+		WroteRequest: func(w httptrace.WroteRequestInfo) {
+			mu.Lock()
+			defer mu.Unlock()
+			if w.Err == nil {
+				written = time.Now()
+			}
+		},
+	})
 	req.node, req.sent = c.node, time.Now()
 	stable, undisturbed := c.run.isStable(req.node), req.node.isUndisturbed()
 	res, err := c.client.Do(httpReq.WithContext(requestCtx))
 	if err == nil {
-		c.readAnswer(req, res)
+		err = c.readAnswer(req, res)
 	}
-	req.ended = time.Now()
+	req.ended, req.err = time.Now(), err
+	mu.Lock()
+	req.connected, req.written = connected, written
+	mu.Unlock()
 	req.stable = stable && c.run.isStable(req.node)
 	stopping, _ := req.node.state()
 	req.stopping = undisturbed && stopping && req.node.isUndisturbed()
@@ -182,7 +213,7 @@
 		c.run.addRequest(req)
 	}
 	switch {
-	case err != nil || res.Close:
+	case res == nil || res.Close:
 		c.client.CloseIdleConnections()
 		c.node = nil
 	case req.status == http.StatusTooManyRequests, req.status == http.StatusServiceUnavailable:
@@ -227,14 +258,14 @@
 
 // readAnswer reads the response and compares it with the expected answer to the
 // request.
-func (c *caller) readAnswer(req *request, res *http.Response) {
+func (c *caller) readAnswer(req *request, res *http.Response) error {
 	defer res.Body.Close()
-	body, err := io.ReadAll(res.Body)
+	body, err := io.ReadAll(io.LimitReader(res.Body, maxAnswer))
 	req.status, req.events = res.StatusCode, bytes.Count(body, []byte("id: "))
 	if res.StatusCode != http.StatusOK {
 		req.complete = err == nil
-		req.answer = string(body[:min(len(body), 200)])
-		return
+		req.answer = string(body[:min(len(body), 400)])
+		return err
 	}
 	req.complete = err == nil
 	want := []byte(site.PlainAnswer(req.id))
@@ -251,4 +282,5 @@
 	case err == nil && len(body) < len(want):
 		req.problem = fmt.Sprintf("ended as complete after %d of %d bytes", len(body), len(want))
 	}
+	return err
 }
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,8 +35,13 @@
 	r.mu.Lock()
 	rec := r.record
 	r.mu.Unlock()
+	arrivals := map[string][]site.Arrival{}
+	for _, a := range r.site.Journal.Arrivals() {
+		arrivals[a.Request] = append(arrivals[a.Request], a)
+	}
+	configs := r.allConfigs()
 	for _, a := range rec.requests {
-		r.checkRequest(a, runs[a.id])
+		r.checkRequest(configs, a, runs[a.id], arrivals[a.id])
 	}
 	r.checkExecutions(executions, rec.requests)
 	r.checkRates(executions)
@@ -48,10 +53,11 @@
 	for _, d := range rec.deadly {
 		r.checkDeadlyPart(d, executions, rec.requests)
 	}
-	r.checkAddedRoutes(rec.requests)
+	r.checkRoutes(configs, rec.requests)
+	r.checkServices(configs, executions, rec.requests)
 	var excused map[string]int
 	if r.opts.Planned {
-		excused = r.checkPlanned(rec, runs)
+		excused = r.checkPlanned(rec, configs, runs, arrivals)
 	}
 	for _, w := range r.site.Journal.Violations() {
 		r.reportViolation("ENDPOINT: %s", w)
@@ -72,7 +78,7 @@
 			out.Unserved[a.describeFailure()]++
 		}
 		// Refusals of a workspace over its rate and of a withdrawn key are correct.
-		if a.sent.Sub(recoveredAt) > r.recoverBound() && a.status != http.StatusTooManyRequests && a.status != http.StatusUnauthorized && !r.isAddedRoute(a.route) {
+		if a.sent.Sub(recoveredAt) > r.recoverBound() && a.status != http.StatusTooManyRequests && a.status != http.StatusUnauthorized && !isAddedRoute(a.route) {
 			out.Recovered++
 			if served {
 				out.RecoveredServed++
@@ -92,10 +98,14 @@
 
 // checkRequest checks the answer to one request against how often the request
 // ran.
-func (r *run) checkRequest(req *request, runs []site.Execution) {
-	once := req.route.RunsAtMostOnce()
+func (r *run) checkRequest(configs []writtenConfig, req *request, runs []site.Execution, arrivals []site.Arrival) {
+	routes, _ := r.routesInForce(configs, req)
+	once := req.route.RunsAtMostOnce() && !slices.ContainsFunc(routes, func(x site.Route) bool { return !x.RunsAtMostOnce() })
+	unframed := slices.ContainsFunc(arrivals, func(a site.Arrival) bool { return a.Form == site.Unframed && a.Broken != "" })
 	at := req.sent.Sub(r.began).Seconds()
 	switch {
+	case req.problem != "" && unframed:
+		// The end of the connection ended such an answer.
 	case req.problem != "":
 		r.reportViolation("MIXED: %s (%s) at %.2f s from %s: %s", req.id, req.route.Name, at, req.node.name, req.problem)
 	case req.status == http.StatusOK && len(runs) == 0:
@@ -111,15 +121,11 @@
 				req.ended.Sub(req.sent).Round(time.Millisecond), r.describeRuns(runs), req.answer)
 		}
 	case http.StatusNotFound:
-		if r.isAddedRoute(req.route) {
-			// Checked by checkAddedRoutes.
-			return
-		}
-		r.reportViolation("DENIED: %s (%s) at %.2f s got %d from %s", req.id, req.route.Name, at, req.status, req.node.name)
+		// Checked by checkRoutes.
 	case http.StatusForbidden, http.StatusBadRequest:
 		r.reportViolation("DENIED: %s (%s) at %.2f s got %d from %s", req.id, req.route.Name, at, req.status, req.node.name)
 	case 0:
-		if req.stable || req.stopping && len(runs) > 0 {
+		if !r.opts.Planned && (req.stable || req.stopping && len(runs) > 0) {
 			r.reportViolation("LOST: %s (%s) at %.2f s got no answer from %s and ran %s", req.id, req.route.Name, at, req.node.name, r.describeRuns(runs))
 		}
 	}
--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -216,16 +216,14 @@
 	for i := range c.Tenants {
 		c.Tenants[i].Keys = slices.Clone(c.Tenants[i].Keys)
 	}
+	c.Routes = slices.Clone(c.Routes)
 	f(&c)
 	c.Version += 1 + c.Version%3
 	r.config = c
 	if err := r.site.Store.SetConfig(c); err != nil {
 		panic("soak: encode configuration: " + err.Error())
 	}
-	r.record.configs = append(r.record.configs, writtenConfig{
-		at:     time.Now(),
-		config: c,
-	})
+	r.record.configs = append(r.record.configs, newWrittenConfig(time.Now(), c))
 	r.logf("configuration %d: %s", c.Version, what)
 }
 
--- a/internal/soak/incident.go
+++ b/internal/soak/incident.go
@@ -141,41 +141,26 @@
 	})
 }
 
-func (r *run) isAddedRoute(route *site.Route) bool {
+func isAddedRoute(route *site.Route) bool {
 	return strings.HasPrefix(route.Name, addedRoutePrefix)
 }
 
-// checkAddedRoutes checks that stable processes serve added routes, and refuse removed
-// ones, from configBound after the change on.
-func (r *run) checkAddedRoutes(requests map[string]*request) {
-	r.mu.Lock()
-	configs := append([]writtenConfig{{config: r.base}}, r.record.configs...)
-	r.mu.Unlock()
+// checkRoutes checks that stable processes serve added routes, and refuse removed
+// ones, from configBound after the change on, and that none refuses a route that all
+// configurations have.
+func (r *run) checkRoutes(configs []writtenConfig, requests map[string]*request) {
 	for _, req := range requests {
-		if !r.isAddedRoute(req.route) || !req.stable {
+		routes, forbidden := r.routesInForce(configs, req)
+		allowed := len(routes) > 0
+		if allowed && forbidden {
 			continue
 		}
-		bound := configBound
-		if req.storeRefused {
-			bound += skewBound
-		}
-		allowed, forbidden := false, false
-		for i, c := range configs {
-			inForceUntil := req.ended
-			if i+1 < len(configs) {
-				inForceUntil = configs[i+1].at.Add(bound)
-			}
-			if c.at.After(req.ended) || inForceUntil.Before(req.sent) {
-				continue
-			}
-			has := slices.ContainsFunc(c.config.Routes, func(x site.Route) bool { return x.Name == req.route.Name })
-			allowed, forbidden = allowed || has, forbidden || !has
-		}
+		code, _ := req.refusal()
 		at := req.sent.Sub(r.began).Seconds()
 		switch {
-		case req.status == http.StatusNotFound && allowed && !forbidden:
+		case req.status == http.StatusNotFound && code != modelUnknown && allowed:
 			r.reportViolation("CONFIG: %s at %.2f s got 404 from %s on %s, which all configurations that may be in force contain", req.id, at, req.node.name, req.route.Name)
-		case req.status == http.StatusOK && forbidden && !allowed:
+		case req.status == http.StatusOK && forbidden:
 			r.reportViolation("CONFIG: %s at %.2f s was served by %s on %s, which no configuration that may be in force contains", req.id, at, req.node.name, req.route.Name)
 		}
 	}
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -9,33 +10,107 @@
 	"trefoildale.example/trefoildale/internal/fake/site"
 )
 
-// checkPlanned checks that each request got a complete answer, where nothing but planned
-// work and silences of sound engines happened. It returns how many requests had none
-// without a broken guarantee, by the reason.
-func (r *run) checkPlanned(rec record, runs map[string][]site.Execution) map[string]int {
+// codes of refusals
+const (
+	modelUnknown = "model-unknown"
+	overRate     = "over-rate"
+	keyUnknown   = "key-unknown"
+	routeUnknown = "route-unknown"
+)
+
+// fullCodes are the codes of refusals because engines are full, fail or lack a model, which
+// are correct while that may be so.
+var fullCodes = []string{"no-endpoint", "no-further-endpoint", "prompt-part-blocked"}
+
+// checkPlanned checks that each whole request got a complete answer, where nothing but
+// planned work and trouble of engines and of the store happened, and that each refusal has a
+// reason. It returns how many requests had no whole answer without a broken guarantee, by the
+// reason.
+func (r *run) checkPlanned(rec record, configs []writtenConfig, runs map[string][]site.Execution, arrivals map[string][]site.Arrival) map[string]int {
 	excused := map[string]int{}
 	for _, q := range rec.requests {
-		took := q.ended.Sub(q.sent)
-		s := rec.stopBeside(q)
-		switch {
-		case q.complete:
-		case took >= r.timeout(q.route)-deadlineSlack:
-			excused["its time was over"]++
-		case q.status == 0 && len(runs[q.id]) == 0 && took <= lostSlack:
-			excused["it crossed the close of its connection"]++
-		case s == nil || len(runs[q.id]) == 0 || !s.mayCut(q):
-			r.reportViolation("LOST: %s", r.describeLost(rec, q, runs[q.id]))
-		case q.sent.Before(s.at):
-			excused["sent before the signal and cut at the end of the grace"]++
-		case rec.silentBeside(q, runs[q.id]):
-			excused["sent after the signal to an engine that fell silent, and cut at the end of the grace"]++
-		default:
-			r.reportViolation("CUT: %s", r.describeLost(rec, q, runs[q.id]))
+		if q.complete {
+			r.checkRefusal(rec, configs, q)
+			continue
+		}
+		if kind, reason := r.whyLost(rec, configs, q, runs[q.id], arrivals[q.id]); kind != "" {
+			r.reportViolation("%s: %s", kind, r.describeLost(rec, q, runs[q.id]))
+		} else {
+			excused[reason]++
 		}
 	}
 	return excused
 }
 
+// whyLost returns the kind of violation that a request without a whole answer is, or the
+// reason why it is none.
+func (r *run) whyLost(rec record, configs []writtenConfig, q *request, runs []site.Execution, arrivals []site.Arrival) (kind, reason string) {
+	took := q.ended.Sub(q.sent)
+	s := rec.stopBeside(q)
+	broken := slices.IndexFunc(arrivals, func(a site.Arrival) bool { return a.Broken != "" })
+	switch {
+	case !q.connected:
+		return "", "no connection"
+	case q.written.IsZero():
+		return "", "its body was not sent in full"
+	case took >= r.lowestTimeout(configs, q)-deadlineSlack:
+		return "", "its time was over"
+	case broken >= 0:
+		return "", "its engine broke it off: " + arrivals[broken].Broken
+	case q.status == 0 && len(runs) == 0 && q.ended.Sub(q.written) <= lostSlack:
+		return "", "it crossed the close of its connection"
+	case s == nil || len(runs) == 0 || !s.mayCut(q):
+		return "LOST", ""
+	case q.sent.Before(s.at):
+		return "", "sent before the signal and cut at the end of the grace"
+	case rec.silentBeside(q, runs):
+		return "", "sent after the signal to an engine that fell silent, and cut at the end of the grace"
+	}
+	return "CUT", ""
+}
+
+// lowestTimeout returns the shortest timeout that may have been in force for a request.
+func (r *run) lowestTimeout(configs []writtenConfig, q *request) time.Duration {
+	out := r.timeout(q.route)
+	routes, _ := r.routesInForce(configs, q)
+	for i := range routes {
+		out = min(out, r.timeout(&routes[i]))
+	}
+	return out
+}
+
+// checkRefusal checks that a refusal at a process that is undisturbed and not about to stop
+// has a reason that may hold.
+func (r *run) checkRefusal(rec record, configs []writtenConfig, q *request) {
+	if q.status == http.StatusOK || !q.stable {
+		return
+	}
+	code, message := q.refusal()
+	known := false
+	for _, c := range r.configsInForce(configs, q) {
+		switch code {
+		case overRate:
+			known = known || slices.ContainsFunc(c.config.Tenants, func(t site.Tenant) bool {
+				return t.Name == r.workspaceOf(q.key) && t.Rate < unlimitedRate
+			})
+		case keyUnknown:
+			known = known || !slices.ContainsFunc(c.config.Tenants, func(t site.Tenant) bool { return slices.Contains(t.Keys, q.key) })
+		case routeUnknown:
+			_, ok := c.routes[q.route.Name]
+			known = known || !ok
+		case modelUnknown:
+			known = known || !slices.ContainsFunc(c.config.Services[0].Engine.Models, func(m site.Model) bool { return m.Name == spareModel })
+		default:
+			known = true
+		}
+	}
+	if known && (q.status >= http.StatusInternalServerError || code != "") && (q.status != http.StatusServiceUnavailable || code == "" || slices.Contains(fullCodes, code)) {
+		return
+	}
+	r.reportViolation("CALM: %s (%s) at %.2f s got %d %s (%s) from %s after %v, which is neither stopping nor disturbed", q.id, q.route.Name,
+		q.sent.Sub(r.began).Seconds(), q.status, code, message, q.node.name, q.ended.Sub(q.sent).Round(time.Millisecond))
+}
+
 // stopBeside returns the last stop of the process of a request that may have affected it, nil
 // if there was none.
 func (rec *record) stopBeside(q *request) *stop {
@@ -66,8 +141,8 @@
 // the silences of the engines that ran it.
 func (r *run) describeLost(rec record, q *request, runs []site.Execution) string {
 	at := func(t time.Time) float64 { return t.Sub(r.began).Seconds() }
-	text := fmt.Sprintf("%s (%s) at %s: sent %.2f s, ended %.2f s, status %d, %d of %d events, ran %s", q.id, q.route.Name, q.node.name,
-		at(q.sent), at(q.ended), q.status, q.events, site.Events(q.tokens), r.describeRuns(runs))
+	text := fmt.Sprintf("%s (%s) at %s: sent %.2f s, ended %.2f s, status %d, %d of %d events, ran %s, %v", q.id, q.route.Name, q.node.name,
+		at(q.sent), at(q.ended), q.status, q.events, site.Events(q.tokens), r.describeRuns(runs), q.err)
 	var beside []string
 	for _, s := range rec.stops {
 		if s.node == q.node && s.at.Before(q.ended) && q.sent.Before(s.at.Add(graceBound+time.Second)) {
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -24,6 +22,8 @@
 	// lostSlack is how long a connection without an answer may stay open if its request
 	// was not passed on.
 	lostSlack = 200 * time.Millisecond
+	// unlimitedRate is a rate that nobody reaches.
+	unlimitedRate = 1_000_000
 	// deadlineSlack is how early an answer may end because of its deadline.
 	deadlineSlack = 100 * time.Millisecond
 	// stopSilenceShare is the share of stops with an engine that falls silent.
@@ -60,65 +60,71 @@
 			r.TimeoutMS, r.ObjectiveMS = 3000, 300
 		}
 	}
+	c.Services = append(c.Services, site.Service{
+		Name:       spareService,
+		HealthPath: c.Services[1].HealthPath,
+	})
+	spare := c.Services[0].Engine.Models[0]
+	spare.Name, spare.MB = spareModel, 30
+	c.Services[0].Engine.Models = append(c.Services[0].Engine.Models, spare)
 	lookup := c.Routes[0]
 	lookup.Name, lookup.Prefix, lookup.TimeoutMS = "lookup", "/lookup/", 4000
 	c.Routes = append(c.Routes, lookup)
 	for i := range c.Tenants {
-		c.Tenants[i].Rate, c.Tenants[i].Burst = 1_000_000, 1_000_000
+		c.Tenants[i].Rate, c.Tenants[i].Burst = unlimitedRate, unlimitedRate
 	}
 	return c
 }
 
-// injectPlanned begins planned work in overlapping series, and silences of engines.
+// injectPlanned begins planned work in overlapping series, and other trouble beside it.
 func (r *run) injectPlanned(ctx context.Context) {
 	var all sync.WaitGroup
-	seconds := func(least, most float64) time.Duration {
-		return time.Duration((least + (most-least)*r.random.Float64()) * float64(time.Second))
+	if r.opts.Incidents {
+		all.Go(func() { r.poisonSome(ctx) })
 	}
 	for until := time.Now().Add(r.opts.Faults); time.Now().Before(until) && ctx.Err() == nil; {
-		switch r.random.IntN(5) {
-		case 0, 1:
-			// The others serve meanwhile.
-			first, count, gap := r.random.IntN(len(r.nodes)), 1+r.random.IntN(max(1, len(r.nodes)/2)), seconds(0.1, 2)
-			for i := range count {
-				n := r.nodes[(first+i)%len(r.nodes)]
-				w := stopWork{
-					after: time.Duration(i) * gap,
-				}
-				if r.random.Float64() < secondSignalShare {
-					w.again = []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[r.random.IntN(2)]
-					w.againAfter = seconds(0.1, 6)
-				}
-				if r.random.Float64() < stopSilenceShare {
-					w.endpoint, w.silentAfter, w.silentFor = r.random.IntN(plannedEngines), seconds(0, 6), seconds(1, 2)
-				}
-				if r.random.Float64() < delayShare {
-					w.delay = seconds(minDelay.Seconds(), maxDelay.Seconds())
-					// Before, across or just after the signal.
-					w.delayAt = seconds(-maxDelay.Seconds(), minDelay.Seconds())
-				}
-				all.Go(func() { r.stopAndStart(ctx, n, w) })
-			}
-		case 2:
-			n := r.nodes[r.random.IntN(len(r.nodes))]
-			all.Go(func() { r.reloadReady(ctx, n) })
-		case 3:
-			variant := r.random.IntN(1000)
-			r.changeConfig("planned change", func(c *site.Config) { changePlanned(c, variant) })
-		case 4:
-			i, d := r.random.IntN(plannedEngines), seconds(1, 2)
-			all.Go(func() { r.silenceEngine(ctx, i, 0, d) })
-		}
+		work := r.drawPlan()
+		all.Go(func() { work(ctx) })
 		r.mu.Lock()
 		r.faults++
 		r.mu.Unlock()
-		sleep(ctx, seconds(0.1, 1.2))
+		sleep(ctx, r.seconds(0.1, 1.2))
 	}
 	all.Wait()
 }
 
+// drawStops draws a series of stops of some processes; the others serve meanwhile.
+func (r *run) drawStops() func(context.Context) {
+	first, count, gap := r.random.IntN(len(r.nodes)), 1+r.random.IntN(max(1, len(r.nodes)/2)), r.seconds(0.1, 2)
+	stops := make([]stopWork, count)
+	for i := range stops {
+		w := &stops[i]
+		w.node, w.after = r.nodes[(first+i)%len(r.nodes)], time.Duration(i)*gap
+		if r.random.Float64() < secondSignalShare {
+			w.again = []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP}[r.random.IntN(2)]
+			w.againAfter = r.seconds(0.1, 6)
+		}
+		if r.random.Float64() < stopSilenceShare {
+			w.endpoint, w.silentAfter, w.silentFor = r.random.IntN(plannedEngines), r.seconds(0, 6), r.seconds(1, 2)
+		}
+		if r.random.Float64() < delayShare {
+			w.delay = r.seconds(minDelay.Seconds(), maxDelay.Seconds())
+			// Before, across or just after the signal.
+			w.delayAt = r.seconds(-maxDelay.Seconds(), minDelay.Seconds())
+		}
+	}
+	return func(ctx context.Context) {
+		var all sync.WaitGroup
+		for _, w := range stops {
+			all.Go(func() { r.stopAndStart(ctx, w) })
+		}
+		all.Wait()
+	}
+}
+
 // stopWork is the stop of one process and what comes beside it.
 type stopWork struct {
+	node  *node
 	after time.Duration
 	// again is a second signal, 0 for none.
 	again      syscall.Signal
@@ -145,7 +151,8 @@
 
 // stopAndStart stops a process by a signal, kills it at the end of the grace as the
 // platform does, and starts it again.
-func (r *run) stopAndStart(ctx context.Context, n *node, w stopWork) {
+func (r *run) stopAndStart(ctx context.Context, w stopWork) {
+	n := w.node
 	sleep(ctx, w.after)
 	var beside sync.WaitGroup
 	defer beside.Wait()
@@ -236,28 +243,3 @@
 	r.mu.Unlock()
 	sleep(ctx, d)
 }
-
-// changePlanned makes one of several usual changes.
-func changePlanned(c *site.Config, variant int) {
-	c.Routes = slices.Clone(c.Routes)
-	switch variant % 5 {
-	case 0:
-		t := &c.Tenants[variant%len(c.Tenants)]
-		t.Burst += float64(variant)
-	case 1:
-		c.Limits.IdleTimeoutMS = []float64{2000, 5000, 15_000}[variant%3]
-	case 2:
-		c.Routes[variant%len(c.Routes)].ObjectiveMS++
-	case 3:
-		route := c.Routes[variant%len(c.Routes)]
-		route.Name, route.Prefix = fmt.Sprintf("%s%d", addedRoutePrefix, variant), fmt.Sprintf("/extra-%d/", variant)
-		c.Routes = append(c.Routes, route)
-	case 4:
-		keys := &c.Tenants[0].Keys
-		if len(*keys) > 1 {
-			*keys = (*keys)[:1]
-			return
-		}
-		*keys = append(*keys, fmt.Sprintf("key-%d", variant))
-	}
-}
--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -50,13 +50,15 @@
 				},
 			}
 			q := &request{
-				id:       "q",
-				route:    route,
-				node:     n,
-				sent:     signal.Add(tc.sent),
-				ended:    signal.Add(tc.ended),
-				status:   tc.status,
-				complete: tc.complete,
+				id:        "q",
+				route:     route,
+				node:      n,
+				sent:      signal.Add(tc.sent),
+				ended:     signal.Add(tc.ended),
+				status:    tc.status,
+				connected: true,
+				written:   signal.Add(tc.sent),
+				complete:  tc.complete,
 			}
 			runs := map[string][]site.Execution{}
 			if tc.ran {
@@ -65,7 +67,7 @@
 			r.checkPlanned(record{
 				requests: map[string]*request{"q": q},
 				stops:    []*stop{{node: n, at: signal}},
-			}, runs)
+			}, r.allConfigs(), runs, map[string][]site.Arrival{})
 			got, _, _ := strings.Cut(strings.Join(r.record.violations, "\n"), ":")
 			if got != tc.want {
 				t.Errorf("got %q, want %q: %v", got, tc.want, r.record.violations)
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 	"strings"
 	"sync"
 	"time"
@@ -24,6 +25,7 @@
 	interruptions []event
 	stops         []*stop
 	silences      []silence // of engines
+	restores      []event   // of the store
 	locks         map[string]*sync.Mutex
 }
 
@@ -32,6 +34,7 @@
 type writtenConfig struct {
 	at     time.Time
 	config site.Config
+	routes map[string]site.Route // by name
 }
 
 // event is an occurrence at a process or an endpoint.
@@ -60,7 +63,13 @@
 	// storeRefused is set if the store turned the process away within stablePeriod
 	// before the request ended.
 	storeRefused bool
-	status       int
+	// connected is set if the caller had a connection, and written is when the whole
+	// request was sent, zero if it was not.
+	connected bool
+	written   time.Time
+	status    int
+	// err is why there is no whole answer.
+	err error
 	// events is how many events of a stream were received.
 	events int
 	// complete is set if the answer was read to its end.
@@ -74,17 +83,29 @@
 // describeFailure returns the status and message of an answer without success, which are
 // the same for all requests that failed for the same reason.
 func (r *request) describeFailure() string {
+	switch {
+	case r.status == http.StatusOK:
+		return "200 that broke off"
+	case r.status != 0:
+		_, message := r.refusal()
+		return strings.TrimSpace(fmt.Sprintf("%d %s", r.status, message))
+	case !r.connected:
+		return "no connection"
+	}
+	return "no answer"
+}
+
+// refusal returns the code and the message of an answer without success.
+func (r *request) refusal() (code, message string) {
 	var body struct {
 		Error struct {
+			Code    string `json:"code"`
 			Message string `json:"message"`
 		} `json:"error"`
 	}
 	// An answer that is cut off or of another form has no message.
 	_ = json.Unmarshal([]byte(r.answer), &body)
-	if r.status == 0 {
-		return "no answer"
-	}
-	return strings.TrimSpace(fmt.Sprintf("%d %s", r.status, body.Error.Message))
+	return body.Error.Code, body.Error.Message
 }
 
 // faultLock returns the lock that serializes faults with the same process and
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -123,7 +123,9 @@
 	record              record
 	faults              int
 	deadly              deadlyPart // of the prompts, now
-	storeDisturbedUntil time.Time  // end of the latest known disturbance of the store
+	restoring           sync.Mutex
+	leaving             chan struct{} // holds an element for each endpoint that leaves
+	storeDisturbedUntil time.Time     // end of the latest known disturbance of the store
 	progress            io.Writer
 }
 
@@ -135,6 +137,7 @@
 		endpointProxies: make(map[string]*proxy.Proxy),
 		progress:        o.Progress,
 		base:            deployment(),
+		leaving:         make(chan struct{}, maxLeaving),
 	}
 	if o.Planned {
 		r.base = plannedDeployment()
@@ -151,13 +154,13 @@
 		callers.Go(func() { r.runCaller(callCtx, i) })
 	}
 	var incidents sync.WaitGroup
-	if o.Incidents {
+	if o.Incidents && !o.Planned {
 		incidents.Go(func() { r.injectIncidents(ctx) })
 	}
-	if o.Statements {
+	if o.Statements && !o.Planned {
 		incidents.Go(func() { r.injectStatements(ctx) })
 	}
-	if o.Restores {
+	if o.Restores && !o.Planned {
 		incidents.Go(func() { r.injectRestores(ctx) })
 	}
 	if o.Planned {
@@ -176,7 +179,8 @@
 	if ctx.Err() != nil {
 		return nil, ctx.Err()
 	}
-	return r.evaluate(recoveredAt), nil
+	out := r.evaluate(recoveredAt)
+	return out, r.writeTimelines(out.Violations)
 }
 
 // recoverBound returns how long after the last fault requests may still fail. Planned work
@@ -224,7 +228,7 @@
 	s, release, err := site.Start(site.Layout{
 		Config:            r.config,
 		Domains:           r.domains(),
-		Endpoints:         map[string]int{"assistant": r.engineCount(), "booking": r.plainCount()},
+		Endpoints:         map[string]int{"assistant": r.engineCount(), "booking": r.plainCount(), spareService: r.plainCount()},
 		EventInterval:     r.eventInterval(),
 		HeartbeatInterval: 600 * time.Millisecond,
 		OnAlive:           r.setEndpointAlive,
--- a/internal/soak/statement.go
+++ b/internal/soak/statement.go
@@ -24,6 +24,9 @@
 	longRetryAfter = "3600"
 )
 
+// retryAfters are values of the header Retry-After, usable or not.
+var retryAfters = []string{"1", "1.5", "3", "0", "-2", "soon", longRetryAfter}
+
 // injectStatements makes endpoints say of themselves that they leave, with and without an
 // entry that says so, and turn requests away for some time. It has random numbers of its
 // own, so that the faults of a seed stay the same.
@@ -34,17 +37,13 @@
 		i, kind := random.IntN(len(r.site.Endpoints)), random.IntN(3)
 		duration := time.Duration((2 + 3*random.Float64()) * float64(time.Second))
 		ratio := 0.2 + 0.8*random.Float64()
-		retryAfter := []string{"1", "1.5", "3", "0", "-2", "soon", longRetryAfter, time.Now().Add(3 * time.Second).UTC().Format(http.TimeFormat)}[random.IntN(8)]
+		retryAfter := time.Now().Add(3 * time.Second).UTC().Format(http.TimeFormat)
+		if i := random.IntN(len(retryAfters) + 1); i < len(retryAfters) {
+			retryAfter = retryAfters[i]
+		}
 		name := fmt.Sprintf("statement-%d-%d", i, kind)
 		all.Go(func() {
-			r.mu.Lock()
-			lock := r.record.faultLock(faultParams{
-				node:     r.nodes[0],
-				endpoint: i,
-			})
-			r.mu.Unlock()
-			lock.Lock()
-			defer lock.Unlock()
+			defer r.lockEndpoint(i)()
 			r.mu.Lock()
 			r.logf("%s: endpoint %d, %.1f s, %.2f, %q", name, i+1, duration.Seconds(), ratio, retryAfter)
 			r.mu.Unlock()
