--- a/internal/soak/change.go
+++ b/internal/soak/change.go
@@ -30,8 +30,8 @@
 var configChanges = []configChange{
 	{
 		name:  "burst raised",
-		apply: func(_ *run, c *site.Config, v int) { c.Tenants[v%len(c.Tenants)].Burst += float64(v) },
-		undo:  func(_ *run, c *site.Config, v int) { c.Tenants[v%len(c.Tenants)].Burst -= float64(v) },
+		apply: func(_ *run, c *site.Config, v int) { c.Tenants[v%len(c.Tenants)].Burst += float64(1 + v) },
+		undo:  func(_ *run, c *site.Config, v int) { c.Tenants[v%len(c.Tenants)].Burst -= float64(1 + v) },
 	},
 	{
 		name: "rate lowered",
@@ -126,7 +126,7 @@
 	{
 		name: "objective raised",
 		apply: func(_ *run, c *site.Config, v int) {
-			editRoute(c, anyRoute(v), func(x *site.Route) { x.ObjectiveMS += float64(v % 500) })
+			editRoute(c, anyRoute(v), func(x *site.Route) { x.ObjectiveMS += float64(1 + v%500) })
 		},
 		undo: undoRoute(func(x *site.Route, base site.Route) { x.ObjectiveMS = base.ObjectiveMS }, anyRoute),
 	},
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"net/http"
 	"slices"
@@ -30,7 +31,7 @@
 	excused := map[string]int{}
 	for _, q := range rec.requests {
 		if q.complete {
-			r.checkRefusal(rec, configs, q)
+			r.checkRefusal(configs, q)
 			continue
 		}
 		if kind, reason := r.whyLost(rec, configs, q, runs[q.id], arrivals[q.id]); kind != "" {
@@ -59,6 +60,8 @@
 		return "", "its engine broke it off: " + arrivals[broken].Broken
 	case q.status == 0 && len(runs) == 0 && q.ended.Sub(q.written) <= lostSlack:
 		return "", "it crossed the close of its connection"
+	case rec.observerLate(q.ended):
+		return "", "the soak itself was late when it ended"
 	case s == nil || len(runs) == 0 || !s.mayCut(q):
 		return "LOST", ""
 	case q.sent.Before(s.at):
@@ -81,7 +84,7 @@
 
 // checkRefusal checks that a refusal at a process that is undisturbed and not about to stop
 // has a reason that may hold.
-func (r *run) checkRefusal(rec record, configs []writtenConfig, q *request) {
+func (r *run) checkRefusal(configs []writtenConfig, q *request) {
 	if q.status == http.StatusOK || !q.stable {
 		return
 	}
@@ -104,7 +107,13 @@
 			known = true
 		}
 	}
-	if known && (q.status >= http.StatusInternalServerError || code != "") && (q.status != http.StatusServiceUnavailable || code == "" || slices.Contains(fullCodes, code)) {
+	switch {
+	case q.status == http.StatusServiceUnavailable:
+		known = slices.Contains(fullCodes, code)
+	case q.status < http.StatusInternalServerError && code == "":
+		known = false
+	}
+	if known {
 		return
 	}
 	r.reportViolation("CALM: %s (%s) at %.2f s got %d %s (%s) from %s after %v, which is neither stopping nor disturbed", q.id, q.route.Name,
@@ -168,3 +177,36 @@
 	}
 	return text + "; " + strings.Join(beside, ", ")
 }
+
+const (
+	// watchInterval is how often the soak checks whether it is scheduled in time, and
+	// maxLateness how late that may be. latenessReach is for how long a request's end may
+	// be observed late afterwards.
+	watchInterval = 20 * time.Millisecond
+	maxLateness   = 150 * time.Millisecond
+	latenessReach = time.Second
+)
+
+// watchItself records when the soak itself is not scheduled in time, so that what it sees of
+// processes has no exact time.
+func (r *run) watchItself(ctx context.Context) {
+	for last := time.Now(); sleep(ctx, watchInterval); last = time.Now() {
+		if now := time.Now(); now.Sub(last) > watchInterval+maxLateness {
+			r.mu.Lock()
+			r.record.lateness = append(r.record.lateness, now)
+			r.logf("the soak itself was late by %v", now.Sub(last)-watchInterval)
+			r.mu.Unlock()
+		}
+	}
+}
+
+// observerLate reports whether the soak was not scheduled in time shortly before an instant.
+func (rec *record) observerLate(at time.Time) bool {
+	return slices.ContainsFunc(rec.lateness, func(x time.Time) bool { return x.After(at.Add(-latenessReach)) && x.Before(at.Add(latenessReach)) })
+}
+
+func (r *run) isLate(at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.record.observerLate(at)
+}
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -198,7 +198,7 @@
 		r.mu.Lock()
 		s.killed = true
 		r.mu.Unlock()
-		if w.delay == 0 {
+		if w.delay == 0 && !r.isLate(time.Now()) {
 			r.reportViolation("STOP: process %s still runs %v after SIGTERM", n.name, graceBound)
 		}
 	}
--- a/internal/soak/record.go
+++ b/internal/soak/record.go
@@ -26,7 +26,9 @@
 	stops         []*stop
 	silences      []silence // of engines
 	restores      []event   // of the store
-	locks         map[string]*sync.Mutex
+	// lateness holds the ends of times in which the soak itself was not scheduled.
+	lateness []time.Time
+	locks    map[string]*sync.Mutex
 }
 
 // writtenConfig is a configuration with the time at which the store acknowledged
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -164,6 +164,7 @@
 		incidents.Go(func() { r.injectRestores(ctx) })
 	}
 	if o.Planned {
+		callers.Go(func() { r.watchItself(callCtx) })
 		r.injectPlanned(ctx)
 	} else {
 		r.inject(ctx)
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -15,6 +15,8 @@
 	// maxLeaving is how many endpoints of an engine's service leave or turn requests away
 	// at a time.
 	maxLeaving = 2
+	// maxFormed is how many endpoints give answers in another form at a time.
+	maxFormed = 5
 	// longBodyShare is the share of requests with a long body, of minBody to maxBody bytes.
 	longBodyShare = 0.2
 	minBody       = 20_000
@@ -76,22 +78,29 @@
 	return time.Duration((least + (most-least)*r.random.Float64()) * float64(time.Second))
 }
 
-// drawForms draws an endpoint that gives its answers in other forms for a time.
+// drawForms draws some endpoints that give their answers in other forms for a time.
 func (r *run) drawForms() func(context.Context) {
 	forms := [][]site.Form{{site.Unframed}, {site.Early}, {site.Repeated, site.ForeignAfter}, {site.EndlessHead, site.EndlessBody}}[r.random.IntN(4)]
-	i, d, ratio := r.random.IntN(len(r.site.Endpoints)), r.seconds(0.5, 4), 0.2+0.8*r.random.Float64()
+	chosen := r.random.Perm(len(r.site.Endpoints))[:1+r.random.IntN(maxFormed)]
+	d, ratio := r.seconds(0.5, 4), 0.2+0.8*r.random.Float64()
 	return func(ctx context.Context) {
-		defer r.lockEndpoint(i)()
-		e := r.site.Endpoints[i]
-		r.mu.Lock()
-		r.logf("forms %v of %.0f %% of the answers of %s for %v", forms, 100*ratio, e.ID(), d)
-		r.mu.Unlock()
-		e.SetFaults(site.EndpointFaults{
-			Forms:     forms,
-			FormRatio: ratio,
-		})
-		sleep(ctx, d)
-		e.SetFaults(site.EndpointFaults{})
+		var all sync.WaitGroup
+		for _, i := range chosen {
+			all.Go(func() {
+				defer r.lockEndpoint(i)()
+				e := r.site.Endpoints[i]
+				r.mu.Lock()
+				r.logf("forms %v of %.0f %% of the answers of %s for %v", forms, 100*ratio, e.ID(), d)
+				r.mu.Unlock()
+				e.SetFaults(site.EndpointFaults{
+					Forms:     forms,
+					FormRatio: ratio,
+				})
+				sleep(ctx, d)
+				e.SetFaults(site.EndpointFaults{})
+			})
+		}
+		all.Wait()
 	}
 }
 
