--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -110,7 +110,7 @@
 		if r.random.Float64() < delayShare {
 			w.delay = r.seconds(minDelay.Seconds(), maxDelay.Seconds())
 			// Before, across or just after the signal.
-			w.delayAt = r.seconds(-maxDelay.Seconds(), minDelay.Seconds())
+			w.delayAt = r.seconds(-w.delay.Seconds(), minDelay.Seconds())
 		}
 	}
 	return func(ctx context.Context) {
