--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -32,6 +32,7 @@
 	for _, q := range rec.requests {
 		if q.complete {
 			r.checkRefusal(configs, q)
+			r.checkFailure(rec, configs, q, arrivals[q.id])
 			continue
 		}
 		if kind, reason := r.whyLost(rec, configs, q, runs[q.id], arrivals[q.id]); kind != "" {
@@ -178,6 +179,22 @@
 	return text + "; " + strings.Join(beside, ", ")
 }
 
+// checkFailure checks that a timeout comes no earlier than the request's time is over, and
+// that no failure replaces the answer of an engine that broke nothing off, at a process that
+// is undisturbed and not about to stop.
+func (r *run) checkFailure(rec record, configs []writtenConfig, q *request, arrivals []site.Arrival) {
+	took := q.ended.Sub(q.sent)
+	switch {
+	case !q.stable || rec.observerLate(q.ended):
+	case q.status == http.StatusGatewayTimeout && took < r.lowestTimeout(configs, q)-deadlineSlack:
+		r.reportViolation("EARLY: %s (%s) at %.2f s got 504 from %s after %v", q.id, q.route.Name, q.sent.Sub(r.began).Seconds(), q.node.name, took.Round(time.Millisecond))
+	case q.status == http.StatusBadGateway && len(arrivals) > 0 && !slices.ContainsFunc(arrivals, func(a site.Arrival) bool { return a.Broken != "" }):
+		_, message := q.refusal()
+		r.reportViolation("FAILED: %s (%s) at %.2f s got 502 (%s) from %s after %v, and none of its %d engines broke it off", q.id, q.route.Name,
+			q.sent.Sub(r.began).Seconds(), message, q.node.name, took.Round(time.Millisecond), len(arrivals))
+	}
+}
+
 const (
 	// watchInterval is how often the soak checks whether it is scheduled in time, and
 	// maxLateness how late that may be. latenessReach is for how long a request's end may
--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -197,3 +197,47 @@
 		})
 	}
 }
+
+// TestFailures guards against a soak that overlooks failures in place of sound answers, or
+// counts those of engines.
+func TestFailures(t *testing.T) {
+	began := time.Unix(1000, 0)
+	base := plannedDeployment()
+	for _, tc := range []struct {
+		name     string
+		status   int
+		took     time.Duration
+		arrivals []site.Arrival
+		want     string
+	}{
+		{name: "too early", status: 504, took: 14 * time.Second, want: "EARLY"},
+		{name: "in time", status: 504, took: 15 * time.Second},
+		{name: "its engine crashed", status: 502, arrivals: []site.Arrival{{Broken: "crash"}}},
+		{name: "its engine was gone", status: 502},
+		{name: "its engine was sound", status: 502, arrivals: []site.Arrival{{}}, want: "FAILED"},
+		{name: "the engine's failure", status: 500, arrivals: []site.Arrival{{}}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := &run{
+				base:  base,
+				began: began,
+				opts: Options{
+					Planned: true,
+				},
+			}
+			r.checkFailure(record{}, r.allConfigs(), &request{
+				id:     "q",
+				route:  &base.Routes[0],
+				node:   &node{name: "node-1"},
+				sent:   began,
+				ended:  began.Add(tc.took),
+				stable: true,
+				status: tc.status,
+			}, tc.arrivals)
+			got, _, _ := strings.Cut(strings.Join(r.record.violations, "\n"), ":")
+			if got != tc.want {
+				t.Errorf("got %q, want %q: %v", got, tc.want, r.record.violations)
+			}
+		})
+	}
+}
