--- a/internal/cmds/load_soak.go
+++ b/internal/cmds/load_soak.go
@@ -142,8 +142,8 @@
 	for _, answer := range slices.Sorted(maps.Keys(r.Unserved)) {
 		fmt.Fprintf(w, "  %d not served: %s\n", r.Unserved[answer], answer)
 	}
-	for _, reason := range slices.Sorted(maps.Keys(r.Excused)) {
-		fmt.Fprintf(w, "  %d without a whole answer: %s\n", r.Excused[reason], reason)
+	for _, reason := range slices.Sorted(maps.Keys(r.Noted)) {
+		fmt.Fprintf(w, "  %d noted: %s\n", r.Noted[reason], reason)
 	}
 	for _, v := range r.Violations {
 		fmt.Fprintf(w, "  %s\n", v)
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -55,9 +55,9 @@
 	}
 	r.checkRoutes(configs, rec.requests)
 	r.checkServices(configs, executions, rec.requests)
-	var excused map[string]int
+	var noted map[string]int
 	if r.opts.Planned {
-		excused = r.checkPlanned(rec, configs, runs, arrivals)
+		noted = r.checkPlanned(rec, configs, runs, arrivals)
 	}
 	for _, w := range r.site.Journal.Violations() {
 		r.reportViolation("ENDPOINT: %s", w)
@@ -67,7 +67,7 @@
 		Requests: len(rec.requests),
 		Faults:   r.faults,
 		Unserved: map[string]int{},
-		Excused:  excused,
+		Noted:    noted,
 	}
 	reasons := map[string]int{}
 	for _, a := range rec.requests {
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -25,23 +25,25 @@
 
 // checkPlanned checks that each whole request got a complete answer, where nothing but
 // planned work and trouble of engines and of the store happened, and that each refusal has a
-// reason. It returns how many requests had no whole answer without a broken guarantee, by the
-// reason.
+// reason. It returns how many requests had no whole answer, or one that is not right, without
+// a broken guarantee, by the reason.
 func (r *run) checkPlanned(rec record, configs []writtenConfig, runs map[string][]site.Execution, arrivals map[string][]site.Arrival) map[string]int {
-	excused := map[string]int{}
+	noted := map[string]int{}
 	for _, q := range rec.requests {
 		if q.complete {
-			r.checkRefusal(configs, q)
+			if reason := r.checkRefusal(configs, q); reason != "" {
+				noted[reason]++
+			}
 			r.checkFailure(rec, configs, q, arrivals[q.id])
 			continue
 		}
 		if kind, reason := r.whyLost(rec, configs, q, runs[q.id], arrivals[q.id]); kind != "" {
 			r.reportViolation("%s: %s", kind, r.describeLost(rec, q, runs[q.id]))
 		} else {
-			excused[reason]++
+			noted[reason]++
 		}
 	}
-	return excused
+	return noted
 }
 
 // whyLost returns the kind of violation that a request without a whole answer is, or the
@@ -84,10 +86,10 @@
 }
 
 // checkRefusal checks that a refusal at a process that is undisturbed and not about to stop
-// has a reason that may hold.
-func (r *run) checkRefusal(configs []writtenConfig, q *request) {
+// has a reason that may hold. It returns why a refusal is not right that breaks no guarantee.
+func (r *run) checkRefusal(configs []writtenConfig, q *request) string {
 	if q.status == http.StatusOK || !q.stable {
-		return
+		return ""
 	}
 	code, message := q.refusal()
 	known := false
@@ -114,11 +116,15 @@
 	case q.status < http.StatusInternalServerError && code == "":
 		known = false
 	}
-	if known {
-		return
+	switch {
+	case known:
+		return ""
+	case code == overRate:
+		return "429 for a rate that nobody reaches"
 	}
 	r.reportViolation("CALM: %s (%s) at %.2f s got %d %s (%s) from %s after %v, which is neither stopping nor disturbed", q.id, q.route.Name,
 		q.sent.Sub(r.began).Seconds(), q.status, code, message, q.node.name, q.ended.Sub(q.sent).Round(time.Millisecond))
+	return ""
 }
 
 // stopBeside returns the last stop of the process of a request that may have affected it, nil
@@ -135,7 +141,17 @@
 // mayCut reports whether the end of the grace may cut a request: it was sent soon after the
 // signal and its engine was at work until shortly before the end.
 func (s *stop) mayCut(q *request) bool {
-	return !q.sent.After(s.at.Add(lateAcceptBound)) && q.ended.After(s.at.Add(lastSixth)) && q.ended.Before(s.at.Add(graceBound+time.Second))
+	return !q.sent.After(s.at.Add(lateAcceptBound)) && q.ended.After(s.at.Add(lastSixth)) && q.ended.Before(s.endsBefore())
+}
+
+// endsBefore returns until when the end of a process may end its connections: a killed one
+// may run until it is scheduled.
+func (s *stop) endsBefore() time.Time {
+	out := s.at.Add(graceBound + time.Second)
+	if s.killed && s.exited.After(out) {
+		return s.exited
+	}
+	return out
 }
 
 // silentBeside reports whether an engine that ran a request was silent meanwhile.
--- a/internal/soak/planned.go
+++ b/internal/soak/planned.go
@@ -147,6 +147,8 @@
 	resumed time.Time
 	// killed is set if the process ran until the end of the grace.
 	killed bool
+	// exited is when the process had exited.
+	exited time.Time
 }
 
 // stopAndStart stops a process by a signal, kills it at the end of the grace as the
@@ -196,7 +198,7 @@
 		n.signal(syscall.SIGKILL)
 		n.waitExit(graceBound)
 		r.mu.Lock()
-		s.killed = true
+		s.killed, s.exited = true, time.Now()
 		r.mu.Unlock()
 		if w.delay == 0 && !r.isLate(time.Now()) {
 			r.reportViolation("STOP: process %s still runs %v after SIGTERM", n.name, graceBound)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -98,9 +98,9 @@
 	RecoveredServed int
 	// Unserved counts the requests that were not served, by answer.
 	Unserved map[string]int
-	// Excused counts the requests without a whole answer that broke no guarantee, by the
-	// reason.
-	Excused map[string]int
+	// Noted counts the requests without a whole or right answer that broke no guarantee, by
+	// the reason.
+	Noted map[string]int
 	// Violations describes each violation of a guarantee.
 	Violations []string
 }
