--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"os"
+	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
@@ -23,10 +24,10 @@
 	os.Exit(m.Run())
 }
 
-// readSeeds reads the regression seeds with the cause of their failures.
-func readSeeds(t *testing.T) map[uint64]string {
+// readSeeds reads regression seeds with the cause of their failures.
+func readSeeds(t *testing.T, path string) map[uint64]string {
 	t.Helper()
-	f, err := os.Open("testdata/seeds.txt")
+	f, err := os.Open(path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -41,7 +42,7 @@
 		number, cause, ok := strings.Cut(line, ":")
 		seed, err := strconv.ParseUint(number, 10, 64)
 		if !ok || err != nil || strings.TrimSpace(cause) == "" {
-			t.Fatalf("seeds.txt: %q is not of the form SEED: CAUSE", line)
+			t.Fatalf("%s: %q is not of the form SEED: CAUSE", path, line)
 		}
 		out[seed] = strings.TrimSpace(cause)
 	}
@@ -52,7 +53,7 @@
 // fixed seed and the seeds that once failed, one after the other, since the
 // processes of parallel runs disturb the timing of other packages.
 func TestSoak(t *testing.T) {
-	all := readSeeds(t)
+	all := readSeeds(t, "testdata/seeds.txt")
 	all[1] = "fixed seed"
 	for seed, cause := range all {
 		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) { runSeed(t, cause, soak.Options{Seed: seed}) })
@@ -98,6 +99,26 @@
 	})
 }
 
+// TestSoakPlannedTrouble guards against requests that are lost, or accepted and cut, beside
+// planned work while endpoints and the store are in trouble too. It runs the seeds that once
+// failed.
+func TestSoakPlannedTrouble(t *testing.T) {
+	for seed, cause := range readSeeds(t, "testdata/planned-seeds.txt") {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			runSeed(t, cause, soak.Options{
+				Seed:       seed,
+				Planned:    true,
+				Incidents:  true,
+				Statements: true,
+				Restores:   true,
+				Nodes:      8,
+				Callers:    48,
+				Faults:     12 * time.Second,
+			})
+		})
+	}
+}
+
 // runSeed runs a seed with the kinds of faults in the options.
 func runSeed(t *testing.T, cause string, o soak.Options) {
 	program, err := os.Executable()
@@ -114,10 +135,21 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	t.Logf("%s: %d requests, %d served, %d faults", cause, r.Requests, r.Served, r.Faults)
+	t.Logf("%s: %d requests, %d served, %d faults; not served: %v; noted: %v", cause, r.Requests, r.Served, r.Faults, r.Unserved, r.Noted)
 	for _, b := range r.Violations {
 		t.Error(b)
 	}
+	timelines, err := filepath.Glob(filepath.Join(o.Dir, "*.timeline"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, path := range timelines {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("%s:\n%s", filepath.Base(path), text)
+	}
 	if r.Served == 0 || r.Faults == 0 {
 		t.Errorf("%d requests were served under %d faults", r.Served, r.Faults)
 	}
