--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -69,6 +69,8 @@
 		return "LOST", ""
 	case q.sent.Before(s.at):
 		return "", "sent before the signal and cut at the end of the grace"
+	case q.sent.Before(s.knownFrom()):
+		return "", "sent before its process could know the signal, and cut at the end of the grace"
 	case rec.silentBeside(q, runs):
 		return "", "sent after the signal to an engine that fell silent, and cut at the end of the grace"
 	}
@@ -144,6 +146,15 @@
 	return !q.sent.After(s.at.Add(lateAcceptBound)) && q.ended.After(s.at.Add(lastSixth)) && q.ended.Before(s.endsBefore())
 }
 
+// knownFrom returns from when the process must act on the signal.
+func (s *stop) knownFrom() time.Time {
+	known := s.at
+	if s.resumed.After(known) {
+		known = s.resumed
+	}
+	return known.Add(handlingSlack)
+}
+
 // endsBefore returns until when the end of a process may end its connections: a killed one
 // may run until it is scheduled.
 func (s *stop) endsBefore() time.Time {
@@ -212,6 +223,8 @@
 }
 
 const (
+	// handlingSlack is how long a process that runs may take to handle a signal.
+	handlingSlack = 50 * time.Millisecond
 	// watchInterval is how often the soak checks whether it is scheduled in time, and
 	// maxLateness how late that may be. latenessReach is for how long a request's end may
 	// be observed late afterwards.
