soak: excuse a lost request only if no sound engine worked on it at its end

A request whose first engine had crashed was excused whatever became of its next attempt, and at a disturbed process any timeout of the run excused a cut. Test cases in TestLostBesidePlannedWork.

--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -11,7 +11,7 @@
 	"trefoildale.example/trefoildale/internal/fake/site"
 )
 
-// codes of refusals
+// Codes of refusals.
 const (
 	modelUnknown = "model-unknown"
 	overRate     = "over-rate"
@@ -52,6 +52,9 @@
 	took := q.ended.Sub(q.sent)
 	s := rec.stopBeside(q)
 	broken := slices.IndexFunc(arrivals, func(a site.Arrival) bool { return a.Broken != "" })
+	if workedAtEnd(q, runs, arrivals) {
+		broken = -1
+	}
 	switch {
 	case !q.connected:
 		return "", "no connection"
@@ -77,12 +80,25 @@
 	return "CUT", ""
 }
 
+// workedAtEnd reports whether an engine that broke nothing off worked on a request until its
+// end.
+func workedAtEnd(q *request, runs []site.Execution, arrivals []site.Arrival) bool {
+	return slices.ContainsFunc(arrivals, func(a site.Arrival) bool {
+		return a.Broken == "" && a.Ended.Sub(q.ended).Abs() < sameMoment &&
+			slices.ContainsFunc(runs, func(x site.Execution) bool { return x.Endpoint == a.Endpoint && !x.At.Before(a.At) })
+	})
+}
+
 // lowestTimeout returns the shortest timeout that may have been in force for a request.
 func (r *run) lowestTimeout(configs []writtenConfig, q *request) time.Duration {
 	out := r.timeout(q.route)
-	routes, _ := r.routesInForce(configs, q)
-	for i := range routes {
-		out = min(out, r.timeout(&routes[i]))
+	for i, c := range configs {
+		if c.at.After(q.ended) || i+1 < len(configs) && configs[i+1].at.Add(oldestConfig).Before(q.sent) {
+			continue
+		}
+		if route, ok := c.routes[q.route.Name]; ok {
+			out = min(out, r.timeout(&route))
+		}
 	}
 	return out
 }
@@ -223,6 +239,11 @@
 }
 
 const (
+	// sameMoment is how much the end of a request at an engine and at its caller differ.
+	sameMoment = 100 * time.Millisecond
+	// oldestConfig is how old a configuration may be that limits the time of a request, at
+	// a process that a restored store has given an old one.
+	oldestConfig = 10 * time.Second
 	// handlingSlack is how long a process that runs may take to handle a signal.
 	handlingSlack = 50 * time.Millisecond
 	// watchInterval is how often the soak checks whether it is scheduled in time, and
--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -30,6 +30,7 @@
 		refused  bool
 		unsent   bool
 		broken   string
+		second   bool    // another engine worked until the end
 		timeout  float64 // in a configuration beside it, in milliseconds
 		want     string
 	}{
@@ -50,6 +51,7 @@
 		{name: "no connection", sent: 0, ended: time.Second, refused: true},
 		{name: "its body not sent in full", sent: 0, ended: time.Second, unsent: true},
 		{name: "its engine broke it off", sent: 0, ended: time.Second, ran: true, broken: "crash"},
+		{name: "its first engine broke off, its second worked on", sent: 0, ended: time.Second, ran: true, broken: "crash", second: true, want: "LOST"},
 		{name: "at a timeout that was lowered meanwhile", sent: 0, ended: time.Second, ran: true, timeout: 1000},
 		{name: "not passed on and kept open", sent: 0, ended: 400 * time.Millisecond, want: "LOST"},
 	} {
@@ -83,7 +85,14 @@
 			}
 			runs, arrivals := map[string][]site.Execution{}, map[string][]site.Arrival{}
 			if tc.broken != "" {
-				arrivals["q"] = []site.Arrival{{Broken: tc.broken}}
+				arrivals["q"] = []site.Arrival{{Endpoint: "d", Broken: tc.broken, Ended: q.ended}}
+			}
+			if tc.second {
+				arrivals["q"] = append(arrivals["q"], site.Arrival{
+					Endpoint: "e",
+					At:       q.sent,
+					Ended:    q.ended,
+				})
 			}
 			if tc.ran {
 				runs["q"] = []site.Execution{{Endpoint: "e", At: q.sent}}
