node: read an engine's state when its load report shows a restart

Cause, by a trace of the planner's decisions: the engine of the own domain restarts empty 8 s after the cut and is ordered to load 20.8 s after that. The planner believes that it still holds the model until the next periodic read of its state, 30 s after the last one; an earlier read needs an answer that contradicts the layout, and no request is sent to that engine. A load takes 2 s here, so the request is answered some tenths of a second before or after its limit. Ruled out: copies in the unreachable domain (the planner counts none), the wait for the first half of the limit, the weight store.

Load reports, read each second, now name the engine's incarnation (optional, as engines may not say it). A new one makes the planner read the state, and cache events are read from the first one again: their numbers begin anew, so those after a restart were lost until they passed the old ones.

--- a/internal/engine/types.go
+++ b/internal/engine/types.go
@@ -113,6 +113,8 @@
 	TokensPerSecond float64   `json:"tokens-per-second"`
 	Sampled         time.Time `json:"sampled"`
 	Leaving         bool      `json:"leaving"`
+	// Incarnation changes with each start of the engine; empty if it does not say.
+	Incarnation string `json:"incarnation,omitempty"`
 }
 
 // CacheEvent reports that a prompt prefix was added to or evicted from an
--- a/internal/fake/model/model.go
+++ b/internal/fake/model/model.go
@@ -367,6 +367,7 @@
 			TokensPerSecond: tokens,
 			Sampled:         now,
 			Leaving:         e.leaving,
+			Incarnation:     e.incarnation,
 		}
 	}
 	sample := e.sample
--- a/internal/node/loads.go
+++ b/internal/node/loads.go
@@ -58,6 +58,11 @@
 		return
 	}
 	now := l.node.clock.Now()
+	if l.isRestarted(m.endpoint, m.load.Incarnation) {
+		// What the engine held is gone, and its cache events are numbered anew.
+		l.node.demand.ReportLayoutMismatch(m.endpoint)
+		l.cacheSeq[m.endpoint], m.events = 0, nil
+	}
 	if n := len(m.events); n > 0 {
 		l.cacheSeq[m.endpoint] = m.events[n-1].Seq
 		l.node.routes.CacheEvents(now, m.endpoint, m.events)
@@ -72,6 +77,16 @@
 	})
 }
 
+// isRestarted reports whether an endpoint has started again since its last load report.
+func (l *loop) isRestarted(endpoint, incarnation string) bool {
+	if incarnation == "" {
+		return false
+	}
+	before := l.incarnations[endpoint]
+	l.incarnations[endpoint] = incarnation
+	return before != "" && before != incarnation
+}
+
 // setLoad stores a load report unless the stored one is at least as new, and
 // passes it to the routing table.
 func (l *loop) setLoad(now time.Time, load wire.EndpointLoad) {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -106,6 +106,8 @@
 	loadInFlight     map[string]bool
 	loadDue          time.Time
 	cacheSeq         map[string]int64
+	// incarnations holds those of the endpoints that are assigned to this node.
+	incarnations map[string]string
 }
 
 func newLoop(n *Node) *loop {
@@ -129,6 +131,7 @@
 		loadSampledAt:      make(map[string]time.Time),
 		loadInFlight:       make(map[string]bool),
 		cacheSeq:           make(map[string]int64),
+		incarnations:       make(map[string]string),
 	}
 	l.relay = &feed.Relay{
 		View:    l.view,
