coord: read under the lock when the coordinator was last heard

The race detector found it once in about 220 runs of TestSmallNodesLeaveTheLeaseToLargeOnes: the election read the time without the lock while the exchanges wrote it. A torn value could make a node compete for the lease too early or too late. It is read once now, with the rest of what the decision needs.

--- a/internal/coord/elect.go
+++ b/internal/coord/elect.go
@@ -195,7 +195,8 @@
 func (e *election) prepare(now time.Time) bool {
 	e.mu.Lock()
 	leaving, reportedLease, coordinatorLost, isDeputy := e.leaving, e.coordinatorLease, e.coordinatorLost, e.isDeputy
-	reached := now.Sub(e.coordinatorSeenAt) < coordinatorSilentAfter && !e.coordinatorEnded
+	coordinatorSilent := now.Sub(e.coordinatorSeenAt)
+	reached := coordinatorSilent < coordinatorSilentAfter && !e.coordinatorEnded
 	storeAnswers := !e.storeAnsweringSince.IsZero() && now.Sub(e.storeAnsweringSince) > competeAfter && e.storeAge(now) < maxRelayedStoreAge
 	e.coordinatorLease, e.coordinatorLost = nil, false
 	e.mu.Unlock()
@@ -230,7 +231,7 @@
 	if reached {
 		return !e.coordinatorValid && storeAnswers && (isDeputy || now.Sub(e.coordinatorValidAt) > electionDelayTerms*e.opts.LeaseTerm)
 	}
-	return isDeputy || e.opts.Clock.Now().Sub(e.coordinatorSeenAt) > electionDelayTerms*e.opts.LeaseTerm
+	return isDeputy || coordinatorSilent > electionDelayTerms*e.opts.LeaseTerm
 }
 
 // resignsToLarger reports whether this node leaves the lease to a larger node.
