coord: wait for the node's own start delay in the test of late readers

TestSmallNodesReadTheStoreLater failed in 3 of 60 runs beside load. The test was wrong: it waited for the shortest start delay and the read delay, 2.1 s with its second of slack, but the delay is spread by up to maxStartSpread and reaches 2.03 s at this size.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -867,8 +867,14 @@
 	if large.IsStoreRelayed() {
 		t.Error("a large node does not read the store at once")
 	}
+	small.mu.Lock()
+	from := small.readStoreFrom
+	small.mu.Unlock()
+	if wait := time.Until(from); wait > maxStartDelay+maxStartSpread+extraReadDelay {
+		t.Errorf("a small node reads the store %v after its start", wait)
+	}
 	large.kill()
-	f.eventually("the small node reads the store", maxStartDelay+extraReadDelay+time.Second, func() bool { return !small.IsStoreRelayed() })
+	f.eventually("the small node reads the store", time.Until(from)+time.Second, func() bool { return !small.IsStoreRelayed() })
 }
 
 // TestReclaimKeepsTheWait guards against orders of two holders within a lease
