fair: let go of the requests that wait for a removed endpoint

Callers saw that a request in the queue of an endpoint waited until the requests that ran there had ended, although the configuration had no such endpoint any more. The queue was dropped from the server's table, but nobody told those that waited in it.

A gate can be closed: whoever waits, or comes later, gets ErrClosed.

--- a/internal/fair/gate.go
+++ b/internal/fair/gate.go
@@ -16,6 +16,7 @@
 	mu      sync.Mutex
 	queue   *Queue
 	waiters map[*Ticket]chan error
+	closed  bool
 }
 
 // NewGate returns an empty Gate.
@@ -29,7 +30,7 @@
 
 // Acquire blocks until the request may be sent to the endpoint. The caller must
 // call release when the request has ended; further calls do nothing. The
-// returned error wraps ErrFull, ErrDeadline, ErrClass or the error of ctx.
+// returned error wraps ErrFull, ErrDeadline, ErrClass, ErrClosed or the error of ctx.
 func (g *Gate) Acquire(ctx context.Context, workspace string, weight float64, class spec.Class, cost int64) (release func(), err error) {
 	t := &Ticket{
 		Workspace: workspace,
@@ -39,6 +40,10 @@
 	}
 	admitted := make(chan error, 1)
 	g.mu.Lock()
+	if g.closed {
+		g.mu.Unlock()
+		return nil, ErrClosed
+	}
 	out, err := g.queue.Push(g.clock.Now(), t)
 	if err != nil {
 		g.mu.Unlock()
@@ -66,6 +71,18 @@
 	return func() { g.finish(t) }, nil
 }
 
+// Close makes all requests that wait, and those that come later, return ErrClosed.
+// Running requests are not affected.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for t := range g.waiters {
+		g.queue.Done(t)
+		g.notify(t, ErrClosed)
+	}
+}
+
 // SetLimit changes how many requests the endpoint handles at the same time.
 func (g *Gate) SetLimit(limit int) {
 	g.mu.Lock()
--- a/internal/fair/queue.go
+++ b/internal/fair/queue.go
@@ -25,6 +25,8 @@
 	ErrFull = errors.New("fair: queue is full")
 	// ErrDeadline means that the deadline of the request passed while it waited.
 	ErrDeadline = errors.New("fair: deadline passed in the queue")
+	// ErrClosed means that the endpoint was removed or moved while the request waited.
+	ErrClosed = errors.New("fair: queue is closed")
 	// ErrClass means that the class does not exist.
 	ErrClass = errors.New("fair: unknown class")
 )
