entry, node: decide about waiting completions by the configuration in force

Callers of a model that was removed waited for its whole on-demand limit (30 s by default), or for an endpoint's queue, and then got 503 no-endpoint, or an answer of the removed model. The same for an adapter that was removed, a context limit that was lowered, an on-demand limit that was lowered and a key that was withdrawn while the request waited for tokens. Requests in the queue of an endpoint that was removed or moved waited for what still ran there.

Cause: a request kept the configuration of the moment at which its header was read, and its waits looked at the layout and the key alone. The class: a decision that is taken once and not asked again when its inputs change.

Now each wait (tokens, model, adapter, queue) ends as soon as the request cannot be served under the configuration in force, an attempt and the check before the first byte ask once more, and the body is resolved by the configuration after its reading. Queues of endpoints that were removed or moved are closed, so that their requests choose again. An attempt that sent nothing is not counted as one. The node changes its routes before the configuration of its server, so that a request which asks again finds the new routes; a model that the routes do not know is 404 model-unknown. Running answers are left alone.

--- a/internal/entry/health.go
+++ b/internal/entry/health.go
@@ -15,9 +15,10 @@
 	"trefoildale.example/trefoildale/internal/triage"
 )
 
-// errEndpointUnusable means that the endpoint leaves or wants no requests, as it has said
-// since it was chosen.
-var errEndpointUnusable = errors.New("entry: the endpoint leaves or wants no requests")
+// errEndpointUnusable means that the endpoint may not be used any more since it was chosen:
+// it has said that it leaves or wants no requests, or the configuration has changed.
+// Nothing was sent.
+var errEndpointUnusable = errors.New("entry: the endpoint may not be used any more")
 
 // hear records what an endpoint said of itself in an answer, before anything else is done
 // with the answer.
@@ -36,7 +37,7 @@
 func (q *request) endpointCheck(choice route.Choice, check func() *problem) func() error {
 	next := engineCheck(check)
 	return func() error {
-		if !q.opts.Routes.Usable(q.opts.Clock.Now(), choice) {
+		if !q.opts.Routes.Usable(q.opts.Clock.Now(), choice) || !q.config.Load().hasEndpoint(choice.Endpoint, choice.Address) {
 			return errEndpointUnusable
 		}
 		return next()
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -11,6 +11,7 @@
 
 	"trefoildale.example/trefoildale/internal/audit"
 	"trefoildale.example/trefoildale/internal/engine"
+	"trefoildale.example/trefoildale/internal/fair"
 	"trefoildale.example/trefoildale/internal/keys"
 	"trefoildale.example/trefoildale/internal/limit"
 	"trefoildale.example/trefoildale/internal/once"
@@ -35,18 +36,19 @@
 // completion is a completion request and the state of its attempts.
 type completion struct {
 	*request
-	ctx     context.Context
-	cancel  context.CancelCauseFunc
-	in      engine.Request
-	body    []byte
-	spec    *spec.Model
-	adapter string
-	class   spec.Class
-	charge  *limit.Charge
-	tokens  int64
-	// onDemandDeadline ends the wait for a model that is not resident.
-	onDemandDeadline time.Time
-	prefixes         []string
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+	// waiting ends with ctx and, while the request waits, as soon as it cannot be served.
+	waiting  context.Context
+	in       engine.Request
+	body     []byte
+	spec     *spec.Model
+	service  string
+	adapter  string
+	class    spec.Class
+	charge   *limit.Charge
+	tokens   int64
+	prefixes []string
 
 	attempts        int
 	sentTo          []string // addresses of the attempts
@@ -70,6 +72,8 @@
 	if !ok {
 		return
 	}
+	// The configuration may have changed while the body was read.
+	q.view = q.config.Load()
 	in, err := engine.DecodeRequest(body)
 	if err != nil {
 		q.badRequest(err.Error())
@@ -90,10 +94,17 @@
 		q.authenticate()
 		return
 	}
-	if !c.resolveClass() || !c.checkSize() || !c.admit() {
+	if !c.resolveClass() || !c.checkSize() {
 		return
 	}
-	c.serve()
+	ctx, cancel := context.WithCancelCause(c.r.Context())
+	defer cancel(nil)
+	c.ctx, c.cancel, c.waiting = ctx, cancel, ctx
+	stop := c.watchKey()
+	defer stop()
+	if c.admit() {
+		c.serve()
+	}
 }
 
 // resolve finds the model and checks the adapter. The request may name an adapter
@@ -112,22 +123,12 @@
 		c.body = body
 	}
 	if c.spec == nil {
-		c.refuse(problem{
-			Status:  http.StatusNotFound,
-			Reason:  audit.ModelUnknown,
-			Message: "there is no model " + strconv.Quote(c.in.Model),
-			NotRun:  true,
-		}, audit.Event{})
+		c.refuse(*modelProblem(c.in.Model), audit.Event{})
 		return false
 	}
-	c.model = c.spec.Name
-	if a := index.Adapters[c.adapter]; c.adapter != "" && (a == nil || a.Model != c.spec.Name) {
-		c.refuse(problem{
-			Status:  http.StatusNotFound,
-			Reason:  audit.ModelUnknown,
-			Message: "there is no adapter " + strconv.Quote(c.adapter) + " of model " + c.spec.Name,
-			NotRun:  true,
-		}, audit.Event{
+	c.model, c.service = c.spec.Name, c.spec.Service
+	if c.adapter != "" && !hasAdapter(index, c.model, c.adapter) {
+		c.refuse(*adapterProblem(c.model, c.adapter), audit.Event{
 			Other: c.adapter,
 		})
 		return false
@@ -171,13 +172,7 @@
 func (c *completion) checkSize() bool {
 	c.tokens = c.in.PromptTokens() + c.in.MaxTokens
 	if maxTokens := c.spec.MaxContextTokens; maxTokens > 0 && c.tokens > maxTokens {
-		c.refuse(problem{
-			Status: http.StatusBadRequest,
-			Reason: audit.ContextTooLong,
-			Message: "prompt and max_tokens take " + strconv.FormatInt(c.tokens, 10) +
-				" tokens, the model's context has " + strconv.FormatInt(maxTokens, 10),
-			NotRun: true,
-		}, audit.Event{
+		c.refuse(*contextTooLong(c.tokens, maxTokens), audit.Event{
 			Wanted: c.tokens,
 			Limit:  maxTokens,
 		})
@@ -188,10 +183,20 @@
 
 // admit charges the tokens of the request to its workspace.
 func (c *completion) admit() bool {
+	if p := c.unservable(); p != nil {
+		c.refuse(*p, audit.Event{})
+		return false
+	}
 	if c.workspace == nil {
 		return true
 	}
-	charge, err := c.opts.Admitter.Admit(c.r.Context(), c.workspace.Name, c.tokens)
+	end := c.beginWait()
+	defer end()
+	charge, err := c.opts.Admitter.Admit(c.waiting, c.workspace.Name, c.tokens)
+	if err != nil && c.waiting.Err() != nil {
+		c.refuse(*c.contextProblem(), audit.Event{})
+		return false
+	}
 	if err != nil {
 		p, e := c.admitProblem(err)
 		c.refuse(p, e)
@@ -236,16 +241,6 @@
 // serve makes attempts until an endpoint has answered or the retry policy allows
 // no further one.
 func (c *completion) serve() {
-	ctx, cancel := context.WithCancelCause(c.r.Context())
-	defer cancel(nil)
-	c.ctx, c.cancel = ctx, cancel
-	stop := c.watchKey()
-	defer stop()
-	onDemand := time.Duration(c.spec.OnDemand)
-	if onDemand <= 0 {
-		onDemand = defaultOnDemand
-	}
-	c.onDemandDeadline = c.arrived.Add(onDemand)
 	c.prefixes = engine.Prefixes(c.spec.Name, c.in.Prompt)
 	c.retryPolicy.Budget.Credit()
 	c.opts.Demand.RecordArrival(c.spec.Name, c.workspaceName(), c.adapter, c.tokens)
@@ -286,6 +281,12 @@
 // attempt sends the request to one endpoint. If retry is false, p is the final
 // result: nil after a success, otherwise the problem.
 func (c *completion) attempt() (p *problem, retry bool) {
+	endWait := c.beginWait()
+	defer endWait()
+	if p := c.unservable(); p != nil {
+		p.NotRun = c.allProvedNotRun
+		return p, false
+	}
 	choice, p := c.pick()
 	if p != nil {
 		return p, false
@@ -295,11 +296,18 @@
 		workspace = c.workspace.Name
 		weight = max(c.workspace.Weight, 0.001)
 	}
-	queue := c.queue(choice.Endpoint)
+	queue := c.queue(choice.Endpoint, choice.Address)
+	if queue == nil {
+		c.awaitChange(c.waiting)
+		return nil, true
+	}
 	if _, waiting := queue.Load(); waiting > 0 {
 		c.closeCharge(0)
 	}
-	release, err := queue.Acquire(c.ctx, workspace, weight, c.class, c.tokens)
+	release, err := queue.Acquire(c.waiting, workspace, weight, c.class, c.tokens)
+	if errors.Is(err, fair.ErrClosed) {
+		return nil, true
+	}
 	if err != nil {
 		return c.queueProblem(err), false
 	}
@@ -311,6 +319,7 @@
 	if p := c.readmit(); p != nil {
 		return p, false
 	}
+	endWait()
 	req := c.routeRequest()
 	if c.attempts == 0 {
 		c.opts.Routes.Start(choice, req)
@@ -340,6 +349,10 @@
 		return nil, false
 	}
 	if errors.Is(err, errEndpointUnusable) {
+		// Nothing was sent.
+		c.attempts--
+		c.sentTo = c.sentTo[:len(c.sentTo)-1]
+		c.awaitChange(c.ctx)
 		return nil, true
 	}
 	var checkErr *problemError
@@ -375,11 +388,11 @@
 	var err error
 	for range maxReadmitAttempts {
 		var charge limit.Charge
-		if charge, err = c.opts.Admitter.Admit(c.ctx, c.workspace.Name, c.tokens); err == nil {
+		if charge, err = c.opts.Admitter.Admit(c.waiting, c.workspace.Name, c.tokens); err == nil {
 			c.charge = &charge
 			return nil
 		}
-		if c.ctx.Err() != nil {
+		if c.waiting.Err() != nil {
 			return c.contextProblem()
 		}
 	}
@@ -394,10 +407,14 @@
 		!errors.As(err, &checkErr) && !errors.Is(err, errEndpointUnusable)
 }
 
-// checkBeforeSend checks directly before the first byte is sent whether the key and
-// the charge are still valid: the process may have been paused since they were
-// last checked.
+// checkBeforeSend checks directly before the first byte is sent whether the request may
+// run, and whether the key and the charge are still valid: the process may have been
+// paused since they were last checked.
 func (c *completion) checkBeforeSend() *problem {
+	if p := c.unservable(); p != nil {
+		p.NotRun = c.allProvedNotRun
+		return p
+	}
 	if c.workspace == nil {
 		return nil
 	}
@@ -450,11 +467,15 @@
 			if p := c.awaitResident(); p != nil {
 				return route.Choice{}, p
 			}
+		case errors.Is(err, route.ErrUnknown):
+			p := modelProblem(c.model)
+			p.NotRun = c.allProvedNotRun
+			return route.Choice{}, p
 		default:
 			return route.Choice{}, &problem{
 				Status:     http.StatusServiceUnavailable,
 				Reason:     audit.NoEndpoint,
-				Message:    "no endpoint can serve model " + c.spec.Name + " at present",
+				Message:    "no endpoint can serve model " + c.model + " at present",
 				NotRun:     c.allProvedNotRun,
 				RetryAfter: 2 * time.Second,
 			}
@@ -462,14 +483,28 @@
 	}
 }
 
+// onDemandDeadline returns when the wait for a model that is not resident ends, by the
+// configuration in force.
+func (c *completion) onDemandDeadline() time.Time {
+	m := c.config.Load().index.Models[c.model]
+	if m == nil {
+		m = c.spec
+	}
+	onDemand := time.Duration(m.OnDemand)
+	if onDemand <= 0 {
+		onDemand = defaultOnDemand
+	}
+	return c.arrived.Add(onDemand)
+}
+
 // awaitResident waits until an endpoint has the model and adapter of the request,
 // at most until onDemandDeadline.
 func (c *completion) awaitResident() *problem {
 	c.closeCharge(0)
 	defer c.opts.Demand.TrackWaiting(c.spec.Name, c.adapter)()
 	for {
-		// Get the channel before checking the layout, so that no change is missed.
-		changed := c.opts.Demand.LayoutChanged()
+		// Get the channels before checking the layout, so that no change is missed.
+		changed, configured := c.opts.Demand.LayoutChanged(), c.changes()
 		choice, err := c.opts.Picker.Pick(c.routeRequest())
 		if err == nil && (c.adapter == "" || choice.AdapterReady) {
 			return nil
@@ -484,7 +519,7 @@
 			// An endpoint that has the model later may be an excluded one that is back.
 			c.exclude, c.unreachable = nil, 0
 		}
-		left := c.onDemandDeadline.Sub(c.opts.Clock.Now())
+		left := c.onDemandDeadline().Sub(c.opts.Clock.Now())
 		if left <= 0 {
 			return &problem{
 				Status:     http.StatusServiceUnavailable,
@@ -497,8 +532,9 @@
 		t := time.NewTimer(left)
 		select {
 		case <-changed:
+		case <-configured:
 		case <-t.C:
-		case <-c.ctx.Done():
+		case <-c.waiting.Done():
 			t.Stop()
 			return c.contextProblem()
 		}
@@ -507,7 +543,7 @@
 }
 
 func (c *completion) queueProblem(err error) *problem {
-	if c.ctx.Err() != nil {
+	if c.waiting.Err() != nil {
 		return c.contextProblem()
 	}
 	return &problem{
@@ -519,7 +555,7 @@
 	}
 }
 
-// contextProblem returns the problem for the cause of the context's cancellation.
+// contextProblem returns the problem for which the request or its wait was ended.
 func (c *completion) contextProblem() *problem {
 	p := problem{
 		Status:  499,
@@ -527,7 +563,12 @@
 		Message: "the caller went away",
 		NotRun:  c.allProvedNotRun && !c.delivered,
 	}
-	switch cause := context.Cause(c.ctx); {
+	var unservable *problemError
+	switch cause := context.Cause(c.waiting); {
+	case errors.As(cause, &unservable):
+		u := *unservable.problem
+		u.NotRun = p.NotRun
+		return &u
 	case errors.Is(cause, errKeyWithdrawn):
 		p.Status = http.StatusUnauthorized
 		p.Reason = audit.StreamKeyWithdrawn
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -102,7 +102,16 @@
 
 	mu      sync.Mutex
 	running map[string]context.CancelCauseFunc
-	queues  map[string]*fair.Gate
+	queues  map[string]*endpointQueue
+	// changed is closed and replaced whenever a request that waits has to ask again whether
+	// it can be served.
+	changed chan struct{}
+}
+
+// endpointQueue is the fair queue of the endpoint at an address.
+type endpointQueue struct {
+	address string
+	gate    *fair.Gate
 }
 
 // view is a configuration with the lookups that handlers need.
@@ -127,7 +136,8 @@
 		opts:        opts,
 		retryPolicy: once.DefaultPolicy(),
 		running:     make(map[string]context.CancelCauseFunc),
-		queues:      make(map[string]*fair.Gate),
+		queues:      make(map[string]*endpointQueue),
+		changed:     make(chan struct{}),
 	}
 	s.SetConfig(spec.New())
 	return s
@@ -150,9 +160,33 @@
 	s.config.Store(v)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	maps.DeleteFunc(s.queues, func(name string, _ *fair.Gate) bool {
-		return v.index.Endpoints[name] == nil
+	maps.DeleteFunc(s.queues, func(name string, q *endpointQueue) bool {
+		if v.hasEndpoint(name, q.address) {
+			return false
+		}
+		q.gate.Close()
+		return true
 	})
+	s.notifyChanged()
+}
+
+// hasEndpoint reports whether the endpoint exists and has the address.
+func (v *view) hasEndpoint(name, address string) bool {
+	e := v.index.Endpoints[name]
+	return e != nil && e.Address == address
+}
+
+// notifyChanged wakes the requests that wait. The caller holds mu.
+func (s *Server) notifyChanged() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// changes returns a channel that is closed at the next change of the configuration.
+func (s *Server) changes() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
 }
 
 // SetReady sets whether the readiness check of the load balancer succeeds.
@@ -323,18 +357,25 @@
 	}
 }
 
-// queue returns the fair queue for an endpoint.
-func (s *Server) queue(endpoint string) *fair.Gate {
+// queue returns the fair queue for an endpoint, or nil if the configuration does not have
+// the endpoint at this address any more.
+func (s *Server) queue(endpoint, address string) *fair.Gate {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	g := s.queues[endpoint]
-	if g == nil {
-		g = fair.NewGate(s.opts.Clock, fair.Options{
-			Limit: s.opts.EndpointLimit,
-		})
-		s.queues[endpoint] = g
+	if !s.config.Load().hasEndpoint(endpoint, address) {
+		return nil
+	}
+	q := s.queues[endpoint]
+	if q == nil {
+		q = &endpointQueue{
+			address: address,
+			gate: fair.NewGate(s.opts.Clock, fair.Options{
+				Limit: s.opts.EndpointLimit,
+			}),
+		}
+		s.queues[endpoint] = q
 	}
-	return g
+	return q.gate
 }
 
 func (s *Server) listModels(q *request) {
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -253,8 +253,9 @@
 
 func (l *loop) applyConfig(old, next feed.State) {
 	cfg := next.Config
-	l.node.entry.SetConfig(cfg)
+	// A request that asks again because of the change must find its new routes.
 	l.node.routes.SetConfig(cfg)
+	l.node.entry.SetConfig(cfg)
 	l.inputs.Config = cfg
 	l.config.Store(cfg)
 	l.relay.Domains = l.relay.Domains[:0:0]
