entry: decide about calls of plain services by the configuration in force

A call without a key ran at a service that had been closed while its body was read, or while it backed off before a retry: a request ran that no key had come with. Calls of a service, prefix or method that had been removed ran all the same after a slow body, a slow claim or a backoff, or got 503 no-endpoint in place of 404. A GET that had been made not repeatable while it ran was sent twice when its answer was lost, and one with an idempotency key was sent without a claim of the key after a backoff, so that a repeat ran once more.

Cause: the service, the method and its repeatability were looked up once, when the header had been read.

Now they are looked up again after the body was read, before each attempt and before the first byte is sent. Whether a call may be repeated is what both the configuration of its arrival and the one in force allow; a call with a key to claim is not sent unclaimed.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -30,12 +30,7 @@
 func (q *request) authenticate() bool {
 	secret, ok := strings.CutPrefix(q.r.Header.Get("Authorization"), "Bearer ")
 	if !ok || secret == "" {
-		q.refuse(problem{
-			Status:  http.StatusUnauthorized,
-			Reason:  audit.NoKey,
-			Message: `the request has no key; send it as "Authorization: Bearer KEY"`,
-			NotRun:  true,
-		}, audit.Event{})
+		q.refuse(noKeyProblem(), audit.Event{})
 		return false
 	}
 	q.secret = secret
@@ -59,6 +54,15 @@
 	return true
 }
 
+func noKeyProblem() problem {
+	return problem{
+		Status:  http.StatusUnauthorized,
+		Reason:  audit.NoKey,
+		Message: `the request has no key; send it as "Authorization: Bearer KEY"`,
+		NotRun:  true,
+	}
+}
+
 func (q *request) countRejectedKey(r keys.Result) {
 	switch r {
 	case keys.Withdrawn:
--- a/internal/entry/change_test.go
+++ b/internal/entry/change_test.go
@@ -111,6 +111,26 @@
 	},
 }
 
+var callStates = []state{
+	{name: "header read in part", method: http.MethodGet, part: "header", prepare: nothing, reached: hasArrivedAll, release: nothing},
+	{name: "body read in part", method: http.MethodGet, part: "body", prepare: nothing, reached: isChecked, release: nothing},
+	{name: "body read in part, once", method: http.MethodPost, unproved: true, part: "body", prepare: nothing, reached: isChecked, release: nothing},
+	{
+		name:    "being claimed",
+		method:  http.MethodPost,
+		prepare: func(b *bench) { b.table.begin() },
+		reached: func(b *bench, _ *exchange) bool { return b.table.count() > 0 },
+		release: func(b *bench) { b.table.release() },
+	},
+	{name: "sent and unanswered", method: http.MethodGet, sent: true, prepare: holdEndpoint("p1"), reached: isAtHold("p1"), release: func(b *bench) { b.engines["p1"].release() }},
+	{name: "sent and unanswered, once", method: http.MethodPost, sent: true, prepare: holdEndpoint("p1"), reached: isAtHold("p1"), release: func(b *bench) { b.engines["p1"].release() }},
+	{name: "backing off before a retry", method: http.MethodGet, unproved: true, prepare: declineOnce("p1"), reached: hasRetried, release: nothing},
+	{name: "open, header read in part", method: http.MethodGet, open: true, part: "header", prepare: nothing, reached: hasArrivedAll, release: nothing},
+	{name: "open, body read in part", method: http.MethodGet, open: true, part: "body", prepare: nothing, reached: isRunning, release: nothing},
+	{name: "open, sent and unanswered", method: http.MethodGet, open: true, sent: true, prepare: holdEndpoint("o1"), reached: isAtHold("o1"), release: func(b *bench) { b.engines["o1"].release() }},
+	{name: "open, backing off before a retry", method: http.MethodGet, unproved: true, open: true, prepare: declineOnce("o1"), reached: hasRetried, release: nothing},
+}
+
 const (
 	served = "served"
 	// keyWithdrawn stands for key-withdrawn and stream-key-withdrawn, which one depends on
@@ -173,6 +193,23 @@
 	}
 }
 
+func changeService(name string, f func(*spec.Service)) func(*bench) {
+	return func(b *bench) {
+		b.apply(func(c *spec.Config) {
+			i := slices.IndexFunc(c.Services, func(s spec.Service) bool { return s.Name == name })
+			f(&c.Services[i])
+		})
+	}
+}
+
+// both changes the services app and open.
+func both(f func(*spec.Service)) func(*bench) {
+	return func(b *bench) {
+		changeService("app", f)(b)
+		changeService("open", f)(b)
+	}
+}
+
 var commonChanges = []change{
 	{
 		name:  "key withdrawn",
@@ -274,6 +311,75 @@
 	},
 )
 
+var callChanges = append(slices.Clone(commonChanges),
+	change{
+		name: "service removed",
+		apply: func(b *bench) {
+			b.apply(func(c *spec.Config) {
+				c.Services = c.Services[:1]
+				c.Endpoints = slices.DeleteFunc(c.Endpoints, func(e spec.Endpoint) bool { return e.Service != "lm" })
+			})
+		},
+		want: unlessSent("service-unknown"),
+	},
+	change{
+		name:  "prefix changed",
+		apply: both(func(s *spec.Service) { s.Prefix = "/moved" + s.Prefix }),
+		want:  unlessSent("service-unknown"),
+	},
+	change{
+		name:  "method removed",
+		apply: both(func(s *spec.Service) { s.Methods = []spec.Method{{Method: http.MethodPut, Path: "*"}} }),
+		want:  unlessSent("method-unknown"),
+	},
+	change{
+		name: "method not repeatable any more",
+		apply: both(func(s *spec.Service) {
+			s.Methods[0].Repeatable = false
+		}),
+		want: always(served),
+	},
+	change{
+		name: "method repeatable from now on",
+		apply: changeService("app", func(s *spec.Service) {
+			s.Methods[1].Repeatable = true
+		}),
+		want: always(served),
+	},
+	change{
+		name:  "endpoint moved to another address",
+		apply: func(b *bench) { moveEndpoint("p1")(b) },
+		want:  always(served),
+		at:    "other",
+	},
+	change{
+		name: "endpoint removed",
+		apply: func(b *bench) {
+			b.apply(func(c *spec.Config) {
+				i := slices.IndexFunc(c.Endpoints, func(e spec.Endpoint) bool { return e.Name == "p1" })
+				c.Endpoints[i].Name, c.Endpoints[i].Address = "p2", b.engines["other"].address
+			})
+		},
+		want: always(served),
+		at:   "other",
+	},
+	change{
+		name:  "service closed",
+		apply: changeService("open", func(s *spec.Service) { s.Open = false }),
+		want: func(s state) string {
+			if s.open && !s.sent {
+				return "no-key"
+			}
+			return served
+		},
+	},
+	change{
+		name:  "service opened",
+		apply: changeService("app", func(s *spec.Service) { s.Open = true }),
+		want:  always(served),
+	},
+)
+
 func completionBody(prompt string, stream bool) string {
 	return fmt.Sprintf(`{"model":"m1","prompt":%q,"max_tokens":%d,"stream":%v}`, prompt, benchTokens, stream)
 }
@@ -288,6 +394,7 @@
 		states  []state
 	}{
 		{name: "completion", changes: completionChanges, states: completionStates},
+		{name: "call", changes: callChanges, states: callStates},
 	} {
 		for _, c := range table.changes {
 			for _, s := range table.states {
--- /dev/null
+++ b/internal/entry/once_test.go
@@ -0,0 +1,55 @@
+package entry
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/pkg/spec"
+)
+
+// TestRepeatabilityChanged guards against a second run of a call that may not be repeated
+// any more, and against one that is sent without a claim of its idempotency key.
+func TestRepeatabilityChanged(t *testing.T) {
+	once := changeService("app", func(s *spec.Service) { s.Methods[0].Repeatable = false })
+	for _, tc := range []struct {
+		name   string
+		change func(*bench)
+		runs   int
+		code   string
+	}{
+		{name: "repeatable", change: nothing, runs: 2},
+		{name: "not repeatable any more", change: once, runs: 1, code: "outcome-unknown"},
+	} {
+		t.Run("lost/"+tc.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			e := b.engines["p1"]
+			e.losses = 1
+			e.begin()
+			x := b.begin(http.MethodGet, "/app/x", "", "", "Authorization", "Bearer "+benchKey)
+			b.eventually("sent", func() bool { return e.count() > 0 })
+			tc.change(b)
+			e.release()
+			got, _ := x.within(5 * time.Second)
+			if got.code != tc.code || got.notRun || tc.code == "" && !got.isWhole() || b.runs("/app/x") != tc.runs {
+				t.Errorf("got %d %q %v after %d runs, want %q after %d", got.status, got.body, got.err, b.runs("/app/x"), tc.code, tc.runs)
+			}
+		})
+	}
+	t.Run("claim before a retry", func(t *testing.T) {
+		t.Parallel()
+		b := newBench(t)
+		b.engines["p1"].declines = 1
+		x := b.begin(http.MethodGet, "/app/x", "", "", "Authorization", "Bearer "+benchKey, "Idempotency-Key", "k1")
+		b.eventually("backing off", func() bool { return hasRetried(b, x) })
+		once(b)
+		if got, _ := x.within(5 * time.Second); !got.isWhole() {
+			t.Errorf("got %d %q %v", got.status, got.body, got.err)
+		}
+		again := b.begin(http.MethodGet, "/app/x", "", "", "Authorization", "Bearer "+benchKey, "Idempotency-Key", "k1")
+		if got, _ := again.within(5 * time.Second); !got.isWhole() || b.runs("/app/x") != 1 {
+			t.Errorf("the repeat got %d %q %v after %d runs", got.status, got.body, got.err, b.runs("/app/x"))
+		}
+	})
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -47,42 +47,32 @@
 }
 
 func (s *Server) plain(q *request) {
-	svc := q.findService()
-	if svc == nil {
-		q.refuse(problem{
-			Status:  http.StatusNotFound,
-			Reason:  audit.ServiceUnknown,
-			Message: "no service answers under this path",
-			NotRun:  true,
-		}, audit.Event{})
+	if _, _, ok := q.findCall(); !ok {
 		return
 	}
-	if !svc.Open && !q.authenticate() {
+	body, ok := q.readBody()
+	if !ok {
 		return
 	}
-	m, ok := findMethod(svc, q.r)
+	// The configuration may have changed while the body was read.
+	q.view = q.config.Load()
+	svc, m, ok := q.findCall()
 	if !ok {
-		q.refuse(problem{
-			Status:  http.StatusMethodNotAllowed,
-			Reason:  audit.MethodUnknown,
-			Message: "service " + svc.Name + " does not offer " + q.r.Method + " " + q.r.URL.Path,
-			NotRun:  true,
-		}, audit.Event{
-			Other: svc.Name,
-		})
 		return
 	}
-	body, ok := q.readBody()
-	if !ok {
+	if q.leaksKey(body) {
+		q.badRequest("the key must be sent in the Authorization header only")
 		return
 	}
 	ctx, cancel := context.WithDeadline(context.WithoutCancel(q.r.Context()), time.Now().Add(plainDeadline))
 	defer cancel()
-	if m.Repeatable {
-		// Only repeatable calls end when the caller disconnects. Others
-		// continue, so that their outcome is known.
-		defer context.AfterFunc(q.r.Context(), cancel)()
-	}
+	defer context.AfterFunc(q.r.Context(), func() {
+		// Only repeatable calls end when the caller disconnects. Others continue, so that
+		// their outcome is known.
+		if m.Repeatable {
+			cancel()
+		}
+	})()
 	c := &plainCall{
 		request:         q,
 		ctx:             ctx,
@@ -91,17 +81,103 @@
 		body:            body,
 		allProvedNotRun: true,
 	}
-	if !m.Repeatable && !c.claim() {
+	if p := c.unservable(); p != nil {
+		c.fail(p)
 		return
 	}
 	c.serve()
 }
 
+// findCall finds the service and the method, and checks the key once if the service needs
+// one. If it returns false, it has answered the request.
+func (q *request) findCall() (*spec.Service, spec.Method, bool) {
+	svc := q.view.findService(q.r.URL.Path)
+	if svc == nil {
+		q.refuse(serviceProblem(), audit.Event{})
+		return nil, spec.Method{}, false
+	}
+	if !svc.Open && q.workspace == nil && !q.authenticate() {
+		return nil, spec.Method{}, false
+	}
+	m, ok := findMethod(svc, q.r)
+	if !ok {
+		q.refuse(q.methodProblem(svc), audit.Event{
+			Other: svc.Name,
+		})
+	}
+	return svc, m, ok
+}
+
+func serviceProblem() problem {
+	return problem{
+		Status:  http.StatusNotFound,
+		Reason:  audit.ServiceUnknown,
+		Message: "no service answers under this path",
+		NotRun:  true,
+	}
+}
+
+func (q *request) methodProblem(svc *spec.Service) problem {
+	return problem{
+		Status:  http.StatusMethodNotAllowed,
+		Reason:  audit.MethodUnknown,
+		Message: "service " + svc.Name + " does not offer " + q.r.Method + " " + q.r.URL.Path,
+		NotRun:  true,
+	}
+}
+
+// unservable returns why the call cannot be made under the configuration in force, or nil.
+func (c *plainCall) unservable() *problem {
+	v := c.config.Load()
+	var p problem
+	svc := v.findService(c.r.URL.Path)
+	switch {
+	case svc == nil:
+		p = serviceProblem()
+	case svc.Name != c.service.Name:
+		p = problem{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     audit.NoEndpoint,
+			Message:    "the path belongs to another service now",
+			RetryAfter: time.Second,
+		}
+	case !svc.Open && c.workspace == nil:
+		p = noKeyProblem()
+	default:
+		if _, ok := findMethod(svc, c.r); ok {
+			return nil
+		}
+		p = c.methodProblem(svc)
+	}
+	p.NotRun = c.allProvedNotRun
+	return &p
+}
+
+// isRepeatable reports whether the call may be repeated by the configuration at its
+// arrival and by the one in force.
+func (c *plainCall) isRepeatable() bool {
+	if !c.method.Repeatable {
+		return false
+	}
+	svc := c.config.Load().findService(c.r.URL.Path)
+	if svc == nil || svc.Name != c.service.Name {
+		return true
+	}
+	m, ok := findMethod(svc, c.r)
+	return !ok || m.Repeatable
+}
+
+// mustClaim reports whether the call has an idempotency key that has to be claimed before
+// the call is sent.
+func (c *plainCall) mustClaim() bool {
+	return c.ticket == nil && c.r.Header.Get("Idempotency-Key") != "" && !c.isRepeatable()
+}
+
 // findService returns the service with the longest prefix that matches the path.
-func (q *request) findService() *spec.Service {
+func (v *view) findService(path string) *spec.Service {
 	var best *spec.Service
-	for _, svc := range q.view.services {
-		if strings.HasPrefix(q.r.URL.Path, svc.Prefix) && (best == nil || len(svc.Prefix) > len(best.Prefix)) {
+	for _, svc := range v.services {
+		if strings.HasPrefix(path, svc.Prefix) && (best == nil || len(svc.Prefix) > len(best.Prefix)) {
 			best = svc
 		}
 	}
@@ -124,9 +200,6 @@
 // call may run; if not, it has answered the request.
 func (c *plainCall) claim() bool {
 	key := c.r.Header.Get("Idempotency-Key")
-	if key == "" {
-		return true
-	}
 	workspace := openWorkspace + "/" + c.service.Name
 	if c.workspace != nil {
 		workspace = c.workspace.Name
@@ -227,6 +300,9 @@
 func (c *plainCall) serve() {
 	c.retryPolicy.Budget.Credit()
 	for {
+		if c.mustClaim() && !c.claim() {
+			return
+		}
 		answer, p, retry := c.attempt()
 		switch {
 		case retry:
@@ -241,6 +317,9 @@
 }
 
 func (c *plainCall) attempt() (answer *engine.Response, p *problem, retry bool) {
+	if p := c.unservable(); p != nil {
+		return nil, p, false
+	}
 	req := route.Request{
 		Now:     c.opts.Clock.Now(),
 		Service: c.service.Name,
@@ -278,9 +357,13 @@
 		Body:      c.body,
 		RequestID: c.id,
 		Again:     slices.Contains(c.sentTo, choice.Address),
-		Check:     c.endpointCheck(choice, c.checkBeforeSend),
+		Check: func() error {
+			if c.mustClaim() {
+				return errEndpointUnusable
+			}
+			return c.endpointCheck(choice, c.checkBeforeSend)()
+		},
 	})
-	c.sentTo = append(c.sentTo, choice.Address)
 	if err != nil {
 		c.hear(choice, engine.StatementOf(err))
 	} else {
@@ -299,17 +382,22 @@
 	})
 	if unusable {
 		c.attempts--
+		c.awaitChange(c.ctx)
 		return nil, nil, true
 	}
+	c.sentTo = append(c.sentTo, choice.Address)
 	if checkFailed {
 		return nil, checkErr.problem, false
 	}
 	return c.handleOutcome(answer, outcome, choice)
 }
 
-// checkBeforeSend checks directly before the first byte is sent whether the claim
-// and the key are still valid.
+// checkBeforeSend checks directly before the first byte is sent whether the call may be
+// made, and whether the claim and the key are still valid.
 func (c *plainCall) checkBeforeSend() *problem {
+	if p := c.unservable(); p != nil {
+		return p
+	}
 	if c.ticket != nil && !c.ticket.MaySend(c.opts.Clock.Now()) {
 		p := repeatProblem(once.NotProvable)
 		p.NotRun = c.allProvedNotRun
@@ -331,8 +419,9 @@
 	if outcome == once.Mismatched {
 		c.opts.Stats.Inc(stats.ResponsesMismatched)
 	}
+	repeatable := c.isRepeatable()
 	v := c.retryPolicy.Next(once.Call{
-		Repeatable: c.method.Repeatable,
+		Repeatable: repeatable,
 		Deadline:   c.arrived.Add(plainDeadline),
 	}, outcome, c.attempts, c.allProvedNotRun, c.opts.Clock.Now())
 	c.allProvedNotRun = c.allProvedNotRun && outcome.ProvedNotRun()
@@ -359,7 +448,7 @@
 		NotRun:     v.NotRun,
 		RetryAfter: time.Second,
 	}
-	if !c.method.Repeatable && !v.NotRun {
+	if !repeatable && !v.NotRun {
 		p.Reason = audit.OutcomeUnknown
 		p.Status = http.StatusGatewayTimeout
 		p.Message = "the call may have run; endpoint " + choice.Endpoint + " gave no answer that belongs to it"
