drain: allow a stop without an end, and answers whose first part is not measured

A process without a drain limit waits for all requests: a plan whose end is the zero time refuses nothing for its length. The completion API measures whole answers only up to their end, so that the time to the first part may be unknown; it is left out then, where it counted as 0 before.

Tests: three cases more in TestStop and TestExpect.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -15,7 +15,7 @@
 type Stop struct {
 	// AcceptUntil is from when on arriving requests are rejected.
 	AcceptUntil time.Time
-	// EndsAt is when the requests that still run are cut.
+	// EndsAt is when the requests that still run are cut; zero if never.
 	EndsAt time.Time
 }
 
@@ -46,7 +46,7 @@
 // Start decides about a request that arrived before, has not run, and would begin to run at
 // now.
 func (s *Stop) Start(now time.Time, need time.Duration) Reason {
-	if s == nil || now.Add(need).Before(s.EndsAt) {
+	if s == nil || s.EndsAt.IsZero() || now.Add(need).Before(s.EndsAt) {
 		return Accepted
 	}
 	return TooLong
--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -29,6 +29,8 @@
 		{name: "short and late", stop: stop, at: 3 * time.Second, need: time.Second, arrival: TooLate},
 		{name: "long and late", stop: stop, at: 3 * time.Second, need: time.Hour, arrival: TooLate, start: TooLong},
 		{name: "after the end", stop: stop, at: 8 * time.Second, arrival: TooLate, start: TooLong},
+		{name: "without an end", stop: &Stop{AcceptUntil: stop.AcceptUntil}, at: time.Second, need: time.Hour},
+		{name: "without an end, late", stop: &Stop{AcceptUntil: stop.AcceptUntil}, at: 3 * time.Second, need: time.Hour, arrival: TooLate},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			now := began.Add(tc.at)
@@ -52,6 +54,8 @@
 		times.Record(large, Sample{First: 200 * time.Millisecond, Rest: 4 * time.Second, Tokens: 100})
 		times.Record(small, Sample{First: 100 * time.Millisecond, Rest: time.Second, Tokens: 100})
 		times.Record(plain, Sample{First: 60 * time.Millisecond})
+		// A time to the first part that is not known must not count as none.
+		times.Record(small, Sample{Rest: time.Second, Tokens: 100})
 	}
 	for _, tc := range []struct {
 		name   string
@@ -63,6 +67,7 @@
 		{name: "large, long", kind: large, tokens: 400, least: 16 * time.Second, most: 17 * time.Second},
 		{name: "large, short", kind: large, tokens: 10, least: 500 * time.Millisecond, most: 700 * time.Millisecond},
 		{name: "small, long", kind: small, tokens: 400, least: 4 * time.Second, most: 5 * time.Second},
+		{name: "small, without tokens", kind: small, least: 100 * time.Millisecond, most: 101 * time.Millisecond},
 		{name: "unknown model", kind: Kind{Service: "lm", Model: "new"}, tokens: 100, least: 2 * time.Second, most: 6 * time.Second},
 		{name: "without tokens", kind: plain, least: 60 * time.Millisecond, most: 70 * time.Millisecond},
 		{name: "unknown service", kind: Kind{Service: "other"}, tokens: 400},
--- a/internal/drain/times.go
+++ b/internal/drain/times.go
@@ -21,7 +21,8 @@
 
 // Sample is the course of one request that was answered in full.
 type Sample struct {
-	// First is the time from the sending of the request to the first part of the answer.
+	// First is the time from the sending of the request to the first part of the answer; 0
+	// if it is not known.
 	First time.Duration
 	// Rest is the time from the first to the last part.
 	Rest time.Duration
@@ -54,7 +55,9 @@
 			times = new(kindTimes)
 			t.byKind[key] = times
 		}
-		times.first.add(s.First.Seconds())
+		if s.First > 0 {
+			times.first.add(s.First.Seconds())
+		}
 		if s.Tokens > 0 {
 			times.perToken.add(s.Rest.Seconds() / s.Tokens)
 		}
