entry, node, cmds: reject what a stopping process cannot finish, and answer what it cuts

Callers of a node with shutdown.drain lost long streams: it took requests for 2 s after the signal, and took up requests that waited for tokens, a model, an adapter or an endpoint, without asking whether they could end before it cut them. What it cut got a connection that ended: a stream without an error event, or no answer at all. A process that was suspended when the signal came counted its drain from the handling of it.

Now the plan of the stop reaches the server. Before a completion or call waits, at each attempt, directly before the first byte and before a resumed stream it asks package drain, with the times of whole answers by model and max_tokens or by service, whether the end comes first; if so the request is rejected with 503 shutting-down, as not run if nothing ran, and one that waits is rejected when its last start passes. Each rejection is one log line with its inputs. Without a drain limit nothing is refused. At the end each request that is left gets a final answer: shutting-down, outcome-unknown, or an error event; a body that is still arriving is not waited for, and an answer is not held back by a store that does not answer (its outcome stays pending for the last store). The drain counts from the last time at which the process is known to have run before the signal, by a clock that counts suspension.

Tests: TestStopRejectsWhatCannotBeFinished, TestStopEndsWaitsInTime, TestStopDoesNotResume, TestEndAnswersAll, TestEndKeepsAnswerBeyondStore, TestLearnsTimes in internal/entry, TestStopRejectsWhatItWouldCut with a whole node, TestAwaitStop.

--- a/internal/cmds/trefoild.go
+++ b/internal/cmds/trefoild.go
@@ -14,6 +14,7 @@
 	"github.com/urfave/cli/v3"
 	"k8s.io/klog/v2"
 
+	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/conf"
 	"trefoildale.example/trefoildale/internal/node"
 )
@@ -57,8 +58,10 @@
 	stops := make(chan os.Signal, 2)
 	signal.Notify(stops, os.Interrupt, syscall.SIGTERM)
 	defer signal.Stop(stops)
+	clk := clock.NewReal()
 	n, _, err := node.New(node.Options{
 		Settings: set,
+		Clock:    clk,
 	})
 	if err != nil {
 		return err
@@ -66,21 +69,42 @@
 	n.Stats().Publish()
 	w := cmd.Root().Writer
 	fmt.Fprintf(w, "callers %s\npeers %s\nadmin %s\n", n.CallersAddr, n.PeersAddr, n.AdminAddr)
-	select {
-	case <-stops:
-	case <-ctx.Done():
+	ticker := time.NewTicker(aliveInterval)
+	defer ticker.Stop()
+	arrived := awaitStop(ctx, clk, ticker.C, stops)
+	klog.InfoS("Stop begins", "signal-age-ms", clk.Now().Sub(arrived).Milliseconds(), "drain", time.Duration(set.Shutdown.Drain).String())
+	return shutdown(n, set, arrived, stops)
+}
+
+// aliveInterval is how often the process notes that it is not suspended.
+const aliveInterval = 50 * time.Millisecond
+
+// awaitStop waits for a signal, or for the end of ctx. It returns the earliest time at
+// which the signal may have arrived: a process that was suspended handles it late, and may
+// handle two ticks before it, one that it had received before and one that is due.
+func awaitStop(ctx context.Context, clk clock.Clock, ticks <-chan time.Time, stops <-chan os.Signal) time.Time {
+	now := clk.Now()
+	alive := [3]time.Time{now, now, now}
+	for {
+		select {
+		case <-stops:
+			return alive[0]
+		case <-ctx.Done():
+			return alive[0]
+		case <-ticks:
+			alive = [3]time.Time{alive[1], alive[2], clk.Now()}
+		}
 	}
-	return shutdown(n, set, stops)
 }
 
-// shutdown stops the node. It stops waiting for running requests on a second signal
-// or after the drain time in the settings.
-func shutdown(n *node.Node, set *conf.Settings, stops <-chan os.Signal) error {
+// shutdown stops the node after a signal that may have arrived at the given time. It stops
+// waiting for running requests on a second signal or after the drain time in the settings.
+func shutdown(n *node.Node, set *conf.Settings, arrived time.Time, stops <-chan os.Signal) error {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
+	var endsAt time.Time
 	if d := time.Duration(set.Shutdown.Drain); d > 0 {
-		ctx, cancel = context.WithTimeout(ctx, d)
-		defer cancel()
+		endsAt = arrived.Add(d)
 	}
 	go func() {
 		select {
@@ -89,7 +113,7 @@
 		case <-ctx.Done():
 		}
 	}()
-	if cut := n.Shutdown(ctx); len(cut) > 0 {
+	if cut := n.ShutdownBy(ctx, endsAt); len(cut) > 0 {
 		return Unavailablef("%d requests were interrupted: %v", len(cut), cut)
 	}
 	return nil
--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -108,6 +109,13 @@
 // URL or headers other than Authorization contain the key, because they are
 // forwarded to an endpoint. If it returns false, it has answered the request.
 func (q *request) readBody() ([]byte, bool) {
+	// A body that arrives slowly must not keep the request without an answer at the end.
+	stop := context.AfterFunc(q.r.Context(), func() {
+		if q.processEnds() {
+			_ = http.NewResponseController(q.w).SetReadDeadline(time.Now())
+		}
+	})
+	defer stop()
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, q.opts.Limits.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -121,6 +129,10 @@
 		})
 		return nil, false
 	}
+	if err != nil && q.processEnds() {
+		q.refuse(endProblem(), audit.Event{})
+		return nil, false
+	}
 	if err != nil {
 		q.badRequest("the body could not be read: " + err.Error())
 		return nil, false
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -61,6 +61,8 @@
 	delivered bool
 	used      int64
 	timing    timing
+	// sentAt is when the last attempt began.
+	sentAt time.Time
 }
 
 func (s *Server) complete(q *request) {
@@ -569,6 +571,14 @@
 		u := *unservable.problem
 		u.NotRun = p.NotRun
 		return &u
+	case errors.Is(cause, errProcessEnds):
+		e := endProblem()
+		e.NotRun = p.NotRun
+		if c.delivered {
+			e.Reason = audit.StreamBroken
+			e.Message = "the node that passed on the answer has stopped"
+		}
+		return &e
 	case errors.Is(cause, errKeyWithdrawn):
 		p.Status = http.StatusUnauthorized
 		p.Reason = audit.StreamKeyWithdrawn
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/engine"
 	"trefoildale.example/trefoildale/internal/once"
 	"trefoildale.example/trefoildale/internal/route"
@@ -17,6 +18,8 @@
 )
 
 const (
+	// finalStoreTimeout limits it once the process ends.
+	finalStoreTimeout = 500 * time.Millisecond
 	// plainDeadline limits a call of a plain service including its retries.
 	plainDeadline = 30 * time.Second
 	// storeTimeout limits storing an outcome, which continues after the caller has
@@ -32,6 +35,8 @@
 	method  spec.Method
 	body    []byte
 	ticket  *once.Ticket
+	// began is when the body had been read.
+	began time.Time
 
 	attempts        int
 	sentTo          []string // addresses of the attempts
@@ -68,8 +73,8 @@
 	defer cancel()
 	defer context.AfterFunc(q.r.Context(), func() {
 		// Only repeatable calls end when the caller disconnects. Others continue, so that
-		// their outcome is known.
-		if m.Repeatable {
+		// their outcome is known, up to the end of the process.
+		if m.Repeatable || q.processEnds() {
 			cancel()
 		}
 	})()
@@ -79,6 +84,7 @@
 		service:         svc,
 		method:          m,
 		body:            body,
+		began:           s.opts.Clock.Now(),
 		allProvedNotRun: true,
 	}
 	if p := c.unservable(); p != nil {
@@ -126,12 +132,15 @@
 	}
 }
 
-// unservable returns why the call cannot be made under the configuration in force, or nil.
+// unservable returns why the call cannot be made under the configuration in force and
+// before the end of the process, or nil.
 func (c *plainCall) unservable() *problem {
 	v := c.config.Load()
 	var p problem
 	svc := v.findService(c.r.URL.Path)
 	switch {
+	case c.processEnds():
+		p = endProblem()
 	case svc == nil:
 		p = serviceProblem()
 	case svc.Name != c.service.Name:
@@ -144,15 +153,28 @@
 	case !svc.Open && c.workspace == nil:
 		p = noKeyProblem()
 	default:
-		if _, ok := findMethod(svc, c.r); ok {
+		if _, ok := findMethod(svc, c.r); !ok {
+			p = c.methodProblem(svc)
+			break
+		}
+		stopped := c.stopProblem(c.need())
+		if stopped == nil {
 			return nil
 		}
-		p = c.methodProblem(svc)
+		p = *stopped
 	}
 	p.NotRun = c.allProvedNotRun
 	return &p
 }
 
+func (c *plainCall) need() need {
+	return need{
+		kind: drain.Kind{
+			Service: c.service.Name,
+		},
+	}
+}
+
 // isRepeatable reports whether the call may be repeated by the configuration at its
 // arrival and by the one in force.
 func (c *plainCall) isRepeatable() bool {
@@ -448,6 +470,10 @@
 		NotRun:     v.NotRun,
 		RetryAfter: time.Second,
 	}
+	if c.processEnds() {
+		p = endProblem()
+		p.NotRun = v.NotRun
+	}
 	if !repeatable && !v.NotRun {
 		p.Reason = audit.OutcomeUnknown
 		p.Status = http.StatusGatewayTimeout
@@ -468,11 +494,26 @@
 	}
 }
 
+// storeContext returns the context for storing the outcome. What is not stored in time
+// stays pending, and the node stores it before it ends.
+func (c *plainCall) storeContext() (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), storeTimeout)
+	stop := context.AfterFunc(c.r.Context(), func() {
+		if c.processEnds() {
+			time.AfterFunc(finalStoreTimeout, cancel)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // fail answers with a problem and stores the outcome of the call as not run or
 // unknown.
 func (c *plainCall) fail(p *problem) {
 	if c.ticket != nil {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), storeTimeout)
+		ctx, cancel := c.storeContext()
 		defer cancel()
 		store := c.opts.Once.FinishUnknown
 		if p.NotRun {
@@ -500,7 +541,7 @@
 
 func (c *plainCall) deliver(a *engine.Response) {
 	if c.ticket != nil {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), storeTimeout)
+		ctx, cancel := c.storeContext()
 		err := c.opts.Once.Finish(ctx, c.ticket, once.Response{
 			Status: a.Status,
 			Header: map[string]string{
@@ -513,6 +554,11 @@
 			c.opts.Stats.Inc(stats.OnceStoreFailed)
 		}
 	}
+	if a.Status < http.StatusInternalServerError {
+		c.times.Record(c.need().kind, drain.Sample{
+			First: c.opts.Clock.Now().Sub(c.began),
+		})
+	}
 	h := c.w.Header()
 	for name, values := range a.Header {
 		if !unforwardedHeaders[name] {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -16,6 +16,7 @@
 
 	"trefoildale.example/trefoildale/internal/audit"
 	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/engine"
 	"trefoildale.example/trefoildale/internal/fair"
 	"trefoildale.example/trefoildale/internal/keys"
@@ -100,12 +101,16 @@
 	config      atomic.Pointer[view]
 	ready       atomic.Bool
 
+	stop  atomic.Pointer[drain.Stop]
+	times drain.Times
+
 	mu      sync.Mutex
 	running map[string]context.CancelCauseFunc
 	queues  map[string]*endpointQueue
 	// changed is closed and replaced whenever a request that waits has to ask again whether
 	// it can be served.
 	changed chan struct{}
+	ended   bool
 }
 
 // endpointQueue is the fair queue of the endpoint at an address.
@@ -182,7 +187,8 @@
 	s.changed = make(chan struct{})
 }
 
-// changes returns a channel that is closed at the next change of the configuration.
+// changes returns a channel that is closed at the next change of the configuration, or
+// when the process is told to stop.
 func (s *Server) changes() <-chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -287,6 +293,9 @@
 		}
 		s.mu.Lock()
 		s.running[q.id] = cancel
+		if s.ended {
+			cancel(errProcessEnds)
+		}
 		s.mu.Unlock()
 		defer func() {
 			s.mu.Lock()
--- a/internal/entry/stream.go
+++ b/internal/entry/stream.go
@@ -85,10 +85,16 @@
 		Check:     c.endpointCheck(choice, c.checkBeforeSend),
 	}
 	c.sentTo = append(c.sentTo, choice.Address)
+	c.sentAt = c.opts.Clock.Now()
+	send := c.sendWhole
 	if c.in.Stream {
-		return c.sendStream(choice, call)
+		send = c.sendStream
 	}
-	return c.sendWhole(choice, call)
+	err := send(choice, call)
+	if err == nil {
+		c.learnTime()
+	}
+	return err
 }
 
 func (c *completion) sendWhole(choice route.Choice, call engine.Call) error {
@@ -137,6 +143,10 @@
 		if err == nil || !errors.As(err, &broken) || !c.delivered || c.ctx.Err() != nil || resumes == maxResumes {
 			return err
 		}
+		if c.stopProblem(c.needAfter(last)) != nil {
+			// The rest would be cut, and the caller learns it now.
+			return err
+		}
 		stream, err = c.opts.Engines.Resume(c.ctx, call.Address, c.id, last)
 		if err != nil {
 			return err
--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -8,11 +8,12 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
 
-// unservable returns why the completion cannot be served under the configuration in force,
-// or nil. It reads only what does not change once the
+// unservable returns why the completion cannot be served under the configuration in force
+// and before the end of the process, or nil. It reads only what does not change once the
 // request is resolved. The caller sets NotRun.
 func (c *completion) unservable() *problem {
 	index := c.config.Load().index
@@ -26,7 +27,46 @@
 	if m.MaxContextTokens > 0 && c.tokens > m.MaxContextTokens {
 		return contextTooLong(c.tokens, m.MaxContextTokens)
 	}
-	return nil
+	return c.stopProblem(c.need())
+}
+
+func (c *completion) need() need {
+	return need{
+		kind: drain.Kind{
+			Service: c.service,
+			Model:   c.model,
+		},
+		tokens: float64(c.in.MaxTokens),
+	}
+}
+
+// needAfter is need for a stream of which last tokens were delivered.
+func (c *completion) needAfter(last int64) need {
+	n := c.need()
+	n.tokens = max(0, n.tokens-float64(last))
+	return n
+}
+
+// shortAnswer is the number of tokens up to which the time of a whole answer is taken for
+// the time to its first part.
+const shortAnswer = 16
+
+// learnTime records how long the request took from its sending to its last part.
+func (c *completion) learnTime() {
+	n := c.need()
+	took := c.opts.Clock.Now().Sub(c.sentAt)
+	sample := drain.Sample{
+		Tokens: n.tokens,
+	}
+	switch first := c.arrived.Add(c.timing.firstToken).Sub(c.sentAt); {
+	case c.in.Stream:
+		sample.First, sample.Rest = first, took-first
+	case c.in.MaxTokens <= shortAnswer:
+		sample.First, sample.Tokens = took, 0
+	default:
+		sample.Rest = max(0, took-c.times.Expect(n.kind, 0))
+	}
+	c.times.Record(n.kind, sample)
 }
 
 func modelProblem(model string) *problem {
@@ -78,11 +118,15 @@
 				})
 				return
 			}
+			timer, stopTimer := c.lastStartTimer()
 			select {
 			case <-changed:
+			case <-timer:
 			case <-done:
+				stopTimer()
 				return
 			}
+			stopTimer()
 		}
 	}()
 	return sync.OnceFunc(func() {
@@ -106,3 +150,14 @@
 	case <-ctx.Done():
 	}
 }
+
+// lastStartTimer returns a channel that receives when the process is so near to its end
+// that the request may not be sent any more.
+func (c *completion) lastStartTimer() (<-chan time.Time, func()) {
+	at, ok := c.lastStart(c.need())
+	if !ok {
+		return nil, func() {}
+	}
+	t := time.NewTimer(max(at.Sub(c.opts.Clock.Now()), time.Millisecond))
+	return t.C, func() { t.Stop() }
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/conf"
 	"trefoildale.example/trefoildale/internal/conn"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/engine"
 	"trefoildale.example/trefoildale/internal/entry"
 	"trefoildale.example/trefoildale/internal/keys"
@@ -40,6 +41,10 @@
 	// header, and callerIdleLimit how long a connection may be idle.
 	headerTimeout   = 10 * time.Second
 	callerIdleLimit = 2 * time.Minute
+	// finalAnswerTime is how long requests that are cut have for their final answers.
+	finalAnswerTime = time.Second
+	// endCheckInterval is how often a stopping process compares the time with its end.
+	endCheckInterval = 20 * time.Millisecond
 	// releaseTimeout bounds the return of slots and leases at shutdown.
 	releaseTimeout = 10 * time.Second
 )
@@ -58,6 +63,8 @@
 	// DrainNotice is the time between failing /readyz and refusing new requests;
 	// zero means 2 s.
 	DrainNotice time.Duration
+	// Clock is the node's clock; nil means a new clock.Real.
+	Clock clock.Clock
 }
 
 // Node is a running entry process.
@@ -99,10 +106,13 @@
 	if opts.DrainNotice == 0 {
 		opts.DrainNotice = drainNotice
 	}
+	if opts.Clock == nil {
+		opts.Clock = clock.NewReal()
+	}
 	n := &Node{
 		opts:     opts,
 		settings: opts.Settings,
-		clock:    clock.NewReal(),
+		clock:    opts.Clock,
 		// The start time in microseconds makes the incarnation grow with each
 		// restart: no process restarts within one microsecond.
 		incarnation: uint64(time.Now().UnixMicro()),
@@ -312,6 +322,24 @@
 // and leases are released. When ctx ends first, the remaining requests are cut
 // and their ids returned.
 func (n *Node) Shutdown(ctx context.Context) (cut []string) {
+	return n.ShutdownBy(ctx, time.Time{})
+}
+
+// ShutdownBy is Shutdown with a time, by the node's clock, at which the remaining requests
+// are cut. Requests that have not run and cannot be finished before it are rejected at
+// once. The zero time means none.
+func (n *Node) ShutdownBy(ctx context.Context, endsAt time.Time) (cut []string) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	if !endsAt.IsZero() {
+		// After the notice only requests on open connections arrive. They are accepted as
+		// long as they can be finished.
+		n.entry.Stop(drain.Stop{
+			AcceptUntil: endsAt,
+			EndsAt:      endsAt,
+		})
+		go cancelAt(ctx, cancel, n.clock, endsAt)
+	}
 	n.audit.Record(audit.Event{
 		Reason: audit.ShutdownStarted,
 		Node:   n.settings.Node.Name,
@@ -324,15 +352,7 @@
 	case <-ctx.Done():
 	}
 	if err := n.callers.Shutdown(ctx); err != nil {
-		cut = n.entry.Running()
-		for _, id := range cut {
-			klog.InfoS("Request cut by shutdown", "request", id)
-			n.stats.Inc(stats.RequestsInterrupted)
-			n.audit.Record(audit.Event{
-				Reason:  audit.ShutdownCut,
-				Request: id,
-			})
-		}
+		cut = n.cutRequests()
 	}
 	n.releaseResources()
 	n.audit.Record(audit.Event{
@@ -344,6 +364,41 @@
 	return cut
 }
 
+// cutRequests ends the requests that still run with a final answer, and returns their ids.
+func (n *Node) cutRequests() []string {
+	cut := n.entry.Running()
+	for _, id := range cut {
+		klog.InfoS("Request cut by shutdown", "request", id)
+		n.stats.Inc(stats.RequestsInterrupted)
+		n.audit.Record(audit.Event{
+			Reason:  audit.ShutdownCut,
+			Request: id,
+		})
+	}
+	n.entry.End()
+	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTime)
+	defer cancel()
+	if err := n.callers.Shutdown(ctx); err != nil {
+		klog.InfoS("Callers have not taken their final answers", "requests", n.entry.Running(), "connections", n.callers.Counts())
+	}
+	return cut
+}
+
+// cancelAt calls cancel at a time of the clock, unless ctx ends before. Timers do not
+// advance while the VM is suspended, so it looks at the clock.
+func cancelAt(ctx context.Context, cancel context.CancelFunc, clk clock.Clock, at time.Time) {
+	t := time.NewTicker(endCheckInterval)
+	defer t.Stop()
+	for clk.Now().Before(at) {
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+	cancel()
+}
+
 // releaseResources stores pending outcomes and releases slots and the lease. It
 // has its own timeout because it is useful even after the operator's deadline.
 func (n *Node) releaseResources() {
