entry: give no stored answer to a withdrawn key, and know a key with its workspace

Two faults that the cells of planned changes showed.

A call with an idempotency key that was looked up while its key was withdrawn, or moved to another workspace, got the stored answer of the first call: only a call that is sent rechecked the key. Now the key is checked again before a stored answer is given.

A request with a key of a workspace that is new in the same change got 401 key-unknown, or 503 rate-unreachable with Retry-After of an hour: a change reaches the keys, the routes, the server and the rate limits one after another, and a request between two of them was refused for good. The class: one change seen in part. Now it waits up to half a second for the rest, and is refused with 503 key-unverifiable if that does not come.

TestChangesAndStates has one more state (a stream that was sent and has no token) and one more change (service of a model removed), which held before.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -42,13 +42,16 @@
 		return false
 	}
 	q.workspace = q.view.index.Workspaces[q.verdict.Workspace]
-	if q.workspace == nil {
-		// The key table may be one revision newer than this request's view.
+	for try := 0; q.workspace == nil && try < maxViewTries; try++ {
+		// The key table may be newer than this request's view.
+		if try > 0 {
+			q.awaitChange(q.r.Context())
+		}
 		q.view = q.config.Load()
 		q.workspace = q.view.index.Workspaces[q.verdict.Workspace]
 	}
 	if q.workspace == nil {
-		p, _ := keyProblem(keys.Unknown)
+		p, _ := keyProblem(keys.Stale)
 		q.refuse(p, audit.Event{})
 		return false
 	}
--- a/internal/entry/bench_test.go
+++ b/internal/entry/bench_test.go
@@ -12,6 +12,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -244,12 +245,17 @@
 type stubAdmitter struct {
 	hold
 	refused sync.Map
+	// unknown is how many of the next requests are of a workspace that is not known yet.
+	unknown atomic.Int32
 }
 
 func (a *stubAdmitter) Admit(ctx context.Context, workspace string, tokens int64) (limit.Charge, error) {
 	if err := a.wait(ctx); err != nil {
 		return limit.Charge{}, err
 	}
+	if a.unknown.Add(-1) >= 0 {
+		return limit.Charge{}, &limit.RefusedError{Workspace: workspace, Wanted: tokens, Reason: quota.ReasonUnknown, After: time.Hour}
+	}
 	if _, ok := a.refused.Load(workspace); ok {
 		return limit.Charge{}, &limit.RefusedError{Workspace: workspace, Wanted: tokens, Reason: quota.ReasonRate, After: time.Minute}
 	}
@@ -348,8 +354,8 @@
 	// declines and losses are how many of the next requests are refused as not run, or run
 	// and not answered; breaks how many of the next streams end early.
 	declines, losses, breaks int
-	// aborts makes held streams end early.
-	aborts bool
+	// aborts makes held streams end early, and early holds them before their first token.
+	aborts, early bool
 }
 
 func newStubEndpoint(t *testing.T) *stubEndpoint {
@@ -411,6 +417,9 @@
 		_ = e.wait(r.Context())
 		panic(http.ErrAbortHandler)
 	case in.Stream:
+		if e.early && e.wait(r.Context()) != nil {
+			return
+		}
 		e.stream(w, r, 0, 2)
 	default:
 		if e.wait(r.Context()) != nil {
--- a/internal/entry/change_test.go
+++ b/internal/entry/change_test.go
@@ -90,6 +90,14 @@
 		release: func(b *bench) { b.engines["e1"].release() },
 	},
 	{name: "sent and unanswered, whole", sent: true, prepare: holdEndpoint("e1"), reached: isAtHold("e1"), release: func(b *bench) { b.engines["e1"].release() }},
+	{
+		name:    "sent and unanswered, stream",
+		sent:    true,
+		stream:  true,
+		prepare: func(b *bench) { b.engines["e1"].begin(); b.engines["e1"].early = true },
+		reached: isAtHold("e1"),
+		release: func(b *bench) { b.engines["e1"].release() },
+	},
 	{
 		name:    "streaming",
 		sent:    true,
@@ -258,6 +266,16 @@
 		},
 		want: unlessSent("model-unknown"),
 	},
+	change{
+		name: "service removed",
+		apply: func(b *bench) {
+			b.apply(func(c *spec.Config) {
+				c.Services, c.Models, c.Adapters = c.Services[1:], nil, nil
+				c.Endpoints = slices.DeleteFunc(c.Endpoints, func(e spec.Endpoint) bool { return e.Service == "lm" })
+			})
+		},
+		want: unlessSent("model-unknown"),
+	},
 	change{
 		name:  "another model removed",
 		apply: func(b *bench) { b.apply(func(c *spec.Config) { c.Models = c.Models[:1] }) },
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -194,7 +194,7 @@
 	}
 	end := c.beginWait()
 	defer end()
-	charge, err := c.opts.Admitter.Admit(c.waiting, c.workspace.Name, c.tokens)
+	charge, err := c.takeTokens()
 	if err != nil && c.waiting.Err() != nil {
 		c.refuse(*c.contextProblem(), audit.Event{})
 		return false
@@ -208,6 +208,19 @@
 	return true
 }
 
+// takeTokens charges the tokens of the request. The workspace may be new, so that the rate
+// limits do not know it yet.
+func (c *completion) takeTokens() (limit.Charge, error) {
+	for try := 0; ; try++ {
+		charge, err := c.opts.Admitter.Admit(c.waiting, c.workspace.Name, c.tokens)
+		var refused *limit.RefusedError
+		if !errors.As(err, &refused) || refused.Reason != quota.ReasonUnknown || try == maxViewTries || c.waiting.Err() != nil {
+			return charge, err
+		}
+		c.awaitChange(c.waiting)
+	}
+}
+
 func (c *completion) admitProblem(err error) (problem, audit.Event) {
 	var refused *limit.RefusedError
 	if !errors.As(err, &refused) {
@@ -390,7 +403,7 @@
 	var err error
 	for range maxReadmitAttempts {
 		var charge limit.Charge
-		if charge, err = c.opts.Admitter.Admit(c.waiting, c.workspace.Name, c.tokens); err == nil {
+		if charge, err = c.takeTokens(); err == nil {
 			c.charge = &charge
 			return nil
 		}
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/keys"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
 
@@ -53,3 +54,48 @@
 		}
 	})
 }
+
+// TestReplayToWithdrawnKey guards against the stored answer of a call for a key that was
+// withdrawn while the call was looked up, and against callers of other changes who do not
+// learn of an outcome.
+func TestReplayToWithdrawnKey(t *testing.T) {
+	for _, c := range callChanges {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			header := []string{"Authorization", "Bearer " + benchKey, "Idempotency-Key", "k1"}
+			first := b.begin(http.MethodPost, "/app/x", "{}", "", header...)
+			if got, _ := first.within(5 * time.Second); !got.isWhole() {
+				t.Fatalf("got %d %q %v", got.status, got.body, got.err)
+			}
+			b.table.begin()
+			x := b.begin(http.MethodPost, "/app/x", "{}", "", header...)
+			b.eventually("looked up", func() bool { return b.table.count() > 0 })
+			c.apply(b)
+			b.table.release()
+			got, _ := x.within(5 * time.Second)
+			isWithdrawn := withdrawn(state{method: http.MethodPost}) == c.want(state{method: http.MethodPost})
+			if isWithdrawn && got.code != "key-withdrawn" || !isWithdrawn && !got.isWhole() || got.notRun || b.runs("/app/x") != 1 {
+				t.Errorf("got %d %q %v after %d runs", got.status, got.body, got.err, b.runs("/app/x"))
+			}
+		})
+	}
+}
+
+// TestKeyOfNewWorkspace guards against the refusal of a key whose workspace is part of the
+// same change, when the keys come into force just before the rest, and the limits after it.
+func TestKeyOfNewWorkspace(t *testing.T) {
+	t.Parallel()
+	b := newBench(t)
+	next := *b.config
+	next.Workspaces = []spec.Workspace{{Name: "new", Weight: 1}}
+	next.Keys = []spec.Key{{ID: "desk", Workspace: "new", Digest: spec.Digest(benchKey)}}
+	b.checker.SetConfig(&next, time.Now().Add(time.Hour))
+	x := b.begin(http.MethodPost, "/v1/completions", completionBody("p", false), "", "Authorization", "Bearer "+benchKey)
+	b.eventually("the key is known", func() bool { return b.checker.Count(keys.OK) > 0 })
+	b.admitter.unknown.Store(3)
+	b.server.SetConfig(&next)
+	if got, _ := x.within(5 * time.Second); !got.isWhole() {
+		t.Errorf("got %d %q %v", got.status, got.body, got.err)
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -239,6 +239,10 @@
 		c.opts.Stats.Inc(stats.OnceRun)
 		return true
 	case once.Replay:
+		if p := c.keyProblem(); p != nil {
+			c.refuse(*p, audit.Event{})
+			return false
+		}
 		c.opts.Stats.Inc(stats.OnceReplayed)
 		c.replay(d.Response)
 		return false
@@ -425,14 +429,20 @@
 		p.NotRun = c.allProvedNotRun
 		return &p
 	}
+	return c.keyProblem()
+}
+
+// keyProblem returns the refusal of a call whose key is not valid any more, or nil.
+func (c *plainCall) keyProblem() *problem {
 	if c.workspace == nil {
 		return nil
 	}
-	if p, bad := keyProblem(c.opts.Keys.RecheckBeforeSend(c.verdict)); bad {
-		p.NotRun = c.allProvedNotRun
-		return &p
+	p, bad := keyProblem(c.opts.Keys.RecheckBeforeSend(c.verdict))
+	if !bad {
+		return nil
 	}
-	return nil
+	p.NotRun = c.allProvedNotRun
+	return &p
 }
 
 // handleOutcome decides after an attempt whether to retry, to return the answer or
--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -136,11 +136,16 @@
 	})
 }
 
-// viewLag bounds the wait for the configuration after the routes have changed.
-const viewLag = 5 * time.Millisecond
+// A change of the configuration reaches the keys, the routes, the server and the rate limits
+// one after another.
+const (
+	// viewLag bounds one wait for the rest of a change, and maxViewTries is how often a
+	// request waits.
+	viewLag      = 5 * time.Millisecond
+	maxViewTries = 100
+)
 
-// awaitChange waits for a moment, or for the next change of the configuration: the routes
-// change just before the configuration does.
+// awaitChange waits for a moment, or for the next change of the configuration.
 func (q *request) awaitChange(ctx context.Context) {
 	t := time.NewTimer(viewLag)
 	defer t.Stop()
