local: test that a stop cuts no long stream

A node that stops leaves the group of relays, but must keep its view of the keys fresh as long as a stream runs. It does: streams of 9 s end whole at three nodes that are stopped at the same time, two of them all nodes of their domain.

Test: TestStopCutsNoLongStream, with the race detector.

--- a/internal/local/stop_test.go
+++ b/internal/local/stop_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,3 +94,42 @@
 		t.Errorf("cut %v, want the stream that ran before the stop", cut)
 	}
 }
+
+// TestStopCutsNoLongStream guards against a stopping node that loses its view of the keys
+// while a stream goes on, and ends the stream.
+func TestStopCutsNoLongStream(t *testing.T) {
+	t.Parallel()
+	f, keys := testFleet(t, Options{
+		Config:         testConfig(2),
+		NodesPerDomain: 2,
+		Engine: model.Options{
+			Speed:       100_000,
+			StreamSpeed: 100,
+		},
+	})
+	var all sync.WaitGroup
+	for i, n := range f.Nodes {
+		if i%2 == 0 && i > 0 {
+			// One node of the second domain and both of the first are stopped.
+			continue
+		}
+		before := f.Engines["assistant-d1"].Stats().Requests + f.Engines["assistant-d2"].Stats().Requests
+		all.Go(func() {
+			if status, body := streamed(t, n.CallersAddr, keys["club"], 900); status != http.StatusOK || !strings.Contains(body, "[DONE]") {
+				t.Errorf("node %d: %d %s", i, status, body[max(0, len(body)-300):])
+			}
+		})
+		eventually(t, 5*time.Second, func() error {
+			if f.Engines["assistant-d1"].Stats().Requests+f.Engines["assistant-d2"].Stats().Requests == before {
+				return errors.New("the stream does not run")
+			}
+			return nil
+		})
+		all.Go(func() {
+			if cut := n.Shutdown(t.Context()); len(cut) > 0 {
+				t.Errorf("node %d cut %v", i, cut)
+			}
+		})
+	}
+	all.Wait()
+}
