entry: end repeatable calls whose key is withdrawn

A call of a plain service that an endpoint answers slowly gave its answer to a key that had been withdrawn up to 30 s before; completions were ended at once. A key has to stop working within seconds.

Now a repeatable call that runs is ended with 401 stream-key-withdrawn like a completion, or with 503 key-unverifiable when the node cannot know any more. A call that may not be repeated goes on, since its outcome has to be known.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -108,6 +108,23 @@
 	}, true
 }
 
+// keyCauseProblem returns the problem of a request whose context was ended for its key, or
+// nil. The caller sets NotRun.
+func keyCauseProblem(ctx context.Context) *problem {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errKeyWithdrawn):
+		return &problem{
+			Status:  http.StatusUnauthorized,
+			Reason:  audit.StreamKeyWithdrawn,
+			Message: "the key was withdrawn while the request was running",
+		}
+	case errors.Is(cause, errKeyUnverifiable):
+		p, _ := keyProblem(keys.Stale)
+		return &p
+	}
+	return nil
+}
+
 // readBody reads the body up to the size limit. It refuses a request whose body,
 // URL or headers other than Authorization contain the key, because they are
 // forwarded to an endpoint. If it returns false, it has answered the request.
--- a/internal/entry/change_test.go
+++ b/internal/entry/change_test.go
@@ -174,7 +174,7 @@
 	switch {
 	case s.open:
 		return served
-	case s.method != "" && s.sent:
+	case s.method == http.MethodPost && s.sent:
 		// Its outcome has to be known.
 		return served
 	}
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -12,7 +12,6 @@
 	"trefoildale.example/trefoildale/internal/audit"
 	"trefoildale.example/trefoildale/internal/engine"
 	"trefoildale.example/trefoildale/internal/fair"
-	"trefoildale.example/trefoildale/internal/keys"
 	"trefoildale.example/trefoildale/internal/limit"
 	"trefoildale.example/trefoildale/internal/once"
 	"trefoildale.example/trefoildale/internal/quota"
@@ -102,7 +101,7 @@
 	ctx, cancel := context.WithCancelCause(c.r.Context())
 	defer cancel(nil)
 	c.ctx, c.cancel, c.waiting = ctx, cancel, ctx
-	stop := c.watchKey()
+	stop := c.watchKey(cancel)
 	defer stop()
 	if c.admit() {
 		c.serve()
@@ -275,18 +274,18 @@
 
 // watchKey cancels the request when its key is withdrawn or can no longer be
 // checked.
-func (c *completion) watchKey() (stop func()) {
-	if c.workspace == nil {
+func (q *request) watchKey(cancel context.CancelCauseFunc) (stop func()) {
+	if q.workspace == nil {
 		return func() {}
 	}
-	expired := c.opts.Keys.Expired()
+	expired := q.opts.Keys.Expired()
 	done := make(chan struct{})
 	go func() {
 		select {
-		case <-c.verdict.Withdrawn():
-			c.cancel(errKeyWithdrawn)
+		case <-q.verdict.Withdrawn():
+			cancel(errKeyWithdrawn)
 		case <-expired:
-			c.cancel(errKeyUnverifiable)
+			cancel(errKeyUnverifiable)
 		case <-done:
 		}
 	}()
@@ -592,14 +591,10 @@
 			e.Message = "the node that passed on the answer has stopped"
 		}
 		return &e
-	case errors.Is(cause, errKeyWithdrawn):
-		p.Status = http.StatusUnauthorized
-		p.Reason = audit.StreamKeyWithdrawn
-		p.Message = "the key was withdrawn while the request was running"
-	case errors.Is(cause, errKeyUnverifiable):
-		k, _ := keyProblem(keys.Stale)
+	case errors.Is(cause, errKeyWithdrawn), errors.Is(cause, errKeyUnverifiable):
+		k := keyCauseProblem(c.ctx)
 		k.NotRun = p.NotRun
-		return &k
+		return k
 	case errors.Is(cause, errCancelled):
 		p.Message = "the request was cancelled"
 	case errors.Is(cause, errSlowClient):
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -69,15 +69,21 @@
 		q.badRequest("the key must be sent in the Authorization header only")
 		return
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(q.r.Context()), time.Now().Add(plainDeadline))
-	defer cancel()
+	ctx, cancelDeadline := context.WithDeadline(context.WithoutCancel(q.r.Context()), time.Now().Add(plainDeadline))
+	defer cancelDeadline()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	defer context.AfterFunc(q.r.Context(), func() {
 		// Only repeatable calls end when the caller disconnects. Others continue, so that
 		// their outcome is known, up to the end of the process.
 		if m.Repeatable || q.processEnds() {
-			cancel()
+			cancel(context.Cause(q.r.Context()))
 		}
 	})()
+	if m.Repeatable {
+		// The outcome of a call that may not be repeated has to be known.
+		defer q.watchKey(cancel)()
+	}
 	c := &plainCall{
 		request:         q,
 		ctx:             ctx,
@@ -458,7 +464,7 @@
 	}, outcome, c.attempts, c.allProvedNotRun, c.opts.Clock.Now())
 	c.allProvedNotRun = c.allProvedNotRun && outcome.ProvedNotRun()
 	switch {
-	case v.Action == once.Retry && c.r.Context().Err() == nil:
+	case v.Action == once.Retry && c.r.Context().Err() == nil && c.ctx.Err() == nil:
 		c.exclude = append(slices.Clone(c.exclude), choice.Endpoint)
 		c.opts.Stats.Inc(stats.RetriesDone)
 		c.opts.Audit.Record(audit.Event{
@@ -484,6 +490,10 @@
 		p = endProblem()
 		p.NotRun = v.NotRun
 	}
+	if k := keyCauseProblem(c.ctx); k != nil {
+		p = *k
+		p.NotRun = v.NotRun
+	}
 	if !repeatable && !v.NotRun {
 		p.Reason = audit.OutcomeUnknown
 		p.Status = http.StatusGatewayTimeout
@@ -500,6 +510,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
+	case <-c.ctx.Done():
 	case <-c.r.Context().Done():
 	}
 }
--- a/internal/entry/plain_test.go
+++ b/internal/entry/plain_test.go
@@ -11,7 +11,7 @@
 // after its caller has left.
 func TestBackOffEndsWithCaller(t *testing.T) {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &plainCall{request: &request{r: (&http.Request{}).WithContext(ctx)}}
+	c := &plainCall{request: &request{r: (&http.Request{}).WithContext(ctx)}, ctx: context.Background()}
 	time.AfterFunc(10*time.Millisecond, cancel)
 	began := time.Now()
 	c.backOff(time.Minute)
