entry: refuse a slow body at once when its key is withdrawn

A request whose body arrived slowly kept its connection and its handler until all of the body had arrived, although its key had been withdrawn meanwhile. Now the reading ends with the key, as it does at the end of the process, and the caller gets 401 stream-key-withdrawn, as not run.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -125,17 +125,34 @@
 	return nil
 }
 
+// endedProblem returns the refusal of a request that was ended while its body was read, or
+// nil.
+func (q *request) endedProblem(ctx context.Context) *problem {
+	if q.processEnds() {
+		p := endProblem()
+		return &p
+	}
+	p := keyCauseProblem(ctx)
+	if p != nil {
+		p.NotRun = true
+	}
+	return p
+}
+
 // readBody reads the body up to the size limit. It refuses a request whose body,
 // URL or headers other than Authorization contain the key, because they are
 // forwarded to an endpoint. If it returns false, it has answered the request.
 func (q *request) readBody() ([]byte, bool) {
-	// A body that arrives slowly must not keep the request without an answer at the end.
-	stop := context.AfterFunc(q.r.Context(), func() {
-		if q.processEnds() {
+	// A body that arrives slowly must not keep the request without an answer at the end of
+	// the process or of its key.
+	ctx, cancel := context.WithCancelCause(q.r.Context())
+	defer cancel(nil)
+	defer q.watchKey(cancel)()
+	stop := context.AfterFunc(ctx, func() {
+		if q.processEnds() || keyCauseProblem(ctx) != nil {
 			_ = http.NewResponseController(q.w).SetReadDeadline(time.Now())
 		}
 	})
-	defer stop()
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, q.opts.Limits.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -149,9 +166,13 @@
 		})
 		return nil, false
 	}
-	if err != nil && q.processEnds() {
-		q.refuse(endProblem(), audit.Event{})
-		return nil, false
+	if !stop() {
+		// The deadline may have passed after the body was read, and the connection is of no
+		// more use.
+		if p := q.endedProblem(ctx); p != nil {
+			q.refuse(*p, audit.Event{})
+			return nil, false
+		}
 	}
 	if err != nil {
 		q.badRequest("the body could not be read: " + err.Error())
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -99,3 +99,20 @@
 		t.Errorf("got %d %q %v", got.status, got.body, got.err)
 	}
 }
+
+// TestSlowBodyOfWithdrawnKey guards against a request whose key is withdrawn while its body
+// arrives, and that is refused only when all of it has arrived.
+func TestSlowBodyOfWithdrawnKey(t *testing.T) {
+	for _, s := range []state{completionStates[1], callStates[1], callStates[2]} {
+		t.Run(s.name+s.method, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			x, mark := b.beginIn(s)
+			commonChanges[0].apply(b)
+			got, ok := x.within(2 * time.Second)
+			if !ok || got.code != "stream-key-withdrawn" || !got.notRun && !s.unproved || b.runs(mark) > 0 {
+				t.Errorf("got %d %q %v after %d runs, at once: %v", got.status, got.body, got.err, b.runs(mark), ok)
+			}
+		})
+	}
+}
