entry: check the key of a call whose service is closed before a retry

Now its key is checked as for a new call, also against being sent in the body or the path, which reach the endpoint.

--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -22,6 +22,9 @@
 	errKeyUnverifiable = errors.New("entry: keys cannot be checked")
 )
 
+// keyElsewhere is the message to a caller who has sent the key in another place too.
+const keyElsewhere = "the key must be sent in the Authorization header only"
+
 // keyRetryAfter is the Retry-After of a response for which the key could not be
 // checked.
 const keyRetryAfter = 5 * time.Second
@@ -29,17 +32,25 @@
 // authenticate checks the key of the request and finds its workspace. If it
 // returns false, it has answered the request with an error.
 func (q *request) authenticate() bool {
+	p := q.checkKey()
+	if p != nil {
+		q.refuse(*p, audit.Event{})
+	}
+	return p == nil
+}
+
+// checkKey checks the key of the request and finds its workspace, or returns the refusal.
+func (q *request) checkKey() *problem {
 	secret, ok := strings.CutPrefix(q.r.Header.Get("Authorization"), "Bearer ")
 	if !ok || secret == "" {
-		q.refuse(noKeyProblem(), audit.Event{})
-		return false
+		p := noKeyProblem()
+		return &p
 	}
 	q.secret = secret
 	q.verdict = q.opts.Keys.Check(secret)
 	if p, bad := keyProblem(q.verdict.Result); bad {
 		q.countRejectedKey(q.verdict.Result)
-		q.refuse(p, audit.Event{})
-		return false
+		return &p
 	}
 	q.workspace = q.view.index.Workspaces[q.verdict.Workspace]
 	for try := 0; q.workspace == nil && try < maxViewTries; try++ {
@@ -52,10 +63,9 @@
 	}
 	if q.workspace == nil {
 		p, _ := keyProblem(keys.Stale)
-		q.refuse(p, audit.Event{})
-		return false
+		return &p
 	}
-	return true
+	return nil
 }
 
 func noKeyProblem() problem {
@@ -179,7 +189,7 @@
 		return nil, false
 	}
 	if q.leaksKey(body) {
-		q.badRequest("the key must be sent in the Authorization header only")
+		q.badRequest(keyElsewhere)
 		return nil, false
 	}
 	return body, true
@@ -214,10 +224,14 @@
 }
 
 func (q *request) badRequest(message string) {
-	q.refuse(problem{
+	q.refuse(badRequestProblem(message), audit.Event{})
+}
+
+func badRequestProblem(message string) problem {
+	return problem{
 		Status:  http.StatusBadRequest,
 		Reason:  audit.BadRequest,
 		Message: message,
 		NotRun:  true,
-	}, audit.Event{})
+	}
 }
--- a/internal/entry/once_test.go
+++ b/internal/entry/once_test.go
@@ -116,3 +116,31 @@
 		})
 	}
 }
+
+// TestKeyOfClosedService guards against the refusal of a call that has a valid key, and
+// against a key that reaches an endpoint, when the service is closed before a retry.
+func TestKeyOfClosedService(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		key  string
+		body string
+		code string
+	}{
+		{name: "valid", key: benchKey},
+		{name: "not ours", key: "another", code: "key-unknown"},
+		{name: "in the body too", key: benchKey, body: benchKey, code: "bad-request"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			b := newBench(t)
+			b.engines["o1"].declines = 1
+			x := b.begin(http.MethodGet, "/open/x", tc.body, "", "Authorization", "Bearer "+tc.key)
+			b.eventually("backing off", func() bool { return hasRetried(b, x) })
+			changeService("open", func(s *spec.Service) { s.Open = false })(b)
+			got, _ := x.within(5 * time.Second)
+			if got.code != tc.code || tc.code == "" && !got.isWhole() || tc.code != "" && b.runs("/open/x") > 0 {
+				t.Errorf("got %d %q %v after %d runs", got.status, got.body, got.err, b.runs("/open/x"))
+			}
+		})
+	}
+}
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -66,7 +66,7 @@
 		return
 	}
 	if q.leaksKey(body) {
-		q.badRequest("the key must be sent in the Authorization header only")
+		q.badRequest(keyElsewhere)
 		return
 	}
 	ctx, cancelDeadline := context.WithDeadline(context.WithoutCancel(q.r.Context()), time.Now().Add(plainDeadline))
@@ -157,7 +157,16 @@
 			RetryAfter: time.Second,
 		}
 	case !svc.Open && c.workspace == nil:
-		p = noKeyProblem()
+		// The service was closed since the arrival.
+		if k := c.checkKey(); k != nil {
+			p = *k
+			break
+		}
+		if c.leaksKey(c.body) {
+			p = badRequestProblem(keyElsewhere)
+			break
+		}
+		return c.unservable()
 	default:
 		if _, ok := findMethod(svc, c.r); !ok {
 			p = c.methodProblem(svc)
