--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -21,6 +22,9 @@
 	errKeyUnverifiable = errors.New("entry: keys cannot be checked")
 )
 
+// keyElsewhere is the message to a caller who has sent the key in another place too.
+const keyElsewhere = "the key must be sent in the Authorization header only"
+
 // keyRetryAfter is the Retry-After of a response for which the key could not be
 // checked.
 const keyRetryAfter = 5 * time.Second
@@ -28,35 +32,49 @@
 // authenticate checks the key of the request and finds its workspace. If it
 // returns false, it has answered the request with an error.
 func (q *request) authenticate() bool {
+	p := q.checkKey()
+	if p != nil {
+		q.refuse(*p, audit.Event{})
+	}
+	return p == nil
+}
+
+// checkKey checks the key of the request and finds its workspace, or returns the refusal.
+func (q *request) checkKey() *problem {
 	secret, ok := strings.CutPrefix(q.r.Header.Get("Authorization"), "Bearer ")
 	if !ok || secret == "" {
-		q.refuse(problem{
-			Status:  http.StatusUnauthorized,
-			Reason:  audit.NoKey,
-			Message: `the request has no key; send it as "Authorization: Bearer KEY"`,
-			NotRun:  true,
-		}, audit.Event{})
-		return false
+		p := noKeyProblem()
+		return &p
 	}
 	q.secret = secret
 	q.verdict = q.opts.Keys.Check(secret)
 	if p, bad := keyProblem(q.verdict.Result); bad {
 		q.countRejectedKey(q.verdict.Result)
-		q.refuse(p, audit.Event{})
-		return false
+		return &p
 	}
 	q.workspace = q.view.index.Workspaces[q.verdict.Workspace]
-	if q.workspace == nil {
-		// The key table may be one revision newer than this request's view.
+	for try := 0; q.workspace == nil && try < maxViewTries; try++ {
+		// The key table may be newer than this request's view.
+		if try > 0 {
+			q.awaitChange(q.r.Context())
+		}
 		q.view = q.config.Load()
 		q.workspace = q.view.index.Workspaces[q.verdict.Workspace]
 	}
 	if q.workspace == nil {
-		p, _ := keyProblem(keys.Unknown)
-		q.refuse(p, audit.Event{})
-		return false
+		p, _ := keyProblem(keys.Stale)
+		return &p
+	}
+	return nil
+}
+
+func noKeyProblem() problem {
+	return problem{
+		Status:  http.StatusUnauthorized,
+		Reason:  audit.NoKey,
+		Message: `the request has no key; send it as "Authorization: Bearer KEY"`,
+		NotRun:  true,
 	}
-	return true
 }
 
 func (q *request) countRejectedKey(r keys.Result) {
@@ -100,10 +118,51 @@
 	}, true
 }
 
+// keyCauseProblem returns the problem of a request whose context was ended for its key, or
+// nil. The caller sets NotRun.
+func keyCauseProblem(ctx context.Context) *problem {
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errKeyWithdrawn):
+		return &problem{
+			Status:  http.StatusUnauthorized,
+			Reason:  audit.StreamKeyWithdrawn,
+			Message: "the key was withdrawn while the request was running",
+		}
+	case errors.Is(cause, errKeyUnverifiable):
+		p, _ := keyProblem(keys.Stale)
+		return &p
+	}
+	return nil
+}
+
+// endedProblem returns the refusal of a request that was ended while its body was read, or
+// nil.
+func (q *request) endedProblem(ctx context.Context) *problem {
+	if q.processEnds() {
+		p := endProblem()
+		return &p
+	}
+	p := keyCauseProblem(ctx)
+	if p != nil {
+		p.NotRun = true
+	}
+	return p
+}
+
 // readBody reads the body up to the size limit. It refuses a request whose body,
 // URL or headers other than Authorization contain the key, because they are
 // forwarded to an endpoint. If it returns false, it has answered the request.
 func (q *request) readBody() ([]byte, bool) {
+	// A body that arrives slowly must not keep the request without an answer at the end of
+	// the process or of its key.
+	ctx, cancel := context.WithCancelCause(q.r.Context())
+	defer cancel(nil)
+	defer q.watchKey(cancel)()
+	stop := context.AfterFunc(ctx, func() {
+		if q.processEnds() || keyCauseProblem(ctx) != nil {
+			_ = http.NewResponseController(q.w).SetReadDeadline(time.Now())
+		}
+	})
 	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, q.opts.Limits.MaxBodyBytes))
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
@@ -117,12 +176,20 @@
 		})
 		return nil, false
 	}
+	if !stop() {
+		// The deadline may have passed after the body was read, and the connection is of no
+		// more use.
+		if p := q.endedProblem(ctx); p != nil {
+			q.refuse(*p, audit.Event{})
+			return nil, false
+		}
+	}
 	if err != nil {
 		q.badRequest("the body could not be read: " + err.Error())
 		return nil, false
 	}
 	if q.leaksKey(body) {
-		q.badRequest("the key must be sent in the Authorization header only")
+		q.badRequest(keyElsewhere)
 		return nil, false
 	}
 	return body, true
@@ -157,10 +224,14 @@
 }
 
 func (q *request) badRequest(message string) {
-	q.refuse(problem{
+	q.refuse(badRequestProblem(message), audit.Event{})
+}
+
+func badRequestProblem(message string) problem {
+	return problem{
 		Status:  http.StatusBadRequest,
 		Reason:  audit.BadRequest,
 		Message: message,
 		NotRun:  true,
-	}, audit.Event{})
+	}
 }
