serve, proc: log what a stop does to each request

What callers saw: streams that a stopping process had accepted after its signal were cut at the end of the grace. The log told neither which requests these were nor when they had arrived, and nothing told how late the signal was handled.

Change: the server gets the plan of the stop (drain.Stop) in place of a single time, with no other decision than before. A refusal of a stopping process and a request that its end interrupts (100 lines at most) are logged with the id, the reason, the time that the request is expected to take, the time left, and when it arrived after the signal. The expected time is learned from requests that were answered in full (drain.Times). drain.Pulse notes every 0.1 s that signals are handled; "stop requested" says how long before the signal may have been sent.

No logic of the stop changes in this commit.

--- a/internal/drain/drain.go
+++ b/internal/drain/drain.go
@@ -13,6 +13,8 @@
 
 // Stop is the plan of a process that was told to stop.
 type Stop struct {
+	// Since is when the process may have got the signal at the earliest.
+	Since time.Time
 	// AcceptUntil is from when on arriving requests are rejected.
 	AcceptUntil time.Time
 	// EndsAt is when the requests that still run are cut.
@@ -29,6 +31,8 @@
 	TooLate Reason = "arrived-too-late"
 	// TooLong is that the request is expected to last beyond the end of the process.
 	TooLong Reason = "expected-to-last-too-long"
+	// Ended is that the process ends now.
+	Ended Reason = "process-ends"
 )
 
 // Arrival decides about a request that arrives at now and is expected to take need. A nil
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -21,6 +21,7 @@
 	"trefoildale.example/trefoildale/internal/conf"
 	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/coord"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/mirror"
 	"trefoildale.example/trefoildale/internal/picker"
@@ -74,6 +75,8 @@
 	// interruptMargin is how long before its exit a stopping process answers the
 	// requests that still wait, with an error.
 	interruptMargin = 200 * time.Millisecond
+	// pulseInterval is how often the process notes that it handles signals.
+	pulseInterval = 100 * time.Millisecond
 	// drainKillMargin is how long before the kill a stopping process exits.
 	drainKillMargin = 300 * time.Millisecond
 	// softMemoryShare is the part of the process's memory that is the soft limit of
@@ -97,8 +100,10 @@
 	readyServer    *http.Server
 	metricsServer  *http.Server
 	requestMetrics *metrics
-	stopping       atomic.Bool
-	stopRPC        func()
+	// pulse belongs to the goroutine of Run.
+	pulse    *drain.Pulse
+	stopping atomic.Bool
+	stopRPC  func()
 }
 
 // New returns a process whose listeners are open, and a function that closes its
@@ -120,6 +125,7 @@
 		store:          store,
 		table:          picker.NewTable(settings.Node.Domain),
 		requestMetrics: newMetrics(),
+		pulse:          drain.NewPulse(clk.Now()),
 	}
 	p.table.SetLog(log.Logger)
 	holder := &nodeHolder{}
@@ -283,14 +289,20 @@
 	wg.Go(func() { p.node.Run(ctx) })
 	wg.Go(func() { p.configMirror(ctx).Run(ctx) })
 	wg.Go(func() { p.endpointMirror(ctx).Run(ctx) })
+	tick := time.NewTicker(pulseInterval)
+	defer tick.Stop()
 	for {
 		select {
+		case <-tick.C:
+			p.pulse.Beat(p.clock.Now())
+			continue
 		case s := <-signals:
 			if s == syscall.SIGHUP {
 				p.reload(read)
 				continue
 			}
-			p.log.Info("stop requested", "signal", s.String(), "active", p.server.Active())
+			p.log.Info("stop requested", "signal", s.String(), "active", p.server.Active(),
+				"late-ms-at-most", p.clock.Now().Sub(p.pulse.Since()).Milliseconds(), "grace-ms", time.Duration(p.settings.Bounds.Grace).Milliseconds())
 		case <-ctx.Done():
 		}
 		break
@@ -342,11 +354,16 @@
 	startedAt := p.clock.Now()
 	kill := startedAt.Add(time.Duration(p.settings.Bounds.Grace) - drainKillMargin)
 	p.stopping.Store(true)
-	p.server.RefuseFrom(startedAt.Add(drainAcceptTime))
+	plan := drain.Stop{
+		Since:       p.pulse.Since(),
+		AcceptUntil: startedAt.Add(drainAcceptTime),
+		EndsAt:      kill.Add(-interruptMargin),
+	}
+	p.server.SetStop(plan)
 	p.node.ReleaseLease()
 	// Callers that are idle go on at other nodes, which shortens the stop.
 	p.callerServer.CloseIdle()
-	interrupt := time.AfterFunc(kill.Add(-interruptMargin).Sub(p.clock.Now()), func() {
+	interrupt := time.AfterFunc(plan.EndsAt.Sub(p.clock.Now()), func() {
 		p.log.Warn("requests interrupted at the end of the grace", "active", p.server.Active())
 		p.server.Interrupt()
 	})
@@ -355,7 +372,8 @@
 		return now.Sub(startedAt) >= minDrainTime && p.callerServer.Counts().Busy == 0
 	})
 	// Requests that still arrive are refused, and those accepted before are finished.
-	p.server.RefuseFrom(p.clock.Now())
+	plan.AcceptUntil = p.clock.Now()
+	p.server.SetStop(plan)
 	p.node.Leave(context.Background())
 	n := p.callerServer.Counts()
 	p.log.Info("listener closes", "busy", n.Busy, "idle", n.Idle, "without-request", n.Fresh)
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/conn"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/picker"
 	"trefoildale.example/trefoildale/internal/triage"
@@ -121,8 +122,8 @@
 // prepare finds the route, the workspace and the service of an arrived request, and sets
 // its deadline and its position in the stream.
 func (c *call) prepare() *Problem {
-	if from := c.refuseFrom.Load(); from != nil && !c.req.Arrived.Before(*from) {
-		return c.stoppingProblem()
+	if stop := c.stop.Load(); stop != nil && !c.req.Arrived.Before(stop.AcceptUntil) {
+		return c.stoppingProblem(drain.TooLate)
 	}
 	if p := c.applyConfig(); p != nil {
 		return p
@@ -176,7 +177,8 @@
 }
 
 // stoppingProblem returns the refusal of a request that another node can take.
-func (c *call) stoppingProblem() *Problem {
+func (c *call) stoppingProblem(why drain.Reason) *Problem {
+	c.logStop("request refused by a stopping process", why)
 	return &Problem{
 		Status:     http.StatusServiceUnavailable,
 		Code:       "stopping",
@@ -258,6 +260,7 @@
 		"endpoint", choice.Endpoint.ID, "service", c.service.Name, "load", choice.Load, "candidates", choice.Candidates,
 		"report-age-ms", choice.ReportAge.Milliseconds(), "config", c.config.Version, "attempt", c.sentAttempts+1, "tokens", c.tokenCost(),
 		"waited-ms", c.opts.Clock.Now().Sub(c.req.Arrived).Milliseconds())
+	sentAt := c.opts.Clock.Now()
 	reply, err := c.opts.Sender.Send(ctx, Attempt{
 		Request:   c.req,
 		Endpoint:  choice.Endpoint,
@@ -277,6 +280,7 @@
 		return c.handleSendError(ctx, key, err)
 	}
 	defer reply.Body.Close()
+	reply.sentAt = sentAt
 	c.recordStatements(key, reply)
 	c.sentAttempts++
 	c.opts.Table.RecordProgress(c.opts.Clock.Now(), key)
@@ -476,7 +480,10 @@
 func (c *call) contextProblem(ctx context.Context) *Problem {
 	if errors.Is(context.Cause(ctx), errInterrupted) {
 		if c.sentAttempts == 0 {
-			return c.stoppingProblem()
+			return c.stoppingProblem(drain.Ended)
+		}
+		if c.interruptedCalls.Add(1) <= maxInterruptedLogged {
+			c.logStop("request interrupted", drain.Ended)
 		}
 		return &Problem{
 			Status:  http.StatusBadGateway,
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -61,6 +61,7 @@
 		c.watchEnd(now)
 	default:
 		c.recordProof()
+		c.recordAnswerTime(reply, now)
 	}
 	c.caller.Respond(reply.Status, reply.Header, body)
 	c.recordServed(reply.Status)
@@ -246,6 +247,9 @@
 	}
 	if complete && outer.claim() {
 		c.opts.Table.EndAttempt(now, key, picker.Served)
+		if events > 0 && !reply.EndsWithConnection && !isResumed && outer == nil {
+			c.recordStreamTime(reply, first, last)
+		}
 		err := c.startResponse(reply)
 		if err == nil && len(held) > 0 {
 			err = c.caller.Event(held)
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -17,6 +17,7 @@
 
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/conn"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/picker"
 )
@@ -318,7 +319,9 @@
 		{name: "unknown key", route: "book", prepare: func(_ *harness, q *Request) { q.Key = "no" }, want: 401},
 		{name: "unknown path", route: "book", prepare: func(_ *harness, q *Request) { q.Path = "/none/" }, want: 404},
 		{name: "unknown model", route: "stream", prepare: func(_ *harness, q *Request) { q.Model = "m9" }, want: 404},
-		{name: "a stopping process", route: "book", prepare: func(h *harness, q *Request) { h.server.RefuseFrom(q.Arrived) }, want: 503},
+		{name: "a stopping process", route: "book", prepare: func(h *harness, q *Request) {
+			h.server.SetStop(drain.Stop{AcceptUntil: q.Arrived, EndsAt: q.Arrived.Add(time.Minute)})
+		}, want: 503},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := newHarness(t, fixedAdmission{})
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/picker"
 	"trefoildale.example/trefoildale/internal/poison"
@@ -103,11 +104,15 @@
 	// buffers bounds the memory for unfinished answers.
 	buffers bufferPool
 	probes  probes
-	// refuseFrom is the time from which a stopping process refuses requests.
-	refuseFrom atomic.Pointer[time.Time]
+	// stop is the plan of a stopping process, nil before.
+	stop atomic.Pointer[drain.Stop]
+	// times are learned from requests that were answered in full.
+	times drain.Times
 	// interrupted ends when Interrupt is called.
 	interrupted context.Context
 	interrupt   context.CancelFunc
+	// interruptedCalls is how many requests Interrupt has ended.
+	interruptedCalls atomic.Int64
 
 	mu        sync.Mutex
 	nodes     int
@@ -160,9 +165,8 @@
 // Active returns the number of requests in progress.
 func (s *Server) Active() int64 { return s.active.Load() }
 
-// RefuseFrom makes the server refuse requests that arrive at or after t, because
-// the process stops and might not finish them.
-func (s *Server) RefuseFrom(t time.Time) { s.refuseFrom.Store(&t) }
+// SetStop makes the server refuse what the process can't finish by this plan.
+func (s *Server) SetStop(plan drain.Stop) { s.stop.Store(&plan) }
 
 // Interrupt ends all requests now: those without an answer so far get a final one, and
 // streams break off.
--- /dev/null
+++ b/internal/serve/stop.go
@@ -0,0 +1,67 @@
+package serve
+
+import (
+	"time"
+
+	"trefoildale.example/trefoildale/internal/drain"
+)
+
+// maxInterruptedLogged is how many requests that the end of the process interrupts are
+// logged one by one.
+const maxInterruptedLogged = 100
+
+// expected returns how long the request is likely to take at most from its sending on.
+func (c *call) expected() time.Duration {
+	if c.service == nil {
+		return 0
+	}
+	return c.times.Expect(c.kind(), c.req.OutputTokens)
+}
+
+// kind returns with which requests the time of this one is compared.
+func (c *call) kind() drain.Kind {
+	k := drain.Kind{
+		Service: c.service.Name,
+	}
+	if c.service.Engine != nil {
+		k.Model = c.req.Model
+	}
+	return k
+}
+
+// recordAnswerTime records the time of a whole answer. An engine's depends on the number of
+// tokens, and its first part on the last one, so that it can't be compared with streams.
+func (c *call) recordAnswerTime(reply *Reply, now time.Time) {
+	if c.service.Engine != nil {
+		return
+	}
+	c.times.Record(c.kind(), drain.Sample{
+		First: now.Sub(reply.sentAt),
+	})
+}
+
+// recordStreamTime records the time of a stream that one endpoint sent from its first event
+// to its last one.
+func (c *call) recordStreamTime(reply *Reply, first, last time.Time) {
+	if c.req.LastEvent != "" {
+		return
+	}
+	c.times.Record(c.kind(), drain.Sample{
+		First:  first.Sub(reply.sentAt),
+		Rest:   last.Sub(first),
+		Tokens: c.req.OutputTokens,
+	})
+}
+
+// logStop logs what the stop of the process does to the request.
+func (c *call) logStop(message string, why drain.Reason) {
+	var plan drain.Stop
+	if p := c.stop.Load(); p != nil {
+		plan = *p
+	}
+	now := c.opts.Clock.Now()
+	c.opts.Log.Warn(message, "request", c.req.ID, "route", c.routeName(), "why", string(why),
+		"expected-ms", c.expected().Milliseconds(), "left-ms", plan.EndsAt.Sub(now).Milliseconds(),
+		"arrived-after-stop-ms", c.req.Arrived.Sub(plan.Since).Milliseconds(), "waited-ms", now.Sub(c.req.Arrived).Milliseconds(),
+		"tokens", c.req.OutputTokens, "sent", c.sentAttempts, "ran", c.ranAttempts, "events", c.eventCount)
+}
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -101,6 +101,9 @@
 	Leaving bool
 	// Wait is how long the endpoint wants no requests of this node, if it says so.
 	Wait health.Wait
+
+	// sentAt is when the sending of the attempt began.
+	sentAt time.Time
 }
 
 // Sender sends requests to endpoints. An error that wraps *conn.NotSentError
--- a/internal/trail/explain.go
+++ b/internal/trail/explain.go
@@ -64,7 +64,8 @@
 	"newer configuration known":     "{source} named configuration {config}; {node} had {in-force} and fetched it.",
 	"newer documents not fetched":   "{node} did not get newer data from {source} within {limit-ms} ms: {error}.",
 	"endpoints changed":             "The list of endpoints changed at {node}: added {added}, removed {removed}, leaving {leaving}.",
-	"stop requested":                "{node} was told to stop with {active} requests under way.",
+	"stop requested":                "{node} was told to stop, at most {late-ms-at-most} ms before, with {active} requests under way and a grace of {grace-ms} ms.",
+	"request interrupted":           "{node} ended while the request ran; it had arrived {arrived-after-stop-ms} ms after the signal to stop, was expected to take up to {expected-ms} ms, and had got {events} events.",
 	"process started":               "{node} started.",
 	"log lines dropped":             "{node} left {count} lines out of its log.",
 	"former coordinator resigned":   "The coordinator before resigned, so that orders need not wait.",
@@ -78,6 +79,7 @@
 	"row version out of range":                                "Row {row} of table {table} has a version that is not up to {newest}.",
 	"settings in force":                                       "{node} read its settings again.",
 	"settings not usable, the former ones stay in force":      "The new settings of {node} could not be used: {error}.",
+	"request refused by a stopping process":                   "{node} was stopping and refused the request ({why}): expected to take up to {expected-ms} ms, {left-ms} ms left; it had arrived {arrived-after-stop-ms} ms after the signal.",
 	"process ends":                                            "{node} ended with {active} requests under way.",
 }
 
