serve: refuse what a stopping process cannot finish

Cause: a stopping process accepted each request that arrived up to 2.9 s after its signal, and sent each one that waited, without asking whether it can end within the grace.

Change: drain.Stop decides about a request when it has been read, before each choice of an endpoint, while it waits for a model (with the time at which the load ends), and directly before its first byte is sent: if it has not run and is expected to last beyond the end of the process, it is refused at once with 503 "stopping" as not run, so that another node takes it. One that may have run is never refused. A request counts as arrived when its body was read: one whose body is read slowly was run after the process had stopped to accept.

Why it works: each way from a waiting request to an endpoint passes the check.

TestStopLearnsFromWholeAnswers guards what the expectation is made of.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -122,12 +122,16 @@
 // prepare finds the route, the workspace and the service of an arrived request, and sets
 // its deadline and its position in the stream.
 func (c *call) prepare() *Problem {
-	if stop := c.stop.Load(); stop != nil && !c.req.Arrived.Before(stop.AcceptUntil) {
-		return c.stoppingProblem(drain.TooLate)
+	// The body may have arrived long after the header.
+	if why := c.stop.Load().Arrival(c.opts.Clock.Now(), 0); why != drain.Accepted {
+		return c.stoppingProblem(why)
 	}
 	if p := c.applyConfig(); p != nil {
 		return p
 	}
+	if p := c.checkStop(c.opts.Clock.Now()); p != nil {
+		return p
+	}
 	timeout := c.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -309,13 +313,17 @@
 // configuration in force no longer allows the request: time may have passed since the
 // choice, for instance while the VM was suspended.
 func (c *call) check() error {
-	if !c.opts.Clock.Now().Before(c.deadline) {
+	now := c.opts.Clock.Now()
+	if !now.Before(c.deadline) {
 		return errors.New("serve: the deadline of the request has passed")
 	}
+	if c.whyRefused(now) != drain.Accepted {
+		return errStopping
+	}
 	if c.checkParts() != nil {
 		return errPartBlocked
 	}
-	if !c.opts.Table.Health().Ask(c.opts.Clock.Now(), c.lastChoice.Endpoint.Key()).Usable {
+	if !c.opts.Table.Health().Ask(now, c.lastChoice.Endpoint.Key()).Usable {
 		return errEndpointUnusable
 	}
 	config := c.Server.Config()
@@ -345,6 +353,8 @@
 	errRouteMoved   = errors.New("serve: the route leads to another service now")
 
 	errEndpointUnusable = errors.New("serve: the endpoint leaves or wants no requests")
+
+	errStopping = errors.New("serve: the process stops before the request is expected to end")
 )
 
 // handleSendError decides how to go on after an attempt without an answer.
@@ -373,6 +383,9 @@
 	case ctx.Err() != nil:
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		return false, c.contextProblem(ctx)
+	case errors.Is(err, errStopping):
+		c.opts.Table.EndAttempt(now, key, picker.Ended)
+		return false, c.stoppingProblem(drain.TooLong)
 	case errors.Is(err, errPartBlocked):
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		p := c.checkParts()
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -33,6 +33,9 @@
 	for {
 		changed := c.opts.Table.Changed()
 		now := c.opts.Clock.Now()
+		if p := c.checkStop(now); p != nil {
+			return picker.Choice{}, p
+		}
 		choice, err := c.opts.Table.Pick(now, q)
 		if err == nil {
 			return choice, nil
@@ -62,6 +65,9 @@
 				c.explainUnusable(now, q)
 				return picker.Choice{}, p
 			}
+			if p := c.checkStop(c.opts.Table.LoadEnd(c.service.Name, c.req.Model)); p != nil {
+				return picker.Choice{}, p
+			}
 			waitUntil = d.Until
 		} else if c.rejections > 0 && c.ranAttempts == 0 && c.service.Engine != nil {
 			return picker.Choice{}, c.fullProblem(now)
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -10,6 +10,25 @@
 // logged one by one.
 const maxInterruptedLogged = 100
 
+// checkStop returns the refusal of a request that would be sent at the given time, if it has
+// not run and the process is not expected to finish it.
+func (c *call) checkStop(at time.Time) *Problem {
+	if why := c.whyRefused(at); why != drain.Accepted {
+		return c.stoppingProblem(why)
+	}
+	return nil
+}
+
+// whyRefused returns why a stopping process refuses a request that would be sent at the given
+// time. One that may have run is not refused, since another node would run it again.
+func (c *call) whyRefused(at time.Time) drain.Reason {
+	stop := c.stop.Load()
+	if stop == nil || c.ranAttempts > 0 {
+		return drain.Accepted
+	}
+	return stop.Start(at, c.expected())
+}
+
 // expected returns how long the request is likely to take at most from its sending on.
 func (c *call) expected() time.Duration {
 	if c.service == nil {
--- /dev/null
+++ b/internal/serve/stop_test.go
@@ -0,0 +1,234 @@
+package serve
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/drain"
+	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/models"
+)
+
+// hooks calls functions while a request waits.
+type hooks struct {
+	noDemand
+
+	admit   func()
+	adapter func()
+	open    func()
+	sender  *fakeSender
+}
+
+func (h *hooks) Admit(context.Context, string, float64, time.Duration) (time.Duration, bool) {
+	if h.admit != nil {
+		h.admit()
+	}
+	return 0, true
+}
+
+func (h *hooks) LoadAdapter(context.Context, fleet.Endpoint, string, string) error {
+	if h.adapter != nil {
+		h.adapter()
+	}
+	return nil
+}
+
+func (h *hooks) Send(ctx context.Context, a Attempt) (*Reply, error) {
+	if h.open != nil {
+		h.open()
+	}
+	return h.sender.Send(ctx, a)
+}
+
+// TestStopRefusesWhatItCannotFinish guards against a stopping process that sends a request
+// which it will cut at its end, and against one that refuses a request which may have run or
+// which it can finish.
+func TestStopRefusesWhatItCannotFinish(t *testing.T) {
+	const (
+		short = 100 * time.Millisecond
+		long  = 20 * time.Second
+	)
+	for _, tc := range []struct {
+		name  string
+		route string
+		// need is how long such requests took before.
+		need     time.Duration
+		outcomes []fakeOutcome
+		// prepare arranges that stop is called in the state of the request that is tested.
+		prepare func(h *harness, hook *hooks, q *Request, stop func(acceptFor time.Duration))
+		status  int
+		runs    int
+	}{
+		{name: "not stopping, long", route: "stream", need: long, status: 200, runs: 1},
+		{name: "arrives, nothing known", route: "stream", prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
+		{name: "arrives, short", route: "stream", need: short, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
+		{name: "arrives, long stream", route: "stream", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
+		{name: "arrives, long answer", route: "book", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
+		{name: "arrives too late", route: "book", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			stop(0)
+			q.Arrived = h.clock.Now()
+		}, status: 503},
+		{name: "its body arrives too late", route: "book", need: short, prepare: func(_ *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			q.Arrived = q.Arrived.Add(-time.Second)
+			stop(-500 * time.Millisecond)
+		}, status: 503},
+		{name: "waits for tokens", route: "stream", need: long, prepare: func(_ *harness, hook *hooks, _ *Request, stop func(time.Duration)) {
+			hook.admit = func() { stop(time.Minute) }
+		}, status: 503},
+		{name: "waits for an endpoint", route: "book", need: long, prepare: func(h *harness, _ *hooks, _ *Request, stop func(time.Duration)) {
+			list := h.table.Endpoints()
+			h.table.SetEndpoints(time.Now(), nil)
+			time.AfterFunc(20*time.Millisecond, func() {
+				stop(time.Minute)
+				h.table.SetEndpoints(time.Now(), list)
+			})
+		}, status: 503},
+		{name: "waits for an adapter", route: "stream", need: long, prepare: func(_ *harness, hook *hooks, q *Request, stop func(time.Duration)) {
+			q.Adapter = "a1"
+			hook.adapter = func() { stop(time.Minute) }
+		}, status: 503},
+		{name: "waits for an adapter, short", route: "stream", need: short, prepare: func(_ *harness, hook *hooks, q *Request, stop func(time.Duration)) {
+			q.Adapter = "a1"
+			hook.adapter = func() { stop(time.Minute) }
+		}, status: 200, runs: 1},
+		{name: "waits for a connection", route: "book", need: long, prepare: func(_ *harness, hook *hooks, _ *Request, stop func(time.Duration)) {
+			hook.open = func() { stop(time.Minute) }
+		}, status: 503},
+		{name: "was not run by an endpoint", route: "book", need: long, outcomes: []fakeOutcome{outcomeRejected}, prepare: func(h *harness, _ *hooks, _ *Request, stop func(time.Duration)) {
+			h.sender.change = func(*Reply) { stop(time.Minute) }
+		}, status: 503},
+		{name: "may have run", route: "read", need: long, outcomes: []fakeOutcome{outcomeForeign}, prepare: func(h *harness, _ *hooks, _ *Request, stop func(time.Duration)) {
+			h.sender.change = func(*Reply) { stop(time.Minute) }
+		}, status: 200, runs: 2},
+		{name: "streams", route: "stream", need: long, prepare: func(h *harness, _ *hooks, _ *Request, stop func(time.Duration)) {
+			h.sender.change = func(*Reply) { stop(time.Minute) }
+		}, status: 200, runs: 1},
+		{name: "streams, then resumed", route: "resume", need: long, outcomes: []fakeOutcome{outcomeBroken}, prepare: func(h *harness, _ *hooks, _ *Request, stop func(time.Duration)) {
+			h.sender.change = func(*Reply) { stop(time.Minute) }
+		}, status: 200, runs: 2},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, fixedAdmission{})
+			hook := &hooks{
+				sender: h.sender,
+			}
+			h.server.opts.Admission, h.server.opts.Demand, h.server.opts.Sender = hook, hook, hook
+			h.sender.outcomes = tc.outcomes
+			h.sender.body = eventsAfter
+			if tc.need > 0 {
+				for _, k := range []drain.Kind{{Service: "lm", Model: "m1"}, {Service: "app"}} {
+					h.server.times.Record(k, drain.Sample{First: tc.need})
+				}
+			}
+			q := h.request(tc.route)
+			if tc.prepare != nil {
+				tc.prepare(h, hook, q, func(acceptFor time.Duration) {
+					now := h.clock.Now()
+					h.server.SetStop(drain.Stop{
+						Since:       now,
+						AcceptUntil: now.Add(acceptFor),
+						EndsAt:      now.Add(10 * time.Second),
+					})
+				})
+			}
+			c := &fakeCaller{}
+			h.server.Serve(t.Context(), q, c)
+			if c.answers != 1 || c.status != tc.status || h.sender.runs != tc.runs {
+				t.Fatalf("%d answers, status %d after %d runs, want %d after %d", c.answers, c.status, h.sender.runs, tc.status, tc.runs)
+			}
+			if tc.status == http.StatusServiceUnavailable && (c.problem.Code != "stopping" || !c.problem.NotRun || c.problem.RetryAfter <= 0) {
+				t.Errorf("refused with %+v", *c.problem)
+			}
+			if tc.status == http.StatusOK && (c.aborted || c.problem != nil) {
+				t.Errorf("the answer is not whole: %q, %+v", c.body.String(), c.problem)
+			}
+		})
+	}
+}
+
+// TestStopRefusesAtOnceWhileModelLoads guards against a request that waits in a stopping
+// process for a load after which it can't be finished.
+func TestStopRefusesAtOnceWhileModelLoads(t *testing.T) {
+	h := newHarness(t, fixedAdmission{})
+	list := h.table.Endpoints()
+	for i := range list {
+		list[i].Models = nil
+	}
+	now := h.clock.Now()
+	h.table.SetEndpoints(now, list)
+	h.server.times.Record(drain.Kind{Service: "lm", Model: "m1"}, drain.Sample{First: 3 * time.Second})
+	// The load is known to end, but the request would be cut then.
+	h.table.SetLoads(now, []models.Load{{Service: "lm", Model: "m1", ReadyIn: 1300 * time.Millisecond}})
+	h.server.SetStop(drain.Stop{
+		Since:       now,
+		AcceptUntil: now.Add(3 * time.Second),
+		EndsAt:      now.Add(4 * time.Second),
+	})
+	c := h.serve("stream")
+	if took := h.clock.Now().Sub(now); c.problem == nil || c.problem.Code != "stopping" || took > 500*time.Millisecond {
+		t.Errorf("answered %d, %+v after %v", c.status, c.problem, took)
+	}
+}
+
+// TestStopLearnsFromWholeAnswers guards against a stopping process that doesn't know how long
+// requests last, or takes parts of answers for whole ones.
+func TestStopLearnsFromWholeAnswers(t *testing.T) {
+	const wait = 60 * time.Millisecond
+	for _, tc := range []struct {
+		name     string
+		route    string
+		last     string // event that the caller has
+		outcomes []fakeOutcome
+		change   func(*Reply)
+		known    bool
+	}{
+		{name: "stream", route: "stream", known: true},
+		{name: "answer", route: "book", known: true},
+		{name: "stream sent again from its start", route: "resume", outcomes: []fakeOutcome{outcomeLost}, known: true},
+		{name: "broken stream", route: "stream", outcomes: []fakeOutcome{outcomeBroken}},
+		{name: "resumed here", route: "resume", outcomes: []fakeOutcome{outcomeBroken}},
+		{name: "resumed by the caller", route: "resume", last: "1"},
+		{name: "error", route: "book", outcomes: []fakeOutcome{outcomeError}},
+		{name: "ends with its connection", route: "stream", change: func(r *Reply) { r.EndsWithConnection = true }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, fixedAdmission{})
+			h.sender.outcomes, h.sender.change = tc.outcomes, tc.change
+			h.sender.body = func(a Attempt) io.ReadCloser {
+				return &lateBody{Reader: eventsAfter(a), wait: wait}
+			}
+			q := h.request(tc.route)
+			q.LastEvent, q.OutputTokens = tc.last, 10
+			h.server.Serve(t.Context(), q, &fakeCaller{})
+			c := &call{
+				Server:  h.server,
+				req:     q,
+				service: h.server.Config().Services["lm"],
+			}
+			if tc.route == "book" {
+				c.service = h.server.Config().Services["app"]
+			}
+			if got := c.expected(); (got >= wait) != tc.known || !tc.known && got != 0 {
+				t.Errorf("expected to take %v, known %v", got, tc.known)
+			}
+		})
+	}
+}
+
+// lateBody is a body whose bytes arrive after a wait.
+type lateBody struct {
+	io.Reader
+
+	wait time.Duration
+}
+
+func (b *lateBody) Read(p []byte) (int, error) {
+	time.Sleep(b.wait)
+	b.wait = 0
+	return b.Reader.Read(p)
+}
+
+func (*lateBody) Close() error { return nil }
