proc: count the grace from the signal to stop

What callers would see: a process that is suspended (or gets no processor) around its SIGTERM answers requests with success that were sent later than 3 s after the signal, and is killed with requests under way.

Cause: the time in which a stopping process accepts requests, and its grace, counted from the moment at which it handled the signal; the platform counts from the sending.

Change: both count from drain.Pulse.Since, the last moment but one at which the process surely handled signals: after a suspension a beat and the signal are due together, and the beat may be handled first. The price is at most 0.2 s of each stop. The least time for which connections are accepted still counts from the handling, since the load balancer notices only then.

Why it works: Since is no later than the sending, whatever happened in between.

--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -349,16 +349,16 @@
 
 // drain makes the process report not ready to the load balancer, lets running
 // requests finish and returns before the process is killed at the end of its
-// grace.
+// grace, which counts from the signal.
 func (p *Process) drain(signals <-chan os.Signal) {
-	startedAt := p.clock.Now()
-	kill := startedAt.Add(time.Duration(p.settings.Bounds.Grace) - drainKillMargin)
-	p.stopping.Store(true)
+	startedAt, since := p.clock.Now(), p.pulse.Since()
+	kill := since.Add(time.Duration(p.settings.Bounds.Grace) - drainKillMargin)
 	plan := drain.Stop{
-		Since:       p.pulse.Since(),
-		AcceptUntil: startedAt.Add(drainAcceptTime),
+		Since:       since,
+		AcceptUntil: since.Add(drainAcceptTime),
 		EndsAt:      kill.Add(-interruptMargin),
 	}
+	p.stopping.Store(true)
 	p.server.SetStop(plan)
 	p.node.ReleaseLease()
 	// Callers that are idle go on at other nodes, which shortens the stop.
