proc: end the grace by the clock that counts suspension

Cause: the requests of a stopping process were interrupted, and its listener's shutdown ended, by Go timers of the remaining time. Timers stand still while the VM is suspended: a process that is suspended after its signal waits on after its resumption, until it is killed, and its requests get neither an answer nor an error.

The message to the coordinator at the end of a stop ends with the grace too; before, it had no limit of its own here.

Test: TestEndOfGraceAfterSuspension; a suspension of a VM can't be brought about here, so it moves a fake clock while timers stand still. With time.AfterFunc in the place of "at" it fails: "the grace did not end after the suspension".

--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -363,28 +363,41 @@
 	p.node.ReleaseLease()
 	// Callers that are idle go on at other nodes, which shortens the stop.
 	p.callerServer.CloseIdle()
-	interrupt := time.AfterFunc(plan.EndsAt.Sub(p.clock.Now()), func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go at(ctx, p.clock, plan.EndsAt, func() {
 		p.log.Warn("requests interrupted at the end of the grace", "active", p.server.Active())
 		p.server.Interrupt()
 	})
-	defer interrupt.Stop()
+	go at(ctx, p.clock, kill, cancel)
 	p.waitUntil(signals, kill, func(now time.Time) bool {
 		return now.Sub(startedAt) >= minDrainTime && p.callerServer.Counts().Busy == 0
 	})
 	// Requests that still arrive are refused, and those accepted before are finished.
 	plan.AcceptUntil = p.clock.Now()
 	p.server.SetStop(plan)
-	p.node.Leave(context.Background())
+	p.node.Leave(ctx)
 	n := p.callerServer.Counts()
 	p.log.Info("listener closes", "busy", n.Busy, "idle", n.Idle, "without-request", n.Fresh)
-	ctx, cancel := context.WithTimeout(context.Background(), kill.Sub(p.clock.Now()))
-	defer cancel()
 	if err := p.callerServer.Shutdown(ctx); err != nil {
 		p.log.Warn("requests cut at the end of the grace", "busy", p.callerServer.Counts().Busy)
 	}
 	p.log.Info("process ends", "active", p.callerServer.Counts().Busy, "after-ms", p.clock.Now().Sub(startedAt).Milliseconds())
 }
 
+// at calls f at t, unless ctx ends before. Timers alone stand still while the VM is
+// suspended.
+func at(ctx context.Context, clk clock.Clock, t time.Time, f func()) {
+	for now := clk.Now(); now.Before(t); now = clk.Now() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(min(drainCheckInterval, t.Sub(now))):
+		}
+	}
+	f()
+}
+
 // waitUntil returns once done returns true, or at limit.
 func (p *Process) waitUntil(signals <-chan os.Signal, limit time.Time, done func(now time.Time) bool) {
 	for {
