drain: expect long answers beside short ones

Cause: answers that came in one part counted as no time for a token, and those of few parts as too little, since the tokens of the first part are made before the time that is measured. The first sample of a model was remembered as twenty, and the first one alone decided for the next ones though engines differ.

Change: the number of parts belongs to a sample. The first samples of an estimate count alike; a model with fewer than eight is compared with all of its service too.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -92,3 +92,52 @@
 		t.Errorf("%d of 500 requests took longer than expected, want at most 50", longer)
 	}
 }
+
+// TestExpectBesideShortAnswers guards against a long stream that is expected to be short,
+// because most answers came in one part, or because the first sample was an odd one.
+func TestExpectBesideShortAnswers(t *testing.T) {
+	kind := Kind{Service: "lm", Model: "a"}
+	short := Sample{First: 50 * time.Millisecond, Tokens: 5, Parts: 1}
+	two := Sample{First: 50 * time.Millisecond, Rest: 50 * time.Millisecond, Tokens: 10, Parts: 2}
+	long := Sample{First: 50 * time.Millisecond, Rest: 2450 * time.Millisecond, Tokens: 250, Parts: 50}
+	for _, tc := range []struct {
+		name    string
+		samples []Sample
+	}{
+		{name: "one long", samples: []Sample{long}},
+		{name: "short first", samples: []Sample{short, short, short, long, long}},
+		{name: "mostly short", samples: []Sample{long, short, two, short, two, short, two, short, short, two, short, short}},
+		{name: "two parts", samples: []Sample{two, two, two}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var times Times
+			for _, s := range tc.samples {
+				times.Record(kind, s)
+			}
+			// Each part of five tokens takes 50 ms.
+			if got := times.Expect(kind, 950); got < 9300*time.Millisecond || got > 11*time.Second {
+				t.Errorf("950 tokens are expected to take %v, want about 9.5s", got)
+			}
+		})
+	}
+}
+
+// TestExpectFewSamples guards against the first answers of a model deciding alone for the
+// next ones, although engines differ.
+func TestExpectFewSamples(t *testing.T) {
+	var times Times
+	kind := Kind{Service: "lm", Model: "a"}
+	for range 50 {
+		times.Record(Kind{Service: "lm", Model: "b"}, Sample{Rest: 4 * time.Second, Tokens: 100})
+	}
+	times.Record(kind, Sample{Rest: time.Second, Tokens: 100})
+	if got := times.Expect(kind, 100); got < 3500*time.Millisecond {
+		t.Errorf("expected to take %v after one sample, others of the service take 4s", got)
+	}
+	for range 50 {
+		times.Record(kind, Sample{Rest: time.Second, Tokens: 100})
+	}
+	if got := times.Expect(kind, 100); got > 1500*time.Millisecond {
+		t.Errorf("expected to take %v after 51 samples of 1s", got)
+	}
+}
--- a/internal/drain/times.go
+++ b/internal/drain/times.go
@@ -10,6 +10,9 @@
 	sampleWeight = 0.05
 	// deviations is by how many mean deviations a request may take longer than the mean.
 	deviations = 2
+	// minSamples is how many samples of a model are needed to do without those of the
+	// other models.
+	minSamples = 8
 )
 
 // Kind identifies requests that take about as long as each other, by their number of output
@@ -27,6 +30,22 @@
 	Rest time.Duration
 	// Tokens is how many output tokens the caller allowed.
 	Tokens float64
+	// Parts is in how many parts the answer came, 0 if that is not known.
+	Parts int
+}
+
+// perToken returns the seconds for a token, and whether the sample shows them: there is no
+// time between the parts of an answer that came at once.
+func (s Sample) perToken() (seconds float64, ok bool) {
+	if s.Tokens <= 0 || s.Parts == 1 {
+		return 0, false
+	}
+	rest := s.Rest.Seconds()
+	if s.Parts > 1 {
+		// The tokens of the first part were made before Rest.
+		rest *= float64(s.Parts) / float64(s.Parts-1)
+	}
+	return rest / s.Tokens, true
 }
 
 // Times learns how long requests take. It is safe for concurrent use; the zero value is
@@ -55,8 +74,8 @@
 			t.byKind[key] = times
 		}
 		times.first.add(s.First.Seconds())
-		if s.Tokens > 0 {
-			times.perToken.add(s.Rest.Seconds() / s.Tokens)
+		if seconds, ok := s.perToken(); ok {
+			times.perToken.add(seconds)
 		}
 		if k.Model == "" {
 			return
@@ -65,36 +84,47 @@
 }
 
 // Expect returns how long a request with the given number of output tokens is likely to
-// take at most. Requests of an unknown model are compared with all of the service; without
-// any sample the result is 0.
+// take at most. Requests of a model that has few samples are compared with all of the service
+// too; without any sample the result is 0.
 func (t *Times) Expect(k Kind, tokens float64) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	seconds := 0.0
 	times := t.byKind[k]
-	if times == nil {
-		times = t.byKind[Kind{Service: k.Service}]
+	if times != nil {
+		seconds = times.expect(tokens)
 	}
-	if times == nil {
-		return 0
+	if times == nil || times.perToken.samples < minSamples && tokens > 0 {
+		if all := t.byKind[Kind{Service: k.Service}]; all != nil {
+			seconds = max(seconds, all.expect(tokens))
+		}
 	}
-	return time.Duration((times.first.high() + tokens*times.perToken.high()) * float64(time.Second))
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// expect returns how long a request is likely to take at most, in seconds.
+func (t *kindTimes) expect(tokens float64) float64 {
+	return t.first.high() + tokens*t.perToken.high()
 }
 
 // estimate is a moving mean with its mean deviation, in seconds.
 type estimate struct {
-	isKnown   bool
+	samples   int
 	mean      float64
 	deviation float64
 }
 
 func (e *estimate) add(x float64) {
-	if !e.isKnown {
-		e.isKnown, e.mean = true, x
+	e.samples++
+	if e.samples == 1 {
+		e.mean = x
 		return
 	}
+	// The first samples count alike, so that the very first one is not remembered for long.
+	weight := max(sampleWeight, 1/float64(e.samples))
 	diff := x - e.mean
-	e.mean += sampleWeight * diff
-	e.deviation += sampleWeight * (max(diff, -diff) - e.deviation)
+	e.mean += weight * diff
+	e.deviation += weight * (max(diff, -diff) - e.deviation)
 }
 
 // high returns a value that few samples exceed.
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -248,7 +248,7 @@
 	if complete && outer.claim() {
 		c.opts.Table.EndAttempt(now, key, picker.Served)
 		if events > 0 && !reply.EndsWithConnection && !isResumed && outer == nil {
-			c.recordStreamTime(reply, first, last)
+			c.recordStreamTime(reply, first, last, events)
 		}
 		err := c.startResponse(reply)
 		if err == nil && len(held) > 0 {
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -61,7 +61,7 @@
 
 // recordStreamTime records the time of a stream that one endpoint sent from its first event
 // to its last one.
-func (c *call) recordStreamTime(reply *Reply, first, last time.Time) {
+func (c *call) recordStreamTime(reply *Reply, first, last time.Time, events int) {
 	if c.req.LastEvent != "" {
 		return
 	}
@@ -69,6 +69,7 @@
 		First:  first.Sub(reply.sentAt),
 		Rest:   last.Sub(first),
 		Tokens: c.req.OutputTokens,
+		Parts:  events,
 	})
 }
 
