drain, serve: expect all tokens that a caller allows, at the chosen endpoint

"request interrupted" names expectations of 2.9 to 5.4 s for streams that would have taken 6 to 10 s.

Cause: callers allow 950 tokens and most answers have a quarter of that, so the time for an allowed token said little of the answers that use all. And engines that hold the same model differ by 2.5 times.

The pace of the chosen endpoint, which the choice knows, counts directly before the first byte is sent. A refused request is answered by another node some 20 ms later; a cut one is lost.

--- a/internal/picker/pick.go
+++ b/internal/picker/pick.go
@@ -30,6 +30,8 @@
 	Load       float64
 	Candidates int
 	ReportAge  time.Duration
+	// Pace is the time that the endpoint takes for a unit of work, relative to others.
+	Pace float64
 }
 
 // unloadKey is a model at an engine.
@@ -98,7 +100,7 @@
 	}
 	out.Endpoint = best.Endpoint
 	out.Load = best.estimatedLoad(now, t.nodes)
-	out.HasAdapter = true
+	out.HasAdapter, out.Pace = true, best.pace
 	if q.Adapter != "" {
 		r := fleet.Find(best.Models, q.Model)
 		out.HasAdapter = r.Has(q.Adapter)
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -317,7 +317,7 @@
 	if !now.Before(c.deadline) {
 		return errors.New("serve: the deadline of the request has passed")
 	}
-	if c.whyRefused(now) != drain.Accepted {
+	if c.whyRefused(now, c.lastChoice.Pace) != drain.Accepted {
 		return errStopping
 	}
 	if c.checkParts() != nil {
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -10,31 +10,36 @@
 // logged one by one.
 const maxInterruptedLogged = 100
 
+// usualPace is the pace of an endpoint that is not chosen yet.
+const usualPace = 1.0
+
 // checkStop returns the refusal of a request that would be sent at the given time, if it has
 // not run and the process is not expected to finish it.
 func (c *call) checkStop(at time.Time) *Problem {
-	if why := c.whyRefused(at); why != drain.Accepted {
+	if why := c.whyRefused(at, usualPace); why != drain.Accepted {
 		return c.stoppingProblem(why)
 	}
 	return nil
 }
 
 // whyRefused returns why a stopping process refuses a request that would be sent at the given
-// time. One that may have run is not refused, since another node would run it again.
-func (c *call) whyRefused(at time.Time) drain.Reason {
+// time, to an endpoint with the given pace. One that may have run is not refused, since
+// another node would run it again.
+func (c *call) whyRefused(at time.Time, pace float64) drain.Reason {
 	stop := c.stop.Load()
 	if stop == nil || c.ranAttempts > 0 {
 		return drain.Accepted
 	}
-	return stop.Start(at, c.expected())
+	return stop.Start(at, c.expected(pace))
 }
 
-// expected returns how long the request is likely to take at most from its sending on.
-func (c *call) expected() time.Duration {
+// expected returns how long the request is likely to take at most from its sending on, to an
+// endpoint with the given pace.
+func (c *call) expected(pace float64) time.Duration {
 	if c.service == nil {
 		return 0
 	}
-	return c.times.Expect(c.kind(), c.req.OutputTokens)
+	return c.times.ExpectAt(c.kind(), c.req.OutputTokens, pace)
 }
 
 // kind returns with which requests the time of this one is compared.
@@ -79,9 +84,12 @@
 	if p := c.stop.Load(); p != nil {
 		plan = *p
 	}
-	now := c.opts.Clock.Now()
+	now, pace := c.opts.Clock.Now(), usualPace
+	if c.lastChoice.Pace > 0 {
+		pace = c.lastChoice.Pace
+	}
 	c.opts.Log.Warn(message, "request", c.req.ID, "route", c.routeName(), "why", string(why),
-		"expected-ms", c.expected().Milliseconds(), "left-ms", plan.EndsAt.Sub(now).Milliseconds(),
+		"expected-ms", c.expected(pace).Milliseconds(), "left-ms", plan.EndsAt.Sub(now).Milliseconds(),
 		"arrived-after-stop-ms", c.req.Arrived.Sub(plan.Since).Milliseconds(), "waited-ms", now.Sub(c.req.Arrived).Milliseconds(),
 		"tokens", c.req.OutputTokens, "sent", c.sentAttempts, "ran", c.ranAttempts, "events", c.eventCount)
 }
