serve: interrupt requests that never ran as not run

What a caller saw: a request that engines had turned away, and that waited for another one when its process ended, got 502 "interrupted; the request may have run" and is not sent again if it may run once only.

Cause: the answer at the end of the process asked whether the request had been sent, not whether it may have run.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -492,7 +492,7 @@
 // caller has closed the connection.
 func (c *call) contextProblem(ctx context.Context) *Problem {
 	if errors.Is(context.Cause(ctx), errInterrupted) {
-		if c.sentAttempts == 0 {
+		if c.ranAttempts == 0 {
 			return c.stoppingProblem(drain.Ended)
 		}
 		if c.interruptedCalls.Add(1) <= maxInterruptedLogged {
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -232,3 +232,18 @@
 }
 
 func (*lateBody) Close() error { return nil }
+
+// TestInterruptedBeforeItRan guards against an answer that says that a request may have run,
+// though each endpoint that got it has refused it: its caller doesn't send it again.
+func TestInterruptedBeforeItRan(t *testing.T) {
+	h := newHarness(t, fixedAdmission{})
+	h.sender.outcomes = []fakeOutcome{outcomeRejected}
+	h.sender.change = func(*Reply) {
+		h.table.SetEndpoints(time.Now(), nil)
+		time.AfterFunc(50*time.Millisecond, h.server.Interrupt)
+	}
+	c := h.serve("book")
+	if c.problem == nil || c.problem.Code != "stopping" || !c.problem.NotRun || c.status != http.StatusServiceUnavailable {
+		t.Errorf("answered %d, %+v", c.status, c.problem)
+	}
+}
