proc: never note two beats in a row after a suspension

Cause: a ticker that is late fires once at the resumption and again at its next regular time, which may be a moment later. Both beats came before the signal was handled, and drain.Pulse remembers two.

Change: the next beat is due a whole interval after the handling of the one before.

Evidence: that the ticker was the cause is suspected from its documented behaviour; no run shows the two beats.

--- a/internal/drain/pulse.go
+++ b/internal/drain/pulse.go
@@ -19,7 +19,7 @@
 }
 
 // Beat notes that the process handles signals at now. It is to be called regularly, by what
-// also handles the signals.
+// also handles the signals, and not twice within the time that the delivery of a signal takes.
 func (p *Pulse) Beat(now time.Time) { p.before, p.last = p.last, now }
 
 // Since returns the earliest time at which a signal that is handled now may have been sent.
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -289,12 +289,14 @@
 	wg.Go(func() { p.node.Run(ctx) })
 	wg.Go(func() { p.configMirror(ctx).Run(ctx) })
 	wg.Go(func() { p.endpointMirror(ctx).Run(ctx) })
-	tick := time.NewTicker(pulseInterval)
-	defer tick.Stop()
+	// A ticker may fire twice in a row after a suspension, before the signal is handled.
+	beat := time.NewTimer(pulseInterval)
+	defer beat.Stop()
 	for {
 		select {
-		case <-tick.C:
+		case <-beat.C:
 			p.pulse.Beat(p.clock.Now())
+			beat.Reset(pulseInterval)
 			continue
 		case s := <-signals:
 			if s == syscall.SIGHUP {
