--- a/internal/drain/times.go
+++ b/internal/drain/times.go
@@ -10,6 +10,14 @@
 	sampleWeight = 0.05
 	// deviations is by how many mean deviations a request may take longer than the mean.
 	deviations = 2
+	// paceSpread is by what factor an answer may take longer for a part than the mean of
+	// its model and endpoint.
+	paceSpread = 1.25
+	// maxDecay is the weight of one sample that is below a highest value.
+	maxDecay = 0.001
+	// minSamples is how many samples of a model are needed to do without those of the
+	// other models.
+	minSamples = 8
 )
 
 // Kind identifies requests that take about as long as each other, by their number of output
@@ -21,12 +29,15 @@
 
 // Sample is the course of one request that was answered in full.
 type Sample struct {
-	// First is the time from the sending of the request to the first part of the answer.
+	// First is the time from the sending of the request to the first part of the answer; 0
+	// if it is not known.
 	First time.Duration
 	// Rest is the time from the first to the last part.
 	Rest time.Duration
 	// Tokens is how many output tokens the caller allowed.
 	Tokens float64
+	// Parts is in how many parts the answer came, 0 if that is not known.
+	Parts int
 }
 
 // Times learns how long requests take. It is safe for concurrent use; the zero value is
@@ -37,8 +48,13 @@
 }
 
 type kindTimes struct {
-	first    estimate
+	first estimate
+	// perToken is from samples whose parts are not known, perPart from the others.
 	perToken estimate
+	perPart  estimate
+	// partsPerToken is the highest number of parts of an answer for each token that its
+	// caller allowed. Most answers end long before.
+	partsPerToken float64
 }
 
 // Record adds a sample.
@@ -54,47 +70,81 @@
 			times = new(kindTimes)
 			t.byKind[key] = times
 		}
-		times.first.add(s.First.Seconds())
-		if s.Tokens > 0 {
-			times.perToken.add(s.Rest.Seconds() / s.Tokens)
-		}
+		times.add(s)
 		if k.Model == "" {
 			return
 		}
 	}
 }
 
+func (t *kindTimes) add(s Sample) {
+	if s.First > 0 {
+		t.first.add(s.First.Seconds())
+	}
+	if s.Tokens <= 0 {
+		return
+	}
+	if s.Parts <= 0 {
+		t.perToken.add(s.Rest.Seconds() / s.Tokens)
+		return
+	}
+	ratio := float64(s.Parts) / s.Tokens
+	t.partsPerToken = max(ratio, t.partsPerToken+maxDecay*(ratio-t.partsPerToken))
+	if s.Parts > 1 {
+		t.perPart.add(s.Rest.Seconds() / float64(s.Parts-1))
+	}
+}
+
 // Expect returns how long a request with the given number of output tokens is likely to
-// take at most. Requests of an unknown model are compared with all of the service; without
-// any sample the result is 0.
-func (t *Times) Expect(k Kind, tokens float64) time.Duration {
+// take at most. Requests of a model that has few samples are compared with all of the service
+// too; without any sample the result is 0.
+func (t *Times) Expect(k Kind, tokens float64) time.Duration { return t.ExpectAt(k, tokens, 1) }
+
+// ExpectAt is Expect at an endpoint. Its pace is the time that it takes for a part, relative
+// to all endpoints.
+func (t *Times) ExpectAt(k Kind, tokens, pace float64) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	times := t.byKind[k]
-	if times == nil {
-		times = t.byKind[Kind{Service: k.Service}]
-	}
-	if times == nil {
+	all, own := t.byKind[Kind{Service: k.Service}], t.byKind[k]
+	if all == nil {
 		return 0
 	}
-	return time.Duration((times.first.high() + tokens*times.perToken.high()) * float64(time.Second))
+	if own == nil {
+		own = all
+	}
+	rest := own.rest(tokens, pace, all.partsPerToken)
+	if own.perToken.samples+own.perPart.samples < minSamples {
+		rest = max(rest, all.rest(tokens, pace, all.partsPerToken))
+	}
+	return time.Duration((own.first.high() + rest) * float64(time.Second))
+}
+
+// rest returns how many seconds all tokens that are allowed take after the first part.
+func (t *kindTimes) rest(tokens, pace, partsPerToken float64) float64 {
+	if t.perPart.samples == 0 {
+		return tokens * t.perToken.high() * pace
+	}
+	return max(0, tokens*partsPerToken-1) * t.perPart.mean * pace * paceSpread
 }
 
 // estimate is a moving mean with its mean deviation, in seconds.
 type estimate struct {
-	isKnown   bool
+	samples   int
 	mean      float64
 	deviation float64
 }
 
 func (e *estimate) add(x float64) {
-	if !e.isKnown {
-		e.isKnown, e.mean = true, x
+	e.samples++
+	if e.samples == 1 {
+		e.mean = x
 		return
 	}
+	// The first samples count alike, so that the very first one is not remembered for long.
+	weight := max(sampleWeight, 1/float64(e.samples))
 	diff := x - e.mean
-	e.mean += sampleWeight * diff
-	e.deviation += sampleWeight * (max(diff, -diff) - e.deviation)
+	e.mean += weight * diff
+	e.deviation += weight * (max(diff, -diff) - e.deviation)
 }
 
 // high returns a value that few samples exceed.
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/engine"
 	"trefoildale.example/trefoildale/internal/once"
 	"trefoildale.example/trefoildale/internal/route"
@@ -17,6 +18,8 @@
 )
 
 const (
+	// finalStoreTimeout limits it once the process ends.
+	finalStoreTimeout = 500 * time.Millisecond
 	// plainDeadline limits a call of a plain service including its retries.
 	plainDeadline = 30 * time.Second
 	// storeTimeout limits storing an outcome, which continues after the caller has
@@ -32,6 +35,8 @@
 	method  spec.Method
 	body    []byte
 	ticket  *once.Ticket
+	// began is when the body had been read.
+	began time.Time
 
 	attempts        int
 	sentTo          []string // addresses of the attempts
@@ -47,41 +52,37 @@
 }
 
 func (s *Server) plain(q *request) {
-	svc := q.findService()
-	if svc == nil {
-		q.refuse(problem{
-			Status:  http.StatusNotFound,
-			Reason:  audit.ServiceUnknown,
-			Message: "no service answers under this path",
-			NotRun:  true,
-		}, audit.Event{})
+	if _, _, ok := q.findCall(); !ok {
 		return
 	}
-	if !svc.Open && !q.authenticate() {
+	body, ok := q.readBody()
+	if !ok {
 		return
 	}
-	m, ok := findMethod(svc, q.r)
+	// The configuration may have changed while the body was read.
+	q.view = q.config.Load()
+	svc, m, ok := q.findCall()
 	if !ok {
-		q.refuse(problem{
-			Status:  http.StatusMethodNotAllowed,
-			Reason:  audit.MethodUnknown,
-			Message: "service " + svc.Name + " does not offer " + q.r.Method + " " + q.r.URL.Path,
-			NotRun:  true,
-		}, audit.Event{
-			Other: svc.Name,
-		})
 		return
 	}
-	body, ok := q.readBody()
-	if !ok {
+	if q.leaksKey(body) {
+		q.badRequest(keyElsewhere)
 		return
 	}
-	ctx, cancel := context.WithDeadline(context.WithoutCancel(q.r.Context()), time.Now().Add(plainDeadline))
-	defer cancel()
+	ctx, cancelDeadline := context.WithDeadline(context.WithoutCancel(q.r.Context()), time.Now().Add(plainDeadline))
+	defer cancelDeadline()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	defer context.AfterFunc(q.r.Context(), func() {
+		// Only repeatable calls end when the caller disconnects. Others continue, so that
+		// their outcome is known, up to the end of the process.
+		if m.Repeatable || q.processEnds() {
+			cancel(context.Cause(q.r.Context()))
+		}
+	})()
 	if m.Repeatable {
-		// Only repeatable calls end when the caller disconnects. Others
-		// continue, so that their outcome is known.
-		defer context.AfterFunc(q.r.Context(), cancel)()
+		// The outcome of a call that may not be repeated has to be known.
+		defer q.watchKey(cancel)()
 	}
 	c := &plainCall{
 		request:         q,
@@ -89,19 +90,131 @@
 		service:         svc,
 		method:          m,
 		body:            body,
+		began:           s.opts.Clock.Now(),
 		allProvedNotRun: true,
 	}
-	if !m.Repeatable && !c.claim() {
+	if p := c.unservable(); p != nil {
+		c.fail(p)
 		return
 	}
 	c.serve()
 }
 
+// findCall finds the service and the method, and checks the key once if the service needs
+// one. If it returns false, it has answered the request.
+func (q *request) findCall() (*spec.Service, spec.Method, bool) {
+	svc := q.view.findService(q.r.URL.Path)
+	if svc == nil {
+		q.refuse(serviceProblem(), audit.Event{})
+		return nil, spec.Method{}, false
+	}
+	if !svc.Open && q.workspace == nil && !q.authenticate() {
+		return nil, spec.Method{}, false
+	}
+	m, ok := findMethod(svc, q.r)
+	if !ok {
+		q.refuse(q.methodProblem(svc), audit.Event{
+			Other: svc.Name,
+		})
+	}
+	return svc, m, ok
+}
+
+func serviceProblem() problem {
+	return problem{
+		Status:  http.StatusNotFound,
+		Reason:  audit.ServiceUnknown,
+		Message: "no service answers under this path",
+		NotRun:  true,
+	}
+}
+
+func (q *request) methodProblem(svc *spec.Service) problem {
+	return problem{
+		Status:  http.StatusMethodNotAllowed,
+		Reason:  audit.MethodUnknown,
+		Message: "service " + svc.Name + " does not offer " + q.r.Method + " " + q.r.URL.Path,
+		NotRun:  true,
+	}
+}
+
+// unservable returns why the call cannot be made under the configuration in force and
+// before the end of the process, or nil.
+func (c *plainCall) unservable() *problem {
+	v := c.config.Load()
+	var p problem
+	svc := v.findService(c.r.URL.Path)
+	switch {
+	case c.processEnds():
+		p = endProblem()
+	case svc == nil:
+		p = serviceProblem()
+	case svc.Name != c.service.Name:
+		p = problem{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     audit.NoEndpoint,
+			Message:    "the path belongs to another service now",
+			RetryAfter: time.Second,
+		}
+	case !svc.Open && c.workspace == nil:
+		// The service was closed since the arrival.
+		if k := c.checkKey(); k != nil {
+			p = *k
+			break
+		}
+		if c.leaksKey(c.body) {
+			p = badRequestProblem(keyElsewhere)
+			break
+		}
+		return c.unservable()
+	default:
+		if _, ok := findMethod(svc, c.r); !ok {
+			p = c.methodProblem(svc)
+			break
+		}
+		stopped := c.stopProblem(c.need())
+		if stopped == nil {
+			return nil
+		}
+		p = *stopped
+	}
+	p.NotRun = c.allProvedNotRun
+	return &p
+}
+
+func (c *plainCall) need() need {
+	return need{
+		kind: drain.Kind{
+			Service: c.service.Name,
+		},
+	}
+}
+
+// isRepeatable reports whether the call may be repeated by the configuration at its
+// arrival and by the one in force.
+func (c *plainCall) isRepeatable() bool {
+	if !c.method.Repeatable {
+		return false
+	}
+	svc := c.config.Load().findService(c.r.URL.Path)
+	if svc == nil || svc.Name != c.service.Name {
+		return true
+	}
+	m, ok := findMethod(svc, c.r)
+	return !ok || m.Repeatable
+}
+
+// mustClaim reports whether the call has an idempotency key that has to be claimed before
+// the call is sent.
+func (c *plainCall) mustClaim() bool {
+	return c.ticket == nil && c.r.Header.Get("Idempotency-Key") != "" && !c.isRepeatable()
+}
+
 // findService returns the service with the longest prefix that matches the path.
-func (q *request) findService() *spec.Service {
+func (v *view) findService(path string) *spec.Service {
 	var best *spec.Service
-	for _, svc := range q.view.services {
-		if strings.HasPrefix(q.r.URL.Path, svc.Prefix) && (best == nil || len(svc.Prefix) > len(best.Prefix)) {
+	for _, svc := range v.services {
+		if strings.HasPrefix(path, svc.Prefix) && (best == nil || len(svc.Prefix) > len(best.Prefix)) {
 			best = svc
 		}
 	}
@@ -124,9 +237,6 @@
 // call may run; if not, it has answered the request.
 func (c *plainCall) claim() bool {
 	key := c.r.Header.Get("Idempotency-Key")
-	if key == "" {
-		return true
-	}
 	workspace := openWorkspace + "/" + c.service.Name
 	if c.workspace != nil {
 		workspace = c.workspace.Name
@@ -144,6 +254,10 @@
 		c.opts.Stats.Inc(stats.OnceRun)
 		return true
 	case once.Replay:
+		if p := c.keyProblem(); p != nil {
+			c.refuse(*p, audit.Event{})
+			return false
+		}
 		c.opts.Stats.Inc(stats.OnceReplayed)
 		c.replay(d.Response)
 		return false
@@ -227,6 +341,9 @@
 func (c *plainCall) serve() {
 	c.retryPolicy.Budget.Credit()
 	for {
+		if c.mustClaim() && !c.claim() {
+			return
+		}
 		answer, p, retry := c.attempt()
 		switch {
 		case retry:
@@ -241,6 +358,9 @@
 }
 
 func (c *plainCall) attempt() (answer *engine.Response, p *problem, retry bool) {
+	if p := c.unservable(); p != nil {
+		return nil, p, false
+	}
 	req := route.Request{
 		Now:     c.opts.Clock.Now(),
 		Service: c.service.Name,
@@ -278,9 +398,13 @@
 		Body:      c.body,
 		RequestID: c.id,
 		Again:     slices.Contains(c.sentTo, choice.Address),
-		Check:     c.endpointCheck(choice, c.checkBeforeSend),
+		Check: func() error {
+			if c.mustClaim() {
+				return errEndpointUnusable
+			}
+			return c.endpointCheck(choice, c.checkBeforeSend)()
+		},
 	})
-	c.sentTo = append(c.sentTo, choice.Address)
 	if err != nil {
 		c.hear(choice, engine.StatementOf(err))
 	} else {
@@ -299,30 +423,41 @@
 	})
 	if unusable {
 		c.attempts--
+		c.awaitChange(c.ctx)
 		return nil, nil, true
 	}
+	c.sentTo = append(c.sentTo, choice.Address)
 	if checkFailed {
 		return nil, checkErr.problem, false
 	}
 	return c.handleOutcome(answer, outcome, choice)
 }
 
-// checkBeforeSend checks directly before the first byte is sent whether the claim
-// and the key are still valid.
+// checkBeforeSend checks directly before the first byte is sent whether the call may be
+// made, and whether the claim and the key are still valid.
 func (c *plainCall) checkBeforeSend() *problem {
+	if p := c.unservable(); p != nil {
+		return p
+	}
 	if c.ticket != nil && !c.ticket.MaySend(c.opts.Clock.Now()) {
 		p := repeatProblem(once.NotProvable)
 		p.NotRun = c.allProvedNotRun
 		return &p
 	}
+	return c.keyProblem()
+}
+
+// keyProblem returns the refusal of a call whose key is not valid any more, or nil.
+func (c *plainCall) keyProblem() *problem {
 	if c.workspace == nil {
 		return nil
 	}
-	if p, bad := keyProblem(c.opts.Keys.RecheckBeforeSend(c.verdict)); bad {
-		p.NotRun = c.allProvedNotRun
-		return &p
+	p, bad := keyProblem(c.opts.Keys.RecheckBeforeSend(c.verdict))
+	if !bad {
+		return nil
 	}
-	return nil
+	p.NotRun = c.allProvedNotRun
+	return &p
 }
 
 // handleOutcome decides after an attempt whether to retry, to return the answer or
@@ -331,13 +466,14 @@
 	if outcome == once.Mismatched {
 		c.opts.Stats.Inc(stats.ResponsesMismatched)
 	}
+	repeatable := c.isRepeatable()
 	v := c.retryPolicy.Next(once.Call{
-		Repeatable: c.method.Repeatable,
+		Repeatable: repeatable,
 		Deadline:   c.arrived.Add(plainDeadline),
 	}, outcome, c.attempts, c.allProvedNotRun, c.opts.Clock.Now())
 	c.allProvedNotRun = c.allProvedNotRun && outcome.ProvedNotRun()
 	switch {
-	case v.Action == once.Retry && c.r.Context().Err() == nil:
+	case v.Action == once.Retry && c.r.Context().Err() == nil && c.ctx.Err() == nil:
 		c.exclude = append(slices.Clone(c.exclude), choice.Endpoint)
 		c.opts.Stats.Inc(stats.RetriesDone)
 		c.opts.Audit.Record(audit.Event{
@@ -359,7 +495,15 @@
 		NotRun:     v.NotRun,
 		RetryAfter: time.Second,
 	}
-	if !c.method.Repeatable && !v.NotRun {
+	if c.processEnds() {
+		p = endProblem()
+		p.NotRun = v.NotRun
+	}
+	if k := keyCauseProblem(c.ctx); k != nil {
+		p = *k
+		p.NotRun = v.NotRun
+	}
+	if !repeatable && !v.NotRun {
 		p.Reason = audit.OutcomeUnknown
 		p.Status = http.StatusGatewayTimeout
 		p.Message = "the call may have run; endpoint " + choice.Endpoint + " gave no answer that belongs to it"
@@ -375,15 +519,31 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
+	case <-c.ctx.Done():
 	case <-c.r.Context().Done():
 	}
 }
 
+// storeContext returns the context for storing the outcome. What is not stored in time
+// stays pending, and the node stores it before it ends.
+func (c *plainCall) storeContext() (context.Context, func()) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), storeTimeout)
+	stop := context.AfterFunc(c.r.Context(), func() {
+		if c.processEnds() {
+			time.AfterFunc(finalStoreTimeout, cancel)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
 // fail answers with a problem and stores the outcome of the call as not run or
 // unknown.
 func (c *plainCall) fail(p *problem) {
 	if c.ticket != nil {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), storeTimeout)
+		ctx, cancel := c.storeContext()
 		defer cancel()
 		store := c.opts.Once.FinishUnknown
 		if p.NotRun {
@@ -411,7 +571,7 @@
 
 func (c *plainCall) deliver(a *engine.Response) {
 	if c.ticket != nil {
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(c.ctx), storeTimeout)
+		ctx, cancel := c.storeContext()
 		err := c.opts.Once.Finish(ctx, c.ticket, once.Response{
 			Status: a.Status,
 			Header: map[string]string{
@@ -424,6 +584,11 @@
 			c.opts.Stats.Inc(stats.OnceStoreFailed)
 		}
 	}
+	if a.Status < http.StatusInternalServerError {
+		c.times.Record(c.need().kind, drain.Sample{
+			First: c.opts.Clock.Now().Sub(c.began),
+		})
+	}
 	h := c.w.Header()
 	for name, values := range a.Header {
 		if !unforwardedHeaders[name] {
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -21,6 +21,7 @@
 	"trefoildale.example/trefoildale/internal/conf"
 	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/coord"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/mirror"
 	"trefoildale.example/trefoildale/internal/picker"
@@ -74,6 +75,8 @@
 	// interruptMargin is how long before its exit a stopping process answers the
 	// requests that still wait, with an error.
 	interruptMargin = 200 * time.Millisecond
+	// pulseInterval is how often the process notes that it handles signals.
+	pulseInterval = 100 * time.Millisecond
 	// drainKillMargin is how long before the kill a stopping process exits.
 	drainKillMargin = 300 * time.Millisecond
 	// softMemoryShare is the part of the process's memory that is the soft limit of
@@ -97,8 +100,10 @@
 	readyServer    *http.Server
 	metricsServer  *http.Server
 	requestMetrics *metrics
-	stopping       atomic.Bool
-	stopRPC        func()
+	// pulse belongs to the goroutine of Run.
+	pulse    *drain.Pulse
+	stopping atomic.Bool
+	stopRPC  func()
 }
 
 // New returns a process whose listeners are open, and a function that closes its
@@ -120,6 +125,7 @@
 		store:          store,
 		table:          picker.NewTable(settings.Node.Domain),
 		requestMetrics: newMetrics(),
+		pulse:          drain.NewPulse(clk.Now()),
 	}
 	p.table.SetLog(log.Logger)
 	holder := &nodeHolder{}
@@ -283,14 +289,22 @@
 	wg.Go(func() { p.node.Run(ctx) })
 	wg.Go(func() { p.configMirror(ctx).Run(ctx) })
 	wg.Go(func() { p.endpointMirror(ctx).Run(ctx) })
+	// A ticker may fire twice in a row after a suspension, before the signal is handled.
+	beat := time.NewTimer(pulseInterval)
+	defer beat.Stop()
 	for {
 		select {
+		case <-beat.C:
+			p.pulse.Beat(p.clock.Now())
+			beat.Reset(pulseInterval)
+			continue
 		case s := <-signals:
 			if s == syscall.SIGHUP {
 				p.reload(read)
 				continue
 			}
-			p.log.Info("stop requested", "signal", s.String(), "active", p.server.Active())
+			p.log.Info("stop requested", "signal", s.String(), "active", p.server.Active(),
+				"late-ms-at-most", p.clock.Now().Sub(p.pulse.Since()).Milliseconds(), "grace-ms", time.Duration(p.settings.Bounds.Grace).Milliseconds())
 		case <-ctx.Done():
 		}
 		break
@@ -337,36 +351,55 @@
 
 // drain makes the process report not ready to the load balancer, lets running
 // requests finish and returns before the process is killed at the end of its
-// grace.
+// grace, which counts from the signal.
 func (p *Process) drain(signals <-chan os.Signal) {
-	startedAt := p.clock.Now()
-	kill := startedAt.Add(time.Duration(p.settings.Bounds.Grace) - drainKillMargin)
+	startedAt, since := p.clock.Now(), p.pulse.Since()
+	kill := since.Add(time.Duration(p.settings.Bounds.Grace) - drainKillMargin)
+	plan := drain.Stop{
+		Since:       since,
+		AcceptUntil: since.Add(drainAcceptTime),
+		EndsAt:      kill.Add(-interruptMargin),
+	}
 	p.stopping.Store(true)
-	p.server.RefuseFrom(startedAt.Add(drainAcceptTime))
+	p.server.SetStop(plan)
 	p.node.ReleaseLease()
 	// Callers that are idle go on at other nodes, which shortens the stop.
 	p.callerServer.CloseIdle()
-	interrupt := time.AfterFunc(kill.Add(-interruptMargin).Sub(p.clock.Now()), func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go at(ctx, p.clock, plan.EndsAt, func() {
 		p.log.Warn("requests interrupted at the end of the grace", "active", p.server.Active())
 		p.server.Interrupt()
 	})
-	defer interrupt.Stop()
+	go at(ctx, p.clock, kill, cancel)
 	p.waitUntil(signals, kill, func(now time.Time) bool {
 		return now.Sub(startedAt) >= minDrainTime && p.callerServer.Counts().Busy == 0
 	})
 	// Requests that still arrive are refused, and those accepted before are finished.
-	p.server.RefuseFrom(p.clock.Now())
-	p.node.Leave(context.Background())
+	plan.AcceptUntil = p.clock.Now()
+	p.server.SetStop(plan)
+	p.node.Leave(ctx)
 	n := p.callerServer.Counts()
 	p.log.Info("listener closes", "busy", n.Busy, "idle", n.Idle, "without-request", n.Fresh)
-	ctx, cancel := context.WithTimeout(context.Background(), kill.Sub(p.clock.Now()))
-	defer cancel()
 	if err := p.callerServer.Shutdown(ctx); err != nil {
 		p.log.Warn("requests cut at the end of the grace", "busy", p.callerServer.Counts().Busy)
 	}
 	p.log.Info("process ends", "active", p.callerServer.Counts().Busy, "after-ms", p.clock.Now().Sub(startedAt).Milliseconds())
 }
 
+// at calls f at t, unless ctx ends before. Timers alone stand still while the VM is
+// suspended.
+func at(ctx context.Context, clk clock.Clock, t time.Time, f func()) {
+	for now := clk.Now(); now.Before(t); now = clk.Now() {
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(min(drainCheckInterval, t.Sub(now))):
+		}
+	}
+	f()
+}
+
 // waitUntil returns once done returns true, or at limit.
 func (p *Process) waitUntil(signals <-chan os.Signal, limit time.Time, done func(now time.Time) bool) {
 	for {
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/conn"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/picker"
 	"trefoildale.example/trefoildale/internal/triage"
@@ -121,12 +122,16 @@
 // prepare finds the route, the workspace and the service of an arrived request, and sets
 // its deadline and its position in the stream.
 func (c *call) prepare() *Problem {
-	if from := c.refuseFrom.Load(); from != nil && !c.req.Arrived.Before(*from) {
-		return c.stoppingProblem()
+	// The body may have arrived long after the header.
+	if why := c.stop.Load().Arrival(c.opts.Clock.Now(), 0); why != drain.Accepted {
+		return c.stoppingProblem(why)
 	}
 	if p := c.applyConfig(); p != nil {
 		return p
 	}
+	if p := c.checkStop(c.opts.Clock.Now()); p != nil {
+		return p
+	}
 	timeout := c.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -176,7 +181,8 @@
 }
 
 // stoppingProblem returns the refusal of a request that another node can take.
-func (c *call) stoppingProblem() *Problem {
+func (c *call) stoppingProblem(why drain.Reason) *Problem {
+	c.logStop("request refused by a stopping process", why)
 	return &Problem{
 		Status:     http.StatusServiceUnavailable,
 		Code:       "stopping",
@@ -258,6 +264,7 @@
 		"endpoint", choice.Endpoint.ID, "service", c.service.Name, "load", choice.Load, "candidates", choice.Candidates,
 		"report-age-ms", choice.ReportAge.Milliseconds(), "config", c.config.Version, "attempt", c.sentAttempts+1, "tokens", c.tokenCost(),
 		"waited-ms", c.opts.Clock.Now().Sub(c.req.Arrived).Milliseconds())
+	sentAt := c.opts.Clock.Now()
 	reply, err := c.opts.Sender.Send(ctx, Attempt{
 		Request:   c.req,
 		Endpoint:  choice.Endpoint,
@@ -277,6 +284,7 @@
 		return c.handleSendError(ctx, key, err)
 	}
 	defer reply.Body.Close()
+	reply.sentAt = sentAt
 	c.recordStatements(key, reply)
 	c.sentAttempts++
 	c.opts.Table.RecordProgress(c.opts.Clock.Now(), key)
@@ -305,13 +313,17 @@
 // configuration in force no longer allows the request: time may have passed since the
 // choice, for instance while the VM was suspended.
 func (c *call) check() error {
-	if !c.opts.Clock.Now().Before(c.deadline) {
+	now := c.opts.Clock.Now()
+	if !now.Before(c.deadline) {
 		return errors.New("serve: the deadline of the request has passed")
 	}
+	if c.whyRefused(now, c.lastChoice.Pace) != drain.Accepted {
+		return errStopping
+	}
 	if c.checkParts() != nil {
 		return errPartBlocked
 	}
-	if !c.opts.Table.Health().Ask(c.opts.Clock.Now(), c.lastChoice.Endpoint.Key()).Usable {
+	if !c.opts.Table.Health().Ask(now, c.lastChoice.Endpoint.Key()).Usable {
 		return errEndpointUnusable
 	}
 	config := c.Server.Config()
@@ -341,6 +353,8 @@
 	errRouteMoved   = errors.New("serve: the route leads to another service now")
 
 	errEndpointUnusable = errors.New("serve: the endpoint leaves or wants no requests")
+
+	errStopping = errors.New("serve: the process stops before the request is expected to end")
 )
 
 // handleSendError decides how to go on after an attempt without an answer.
@@ -369,6 +383,9 @@
 	case ctx.Err() != nil:
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		return false, c.contextProblem(ctx)
+	case errors.Is(err, errStopping):
+		c.opts.Table.EndAttempt(now, key, picker.Ended)
+		return false, c.stoppingProblem(drain.TooLong)
 	case errors.Is(err, errPartBlocked):
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		p := c.checkParts()
@@ -475,8 +492,11 @@
 // caller has closed the connection.
 func (c *call) contextProblem(ctx context.Context) *Problem {
 	if errors.Is(context.Cause(ctx), errInterrupted) {
-		if c.sentAttempts == 0 {
-			return c.stoppingProblem()
+		if c.ranAttempts == 0 {
+			return c.stoppingProblem(drain.Ended)
+		}
+		if c.interruptedCalls.Add(1) <= maxInterruptedLogged {
+			c.logStop("request interrupted", drain.Ended)
 		}
 		return &Problem{
 			Status:  http.StatusBadGateway,
