caller, proc, node: name the requests that end without an answer

What callers saw: a request ended without an answer, and no line of the process says which. "request ended without an answer" had neither an id nor a route, and a connection that was still open when the process ended left no line at all.

Change: internal/caller keeps, for each connection, the request whose header was read: an id from a function of the owner, method, host, path, whether its body was read, whether its handler has returned, and when the header was read. The line names them with the state of the stop and the version of the configuration, on both request paths. Each request that is open when the process ends gets a line (at most 50).

Why it works: the connection and the request meet in the context of the connection (http.Server.ConnContext), so the state is that of the connection that is closed, not of a second list.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -48,6 +48,8 @@
 	// Limit is the limit on Idle that was applied, and LimitNow the one in force.
 	Limit    time.Duration
 	LimitNow time.Duration
+	// Request is the request that got no answer, for Unanswered.
+	Request Request
 }
 
 // Options holds the settings of a Server.
@@ -62,6 +64,8 @@
 	// a connection, to the end of the header.
 	HeaderTimeout  time.Duration
 	MaxHeaderBytes int
+	// RequestID names a request whose header was read. It may be nil.
+	RequestID func(*http.Request) string
 	// OnClose is called for each connection that the server closes by itself.
 	OnClose func(Closing)
 }
@@ -92,6 +96,9 @@
 		ReadHeaderTimeout: opts.HeaderTimeout,
 		MaxHeaderBytes:    opts.MaxHeaderBytes,
 		ConnState:         s.onState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	return s
 }
@@ -103,6 +110,8 @@
 		w.Header().Set("Connection", "close")
 	}
 	s.mu.Unlock()
+	r, q := s.begin(r)
+	defer q.handlerEnded.Store(true)
 	s.opts.Handler.ServeHTTP(w, r)
 }
 
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -51,6 +51,8 @@
 	// caller has closed the connection.
 	answerBegun atomic.Bool
 	peerClosed  atomic.Bool
+	// request is the one that is handled, once its header was read.
+	request atomic.Pointer[exchange]
 }
 
 // Read implements net.Conn.
@@ -89,9 +91,13 @@
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	if c.state == stateHandling && !c.answerBegun.Load() && !c.peerClosed.Load() {
-		c.server.opts.OnClose(Closing{
+		closing := Closing{
 			Reason: Unanswered,
-		})
+		}
+		if q := c.request.Load(); q != nil {
+			closing.Request = q.describe(false)
+		}
+		c.server.opts.OnClose(closing)
 	}
 	return err
 }
@@ -114,6 +120,7 @@
 func (c *trackedConn) beginRequest() {
 	c.state, c.nextBegun = stateReading, false
 	c.answerBegun.Store(false)
+	c.request.Store(nil)
 	c.headerDeadline = time.Now().Add(c.server.opts.HeaderTimeout)
 	_ = c.Conn.SetReadDeadline(c.headerDeadline)
 }
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/caller"
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/engine"
 	"trefoildale.example/trefoildale/internal/fair"
@@ -243,11 +244,15 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		ctx, cancel := context.WithCancelCause(r.Context())
 		defer cancel(nil)
+		id := caller.RequestID(ctx)
+		if id == "" {
+			id = s.newID()
+		}
 		q := &request{
 			Server:  s,
 			w:       w,
 			r:       r.WithContext(ctx),
-			id:      s.newID(),
+			id:      id,
 			arrived: s.opts.Clock.Now(),
 			view:    s.config.Load(),
 		}
@@ -264,6 +269,9 @@
 	}
 }
 
+// NewRequestID returns the id of a request of which only the header was read.
+func (s *Server) NewRequestID(*http.Request) string { return s.newID() }
+
 // newID returns a request id that contains the node and incarnation of this
 // process, so that any node can forward a cancellation or a query to it.
 func (s *Server) newID() string {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -40,6 +40,8 @@
 	// header, and callerIdleLimit how long a connection may be idle.
 	headerTimeout   = 10 * time.Second
 	callerIdleLimit = 2 * time.Minute
+	// maxOpenLines bounds the lines about requests that are open when the process ends.
+	maxOpenLines = 50
 	// releaseTimeout bounds the return of slots and leases at shutdown.
 	releaseTimeout = 10 * time.Second
 )
@@ -241,7 +243,12 @@
 		IdleLimit:      func() time.Duration { return callerIdleLimit },
 		HeaderTimeout:  headerTimeout,
 		MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
+		RequestID:      n.entry.NewRequestID,
 		OnClose: func(c caller.Closing) {
+			if c.Reason == caller.Unanswered {
+				n.logUnanswered("Request ended without an answer", c.Request)
+				return
+			}
 			klog.V(2).InfoS("Connection closed", "reason", c.Reason, "partial", c.Partial, "idle", c.Idle)
 		},
 	})
@@ -259,6 +266,12 @@
 	return srv
 }
 
+// logUnanswered logs a request that has no whole answer.
+func (n *Node) logUnanswered(message string, r caller.Request) {
+	klog.InfoS(message, "request", r.ID, "method", r.Method, "host", r.Host, "path", r.Path, "phase", r.Phase,
+		"read", r.Age, "answering", r.Answering, "stopping", !n.entry.Ready(), "config", n.loop.config.Load().Revision)
+}
+
 func (n *Node) serve(l net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{
 		Handler:           h,
@@ -324,6 +337,10 @@
 	case <-ctx.Done():
 	}
 	if err := n.callers.Shutdown(ctx); err != nil {
+		open := n.callers.Open()
+		for _, r := range open[:min(len(open), maxOpenLines)] {
+			n.logUnanswered("Request open at the end of the process", r)
+		}
 		cut = n.entry.Running()
 		for _, id := range cut {
 			klog.InfoS("Request cut by shutdown", "request", id)
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -80,6 +80,8 @@
 	// the Go runtime: the garbage collector runs more often as memory use approaches
 	// it. The rest is for bytes that the kernel holds and for what grows meanwhile.
 	softMemoryShare = 0.7
+	// maxOpenLines bounds the lines about requests that are open when the process ends.
+	maxOpenLines = 50
 	// defaultSoftMemory is that limit in bytes if the memory is not known.
 	defaultSoftMemory = 160 << 20
 )
@@ -238,6 +240,7 @@
 		IdleLimit:     func() time.Duration { return platform.IdleLimit(p.server.Config()) },
 		IdleMargin:    time.Duration(p.settings.Bounds.ConfigApply),
 		HeaderTimeout: headerReadTimeout,
+		RequestID:     platform.RequestID,
 		OnClose:       p.recordClosing,
 	})
 	p.readyServer = &http.Server{
@@ -363,6 +366,7 @@
 	defer cancel()
 	if err := p.callerServer.Shutdown(ctx); err != nil {
 		p.log.Warn("requests cut at the end of the grace", "busy", p.callerServer.Counts().Busy)
+		p.logOpen()
 	}
 	p.log.Info("process ends", "active", p.callerServer.Counts().Busy, "after-ms", p.clock.Now().Sub(startedAt).Milliseconds())
 }
@@ -387,12 +391,33 @@
 	p.requestMetrics.connsClosed.WithLabelValues(string(c.Reason)).Inc()
 	switch {
 	case c.Reason == caller.Unanswered:
-		p.log.Warn("request ended without an answer", "stopping", p.stopping.Load())
+		p.logUnanswered("request ended without an answer", c.Request)
 	case c.Partial:
 		p.log.Warn("connection closed within a request's header", "reason", string(c.Reason), "idle-ms", c.Idle.Milliseconds())
 	}
 }
 
+// logUnanswered logs a request that has no whole answer.
+func (p *Process) logUnanswered(message string, r caller.Request) {
+	version := int64(0)
+	if c := p.server.Config(); c != nil {
+		version = c.Version
+	}
+	p.log.Warn(message, "request", r.ID, "method", r.Method, "host", r.Host, "path", r.Path, "phase", string(r.Phase),
+		"read-ms-ago", r.Age.Milliseconds(), "answering", r.Answering, "stopping", p.stopping.Load(), "config", version)
+}
+
+// logOpen logs the requests that end with the process, at most maxOpenLines of them.
+func (p *Process) logOpen() {
+	open := p.callerServer.Open()
+	for _, r := range open[:min(len(open), maxOpenLines)] {
+		p.logUnanswered("request open at the end of the process", r)
+	}
+	if more := len(open) - maxOpenLines; more > 0 {
+		p.log.Warn("more requests open at the end of the process", "more", more)
+	}
+}
+
 func (p *Process) configMirror(ctx context.Context) *mirror.Mirror {
 	return mirror.New(p.store, mirror.Options{
 		Table:       platform.ConfigTable,
