caller, platform: announce the end of a connection where the answer begins

What callers saw: a request on a kept connection got no answer, because the answer before it let them reuse a connection that the process closed right after it. In internal/node this happened to each request that was running when the shutdown began.

Cause: caller.Server decided when the handler started; platform.Front had its own way, which decided when the header was written, but only for answers that pass through its writer.

Change: caller.Server wraps the ResponseWriter and decides in one place, for both request paths, where the header is written: by WriteHeader, Write, a flush, or the end of the handler. Front's own way is removed, and with it a parameter of NewFront. CloseIdle, the first step of a stop, announces too, and is called before anything else that a stop does. The wrapper also ends the connection after 413, which http.MaxBytesReader can ask for only from http.Server's own writer.

--- /dev/null
+++ b/internal/caller/answer.go
@@ -0,0 +1,64 @@
+package caller
+
+import (
+	"bufio"
+	"net"
+	"net/http"
+)
+
+// answerWriter decides what an answer says about its connection when its header is
+// written: callers reuse the connection after an answer that does not announce its end.
+type answerWriter struct {
+	http.ResponseWriter
+
+	server *Server
+	// isBegun is set once the header was written or the connection was hijacked.
+	isBegun bool
+}
+
+// WriteHeader implements http.ResponseWriter.
+func (a *answerWriter) WriteHeader(status int) {
+	if status >= http.StatusOK || status == http.StatusSwitchingProtocols {
+		a.begin(status)
+	}
+	a.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements io.Writer.
+func (a *answerWriter) Write(p []byte) (int, error) {
+	a.begin(http.StatusOK)
+	return a.ResponseWriter.Write(p)
+}
+
+// FlushError is used by http.ResponseController.
+func (a *answerWriter) FlushError() error {
+	a.begin(http.StatusOK)
+	return http.NewResponseController(a.ResponseWriter).Flush()
+}
+
+// Flush implements http.Flusher.
+func (a *answerWriter) Flush() { _ = a.FlushError() }
+
+// Hijack implements http.Hijacker.
+func (a *answerWriter) Hijack() (net.Conn, *bufio.ReadWriter, error) {
+	c, rw, err := http.NewResponseController(a.ResponseWriter).Hijack()
+	if err == nil {
+		a.isBegun = true
+	}
+	return c, rw, err
+}
+
+// Unwrap is used by http.ResponseController.
+func (a *answerWriter) Unwrap() http.ResponseWriter { return a.ResponseWriter }
+
+func (a *answerWriter) begin(status int) {
+	if a.isBegun {
+		return
+	}
+	a.isBegun = true
+	// http.MaxBytesReader asks for the end of the connection only from the ResponseWriter
+	// of http.Server itself.
+	if status == http.StatusRequestEntityTooLarge || a.server.isEnding() {
+		a.Header().Set("Connection", "close")
+	}
+}
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -103,16 +103,22 @@
 	return s
 }
 
-// serveHTTP announces the end of the connection while the server shuts down.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	if s.draining {
-		w.Header().Set("Connection", "close")
-	}
-	s.mu.Unlock()
 	r, q := s.begin(r)
 	defer q.handlerEnded.Store(true)
-	s.opts.Handler.ServeHTTP(w, r)
+	a := &answerWriter{
+		ResponseWriter: w,
+		server:         s,
+	}
+	s.opts.Handler.ServeHTTP(a, r)
+	a.begin(http.StatusOK)
+}
+
+// isEnding reports whether connections end after their next answer.
+func (s *Server) isEnding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining || s.closingIdle
 }
 
 // Serve accepts connections until the listener fails or is closed by Shutdown or
@@ -206,7 +212,7 @@
 }
 
 // CloseIdle closes the connections that wait for another request, and from now on each
-// one once it would do so.
+// one once it would do so. All answers announce the end of their connection from now on.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -236,7 +236,7 @@
 	}
 	p.stopRPC = wire.ServeFleet(peers, p.node, new(wire.Meter))
 	p.callerServer = caller.NewServer(caller.Options{
-		Handler:       platform.NewFront(p.server, p.clock, p.stopping.Load),
+		Handler:       platform.NewFront(p.server, p.clock),
 		IdleLimit:     func() time.Duration { return platform.IdleLimit(p.server.Config()) },
 		IdleMargin:    time.Duration(p.settings.Bounds.ConfigApply),
 		HeaderTimeout: headerReadTimeout,
@@ -345,10 +345,10 @@
 	startedAt := p.clock.Now()
 	kill := startedAt.Add(time.Duration(p.settings.Bounds.Grace) - drainKillMargin)
 	p.stopping.Store(true)
-	p.server.RefuseFrom(startedAt.Add(drainAcceptTime))
-	p.node.ReleaseLease()
 	// Callers that are idle go on at other nodes, which shortens the stop.
 	p.callerServer.CloseIdle()
+	p.server.RefuseFrom(startedAt.Add(drainAcceptTime))
+	p.node.ReleaseLease()
 	interrupt := time.AfterFunc(kill.Add(-interruptMargin).Sub(p.clock.Now()), func() {
 		p.log.Warn("requests interrupted at the end of the grace", "active", p.server.Active())
 		p.server.Interrupt()
