serve: fail one request where the search of a silent stream panics

What callers would see: all requests of a process end without an answer. Found by reading; no run has shown such a panic.

Cause: the search for an endpoint that continues a silent stream runs in a goroutine of a timer, and only goroutines of http.Server recover from a panic. One in the search ends the process.

Change: the search recovers, logs the request, the endpoint and the stack (at most 4 KiB), and ends as if the search had failed for good: the silent attempt may go on, or, if the second endpoint had gone on with the stream, the stream is broken off.

Evidence: TestPanicInSearchFailsOneRequest, before: "panic: fault" out of hedge.search ends the test's process.

Result: go test -race -run 'Silent|Panic|Hedge' ./internal/serve passes.

--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"runtime/debug"
 	"sync"
 	"time"
 
@@ -9,6 +11,9 @@
 	"trefoildale.example/trefoildale/internal/picker"
 )
 
+// maxStackBytes bounds the stack of a panic in the log.
+const maxStackBytes = 4 << 10
+
 // hedge asks another endpoint to continue a stream whose endpoint is silent. The silent
 // attempt stays open, since its endpoint may be sound: the endpoint that sends the next
 // event first continues the stream.
@@ -69,7 +74,7 @@
 	h.cancel, h.done = cancel, make(chan struct{})
 	h.mu.Unlock()
 
-	p, isFinal := h.call.continueElsewhere(ctx, h)
+	p, isFinal := h.continueElsewhere(ctx)
 
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -81,6 +86,20 @@
 	close(h.done)
 }
 
+// continueElsewhere calls that of the call. A panic ends the search, not the process: this
+// goroutine is none of http.Server.
+func (h *hedge) continueElsewhere(ctx context.Context) (p *Problem, isFinal bool) {
+	defer func() {
+		if value := recover(); value != nil {
+			stack := string(debug.Stack())
+			h.call.opts.Log.Error("search for another endpoint failed by a fault of this program", "request", h.call.req.ID,
+				"endpoint", h.key.ID, "fault", fmt.Sprintf("%.200v", value), "stack", stack[:min(len(stack), maxStackBytes)])
+			p, isFinal = brokenProblem(), true
+		}
+	}()
+	return h.call.continueElsewhere(ctx, h)
+}
+
 // claim is called when another endpoint has sent the next event. It ends the silent attempt
 // and returns true, unless the silent endpoint has sent the event before.
 func (h *hedge) claim() bool {
--- a/internal/serve/hedge_test.go
+++ b/internal/serve/hedge_test.go
@@ -280,3 +280,51 @@
 		})
 	}
 }
+
+// TestPanicInSearchFailsOneRequest guards against the end of the process, and with it of all
+// its requests, by a panic in the search for an endpoint that continues a silent stream.
+func TestPanicInSearchFailsOneRequest(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		// second is the answer of the second endpoint; the search panics at once if nil.
+		second func() io.ReadCloser
+		want   string
+		whole  bool
+	}{
+		{name: "before_the_second_goes_on", want: "1 2 3", whole: true},
+		{name: "after_the_second_has_gone_on", second: func() io.ReadCloser {
+			return &panickingBody{steppedBody: newSteppedBody(step{text: eventsFrom("2", 2)})}
+		}, want: "1 2 3 4"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			h := newHarness(t, fixedAdmission{})
+			h.sender.body = func(a Attempt) io.ReadCloser {
+				switch {
+				case a.LastEvent == "":
+					return newSteppedBody(step{text: eventsFrom("", 2)}, step{after: silence, text: eventsFrom("2", 1)})
+				case tc.second == nil:
+					panic("fault")
+				}
+				return tc.second()
+			}
+			h.sender.change = func(r *Reply) { r.Header.Set("Content-Type", "text/event-stream") }
+			c := h.serve("resume")
+			if got := eventIDs(c.body.String()); got != tc.want || c.ended != tc.whole || c.aborted == tc.whole {
+				t.Errorf("the caller got events %s, ended %v, aborted %v, want %s, ended %v", got, c.ended, c.aborted, tc.want, tc.whole)
+			}
+		})
+	}
+}
+
+// panickingBody panics at its end.
+type panickingBody struct{ *steppedBody }
+
+// Read implements io.Reader.
+func (b *panickingBody) Read(p []byte) (int, error) {
+	n, err := b.steppedBody.Read(p)
+	if err != nil {
+		panic("fault")
+	}
+	return n, nil
+}
