caller, proc, node: answer requests whose handler panics

What callers would see: a request gets neither an answer nor a refusal, under some configuration and without a line that says which. Found by reading; no run has shown such a panic.

Cause: http.Server recovers from a panic of the handler and closes the connection.

Change: caller.Server recovers, on both request paths. If the answer has not begun, the request gets one that promises nothing, with its id (502 internal-error from platform.Front, 500 from internal/entry), and the connection ends after it, as a body may be read in part. An answer that has begun is cut so that it looks incomplete: with http.ErrAbortHandler, and with a reset for callers of HTTP/1.0. The panic is logged with id, route, state, configuration and stack (at most 4 KiB) and counted. http.ErrAbortHandler stays as it is.

What a handler holds when it panics and returns without defer (the place at an endpoint, an idempotency key) is not returned.

--- a/internal/audit/reason.go
+++ b/internal/audit/reason.go
@@ -132,6 +132,7 @@
 	ShutdownStarted
 	ShutdownDone
 	ShutdownCut
+	InternalError
 	numReasons
 )
 
@@ -232,6 +233,8 @@
 	ShutdownStarted: {"shutdown-started", KindShutdown, CauseSystem, "The entry point[ {node}] is being stopped. It takes no new requests and finishes the running ones[: {count}]."},
 	ShutdownDone:    {"shutdown-done", KindShutdown, CauseSystem, "The entry point[ {node}] stopped[ after {wait}]. No request was interrupted."},
 	ShutdownCut:     {"shutdown-cut", KindShutdown, CauseSystem, requestSubject + "was interrupted because the operator ended the entry point[ {node}] before its requests were finished[, after {wait}]."},
+
+	InternalError: {"internal-error", KindFailure, CauseSystem, requestSubject + "failed by a fault of the entry point[ {node}] itself. It may have run."},
 }
 
 // Reasons lists every reason.
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -12,6 +12,11 @@
 	http.ResponseWriter
 
 	server *Server
+	conn   *trackedConn
+	// isPlain is set if an answer without a length ends with its connection.
+	isPlain bool
+	// isLast is set if the connection ends after the answer.
+	isLast bool
 	// isBegun is set once the header was written or the connection was hijacked.
 	isBegun bool
 }
@@ -58,7 +63,7 @@
 	a.isBegun = true
 	// http.MaxBytesReader asks for the end of the connection only from the ResponseWriter
 	// of http.Server itself.
-	if status == http.StatusRequestEntityTooLarge || a.server.isEnding() {
+	if a.isLast || status == http.StatusRequestEntityTooLarge || a.server.isEnding() {
 		a.Header().Set("Connection", "close")
 	}
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -66,6 +66,10 @@
 	MaxHeaderBytes int
 	// RequestID names a request whose header was read. It may be nil.
 	RequestID func(*http.Request) string
+	// Fail writes an answer that promises nothing, to a request whose handler has panicked.
+	Fail func(w http.ResponseWriter, requestID string)
+	// OnPanic is called for each handler that has panicked.
+	OnPanic func(Panic)
 	// OnClose is called for each connection that the server closes by itself.
 	OnClose func(Closing)
 }
@@ -109,7 +113,14 @@
 	a := &answerWriter{
 		ResponseWriter: w,
 		server:         s,
+		isPlain:        !r.ProtoAtLeast(1, 1),
 	}
+	a.conn, _ = r.Context().Value(connKey{}).(*trackedConn)
+	defer func() {
+		if value := recover(); value != nil {
+			s.onPanic(a, q, value)
+		}
+	}()
 	s.opts.Handler.ServeHTTP(a, r)
 	a.begin(http.StatusOK)
 }
--- a/internal/entry/problem.go
+++ b/internal/entry/problem.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/stats"
 )
 
 // problem is an error response. Its code is the name of the audit reason, so that
@@ -60,6 +61,22 @@
 	_, _ = w.Write(p.body(requestID))
 }
 
+// Fail answers a request that failed by a fault of this program. It may have run.
+func (s *Server) Fail(w http.ResponseWriter, requestID string) {
+	p := problem{
+		Status:  http.StatusInternalServerError,
+		Reason:  audit.InternalError,
+		Message: "this node has failed to handle the request, which may have run",
+	}
+	s.opts.Audit.Record(audit.Event{
+		Reason:  p.Reason,
+		Request: requestID,
+		Node:    s.opts.Node,
+	})
+	s.opts.Stats.Inc(stats.RequestsFailed)
+	p.write(w, requestID)
+}
+
 // writeEvent writes the problem as the last event of a stream.
 func (p problem) writeEvent(w http.ResponseWriter, requestID string) {
 	data := append([]byte("event: error\ndata: "), p.body(requestID)...)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -244,6 +245,12 @@
 		HeaderTimeout:  headerTimeout,
 		MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
 		RequestID:      n.entry.NewRequestID,
+		Fail:           n.entry.Fail,
+		OnPanic: func(p caller.Panic) {
+			n.stats.Inc(stats.RequestsPanicked)
+			n.logUnanswered("Request failed by a fault of this program", p.Request, "answered", p.Answered,
+				"fault", fmt.Sprintf("%.200v", p.Value), "stack", p.Stack)
+		},
 		OnClose: func(c caller.Closing) {
 			if c.Reason == caller.Unanswered {
 				n.logUnanswered("Request ended without an answer", c.Request)
@@ -267,9 +274,11 @@
 }
 
 // logUnanswered logs a request that has no whole answer.
-func (n *Node) logUnanswered(message string, r caller.Request) {
-	klog.InfoS(message, "request", r.ID, "method", r.Method, "host", r.Host, "path", r.Path, "phase", r.Phase,
-		"read", r.Age, "answering", r.Answering, "stopping", !n.entry.Ready(), "config", n.loop.config.Load().Revision)
+func (n *Node) logUnanswered(message string, r caller.Request, more ...any) {
+	klog.InfoS(message, append([]any{
+		"request", r.ID, "method", r.Method, "host", r.Host, "path", r.Path, "phase", r.Phase,
+		"read", r.Age, "answering", r.Answering, "stopping", !n.entry.Ready(), "config", n.loop.config.Load().Revision,
+	}, more...)...)
 }
 
 func (n *Node) serve(l net.Listener, h http.Handler) *http.Server {
--- a/internal/proc/observe.go
+++ b/internal/proc/observe.go
@@ -21,6 +21,7 @@
 	requestsEnded    *prometheus.CounterVec
 	requestsRepeated *prometheus.CounterVec
 	connsClosed      *prometheus.CounterVec
+	panics           prometheus.Counter
 	firstByte        *prometheus.HistogramVec
 	total            *prometheus.HistogramVec
 }
@@ -44,6 +45,10 @@
 			Name: "trefoildale_caller_connections_closed_total",
 			Help: "Connections of callers that the process closed without or before an answer, by reason.",
 		}, []string{"reason"}),
+		panics: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "trefoildale_request_panics_total",
+			Help: "Requests that failed by a fault of this program.",
+		}),
 		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "trefoildale_first_byte_seconds",
 			Help:    "Time from the arrival of a request to the first event or to the whole answer.",
@@ -55,7 +60,7 @@
 			Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.requestsEnded, m.requestsRepeated, m.connsClosed, m.firstByte, m.total, collectors.NewGoCollector())
+	m.registry.MustRegister(m.requestsEnded, m.requestsRepeated, m.connsClosed, m.panics, m.firstByte, m.total, collectors.NewGoCollector())
 	return m
 }
 
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -188,10 +189,7 @@
 	p.requestMetrics.addGauge("trefoildale_requests_active", "Requests under way.", func() float64 { return float64(p.server.Active()) })
 	p.requestMetrics.addGauge("trefoildale_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(p.log.Dropped()) })
 	p.requestMetrics.addGauge("trefoildale_config_version", "Version of the configuration in force.", func() float64 {
-		if c := p.server.Config(); c != nil {
-			return float64(c.Version)
-		}
-		return 0
+		return float64(p.configVersion())
 	})
 	p.requestMetrics.addGauge("trefoildale_coordinator", "1 where this process is the coordinator.", func() float64 {
 		if p.node.IsCoordinator() {
@@ -235,12 +233,15 @@
 		return err
 	}
 	p.stopRPC = wire.ServeFleet(peers, p.node, new(wire.Meter))
+	front := platform.NewFront(p.server, p.clock)
 	p.callerServer = caller.NewServer(caller.Options{
-		Handler:       platform.NewFront(p.server, p.clock),
+		Handler:       front,
 		IdleLimit:     func() time.Duration { return platform.IdleLimit(p.server.Config()) },
 		IdleMargin:    time.Duration(p.settings.Bounds.ConfigApply),
 		HeaderTimeout: headerReadTimeout,
 		RequestID:     platform.RequestID,
+		Fail:          front.Fail,
+		OnPanic:       p.recordPanic,
 		OnClose:       p.recordClosing,
 	})
 	p.readyServer = &http.Server{
@@ -397,14 +398,28 @@
 	}
 }
 
+// recordPanic counts and logs a request whose handler has panicked.
+func (p *Process) recordPanic(c caller.Panic) {
+	p.requestMetrics.panics.Inc()
+	r := c.Request
+	p.log.Error("request failed by a fault of this program", "request", r.ID, "method", r.Method, "host", r.Host, "path", r.Path,
+		"phase", string(r.Phase), "read-ms-ago", r.Age.Milliseconds(), "answered", c.Answered, "config", p.configVersion(),
+		"fault", fmt.Sprintf("%.200v", c.Value), "stack", c.Stack)
+}
+
 // logUnanswered logs a request that has no whole answer.
 func (p *Process) logUnanswered(message string, r caller.Request) {
-	version := int64(0)
-	if c := p.server.Config(); c != nil {
-		version = c.Version
-	}
 	p.log.Warn(message, "request", r.ID, "method", r.Method, "host", r.Host, "path", r.Path, "phase", string(r.Phase),
-		"read-ms-ago", r.Age.Milliseconds(), "answering", r.Answering, "stopping", p.stopping.Load(), "config", version)
+		"read-ms-ago", r.Age.Milliseconds(), "answering", r.Answering, "stopping", p.stopping.Load(), "config", p.configVersion())
+}
+
+// configVersion returns the version of the configuration in force, or 0.
+func (p *Process) configVersion() int64 {
+	c := p.server.Config()
+	if c == nil {
+		return 0
+	}
+	return c.Version
 }
 
 // logOpen logs the requests that end with the process, at most maxOpenLines of them.
--- a/internal/stats/counter.go
+++ b/internal/stats/counter.go
@@ -18,6 +18,7 @@
 	RequestsFailed
 	RequestsCancelled
 	RequestsInterrupted
+	RequestsPanicked
 	TokensCharged
 	TokensRefunded
 	TokensGenerated
@@ -72,6 +73,7 @@
 	RequestsFailed:       {"requests", "failed"},
 	RequestsCancelled:    {"requests", "cancelled"},
 	RequestsInterrupted:  {"requests", "interrupted"},
+	RequestsPanicked:     {"requests", "panicked"},
 	TokensCharged:        {"tokens", "charged"},
 	TokensRefunded:       {"tokens", "refunded"},
 	TokensGenerated:      {"tokens", "generated"},
