caller: keep connections for each idle limit that callers may believe

What callers saw: a request on a kept connection got no answer beside changes of the configuration, because the idle limit was raised and lowered again while the connection was idle. Callers may learn of the lowered limit later than the process does.

Cause: each connection knew only the limits that were in force when it was looked at, which is when its own deadline passes.

Change: the server keeps the limits that were in force, each with the moment at which its end was seen, for as long as callers may not know of that end (bounds.config-apply). A connection is closed at the latest of the times that these allow: since its last answer, or the end of the limit, plus the margin. A limit that follows none counts from the same moments, in place of anew. The server looks for changes five times within the margin, and at each configuration that the process reads from the store.

Why it works: what a caller may believe follows from the limits and the margin alone, not from when a connection was looked at. A limit from another node that is in force for less than a fifth of the margin may still not be seen; two reads of the store are 50 ms apart or more.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -18,6 +18,10 @@
 	// firstRequestTime is how long a server that is shut down waits for the first
 	// byte on connections that it has accepted last.
 	firstRequestTime = 100 * time.Millisecond
+	// limitInterval is how often the server looks for a change of the idle limit, and
+	// limitLooks how often at least within the margin.
+	limitInterval = time.Second
+	limitLooks    = 5
 	// shutdownInterval is how often a server that is shut down checks whether all
 	// connections are closed.
 	shutdownInterval = 5 * time.Millisecond
@@ -45,9 +49,8 @@
 	Partial bool
 	// Idle is the time since the last answer, or since the connection was accepted.
 	Idle time.Duration
-	// Limit is the limit on Idle that was applied, and LimitNow the one in force.
-	Limit    time.Duration
-	LimitNow time.Duration
+	// Limit is the limit on Idle that is in force.
+	Limit time.Duration
 	// Request is the request that got no answer, for Unanswered.
 	Request Request
 }
@@ -57,8 +60,8 @@
 	Handler http.Handler
 	// IdleLimit returns how long a connection may be idle, or 0 for no limit.
 	IdleLimit func() time.Duration
-	// IdleMargin is added to the limit, for callers that learn of a higher limit
-	// before this process does.
+	// IdleMargin is by how much earlier or later than this process callers may learn of a
+	// change of the limit. Connections are closed that much later.
 	IdleMargin time.Duration
 	// HeaderTimeout limits the time from a request's first byte, or from the start of
 	// a connection, to the end of the header.
@@ -80,6 +83,7 @@
 	http *http.Server
 
 	mu       sync.Mutex
+	limit    idleLimit
 	conns    map[*trackedConn]struct{}
 	listener *listener
 	draining bool
@@ -146,6 +150,7 @@
 		tracked.stop()
 	}
 	s.mu.Unlock()
+	go s.observeLimit(tracked.done)
 	err := s.http.Serve(tracked)
 	close(tracked.done)
 	s.mu.Lock()
@@ -156,6 +161,39 @@
 	return err
 }
 
+// observeLimit follows the idle limit until done is closed.
+func (s *Server) observeLimit(done <-chan struct{}) {
+	interval := limitInterval
+	if margin := s.opts.IdleMargin; margin > 0 {
+		interval = min(interval, max(margin/limitLooks, time.Millisecond))
+	}
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			s.LimitChanged()
+		case <-done:
+			return
+		}
+	}
+}
+
+// LimitChanged may be called when the idle limit has changed. Without it, a limit that is
+// in force for a shorter time than the server's interval may not be seen.
+func (s *Server) LimitChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lookAtLimit()
+}
+
+// lookAtLimit returns the limit in force. The caller holds the lock.
+func (s *Server) lookAtLimit() time.Duration {
+	s.limit.margin = s.opts.IdleMargin
+	s.limit.observe(time.Now(), s.opts.IdleLimit())
+	return s.limit.current
+}
+
 // Counts holds the numbers of connections by state.
 type Counts struct {
 	// Busy connections have a request of which at least a byte was read and whose
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -38,7 +38,7 @@
 	server    *Server
 	state     connState
 	idleSince time.Time
-	// limit is the highest limit on idle time seen since idleSince.
+	// limit is the limit on idle time when the connection was looked at last.
 	limit time.Duration
 	// httpDeadline is the read deadline that http.Server has set.
 	httpDeadline time.Time
@@ -167,7 +167,7 @@
 
 // onIdle is called with the server's lock held when an answer has been sent.
 func (c *trackedConn) onIdle() {
-	c.idleSince, c.limit = time.Now(), c.server.opts.IdleLimit()
+	c.idleSince = time.Now()
 	if c.nextBegun {
 		c.beginRequest()
 		return
@@ -180,12 +180,15 @@
 	_ = c.Conn.SetReadDeadline(c.idleDeadline())
 }
 
-// idleDeadline returns when an idle connection is to be checked next.
+// idleDeadline returns when an idle connection is to be checked next. The caller holds the
+// server's lock.
 func (c *trackedConn) idleDeadline() time.Time {
-	if c.limit == 0 {
+	c.limit = c.server.lookAtLimit()
+	at, isLimited := c.server.limit.deadline(c.idleSince)
+	if !isLimited {
 		return time.Now().Add(unlimitedRecheck)
 	}
-	return c.idleSince.Add(c.limit + c.server.opts.IdleMargin)
+	return at
 }
 
 // isDue reports whether the server is to close the connection because it stops. The
@@ -232,11 +235,10 @@
 		reason = IdleLimit
 	}
 	c.server.opts.OnClose(Closing{
-		Reason:   reason,
-		Partial:  c.state == stateReading,
-		Idle:     time.Since(c.idleSince),
-		Limit:    c.limit,
-		LimitNow: c.server.opts.IdleLimit(),
+		Reason:  reason,
+		Partial: c.state == stateReading,
+		Idle:    time.Since(c.idleSince),
+		Limit:   c.limit,
 	})
 	return false, 0
 }
@@ -244,11 +246,6 @@
 // extendIdle applies the limit in force and returns whether the connection may stay
 // idle for longer.
 func (c *trackedConn) extendIdle() bool {
-	limit := c.server.opts.IdleLimit()
-	if limit == 0 || c.limit == 0 {
-		c.idleSince, c.limit = time.Now(), limit
-	}
-	c.limit = max(c.limit, limit)
 	deadline := c.idleDeadline()
 	if !deadline.After(time.Now()) {
 		return false
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -346,10 +346,10 @@
 	startedAt := p.clock.Now()
 	kill := startedAt.Add(time.Duration(p.settings.Bounds.Grace) - drainKillMargin)
 	p.stopping.Store(true)
-	// Callers that are idle go on at other nodes, which shortens the stop.
-	p.callerServer.CloseIdle()
 	p.server.RefuseFrom(startedAt.Add(drainAcceptTime))
 	p.node.ReleaseLease()
+	// Callers that are idle go on at other nodes, which shortens the stop.
+	p.callerServer.CloseIdle()
 	interrupt := time.AfterFunc(kill.Add(-interruptMargin).Sub(p.clock.Now()), func() {
 		p.log.Warn("requests interrupted at the end of the grace", "active", p.server.Active())
 		p.server.Interrupt()
@@ -451,6 +451,7 @@
 				if err := p.node.SetRawConfig(ctx, r.Value, "store"); err != nil {
 					p.log.Error("configuration not usable, the former one stays in force", "row-version", r.Version, "error", err.Error())
 				}
+				p.callerServer.LimitChanged()
 			}
 		},
 		OnStateChange: func(err error) {
