caller, proc, node: refuse the request that crosses the close of a stop

Cause: the process closes its idle connections at the signal without a word. A caller whose request crosses the close cannot tell whether it was read.

Change: before a stopping process closes a connection without a request, it sends 408 with Connection: close, which promises that what is on its way will not run, and then the end of its own side. It reads no request from there; it discards what still comes until the caller closes, for 1 s at most, since a close with unread bytes would take the answer from the caller. A shutdown waits for such connections for 0.2 s at most. Both request paths do it. Connections that end at their idle limit stay as they are: callers know that limit.

Why it works: the request that crosses the close meets an answer that was sent before it, on the same connection, so it has a refusal whatever the order of arrival. A caller with an idle connection sees its end as before, so that nothing is kept longer and no stop is prolonged.

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -22,6 +22,13 @@
 	// limitLooks how often at least within the margin.
 	limitInterval = time.Second
 	limitLooks    = 5
+	// refusalWriteTime bounds the write of the last answer, and refusalReadTime the wait
+	// for the end of its connection.
+	refusalWriteTime = 10 * time.Millisecond
+	refusalReadTime  = time.Second
+	// lastRefusalTime is how long a server that is shut down waits for the ends of these
+	// connections.
+	lastRefusalTime = 200 * time.Millisecond
 	// shutdownInterval is how often a server that is shut down checks whether all
 	// connections are closed.
 	shutdownInterval = 5 * time.Millisecond
@@ -42,6 +49,10 @@
 	Unanswered Reason = "unanswered"
 )
 
+// RequestTimeout is a LastAnswer with HTTP's own status for a request that a server has not
+// read and will not run.
+const RequestTimeout = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // Closing describes a connection that the server closes.
 type Closing struct {
 	Reason Reason
@@ -67,6 +78,10 @@
 	// a connection, to the end of the header.
 	HeaderTimeout  time.Duration
 	MaxHeaderBytes int
+	// LastAnswer is sent on a connection without a request before a server that stops
+	// closes it. It has to promise that a request that is on its way will not run. It may
+	// be empty.
+	LastAnswer string
 	// RequestID names a request whose header was read. It may be nil.
 	RequestID func(*http.Request) string
 	// Fail writes an answer that promises nothing, to a request whose handler has panicked.
@@ -87,6 +102,8 @@
 	conns    map[*trackedConn]struct{}
 	listener *listener
 	draining bool
+	// refused is the number of connections that have got the last answer and are open.
+	refused int
 	// closingIdle is set once connections that wait for another request are closed,
 	// and closing once those without a request are closed too.
 	closingIdle bool
@@ -257,9 +274,21 @@
 			return err
 		}
 	}
+	for start := time.Now(); time.Since(start) < lastRefusalTime && s.hasRefused(); {
+		if sleep(ctx, shutdownInterval) != nil {
+			// All requests that were read have their answer.
+			return nil
+		}
+	}
 	return nil
 }
 
+func (s *Server) hasRefused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused > 0
+}
+
 // CloseIdle closes the connections that wait for another request, and from now on each
 // one once it would do so. All answers announce the end of their connection from now on.
 func (s *Server) CloseIdle() {
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -51,6 +52,8 @@
 	// caller has closed the connection.
 	answerBegun atomic.Bool
 	peerClosed  atomic.Bool
+	// isRefused is set once closeWithRefusal has taken over the connection.
+	isRefused atomic.Bool
 	// request is the one that is handled, once its header was read.
 	request atomic.Pointer[exchange]
 }
@@ -86,6 +89,9 @@
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
+	if c.isRefused.Load() {
+		return nil
+	}
 	// The lock may be held for long, and requests that arrive meanwhile are not read.
 	err := c.Conn.Close()
 	c.server.mu.Lock()
@@ -225,8 +231,6 @@
 	if n := readWaiting(c.Conn, p); n > 0 {
 		return false, n
 	}
-	// http.Server closes it too, but later: a request may arrive in between.
-	_ = c.Conn.Close()
 	reason := HeaderTimeout
 	switch {
 	case c.isDue():
@@ -234,6 +238,10 @@
 	case c.state == stateIdle:
 		reason = IdleLimit
 	}
+	// http.Server closes it too, but later: a request may arrive in between.
+	if reason != Stop || !c.closeWithRefusal() {
+		_ = c.Conn.Close()
+	}
 	c.server.opts.OnClose(Closing{
 		Reason:  reason,
 		Partial: c.state == stateReading,
@@ -243,6 +251,33 @@
 	return false, 0
 }
 
+// closeWithRefusal refuses the request that may be on its way to the connection, which is
+// never read, and closes the connection once the caller has done so, or after a while: a
+// close with unread bytes would take the refusal from the caller. It returns false if the
+// connection is to be closed at once. The caller holds the server's lock.
+func (c *trackedConn) closeWithRefusal() bool {
+	text := c.server.opts.LastAnswer
+	if text == "" {
+		return false
+	}
+	// The socket's buffer is empty, as the answer before was sent.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime))
+	if _, err := io.WriteString(c.Conn, text); err != nil || c.CloseWrite() != nil {
+		return false
+	}
+	c.isRefused.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(refusalReadTime))
+	c.server.refused++
+	go func() {
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.Conn.Close()
+		c.server.mu.Lock()
+		defer c.server.mu.Unlock()
+		c.server.refused--
+	}()
+	return true
+}
+
 // extendIdle applies the limit in force and returns whether the connection may stay
 // idle for longer.
 func (c *trackedConn) extendIdle() bool {
--- /dev/null
+++ b/internal/caller/refuse_test.go
@@ -0,0 +1,121 @@
+package caller
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"testing"
+	"time"
+)
+
+// TestRequestThatCrossesTheStopIsRefused guards against requests that get neither an answer
+// nor a refusal because they are on their way when a stop closes their connection.
+func TestRequestThatCrossesTheStopIsRefused(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name  string
+		state connState
+		// isLarge is set if the request has more bytes than sockets hold.
+		isLarge bool
+	}{
+		{name: "idle", state: stateIdle},
+		{name: "first_request", state: stateFresh},
+		{name: "large_body", state: stateIdle, isLarge: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s, l := newTestServer(t, noLimit, nil)
+			s.opts.LastAnswer = RequestTimeout
+			peer := dial(t, l)
+			accepted, err := l.Accept()
+			if err != nil {
+				t.Fatal(err)
+			}
+			c := s.track(accepted).(*trackedConn)
+			c.state, s.closing = tc.state, true
+			if err := accepted.SetReadDeadline(time.Now()); err != nil {
+				t.Fatal(err)
+			}
+			var buf [readBufferSize]byte
+			if n, err := c.Read(buf[:]); !errors.Is(err, os.ErrDeadlineExceeded) {
+				t.Fatalf("read %d bytes, %v; want the end of the deadline", n, err)
+			}
+			_ = c.Close()
+			size := 10
+			if tc.isLarge {
+				size = 8 << 20
+			}
+			fmt.Fprintf(peer, "POST / HTTP/1.1\r\nHost: caller.example\r\nContent-Length: %d\r\n\r\n", size)
+			if n, err := peer.Write(make([]byte, size)); err != nil {
+				t.Errorf("%d bytes of the body were sent: %v", n, err)
+			}
+			_ = peer.SetReadDeadline(time.Now().Add(5 * time.Second))
+			res, err := http.ReadResponse(peer.in, nil)
+			if err != nil {
+				t.Fatalf("the request got no answer: %v", err)
+			}
+			_ = res.Body.Close()
+			if res.StatusCode != http.StatusRequestTimeout || !res.Close {
+				t.Errorf("got %d, close %v, want 408 that ends the connection", res.StatusCode, res.Close)
+			}
+			if _, err := peer.in.ReadByte(); err != io.EOF {
+				t.Errorf("the connection ended with %v", err)
+			}
+		})
+	}
+}
+
+// TestShutdownWaitsForRefusals guards against refusals that are lost, because the process
+// ends while the refused request is on its way, and against a stop that waits for callers
+// that never close.
+func TestShutdownWaitsForRefusals(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name   string
+		closed bool
+	}{
+		{name: "closed_by_the_caller", closed: true},
+		{name: "left_open"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s, l := newTestServer(t, noLimit, nil)
+			s.opts.LastAnswer = RequestTimeout
+			go func() { _ = s.Serve(l) }()
+			c := dial(t, l)
+			fmt.Fprintf(c, request, "first")
+			if err := c.receive(); err != nil {
+				t.Fatal(err)
+			}
+			for s.Counts().Idle == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			start := time.Now()
+			ended := make(chan error, 1)
+			go func() { ended <- s.Shutdown(t.Context()) }()
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			if _, err := c.in.ReadByte(); err != nil {
+				t.Fatal(err)
+			}
+			if tc.closed {
+				_ = c.Close()
+			}
+			select {
+			case err := <-ended:
+				if err != nil {
+					t.Error(err)
+				}
+			case <-time.After(5 * time.Second):
+				t.Fatal("the server waits for the caller")
+			}
+			if took := time.Since(start); !tc.closed && took < lastRefusalTime {
+				t.Errorf("the server ended after %v, while the connection was open", took)
+			}
+			for tc.closed && s.hasRefused() {
+				time.Sleep(time.Millisecond)
+			}
+		})
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -244,6 +244,7 @@
 		IdleLimit:      func() time.Duration { return callerIdleLimit },
 		HeaderTimeout:  headerTimeout,
 		MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
+		LastAnswer:     caller.RequestTimeout,
 		RequestID:      n.entry.NewRequestID,
 		Fail:           n.entry.Fail,
 		OnPanic: func(p caller.Panic) {
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -239,6 +239,7 @@
 		IdleLimit:     func() time.Duration { return platform.IdleLimit(p.server.Config()) },
 		IdleMargin:    time.Duration(p.settings.Bounds.ConfigApply),
 		HeaderTimeout: headerReadTimeout,
+		LastAnswer:    caller.RequestTimeout,
 		RequestID:     platform.RequestID,
 		Fail:          front.Fail,
 		OnPanic:       p.recordPanic,
