--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -18,6 +18,17 @@
 	// firstRequestTime is how long a server that is shut down waits for the first
 	// byte on connections that it has accepted last.
 	firstRequestTime = 100 * time.Millisecond
+	// limitInterval is how often the server looks for a change of the idle limit, and
+	// limitLooks how often at least within the margin.
+	limitInterval = time.Second
+	limitLooks    = 5
+	// refusalWriteTime bounds the write of the last answer, and refusalReadTime the wait
+	// for the end of its connection.
+	refusalWriteTime = 10 * time.Millisecond
+	refusalReadTime  = time.Second
+	// lastRefusalTime is how long a server that is shut down waits for the ends of these
+	// connections.
+	lastRefusalTime = 200 * time.Millisecond
 	// shutdownInterval is how often a server that is shut down checks whether all
 	// connections are closed.
 	shutdownInterval = 5 * time.Millisecond
@@ -38,6 +49,10 @@
 	Unanswered Reason = "unanswered"
 )
 
+// RequestTimeout is a LastAnswer with HTTP's own status for a request that a server has not
+// read and will not run.
+const RequestTimeout = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 // Closing describes a connection that the server closes.
 type Closing struct {
 	Reason Reason
@@ -45,9 +60,10 @@
 	Partial bool
 	// Idle is the time since the last answer, or since the connection was accepted.
 	Idle time.Duration
-	// Limit is the limit on Idle that was applied, and LimitNow the one in force.
-	Limit    time.Duration
-	LimitNow time.Duration
+	// Limit is the limit on Idle that is in force.
+	Limit time.Duration
+	// Request is the request that got no answer, for Unanswered.
+	Request Request
 }
 
 // Options holds the settings of a Server.
@@ -55,13 +71,23 @@
 	Handler http.Handler
 	// IdleLimit returns how long a connection may be idle, or 0 for no limit.
 	IdleLimit func() time.Duration
-	// IdleMargin is added to the limit, for callers that learn of a higher limit
-	// before this process does.
+	// IdleMargin is by how much earlier or later than this process callers may learn of a
+	// change of the limit. Connections are closed that much later.
 	IdleMargin time.Duration
 	// HeaderTimeout limits the time from a request's first byte, or from the start of
 	// a connection, to the end of the header.
 	HeaderTimeout  time.Duration
 	MaxHeaderBytes int
+	// LastAnswer is sent on a connection without a request before a server that stops
+	// closes it. It has to promise that a request that is on its way will not run. It may
+	// be empty.
+	LastAnswer string
+	// RequestID names a request whose header was read. It may be nil.
+	RequestID func(*http.Request) string
+	// Fail writes an answer that promises nothing, to a request whose handler has panicked.
+	Fail func(w http.ResponseWriter, requestID string)
+	// OnPanic is called for each handler that has panicked.
+	OnPanic func(Panic)
 	// OnClose is called for each connection that the server closes by itself.
 	OnClose func(Closing)
 }
@@ -72,9 +98,12 @@
 	http *http.Server
 
 	mu       sync.Mutex
+	limit    idleLimit
 	conns    map[*trackedConn]struct{}
 	listener *listener
 	draining bool
+	// refused is the number of connections that have got the last answer and are open.
+	refused int
 	// closingIdle is set once connections that wait for another request are closed,
 	// and closing once those without a request are closed too.
 	closingIdle bool
@@ -92,18 +121,36 @@
 		ReadHeaderTimeout: opts.HeaderTimeout,
 		MaxHeaderBytes:    opts.MaxHeaderBytes,
 		ConnState:         s.onState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, connKey{}, c)
+		},
 	}
 	return s
 }
 
-// serveHTTP announces the end of the connection while the server shuts down.
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
-	s.mu.Lock()
-	if s.draining {
-		w.Header().Set("Connection", "close")
+	r, q := s.begin(r)
+	defer q.handlerEnded.Store(true)
+	a := &answerWriter{
+		ResponseWriter: w,
+		server:         s,
+		isPlain:        !r.ProtoAtLeast(1, 1),
 	}
-	s.mu.Unlock()
-	s.opts.Handler.ServeHTTP(w, r)
+	a.conn, _ = r.Context().Value(connKey{}).(*trackedConn)
+	defer func() {
+		if value := recover(); value != nil {
+			s.onPanic(a, q, value)
+		}
+	}()
+	s.opts.Handler.ServeHTTP(a, r)
+	a.begin(http.StatusOK)
+}
+
+// isEnding reports whether connections end after their next answer.
+func (s *Server) isEnding() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining || s.closingIdle
 }
 
 // Serve accepts connections until the listener fails or is closed by Shutdown or
@@ -120,6 +167,7 @@
 		tracked.stop()
 	}
 	s.mu.Unlock()
+	go s.observeLimit(tracked.done)
 	err := s.http.Serve(tracked)
 	close(tracked.done)
 	s.mu.Lock()
@@ -130,6 +178,39 @@
 	return err
 }
 
+// observeLimit follows the idle limit until done is closed.
+func (s *Server) observeLimit(done <-chan struct{}) {
+	interval := limitInterval
+	if margin := s.opts.IdleMargin; margin > 0 {
+		interval = min(interval, max(margin/limitLooks, time.Millisecond))
+	}
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			s.LimitChanged()
+		case <-done:
+			return
+		}
+	}
+}
+
+// LimitChanged may be called when the idle limit has changed. Without it, a limit that is
+// in force for a shorter time than the server's interval may not be seen.
+func (s *Server) LimitChanged() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lookAtLimit()
+}
+
+// lookAtLimit returns the limit in force. The caller holds the lock.
+func (s *Server) lookAtLimit() time.Duration {
+	s.limit.margin = s.opts.IdleMargin
+	s.limit.observe(time.Now(), s.opts.IdleLimit())
+	return s.limit.current
+}
+
 // Counts holds the numbers of connections by state.
 type Counts struct {
 	// Busy connections have a request of which at least a byte was read and whose
@@ -193,11 +274,23 @@
 			return err
 		}
 	}
+	for start := time.Now(); time.Since(start) < lastRefusalTime && s.hasRefused(); {
+		if sleep(ctx, shutdownInterval) != nil {
+			// All requests that were read have their answer.
+			return nil
+		}
+	}
 	return nil
 }
 
+func (s *Server) hasRefused() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.refused > 0
+}
+
 // CloseIdle closes the connections that wait for another request, and from now on each
-// one once it would do so.
+// one once it would do so. All answers announce the end of their connection from now on.
 func (s *Server) CloseIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -38,7 +39,7 @@
 	server    *Server
 	state     connState
 	idleSince time.Time
-	// limit is the highest limit on idle time seen since idleSince.
+	// limit is the limit on idle time when the connection was looked at last.
 	limit time.Duration
 	// httpDeadline is the read deadline that http.Server has set.
 	httpDeadline time.Time
@@ -51,6 +52,10 @@
 	// caller has closed the connection.
 	answerBegun atomic.Bool
 	peerClosed  atomic.Bool
+	// isRefused is set once closeWithRefusal has taken over the connection.
+	isRefused atomic.Bool
+	// request is the one that is handled, once its header was read.
+	request atomic.Pointer[exchange]
 }
 
 // Read implements net.Conn.
@@ -84,14 +89,21 @@
 
 // Close implements net.Conn.
 func (c *trackedConn) Close() error {
+	if c.isRefused.Load() {
+		return nil
+	}
 	// The lock may be held for long, and requests that arrive meanwhile are not read.
 	err := c.Conn.Close()
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	if c.state == stateHandling && !c.answerBegun.Load() && !c.peerClosed.Load() {
-		c.server.opts.OnClose(Closing{
+		closing := Closing{
 			Reason: Unanswered,
-		})
+		}
+		if q := c.request.Load(); q != nil {
+			closing.Request = q.describe(false)
+		}
+		c.server.opts.OnClose(closing)
 	}
 	return err
 }
@@ -114,6 +126,7 @@
 func (c *trackedConn) beginRequest() {
 	c.state, c.nextBegun = stateReading, false
 	c.answerBegun.Store(false)
+	c.request.Store(nil)
 	c.headerDeadline = time.Now().Add(c.server.opts.HeaderTimeout)
 	_ = c.Conn.SetReadDeadline(c.headerDeadline)
 }
@@ -160,7 +173,7 @@
 
 // onIdle is called with the server's lock held when an answer has been sent.
 func (c *trackedConn) onIdle() {
-	c.idleSince, c.limit = time.Now(), c.server.opts.IdleLimit()
+	c.idleSince = time.Now()
 	if c.nextBegun {
 		c.beginRequest()
 		return
@@ -173,12 +186,15 @@
 	_ = c.Conn.SetReadDeadline(c.idleDeadline())
 }
 
-// idleDeadline returns when an idle connection is to be checked next.
+// idleDeadline returns when an idle connection is to be checked next. The caller holds the
+// server's lock.
 func (c *trackedConn) idleDeadline() time.Time {
-	if c.limit == 0 {
+	c.limit = c.server.lookAtLimit()
+	at, isLimited := c.server.limit.deadline(c.idleSince)
+	if !isLimited {
 		return time.Now().Add(unlimitedRecheck)
 	}
-	return c.idleSince.Add(c.limit + c.server.opts.IdleMargin)
+	return at
 }
 
 // isDue reports whether the server is to close the connection because it stops. The
@@ -215,8 +231,6 @@
 	if n := readWaiting(c.Conn, p); n > 0 {
 		return false, n
 	}
-	// http.Server closes it too, but later: a request may arrive in between.
-	_ = c.Conn.Close()
 	reason := HeaderTimeout
 	switch {
 	case c.isDue():
@@ -224,24 +238,49 @@
 	case c.state == stateIdle:
 		reason = IdleLimit
 	}
+	// http.Server closes it too, but later: a request may arrive in between.
+	if reason != Stop || !c.closeWithRefusal() {
+		_ = c.Conn.Close()
+	}
 	c.server.opts.OnClose(Closing{
-		Reason:   reason,
-		Partial:  c.state == stateReading,
-		Idle:     time.Since(c.idleSince),
-		Limit:    c.limit,
-		LimitNow: c.server.opts.IdleLimit(),
+		Reason:  reason,
+		Partial: c.state == stateReading,
+		Idle:    time.Since(c.idleSince),
+		Limit:   c.limit,
 	})
 	return false, 0
 }
 
+// closeWithRefusal refuses the request that may be on its way to the connection, which is
+// never read, and closes the connection once the caller has done so, or after a while: a
+// close with unread bytes would take the refusal from the caller. It returns false if the
+// connection is to be closed at once. The caller holds the server's lock.
+func (c *trackedConn) closeWithRefusal() bool {
+	text := c.server.opts.LastAnswer
+	if text == "" {
+		return false
+	}
+	// The socket's buffer is empty, as the answer before was sent.
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime))
+	if _, err := io.WriteString(c.Conn, text); err != nil || c.CloseWrite() != nil {
+		return false
+	}
+	c.isRefused.Store(true)
+	_ = c.Conn.SetReadDeadline(time.Now().Add(refusalReadTime))
+	c.server.refused++
+	go func() {
+		_, _ = io.Copy(io.Discard, c.Conn)
+		_ = c.Conn.Close()
+		c.server.mu.Lock()
+		defer c.server.mu.Unlock()
+		c.server.refused--
+	}()
+	return true
+}
+
 // extendIdle applies the limit in force and returns whether the connection may stay
 // idle for longer.
 func (c *trackedConn) extendIdle() bool {
-	limit := c.server.opts.IdleLimit()
-	if limit == 0 || c.limit == 0 {
-		c.idleSince, c.limit = time.Now(), limit
-	}
-	c.limit = max(c.limit, limit)
 	deadline := c.idleDeadline()
 	if !deadline.After(time.Now()) {
 		return false
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -45,6 +46,8 @@
 	finalAnswerTime = time.Second
 	// endCheckInterval is how often a stopping process compares the time with its end.
 	endCheckInterval = 20 * time.Millisecond
+	// maxOpenLines bounds the lines about requests that are open when the process ends.
+	maxOpenLines = 50
 	// releaseTimeout bounds the return of slots and leases at shutdown.
 	releaseTimeout = 10 * time.Second
 )
@@ -251,7 +254,19 @@
 		IdleLimit:      func() time.Duration { return callerIdleLimit },
 		HeaderTimeout:  headerTimeout,
 		MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
+		LastAnswer:     caller.RequestTimeout,
+		RequestID:      n.entry.NewRequestID,
+		Fail:           n.entry.Fail,
+		OnPanic: func(p caller.Panic) {
+			n.stats.Inc(stats.RequestsPanicked)
+			n.logUnanswered("Request failed by a fault of this program", p.Request, "answered", p.Answered,
+				"fault", fmt.Sprintf("%.200v", p.Value), "stack", p.Stack)
+		},
 		OnClose: func(c caller.Closing) {
+			if c.Reason == caller.Unanswered {
+				n.logUnanswered("Request ended without an answer", c.Request)
+				return
+			}
 			klog.V(2).InfoS("Connection closed", "reason", c.Reason, "partial", c.Partial, "idle", c.Idle)
 		},
 	})
@@ -269,6 +284,14 @@
 	return srv
 }
 
+// logUnanswered logs a request that has no whole answer.
+func (n *Node) logUnanswered(message string, r caller.Request, more ...any) {
+	klog.InfoS(message, append([]any{
+		"request", r.ID, "method", r.Method, "host", r.Host, "path", r.Path, "phase", r.Phase,
+		"read", r.Age, "answering", r.Answering, "stopping", !n.entry.Ready(), "config", n.loop.config.Load().Revision,
+	}, more...)...)
+}
+
 func (n *Node) serve(l net.Listener, h http.Handler) *http.Server {
 	srv := &http.Server{
 		Handler:           h,
@@ -379,7 +402,11 @@
 	ctx, cancel := context.WithTimeout(context.Background(), finalAnswerTime)
 	defer cancel()
 	if err := n.callers.Shutdown(ctx); err != nil {
-		klog.InfoS("Callers have not taken their final answers", "requests", n.entry.Running(), "connections", n.callers.Counts())
+		klog.InfoS("Callers have not taken their final answers", "connections", n.callers.Counts())
+		open := n.callers.Open()
+		for _, r := range open[:min(len(open), maxOpenLines)] {
+			n.logUnanswered("Request open at the end of the process", r)
+		}
 	}
 	return cut
 }
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -83,6 +84,8 @@
 	// the Go runtime: the garbage collector runs more often as memory use approaches
 	// it. The rest is for bytes that the kernel holds and for what grows meanwhile.
 	softMemoryShare = 0.7
+	// maxOpenLines bounds the lines about requests that are open when the process ends.
+	maxOpenLines = 50
 	// defaultSoftMemory is that limit in bytes if the memory is not known.
 	defaultSoftMemory = 160 << 20
 )
@@ -192,10 +195,7 @@
 	p.requestMetrics.addGauge("trefoildale_requests_active", "Requests under way.", func() float64 { return float64(p.server.Active()) })
 	p.requestMetrics.addGauge("trefoildale_log_lines_dropped", "Log lines that were not written.", func() float64 { return float64(p.log.Dropped()) })
 	p.requestMetrics.addGauge("trefoildale_config_version", "Version of the configuration in force.", func() float64 {
-		if c := p.server.Config(); c != nil {
-			return float64(c.Version)
-		}
-		return 0
+		return float64(p.configVersion())
 	})
 	p.requestMetrics.addGauge("trefoildale_coordinator", "1 where this process is the coordinator.", func() float64 {
 		if p.node.IsCoordinator() {
@@ -239,11 +239,16 @@
 		return err
 	}
 	p.stopRPC = wire.ServeFleet(peers, p.node, new(wire.Meter))
+	front := platform.NewFront(p.server, p.clock)
 	p.callerServer = caller.NewServer(caller.Options{
-		Handler:       platform.NewFront(p.server, p.clock, p.stopping.Load),
+		Handler:       front,
 		IdleLimit:     func() time.Duration { return platform.IdleLimit(p.server.Config()) },
 		IdleMargin:    time.Duration(p.settings.Bounds.ConfigApply),
 		HeaderTimeout: headerReadTimeout,
+		LastAnswer:    caller.RequestTimeout,
+		RequestID:     platform.RequestID,
+		Fail:          front.Fail,
+		OnPanic:       p.recordPanic,
 		OnClose:       p.recordClosing,
 	})
 	p.readyServer = &http.Server{
@@ -383,6 +388,7 @@
 	p.log.Info("listener closes", "busy", n.Busy, "idle", n.Idle, "without-request", n.Fresh)
 	if err := p.callerServer.Shutdown(ctx); err != nil {
 		p.log.Warn("requests cut at the end of the grace", "busy", p.callerServer.Counts().Busy)
+		p.logOpen()
 	}
 	p.log.Info("process ends", "active", p.callerServer.Counts().Busy, "after-ms", p.clock.Now().Sub(startedAt).Milliseconds())
 }
@@ -420,12 +426,47 @@
 	p.requestMetrics.connsClosed.WithLabelValues(string(c.Reason)).Inc()
 	switch {
 	case c.Reason == caller.Unanswered:
-		p.log.Warn("request ended without an answer", "stopping", p.stopping.Load())
+		p.logUnanswered("request ended without an answer", c.Request)
 	case c.Partial:
 		p.log.Warn("connection closed within a request's header", "reason", string(c.Reason), "idle-ms", c.Idle.Milliseconds())
 	}
 }
 
+// recordPanic counts and logs a request whose handler has panicked.
+func (p *Process) recordPanic(c caller.Panic) {
+	p.requestMetrics.panics.Inc()
+	r := c.Request
+	p.log.Error("request failed by a fault of this program", "request", r.ID, "method", r.Method, "host", r.Host, "path", r.Path,
+		"phase", string(r.Phase), "read-ms-ago", r.Age.Milliseconds(), "answered", c.Answered, "config", p.configVersion(),
+		"fault", fmt.Sprintf("%.200v", c.Value), "stack", c.Stack)
+}
+
+// logUnanswered logs a request that has no whole answer.
+func (p *Process) logUnanswered(message string, r caller.Request) {
+	p.log.Warn(message, "request", r.ID, "method", r.Method, "host", r.Host, "path", r.Path, "phase", string(r.Phase),
+		"read-ms-ago", r.Age.Milliseconds(), "answering", r.Answering, "stopping", p.stopping.Load(), "config", p.configVersion())
+}
+
+// configVersion returns the version of the configuration in force, or 0.
+func (p *Process) configVersion() int64 {
+	c := p.server.Config()
+	if c == nil {
+		return 0
+	}
+	return c.Version
+}
+
+// logOpen logs the requests that end with the process, at most maxOpenLines of them.
+func (p *Process) logOpen() {
+	open := p.callerServer.Open()
+	for _, r := range open[:min(len(open), maxOpenLines)] {
+		p.logUnanswered("request open at the end of the process", r)
+	}
+	if more := len(open) - maxOpenLines; more > 0 {
+		p.log.Warn("more requests open at the end of the process", "more", more)
+	}
+}
+
 func (p *Process) configMirror(ctx context.Context) *mirror.Mirror {
 	return mirror.New(p.store, mirror.Options{
 		Table:       platform.ConfigTable,
@@ -444,6 +485,7 @@
 				if err := p.node.SetRawConfig(ctx, r.Value, "store"); err != nil {
 					p.log.Error("configuration not usable, the former one stays in force", "row-version", r.Version, "error", err.Error())
 				}
+				p.callerServer.LimitChanged()
 			}
 		},
 		OnStateChange: func(err error) {
