--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -17,6 +17,8 @@
 	overRate     = "over-rate"
 	keyUnknown   = "key-unknown"
 	routeUnknown = "route-unknown"
+	// internalError is the code of an answer to a request whose handler failed.
+	internalError = "internal-error"
 )
 
 // fullCodes are the codes of refusals because engines are full, fail or lack a model, which
@@ -222,17 +224,19 @@
 	return text + "; " + strings.Join(beside, ", ")
 }
 
-// checkFailure checks that a timeout comes no earlier than the request's time is over, and
+// checkFailure checks that no handler fails, that a timeout comes no earlier than the request's time is over, and
 // that no failure replaces the answer of an engine that broke nothing off, at a process that
 // is undisturbed and not about to stop.
 func (r *run) checkFailure(rec record, configs []writtenConfig, q *request, arrivals []site.Arrival) {
 	took := q.ended.Sub(q.sent)
+	code, message := q.refusal()
 	switch {
+	case code == internalError:
+		r.reportViolation("FAILED: %s (%s) at %.2f s got %d (%s) from %s", q.id, q.route.Name, q.sent.Sub(r.began).Seconds(), q.status, message, q.node.name)
 	case !q.stable || rec.observerLate(q.ended):
 	case q.status == http.StatusGatewayTimeout && took < r.lowestTimeout(configs, q)-deadlineSlack:
 		r.reportViolation("EARLY: %s (%s) at %.2f s got 504 from %s after %v", q.id, q.route.Name, q.sent.Sub(r.began).Seconds(), q.node.name, took.Round(time.Millisecond))
 	case q.status == http.StatusBadGateway && len(arrivals) > 0 && !slices.ContainsFunc(arrivals, func(a site.Arrival) bool { return a.Broken != "" }):
-		_, message := q.refusal()
 		r.reportViolation("FAILED: %s (%s) at %.2f s got 502 (%s) from %s after %v, and none of its %d engines broke it off", q.id, q.route.Name,
 			q.sent.Sub(r.began).Seconds(), message, q.node.name, took.Round(time.Millisecond), len(arrivals))
 	}
--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -219,6 +219,7 @@
 	for _, tc := range []struct {
 		name     string
 		status   int
+		code     string
 		took     time.Duration
 		arrivals []site.Arrival
 		want     string
@@ -229,6 +230,7 @@
 		{name: "its engine was gone", status: 502},
 		{name: "its engine was sound", status: 502, arrivals: []site.Arrival{{}}, want: "FAILED"},
 		{name: "the engine's failure", status: 500, arrivals: []site.Arrival{{}}},
+		{name: "the handler failed", status: 500, code: internalError, want: "FAILED"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			r := &run{
@@ -246,6 +248,7 @@
 				ended:  began.Add(tc.took),
 				stable: true,
 				status: tc.status,
+				answer: `{"error":{"code":"` + tc.code + `"}}`,
 			}, tc.arrivals)
 			got, _, _ := strings.Cut(strings.Join(r.record.violations, "\n"), ":")
 			if got != tc.want {
