serve: end a request that has run without calling it refused

What callers saw: an idempotent request ran, its answer was lost, and before it could be repeated its key or route was withdrawn. The caller got 401 or 404, as if it had never been let in, for a request that an endpoint may have run.

Cause: reapplyConfig returned the refusal that an arriving request gets and changed only the flag not-run in its body, not the status.

Evidence: TestChangeMeetsRequest, the first rows and columns of a table of changes against states.

Change: such a request ends with 502 no-further-endpoint, which promises nothing. A request that has not run gets 401 or 404 as before.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -399,8 +399,9 @@
 	c.config = c.Server.Config()
 	p = c.applyConfig()
 	switch {
+	case p != nil && c.ranAttempts > 0:
+		p = c.unavailableProblem("the configuration changed: " + p.Message)
 	case p != nil:
-		p.NotRun = c.ranAttempts == 0
 	case workspace != nil && (c.workspace == nil || c.workspace.Name != workspace.Name):
 		p = c.unavailableProblem("the configuration changed while the request waited")
 	case c.ranAttempts > 0 && (c.route.AtMostOnce() || c.ranAttempts >= max(1, c.route.MaxAttempts)):
