serve: ask the configuration in force before a request runs again

What callers saw: a route's kind became at most once, its attempts were lowered, its stream no longer resumable, or its model removed, while a request of it was under way. When the answer was lost after the change, the request ran a second time all the same.

Cause: the check before a sending looked at the key, the route and the service only, and a repeat was decided by the route as it was when the request arrived. The kind, the attempts and the model were read again only if the service changed too.

Evidence: TestChangeMeetsRequest with these changes as further columns. Before, 15 of its cells failed: sent then lost (3), streaming then broken off (6) and silent with nobody asked yet (6), each with 2 runs where the change allows one.

Change: terms.go holds what a configuration says of a request, and recheck, the one place that asks the configuration in force and takes it over. It is called before each choice and before a repeat or a resume is decided. The check directly before the first byte asks the same and sends the request back to the choice. A request runs only as often as all configurations allow that it met, so that a kind which becomes repeatable does not repeat a request that was accepted as at most once. The model is looked up there too, for arriving requests before tokens are charged. A change of the configuration no longer counts as a failed connection.

The line configuration applied again names what changes, the code of a refusal, the attempts sent and the time waited.

Result: all cells pass; internal/serve and internal/fleet with -race.

--- a/internal/fleet/config.go
+++ b/internal/fleet/config.go
@@ -101,6 +101,16 @@
 	return r.Targets[len(r.Targets)-1].Service
 }
 
+// LeadsTo reports whether a part of the route's requests goes to a service.
+func (r *Route) LeadsTo(service string) bool {
+	for _, t := range r.Targets {
+		if t.Service == service && (t.Weight > 0 || len(r.Targets) == 1) {
+			return true
+		}
+	}
+	return false
+}
+
 // Model is a model that engines can load.
 type Model struct {
 	Name string
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -48,6 +48,10 @@
 	lastError       string
 	// brokenProbe tells whether the engine at which the last attempt broke off crashed.
 	brokenProbe *probe
+	// maxRuns is how many endpoints may run the request, atMostOnce whether one of the
+	// configurations that it met allows one run only.
+	maxRuns    int
+	atMostOnce bool
 	// isRefusedByConfig is set once a configuration that came into force refuses further
 	// attempts.
 	isRefusedByConfig bool
@@ -124,9 +128,12 @@
 	if from := c.refuseFrom.Load(); from != nil && !c.req.Arrived.Before(*from) {
 		return c.stoppingProblem()
 	}
-	if p := c.applyConfig(); p != nil {
+	t, p := c.look(c.config)
+	if p != nil {
+		c.route = t.route
 		return p
 	}
+	c.setTerms(t)
 	timeout := c.route.Timeout
 	if timeout <= 0 {
 		timeout = defaultTimeout
@@ -139,42 +146,6 @@
 	return nil
 }
 
-// applyConfig finds the route, the workspace and the service of the request in c.config.
-// It changes nothing else, since attempts may have been made.
-func (c *call) applyConfig() *Problem {
-	if c.config == nil {
-		return &Problem{
-			Status:     http.StatusServiceUnavailable,
-			Code:       "no-configuration",
-			Message:    "this node has not read a configuration yet",
-			NotRun:     true,
-			RetryAfter: configRetryAfter,
-		}
-	}
-	c.route = c.config.Match(c.req.Host, c.req.Path)
-	if c.route == nil {
-		return &Problem{
-			Status:  http.StatusNotFound,
-			Code:    "route-unknown",
-			Message: "no route matches the host and path",
-			NotRun:  true,
-		}
-	}
-	if c.config.Workspaces != nil {
-		c.workspace = c.config.WorkspaceOf(c.req.Key)
-		if c.workspace == nil && !c.route.AllowAnonymous {
-			return &Problem{
-				Status:  http.StatusUnauthorized,
-				Code:    "key-unknown",
-				Message: "the key is not known",
-				NotRun:  true,
-			}
-		}
-	}
-	c.service = c.config.Services[c.route.Target(c.req.ID)]
-	return nil
-}
-
 // stoppingProblem returns the refusal of a request that another node can take.
 func (c *call) stoppingProblem() *Problem {
 	return &Problem{
@@ -314,34 +285,13 @@
 	if !c.opts.Table.Health().Ask(c.opts.Clock.Now(), c.lastChoice.Endpoint.Key()).Usable {
 		return errEndpointUnusable
 	}
-	config := c.Server.Config()
-	if config == c.config || config == nil {
-		return nil
+	if c.isAffected(c.Server.Config()) {
+		return errConfigChanged
 	}
-	if c.workspace != nil && config.Workspaces != nil {
-		if w := config.WorkspaceOf(c.req.Key); w == nil || w.Name != c.workspace.Name {
-			return errKeyWithdrawn
-		}
-	}
-	r := config.Match(c.req.Host, c.req.Path)
-	if r == nil {
-		return errRouteRemoved
-	}
-	for _, t := range r.Targets {
-		if t.Service == c.service.Name {
-			return nil
-		}
-	}
-	return errRouteMoved
+	return nil
 }
 
-var (
-	errKeyWithdrawn = errors.New("serve: the key was withdrawn")
-	errRouteRemoved = errors.New("serve: the route was removed")
-	errRouteMoved   = errors.New("serve: the route leads to another service now")
-
-	errEndpointUnusable = errors.New("serve: the endpoint leaves or wants no requests")
-)
+var errEndpointUnusable = errors.New("serve: the endpoint leaves or wants no requests")
 
 // handleSendError decides how to go on after an attempt without an answer.
 func (c *call) handleSendError(ctx context.Context, key fleet.Key, err error) (again bool, p *Problem) {
@@ -363,9 +313,10 @@
 		return c.handleLostAnswer(ctx, "the connection to the endpoint broke off")
 	}
 	switch {
-	case errors.Is(err, errKeyWithdrawn), errors.Is(err, errRouteRemoved), errors.Is(err, errRouteMoved):
+	case errors.Is(err, errConfigChanged):
+		// The next choice obeys the configuration.
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
-		return c.reapplyConfig()
+		return true, nil
 	case ctx.Err() != nil:
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		return false, c.contextProblem(ctx)
@@ -390,40 +341,6 @@
 	return true, nil
 }
 
-// reapplyConfig takes over the configuration that came into force while the request
-// waited. The deadline, the attempts and the position in the stream stay. If that
-// configuration refuses the request, the call keeps the former one, since an attempt that
-// was sent under it may still go on.
-func (c *call) reapplyConfig() (again bool, p *Problem) {
-	config, route, workspace, service := c.config, c.route, c.workspace, c.service
-	c.config = c.Server.Config()
-	p = c.applyConfig()
-	switch {
-	case p != nil && c.ranAttempts > 0:
-		p = c.unavailableProblem("the configuration changed: " + p.Message)
-	case p != nil:
-	case workspace != nil && (c.workspace == nil || c.workspace.Name != workspace.Name):
-		p = c.unavailableProblem("the configuration changed while the request waited")
-	case c.ranAttempts > 0 && (c.route.AtMostOnce() || c.ranAttempts >= max(1, c.route.MaxAttempts)):
-		p = c.unavailableProblem("the route does not allow another attempt any more")
-	case c.service.Name != service.Name && c.sentAttempts > 0 && !c.allowRepeat(c.service.Name):
-		p = c.unavailableProblem("the service to which the route leads now has no retries left")
-	}
-	c.opts.Log.Info("configuration applied again", "request", c.req.ID, "config", c.configVersion(), "former-config", config.Version,
-		"route", c.routeName(), "service", c.serviceName(), "former-service", service.Name, "refused", p != nil,
-		"ran", c.ranAttempts, "after-event", c.lastEvent)
-	if p != nil {
-		c.isRefusedByConfig = true
-		c.config, c.route, c.workspace, c.service = config, route, workspace, service
-		return false, p
-	}
-	c.unsentAttempts++
-	if c.unsentAttempts >= maxUnsentAttempts {
-		return false, c.unavailableProblem("the configuration changed while the request waited")
-	}
-	return true, nil
-}
-
 func (c *call) excludeEndpoint(key fleet.Key) {
 	if c.exclude == nil {
 		c.exclude = make(map[fleet.Key]bool)
@@ -460,7 +377,12 @@
 	if ctx.Err() != nil {
 		return false, c.contextProblem(ctx)
 	}
-	if !c.route.AtMostOnce() && c.ranAttempts < max(1, c.route.MaxAttempts) && !c.mayCrashAgain(ctx) && c.allowRepeat(c.service.Name) {
+	if c.mayRunAgain() {
+		if p := c.recheck(); p != nil {
+			return false, p
+		}
+	}
+	if c.mayRunAgain() && !c.mayCrashAgain(ctx) && c.allowRepeat(c.service.Name) {
 		c.opts.Log.Warn("request repeated", "request", c.req.ID, "endpoint", c.lastChoice.Endpoint.ID, "why", why,
 			"error", c.lastError, "ran", c.ranAttempts, "events", c.eventCount)
 		return true, nil
--- a/internal/serve/change_test.go
+++ b/internal/serve/change_test.go
@@ -59,6 +59,19 @@
 	{name: "idle limit lowered", edit: func(c *fleet.Config) { c.Limits.IdleTimeout = time.Millisecond }},
 	{name: "idle limit raised", edit: func(c *fleet.Config) { c.Limits.IdleTimeout = time.Hour }},
 	{name: "body limit lowered", edit: func(c *fleet.Config) { c.Limits.MaxBodyBytes = 1 }},
+	{name: "kind to at most once", edit: editRoutes(func(r *fleet.Route) { r.Kind = fleet.NonIdempotent }), noRepeat: true},
+	{name: "kind to stream", edit: editRoutes(func(r *fleet.Route) { r.Kind, r.Resumable = fleet.Stream, false }), noRepeat: true},
+	{name: "kind to repeatable", edit: editRoutes(func(r *fleet.Route) { r.Kind, r.Resumable, r.MaxAttempts = fleet.Idempotent, false, 2 }), noResume: true},
+	{name: "attempts lowered", edit: editRoutes(func(r *fleet.Route) { r.MaxAttempts = 1 }), noRepeat: true},
+	{name: "resumability taken away", edit: editRoutes(func(r *fleet.Route) { r.Resumable = false }), noResume: true},
+	{name: "resumability given", edit: editRoutes(func(r *fleet.Route) {
+		if r.Kind == fleet.Stream {
+			r.Resumable, r.MaxAttempts = true, 2
+		}
+	})},
+	{name: "model removed", edit: func(c *fleet.Config) { c.Services["lm"].Engine = &fleet.EngineClass{} }, engineStatus: http.StatusNotFound, noResume: true},
+	{name: "engine to plain", edit: func(c *fleet.Config) { c.Services["lm"].Engine = nil }},
+	{name: "plain to engine", edit: func(c *fleet.Config) { c.Services["app"].Engine = c.Services["lm"].Engine }},
 }
 
 // cellPhase is how far a request has come when the change meets it.
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"strings"
 	"time"
 
@@ -16,17 +15,10 @@
 // choose picks an endpoint. It waits for a model that no endpoint holds as long as
 // package triage decides, and up to maxEndpointWait for an endpoint.
 func (c *call) choose(ctx context.Context) (picker.Choice, *Problem) {
-	q := c.query()
-	if c.service.Engine != nil {
-		if _, ok := c.service.Engine.Models[c.req.Model]; !ok {
-			return picker.Choice{}, &Problem{
-				Status:  http.StatusNotFound,
-				Code:    "model-unknown",
-				Message: "service " + c.service.Name + " has no such model",
-				NotRun:  c.ranAttempts == 0,
-			}
-		}
+	if p := c.recheckChoice(); p != nil {
+		return picker.Choice{}, p
 	}
+	q := c.query()
 	var since time.Time
 	stop := func() {}
 	defer func() { stop() }()
@@ -75,6 +67,19 @@
 	}
 }
 
+// recheckChoice is recheck before a choice. A repeat that was allowed at the former service
+// has to be allowed where the route leads now.
+func (c *call) recheckChoice() *Problem {
+	former := c.service.Name
+	if p := c.recheck(); p != nil {
+		return p
+	}
+	if c.service.Name != former && c.sentAttempts > 0 && !c.allowRepeat(c.service.Name) {
+		return c.unavailableProblem("the service to which the route leads now has no retries left")
+	}
+	return nil
+}
+
 // isLoadedBefore reports whether a further copy of the request's model is expected before
 // the given time.
 func (c *call) isLoadedBefore(t time.Time) bool {
--- a/internal/serve/hedge.go
+++ b/internal/serve/hedge.go
@@ -208,7 +208,7 @@
 		next, p := c.choose(ctx)
 		if p != nil {
 			c.logSilence(h, "stays", p.Code)
-			return p, false
+			return p, c.isRefusedByConfig
 		}
 		if isFirst && !c.allowRepeat(c.service.Name) {
 			c.opts.Table.EndAttempt(c.opts.Clock.Now(), next.Endpoint.Key(), picker.Ended)
--- a/internal/serve/moved_test.go
+++ b/internal/serve/moved_test.go
@@ -112,8 +112,8 @@
 		t.Fatal(err)
 	}
 	h.server.SetConfig(config)
-	if again, p := c.reapplyConfig(); !again {
-		t.Fatal(p)
+	if p := c.recheck(); p != nil || c.config != config {
+		t.Fatalf("the configuration was not taken over: %+v", p)
 	}
 	if !c.query().Exclude[key] || !c.deadline.Equal(deadline) || c.ranAttempts != 1 {
 		t.Errorf("excluded %v, deadline %v in place of %v, %d attempts", c.query().Exclude, c.deadline, deadline, c.ranAttempts)
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -22,7 +22,7 @@
 	if reply.Status >= http.StatusInternalServerError {
 		outcome = picker.Faulted
 	}
-	if c.route.AtMostOnce() && promisesNotRun(reply.Status) {
+	if c.atMostOnce && promisesNotRun(reply.Status) {
 		// The caller would take the status for the promise that the endpoint did not give.
 		c.opts.Table.EndAttempt(c.opts.Clock.Now(), key, outcome)
 		return c.handleLostAnswer(ctx, "the endpoint refused the request without saying that it did not run it")
@@ -145,7 +145,7 @@
 func (c *call) relayStream(requestCtx, ctx context.Context, cancel context.CancelCauseFunc, key fleet.Key, reply *Reply) (again bool, p *Problem) {
 	outer, isResumed := c.hedge, c.responseStarted
 	var h *hedge
-	if c.route.Resumable {
+	if c.isResumable() {
 		pause := max(minResumeSilence, resumePauses*c.route.MaxPause)
 		var stop func()
 		h, stop = c.newHedge(requestCtx, key, max(pause, resumeObjectives*c.route.Objective), pause, func() { cancel(errSilentEndpoint) })
@@ -290,6 +290,13 @@
 func (c *call) resume(ctx context.Context, key fleet.Key) (again bool, p *Problem) {
 	c.excludeEndpoint(key)
 	reason := c.whyNoResume()
+	if reason == "" {
+		if p := c.recheck(); p != nil {
+			reason = p.Message
+		} else {
+			reason = c.whyNoResume()
+		}
+	}
 	switch {
 	case reason != "":
 	case c.mayCrashAgain(ctx):
@@ -313,9 +320,9 @@
 // are left is not checked, since the check counts one.
 func (c *call) whyNoResume() string {
 	switch {
-	case !c.route.Resumable:
+	case !c.isResumable():
 		return "the route does not allow it"
-	case c.ranAttempts >= max(1, c.route.MaxAttempts):
+	case !c.mayRunAgain():
 		return "no attempts left"
 	case !c.opts.Clock.Now().Before(c.deadline):
 		return "the deadline has passed"
--- /dev/null
+++ b/internal/serve/terms.go
@@ -0,0 +1,186 @@
+package serve
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+
+	"trefoildale.example/trefoildale/internal/fleet"
+)
+
+// errConfigChanged ends a wait, or an attempt before its first byte, since the
+// configuration in force says something else of the request.
+var errConfigChanged = errors.New("serve: the configuration changed")
+
+// terms are what a configuration says of a request.
+type terms struct {
+	config    *fleet.Config
+	route     *fleet.Route
+	workspace *fleet.Workspace
+	service   *fleet.Service
+}
+
+// look returns what a configuration says of the request, and its refusal if it refuses the
+// request. The request keeps its service while its route leads there.
+func (c *call) look(config *fleet.Config) (terms, *Problem) {
+	t := terms{
+		config: config,
+	}
+	if config == nil {
+		return t, &Problem{
+			Status:     http.StatusServiceUnavailable,
+			Code:       "no-configuration",
+			Message:    "this node has not read a configuration yet",
+			NotRun:     true,
+			RetryAfter: configRetryAfter,
+		}
+	}
+	t.route = config.Match(c.req.Host, c.req.Path)
+	if t.route == nil {
+		return t, &Problem{
+			Status:  http.StatusNotFound,
+			Code:    "route-unknown",
+			Message: "no route matches the host and path",
+			NotRun:  true,
+		}
+	}
+	if config.Workspaces != nil {
+		t.workspace = config.WorkspaceOf(c.req.Key)
+		if t.workspace == nil && !t.route.AllowAnonymous {
+			return t, &Problem{
+				Status:  http.StatusUnauthorized,
+				Code:    "key-unknown",
+				Message: "the key is not known",
+				NotRun:  true,
+			}
+		}
+	}
+	name := t.route.Target(c.req.ID)
+	if c.service != nil && t.route.LeadsTo(c.service.Name) {
+		name = c.service.Name
+	}
+	t.service = config.Services[name]
+	if t.service.Engine != nil {
+		if _, ok := t.service.Engine.Models[c.req.Model]; !ok {
+			return t, &Problem{
+				Status:  http.StatusNotFound,
+				Code:    "model-unknown",
+				Message: "service " + t.service.Name + " has no such model",
+				NotRun:  true,
+			}
+		}
+	}
+	return t, nil
+}
+
+// changes returns what other terms change for the request, separated by commas.
+func (c *call) changes(t terms) string {
+	var list []string
+	add := func(differs bool, what string) {
+		if differs {
+			list = append(list, what)
+		}
+	}
+	add(t.service.Name != c.service.Name, "service")
+	add((t.service.Engine == nil) != (c.service.Engine == nil), "engine-class")
+	add(!isSameWorkspace(t.workspace, c.workspace), "workspace")
+	add(t.workspace != nil && c.workspace != nil && (t.workspace.Rate != c.workspace.Rate || t.workspace.Burst != c.workspace.Burst), "rate")
+	add(t.route.Kind != c.route.Kind, "kind")
+	add(t.route.Resumable != c.route.Resumable, "resumable")
+	add(t.route.MaxAttempts != c.route.MaxAttempts, "attempts")
+	return strings.Join(list, ",")
+}
+
+func isSameWorkspace(a, b *fleet.Workspace) bool {
+	return a == b || a != nil && b != nil && a.Name == b.Name
+}
+
+// isAffected reports whether a configuration changes anything for the request.
+func (c *call) isAffected(config *fleet.Config) bool {
+	if config == c.config || config == nil {
+		return false
+	}
+	t, p := c.look(config)
+	return p != nil || c.changes(t) != ""
+}
+
+// recheck asks whether the configuration in force allows the request, and takes over what
+// it says. It is called after each wait, before each attempt and before it is decided about
+// another one. The deadline, the attempts and the position in the stream stay. If the
+// configuration refuses the request, the call keeps the former terms, since an attempt that
+// was sent under them may still go on.
+func (c *call) recheck() *Problem {
+	config := c.Server.Config()
+	if config == c.config || config == nil {
+		return nil
+	}
+	t, p := c.look(config)
+	what := ""
+	if p == nil {
+		what = c.changes(t)
+	}
+	switch {
+	case p != nil && c.ranAttempts > 0:
+		p = c.unavailableProblem("the configuration changed: " + p.Message)
+	case p != nil:
+	case !isSameWorkspace(t.workspace, c.workspace):
+		p = c.unavailableProblem("the configuration changed while the request waited")
+	case c.ranAttempts > 0 && !c.mayRepeatUnder(t.route):
+		p = c.unavailableProblem("the route does not allow another attempt any more")
+	}
+	former := terms{
+		config:    c.config,
+		route:     c.route,
+		workspace: c.workspace,
+		service:   c.service,
+	}
+	if p != nil || what != "" {
+		code := ""
+		if p != nil {
+			code = p.Code
+		}
+		c.opts.Log.Info("configuration applied again", "request", c.req.ID, "config", config.Version, "former-config", former.config.Version,
+			"changes", what, "refused", p != nil, "code", code, "route", former.route.Name, "service", serviceName(t.service),
+			"former-service", former.service.Name, "sent", c.sentAttempts, "ran", c.ranAttempts, "after-event", c.lastEvent,
+			"waited-ms", c.opts.Clock.Now().Sub(c.req.Arrived).Milliseconds())
+	}
+	if p != nil {
+		c.isRefusedByConfig = true
+		return p
+	}
+	c.setTerms(t)
+	return nil
+}
+
+// setTerms makes the call go on under the given terms. A request runs only as often as all
+// terms allow that it was under.
+func (c *call) setTerms(t terms) {
+	c.config, c.route, c.workspace, c.service = t.config, t.route, t.workspace, t.service
+	runs := max(1, t.route.MaxAttempts)
+	if t.route.AtMostOnce() {
+		c.atMostOnce, runs = true, 1
+	}
+	if c.maxRuns == 0 || runs < c.maxRuns {
+		c.maxRuns = runs
+	}
+}
+
+// mayRunAgain reports whether the request may run at another endpoint after its attempts.
+func (c *call) mayRunAgain() bool { return c.ranAttempts < c.maxRuns }
+
+func serviceName(s *fleet.Service) string {
+	if s == nil {
+		return ""
+	}
+	return s.Name
+}
+
+// mayRepeatUnder reports whether a request that has run may run again as a route says.
+func (c *call) mayRepeatUnder(r *fleet.Route) bool {
+	return !r.AtMostOnce() && c.ranAttempts < max(1, r.MaxAttempts) && (c.route.Kind != fleet.Stream || r.Kind == fleet.Stream)
+}
+
+// isResumable reports whether the request is a stream that may be resumed.
+func (c *call) isResumable() bool {
+	return c.route.Kind == fleet.Stream && c.route.Resumable && !c.atMostOnce
+}
