serve: tell waiting requests of a configuration that decides about them

What callers saw: a request that waited for tokens, a model, an adapter or an endpoint was told only at the end of its wait, or when it was sent, that its key, route, workspace or model was gone. It also went on to wait for a model at a service from which its route had been moved, or of a class that needs no model any more, though it could be sent at once.

Cause: the loop of choose waits for changes of the endpoints only; waits outside of the package, for tokens and adapters, end with their own time limit only.

Evidence: TestChangeMeetsRequest with the states in which a request has not run.

Change: choose asks the configuration in force at each turn of its loop and begins the wait anew if the route leads elsewhere. The waits for tokens and adapters have a context that ends when a configuration comes into force which changes something for the request. The limits of the workspaces are put into force before the server has the configuration, since a woken request asks for its tokens again.

Why it works: the wait is registered before the configuration in force is compared, so no change falls between the two.

--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -259,9 +259,12 @@
 	// them in the same order.
 	n.configMu.Lock()
 	defer n.configMu.Unlock()
-	if !n.opts.Server.SetConfig(config) {
+	if c := n.opts.Server.Config(); c != nil && c.Version >= config.Version {
 		return nil
 	}
+	// Requests that wait for tokens ask for them again once the server has the configuration.
+	n.Admitter.SetConfig(config)
+	n.opts.Server.SetConfig(config)
 	packed := pack(raw)
 	n.mu.Lock()
 	if config.Version > n.document.Version {
@@ -272,7 +275,6 @@
 	}
 	delay := n.configDelay(config.Version)
 	n.mu.Unlock()
-	n.Admitter.SetConfig(config)
 	n.coord.post(ctx, configChanged{
 		config: config,
 	})
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -97,18 +97,13 @@
 	defer cancel()
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer context.AfterFunc(c.interrupted, func() { interrupt(errInterrupted) })()
-	tokens := c.tokenCost()
-	if c.workspace != nil && c.workspace.Rate > 0 {
-		limit := min(maxAdmitWait, c.route.Objective/2)
-		retryAfter, ok := c.opts.Admission.Admit(ctx, c.workspace.Name, tokens, limit)
-		if !ok {
-			c.sendProblem(c.rateProblem(ctx, retryAfter, tokens))
-			return
-		}
+	if p := c.admit(ctx); p != nil {
+		c.sendProblem(p)
+		return
 	}
 	c.countRequest(c.service.Name)
 	if c.service.Engine != nil {
-		c.opts.Demand.RecordArrival(c.service.Name, c.req.Model, c.req.Adapter, tokens*c.workWeight(c.service.Name, c.req.Model))
+		c.opts.Demand.RecordArrival(c.service.Name, c.req.Model, c.req.Adapter, c.tokenCost()*c.workWeight(c.service.Name, c.req.Model))
 	}
 	for {
 		again, p := c.attempt(ctx)
@@ -160,6 +155,28 @@
 // errInterrupted is the cause of the end of requests that Server.Interrupt ends.
 var errInterrupted = errors.New("serve: the node ends")
 
+// admit waits until the request is within the rate of its workspace.
+func (c *call) admit(ctx context.Context) *Problem {
+	until := c.opts.Clock.Now().Add(min(maxAdmitWait, c.route.Objective/2))
+	for c.workspace != nil && c.workspace.Rate > 0 {
+		waitCtx, stop := c.untilAffected(ctx)
+		tokens := c.tokenCost()
+		retryAfter, ok := c.opts.Admission.Admit(waitCtx, c.workspace.Name, tokens, max(0, until.Sub(c.opts.Clock.Now())))
+		cause := context.Cause(waitCtx)
+		stop()
+		if ok {
+			return nil
+		}
+		if !errors.Is(cause, errConfigChanged) {
+			return c.rateProblem(ctx, retryAfter, tokens)
+		}
+		if p := c.recheck(); p != nil {
+			return p
+		}
+	}
+	return nil
+}
+
 // tokenCost returns what the request counts against the rate of its workspace: 1
 // where the rate is in requests, tokens otherwise.
 func (c *call) tokenCost() float64 {
--- a/internal/serve/change_test.go
+++ b/internal/serve/change_test.go
@@ -95,6 +95,8 @@
 	release func(*cell)
 	// goesOn names further changes that let the request go on at once.
 	goesOn []string
+	// tells is set if the request waits outside of the package, which is told of the end.
+	tells bool
 	// needsRelease is set if a service that can take the request does not end the wait.
 	needsRelease bool
 }
@@ -109,6 +111,7 @@
 	reach    func()
 
 	mu       sync.Mutex
+	cause    error // of the end of a wait that was not released
 	attempts []Attempt
 	ran      []string // endpoints
 	// answer runs an attempt whose number counts from 1.
@@ -152,6 +155,9 @@
 	select {
 	case <-c.released:
 	case <-ctx.Done():
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.cause = context.Cause(ctx)
 	}
 }
 
@@ -264,6 +270,85 @@
 var large = strings.Repeat("0123456789abcdef", maxBufferedBody/16+1)
 
 var cellStates = []cellState{
+	{
+		name: "waits for tokens", route: "read", phase: waits, tells: true, needsRelease: true, goesOn: []string{"key moved"},
+		setUp: func(c *cell) { c.server.opts.Admission = &cellAdmission{c: c, waits: true} },
+	},
+	{
+		name: "waits for a model", route: "resume", phase: waits, goesOn: []string{"engine to plain"},
+		setUp: func(c *cell) {
+			c.table.SetEndpoints(c.fake.Now(), cellEndpoints("lm"))
+			c.server.opts.Demand = &cellDemand{trackWaiting: c.reach}
+		},
+		release: func(c *cell) {
+			e := fleet.Endpoint{ID: "lm-c", Incarnation: 1, Service: "lm", Domain: "north", Slots: 64, Models: []fleet.Resident{{Model: "m1"}}}
+			c.table.SetEndpoints(c.fake.Now(), append(cellEndpoints("lm"), e))
+		},
+	},
+	{
+		name: "waits for an adapter", route: "resume", phase: waits, tells: true, goesOn: []string{"engine to plain"},
+		setUp: func(c *cell) {
+			c.adapter = "a1"
+			list := cellEndpoints("")
+			for i := range list {
+				if list[i].Service == "lm2" {
+					list[i].Models = []fleet.Resident{{Model: "m1", Adapters: []string{"a1"}}}
+				}
+			}
+			c.table.SetEndpoints(c.fake.Now(), list)
+			c.server.opts.Demand = &cellDemand{loadAdapter: func(ctx context.Context) error {
+				c.reach()
+				c.wait(ctx)
+				return ctx.Err()
+			}}
+		},
+	},
+	{
+		name: "waits for an endpoint", route: "read", phase: waits,
+		setUp: func(c *cell) {
+			var others []fleet.Endpoint
+			for _, e := range cellEndpoints("") {
+				if e.Service != "app" {
+					others = append(others, e)
+				}
+			}
+			c.answer = func(ctx context.Context, a Attempt, number int) (*Reply, error) {
+				if number > 1 {
+					return c.answerWhole(ctx, a, number)
+				}
+				c.table.SetEndpoints(c.fake.Now(), others)
+				time.AfterFunc(10*time.Millisecond, c.reach)
+				return nil, &conn.NotSentError{Err: errors.New("refused")}
+			}
+		},
+		release: func(c *cell) { c.table.SetEndpoints(c.fake.Now(), cellEndpoints("")) },
+	},
+	{
+		name: "engine turns it away", route: "resume", phase: waits,
+		setUp: func(c *cell) {
+			c.answer = func(ctx context.Context, a Attempt, number int) (*Reply, error) {
+				if number > 1 {
+					return c.answerWhole(ctx, a, number)
+				}
+				c.reach()
+				c.wait(ctx)
+				r := c.reply(ctx, a, false, "full")
+				r.Verdict, r.Status = Rejected, http.StatusServiceUnavailable
+				return r, nil
+			}
+		},
+	},
+	{
+		name: "waits for a connection", route: "book", phase: waits,
+		setUp: func(c *cell) {
+			c.beforeCheck = func(ctx context.Context, number int) {
+				if number == 1 {
+					c.reach()
+					c.wait(ctx)
+				}
+			}
+		},
+	},
 	{
 		name: "sent", route: "read", phase: runs,
 		setUp: func(c *cell) {
@@ -449,6 +534,9 @@
 		case <-time.After(cellTimeout / 2):
 			t.Error("the request still waits, although the configuration decides about it at once")
 		}
+		if state.tells && !errors.Is(c.cause, errConfigChanged) {
+			t.Errorf("the wait ended with %v, not with the change", c.cause)
+		}
 	}
 	if state.release != nil {
 		state.release(c)
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/health"
 	"trefoildale.example/trefoildale/internal/picker"
 	"trefoildale.example/trefoildale/internal/triage"
@@ -15,14 +16,23 @@
 // choose picks an endpoint. It waits for a model that no endpoint holds as long as
 // package triage decides, and up to maxEndpointWait for an endpoint.
 func (c *call) choose(ctx context.Context) (picker.Choice, *Problem) {
-	if p := c.recheckChoice(); p != nil {
-		return picker.Choice{}, p
-	}
-	q := c.query()
+	var q picker.Query
 	var since time.Time
+	var service *fleet.Service
 	stop := func() {}
 	defer func() { stop() }()
 	for {
+		if p := c.recheckChoice(); p != nil {
+			return picker.Choice{}, p
+		}
+		if c.service != service {
+			// The wait begins anew if the route leads elsewhere now.
+			if service == nil || c.service.Name != service.Name || (c.service.Engine == nil) != (service.Engine == nil) {
+				stop()
+				since, stop = time.Time{}, func() {}
+			}
+			q, service = c.query(), c.service
+		}
 		changed := c.opts.Table.Changed()
 		now := c.opts.Clock.Now()
 		choice, err := c.opts.Table.Pick(now, q)
@@ -195,8 +205,11 @@
 	remaining := maxAdapterWait - c.adapterLoadTime
 	loadCtx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
+	loadCtx, stop := c.untilAffected(loadCtx)
 	startedAt := c.opts.Clock.Now()
 	err := c.opts.Demand.LoadAdapter(loadCtx, choice.Endpoint, c.req.Model, c.req.Adapter)
+	cause := context.Cause(loadCtx)
+	stop()
 	elapsed := c.opts.Clock.Now().Sub(startedAt)
 	c.adapterLoadTime += elapsed
 	if err == nil {
@@ -204,6 +217,10 @@
 	}
 	key := choice.Endpoint.Key()
 	c.opts.Table.EndAttempt(c.opts.Clock.Now(), key, picker.Ended)
+	if errors.Is(cause, errConfigChanged) {
+		// The next choice obeys the configuration.
+		return true, nil
+	}
 	c.lastError = err.Error()
 	c.opts.Log.Warn("adapter not loaded", "request", c.req.ID, "endpoint", key.ID, "model", c.req.Model,
 		"adapter", c.req.Adapter, "error", err.Error())
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -109,6 +109,10 @@
 	interrupted context.Context
 	interrupt   context.CancelFunc
 
+	watchMu sync.Mutex
+	// watches are called when a configuration comes into force.
+	watches map[*watch]struct{}
+
 	mu        sync.Mutex
 	nodes     int
 	retryRule RetryRule
@@ -134,6 +138,7 @@
 		retryRule:   opts.Retries,
 		budgets:     make(map[string]*picker.Budget),
 		meanPauses:  make(map[pauseKey]float64),
+		watches:     make(map[*watch]struct{}),
 		probes: probes{
 			byKey: make(map[fleet.Key]*probe),
 		},
@@ -149,11 +154,40 @@
 			return false
 		}
 		if s.config.CompareAndSwap(old, c) {
+			s.tellWatches()
 			return true
 		}
 	}
 }
 
+// watch is told of configurations that come into force.
+type watch struct{ tell func(*fleet.Config) }
+
+// watch calls tell with the configuration in force, now and when another one comes into
+// force, until the returned function is called. No call of tell goes on after that.
+func (s *Server) watch(tell func(*fleet.Config)) (stop func()) {
+	w := &watch{
+		tell: tell,
+	}
+	s.watchMu.Lock()
+	defer s.watchMu.Unlock()
+	s.watches[w] = struct{}{}
+	tell(s.Config())
+	return func() {
+		s.watchMu.Lock()
+		defer s.watchMu.Unlock()
+		delete(s.watches, w)
+	}
+}
+
+func (s *Server) tellWatches() {
+	s.watchMu.Lock()
+	defer s.watchMu.Unlock()
+	for w := range s.watches {
+		w.tell(s.Config())
+	}
+}
+
 // Config returns the configuration in force, or nil.
 func (s *Server) Config() *fleet.Config { return s.config.Load() }
 
--- a/internal/serve/terms.go
+++ b/internal/serve/terms.go
@@ -1,6 +1,7 @@
 package serve
 
 import (
+	"context"
 	"errors"
 	"net/http"
 	"strings"
@@ -168,6 +169,22 @@
 // mayRunAgain reports whether the request may run at another endpoint after its attempts.
 func (c *call) mayRunAgain() bool { return c.ranAttempts < c.maxRuns }
 
+// untilAffected returns a context that also ends, with the cause errConfigChanged, when a
+// configuration comes into force that changes something for the request. The call must not
+// change until the returned function was called.
+func (c *call) untilAffected(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := c.watch(func(config *fleet.Config) {
+		if c.isAffected(config) {
+			cancel(errConfigChanged)
+		}
+	})
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 func serviceName(s *fleet.Service) string {
 	if s == nil {
 		return ""
