serve: apply a lowered timeout to requests that have not run

What callers saw: a request that waited when its route's timeout was lowered waited on until the deadline of before, and its endpoint was handed the time of before, although the operator no longer wanted it kept waiting.

Cause: the deadline was set at the arrival and not looked at again.

Evidence: TestChangeMeetsRequest with this change as a column: before, the six states in which a request has not run failed, e.g. waits for a model: 'status 200 after 1 runs, want 503 after none'. TestTimeoutLoweredBeforeSending: before, '504 after 8.0 s, the endpoint had 7.99 s, want 504 after 300ms'.

Change: recheck moves the deadline of a request that has not run forward, and refuses it as not run if that has passed. A raised timeout moves nothing, and a request that has run keeps its deadline, since its endpoint works until the time that it was given.

Result: all cells pass; internal/serve with -race.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -26,8 +26,11 @@
 	route     *fleet.Route
 	service   *fleet.Service
 	workspace *fleet.Workspace
-	// deadline is the latest time of the final answer.
+	// deadline is the latest time of the final answer. shorter ends the request there if it
+	// was moved forward, with expire.
 	deadline time.Time
+	shorter  *time.Timer
+	expire   context.CancelCauseFunc
 
 	sentAttempts    int      // attempts with a byte that may have been sent
 	sentTo          []string // addresses of these attempts
@@ -97,6 +100,12 @@
 	defer cancel()
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer context.AfterFunc(c.interrupted, func() { interrupt(errInterrupted) })()
+	c.expire = interrupt
+	defer func() {
+		if c.shorter != nil {
+			c.shorter.Stop()
+		}
+	}()
 	if p := c.admit(ctx); p != nil {
 		c.sendProblem(p)
 		return
@@ -129,14 +138,7 @@
 		return p
 	}
 	c.setTerms(t)
-	timeout := c.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if c.req.Wait > 0 {
-		timeout = min(timeout, c.req.Wait)
-	}
-	c.deadline = c.req.Arrived.Add(timeout)
+	c.deadline = c.deadlineUnder(c.route)
 	c.lastEvent = c.req.LastEvent
 	return nil
 }
@@ -424,7 +426,7 @@
 			Message: "this node ends before the endpoint has answered; the request may have run",
 		}
 	}
-	if !c.opts.Clock.Now().Before(c.deadline.Add(-timerTolerance)) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	if !c.opts.Clock.Now().Before(c.deadline.Add(-timerTolerance)) || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
 		if c.sentAttempts == 0 {
 			return c.unavailableProblem("no endpoint could take the request in time")
 		}
--- a/internal/serve/change_test.go
+++ b/internal/serve/change_test.go
@@ -55,6 +55,7 @@
 	{name: "key withdrawn", edit: func(c *fleet.Config) { c.Keys = nil }, status: http.StatusUnauthorized, noRepeat: true},
 	{name: "workspace removed", edit: func(c *fleet.Config) { delete(c.Workspaces, "w") }, status: http.StatusUnauthorized, noRepeat: true},
 	{name: "limit lowered", edit: func(c *fleet.Config) { c.Workspaces["w"].Rate, c.Workspaces["w"].Burst = 0.001, 0.001 }},
+	{name: "timeout lowered", edit: editRoutes(func(r *fleet.Route) { r.Timeout = time.Millisecond }), status: http.StatusServiceUnavailable},
 	{name: "timeout raised", edit: editRoutes(func(r *fleet.Route) { r.Timeout *= 4 })},
 	{name: "idle limit lowered", edit: func(c *fleet.Config) { c.Limits.IdleTimeout = time.Millisecond }},
 	{name: "idle limit raised", edit: func(c *fleet.Config) { c.Limits.IdleTimeout = time.Hour }},
@@ -613,3 +614,38 @@
 		t.Errorf("%s got workspace %q, the key belongs to %q", a.Endpoint.ID, a.Workspace, workspace.Name)
 	}
 }
+
+// TestTimeoutLoweredBeforeSending guards against a request that is sent after its route's
+// timeout was lowered, and held until the deadline of before.
+func TestTimeoutLoweredBeforeSending(t *testing.T) {
+	h := newHarness(t, fixedAdmission{})
+	const lowered = 300 * time.Millisecond
+	var remaining time.Duration
+	h.server.opts.Sender = senderFunc(func(ctx context.Context, a Attempt) (*Reply, error) {
+		if h.server.Config().Version == 2 {
+			after := cellConfig(3)
+			editRoutes(func(r *fleet.Route) { r.Timeout = lowered })(after)
+			if err := after.Prepare(); err != nil {
+				t.Error(err)
+			}
+			h.server.SetConfig(after)
+		}
+		if err := a.Check(); err != nil {
+			return nil, &conn.NotSentError{Err: err}
+		}
+		remaining = a.Remaining
+		<-ctx.Done()
+		return nil, ctx.Err()
+	})
+	before := cellConfig(2)
+	if err := before.Prepare(); err != nil {
+		t.Fatal(err)
+	}
+	h.server.SetConfig(before)
+	q := h.request("book")
+	c := &fakeCaller{}
+	h.server.Serve(t.Context(), q, c)
+	if took := h.clock.Now().Sub(q.Arrived); c.status != http.StatusGatewayTimeout || took > cellTimeout/2 || remaining > lowered {
+		t.Errorf("status %d after %v, the endpoint had %v, want 504 after %v", c.status, took, remaining, lowered)
+	}
+}
--- a/internal/serve/terms.go
+++ b/internal/serve/terms.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"strings"
+	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
 )
@@ -86,6 +87,7 @@
 	add((t.service.Engine == nil) != (c.service.Engine == nil), "engine-class")
 	add(!isSameWorkspace(t.workspace, c.workspace), "workspace")
 	add(t.workspace != nil && c.workspace != nil && (t.workspace.Rate != c.workspace.Rate || t.workspace.Burst != c.workspace.Burst), "rate")
+	add(c.shortens(t.route), "timeout")
 	add(t.route.Kind != c.route.Kind, "kind")
 	add(t.route.Resumable != c.route.Resumable, "resumable")
 	add(t.route.MaxAttempts != c.route.MaxAttempts, "attempts")
@@ -107,7 +109,8 @@
 
 // recheck asks whether the configuration in force allows the request, and takes over what
 // it says. It is called after each wait, before each attempt and before it is decided about
-// another one. The deadline, the attempts and the position in the stream stay. If the
+// another one. The attempts and the position in the stream stay, and so does the deadline
+// of a request that has run; that of another one may move forward only. If the
 // configuration refuses the request, the call keeps the former terms, since an attempt that
 // was sent under them may still go on.
 func (c *call) recheck() *Problem {
@@ -128,6 +131,8 @@
 		p = c.unavailableProblem("the configuration changed while the request waited")
 	case c.ranAttempts > 0 && !c.mayRepeatUnder(t.route):
 		p = c.unavailableProblem("the route does not allow another attempt any more")
+	case c.shortens(t.route) && !c.opts.Clock.Now().Before(c.deadlineUnder(t.route)):
+		p = c.unavailableProblem("no endpoint could take the request in time")
 	}
 	former := terms{
 		config:    c.config,
@@ -149,10 +154,42 @@
 		c.isRefusedByConfig = true
 		return p
 	}
+	if c.shortens(t.route) {
+		c.shorten(c.deadlineUnder(t.route))
+	}
 	c.setTerms(t)
 	return nil
 }
 
+// deadlineUnder returns the deadline that a route sets for the request.
+func (c *call) deadlineUnder(r *fleet.Route) time.Time {
+	timeout := r.Timeout
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	if c.req.Wait > 0 {
+		timeout = min(timeout, c.req.Wait)
+	}
+	return c.req.Arrived.Add(timeout)
+}
+
+// shortens reports whether a route moves the deadline of the request forward. It does not
+// if the request has run: its endpoint works until the deadline that it was given.
+func (c *call) shortens(r *fleet.Route) bool {
+	return c.ranAttempts == 0 && c.deadlineUnder(r).Before(c.deadline)
+}
+
+// shorten moves the deadline of the request forward.
+func (c *call) shorten(deadline time.Time) {
+	c.deadline = deadline
+	remaining := deadline.Sub(c.opts.Clock.Now())
+	if c.shorter != nil {
+		c.shorter.Reset(remaining)
+		return
+	}
+	c.shorter = time.AfterFunc(remaining, func() { c.expire(context.DeadlineExceeded) })
+}
+
 // setTerms makes the call go on under the given terms. A request runs only as often as all
 // terms allow that it was under.
 func (c *call) setTerms(t terms) {
