serve: serve a request whose key moved while it waited

What callers saw: a request that had not run was refused with 503 when its key was moved to another workspace, or when the configuration began to need no key, though the configuration in force allows it.

Cause: the request was within the rate of its former workspace only, and no way led back to the admission, so it was refused.

Evidence: TestChangeMeetsRequest with the columns key moved, key withdrawn and not needed, and keys not needed. Before, 18 of its cells failed, each with 'status 503 after 0 runs, want a whole answer ... the configuration changed while the request waited'.

Change: the choice admits a request again, under the workspace to which its key belongs now, if that changed and it has not run. A request that has run is not run again under another workspace, as before.

Result: all cells pass, with a check that the workspace which the endpoint is told was charged; internal/serve with -race.

--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -22,7 +22,7 @@
 	stop := func() {}
 	defer func() { stop() }()
 	for {
-		if p := c.recheckChoice(); p != nil {
+		if p := c.recheckChoice(ctx); p != nil {
 			return picker.Choice{}, p
 		}
 		if c.service != service {
@@ -77,13 +77,19 @@
 	}
 }
 
-// recheckChoice is recheck before a choice. A repeat that was allowed at the former service
-// has to be allowed where the route leads now.
-func (c *call) recheckChoice() *Problem {
-	former := c.service.Name
+// recheckChoice is recheck before a choice. The request has to be within the rate of the
+// workspace to which its key belongs now, and a repeat that was allowed at the former
+// service has to be allowed where the route leads now.
+func (c *call) recheckChoice(ctx context.Context) *Problem {
+	former, workspace := c.service.Name, c.workspace
 	if p := c.recheck(); p != nil {
 		return p
 	}
+	if !isSameWorkspace(workspace, c.workspace) {
+		if p := c.admit(ctx); p != nil {
+			return p
+		}
+	}
 	if c.service.Name != former && c.sentAttempts > 0 && !c.allowRepeat(c.service.Name) {
 		return c.unavailableProblem("the service to which the route leads now has no retries left")
 	}
--- a/internal/serve/terms.go
+++ b/internal/serve/terms.go
@@ -127,8 +127,8 @@
 	case p != nil && c.ranAttempts > 0:
 		p = c.unavailableProblem("the configuration changed: " + p.Message)
 	case p != nil:
-	case !isSameWorkspace(t.workspace, c.workspace):
-		p = c.unavailableProblem("the configuration changed while the request waited")
+	case c.ranAttempts > 0 && !isSameWorkspace(t.workspace, c.workspace):
+		p = c.unavailableProblem("the key belongs to another workspace now")
 	case c.ranAttempts > 0 && !c.mayRepeatUnder(t.route):
 		p = c.unavailableProblem("the route does not allow another attempt any more")
 	case c.shortens(t.route) && !c.opts.Clock.Now().Before(c.deadlineUnder(t.route)):
