serve: play changes against two more states of a request

A request that waits because all endpoints of a plain service turned it away, and a stream whose silent endpoint was left before the change and that another one goes on with. No cell failed.

--- a/internal/serve/change_test.go
+++ b/internal/serve/change_test.go
@@ -334,6 +334,26 @@
 		},
 		release: func(c *cell) { c.table.SetEndpoints(c.fake.Now(), cellEndpoints("")) },
 	},
+	{
+		name: "waits, plain service full", route: "book", phase: waits,
+		setUp: func(c *cell) {
+			c.answer = func(ctx context.Context, a Attempt, number int) (*Reply, error) {
+				if number > 2 {
+					return c.answerWhole(ctx, a, number)
+				}
+				if number == 2 {
+					time.AfterFunc(10*time.Millisecond, c.reach)
+				}
+				r := c.reply(ctx, a, false, "full")
+				r.Verdict, r.Status = Rejected, http.StatusServiceUnavailable
+				return r, nil
+			}
+		},
+		release: func(c *cell) {
+			e := fleet.Endpoint{ID: "app-c", Incarnation: 1, Service: "app", Domain: "north", Slots: 64, Models: []fleet.Resident{{Model: "m1"}}}
+			c.table.SetEndpoints(c.fake.Now(), append(cellEndpoints(""), e))
+		},
+	},
 	{
 		name: "engine turns it away", route: "resume", phase: waits,
 		setUp: func(c *cell) {
@@ -466,6 +486,23 @@
 			}
 		},
 	},
+	{
+		name: "silent, another asked and goes on", route: "resume", phase: runs,
+		setUp: func(c *cell) {
+			c.answer = func(ctx context.Context, a Attempt, number int) (*Reply, error) {
+				c.run(a)
+				if number > 1 {
+					return c.reply(ctx, a, false, "", eventsFrom(a.LastEvent, 1)), nil
+				}
+				first := newSteppedBody(step{text: eventsFrom("", 2)})
+				first.isSilent = true
+				context.AfterFunc(ctx, func() { first.Close() })
+				r := c.reply(ctx, a, false)
+				r.Body = first
+				return r, nil
+			}
+		},
+	},
 	{
 		name: "resumed", route: "resume", phase: runs,
 		setUp: func(c *cell) {
