serve: say that a request has not run if it was only turned away

What callers saw: a request that endpoints had turned away, and that waited for another one when its time was over or its process ended, got 504 or 502 'may have run'. A booking can't be sent again after that.

Cause: contextProblem looked at the attempts that were sent, not at those that may have run.

Evidence: TestTurnedAwayThenTimeout; before, both cases failed with 'Status:504 ... the request may have run NotRun:false after 0 runs' and 502 likewise.

Change: the attempts that may have run decide.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -417,7 +417,7 @@
 // caller has closed the connection.
 func (c *call) contextProblem(ctx context.Context) *Problem {
 	if errors.Is(context.Cause(ctx), errInterrupted) {
-		if c.sentAttempts == 0 {
+		if c.ranAttempts == 0 {
 			return c.stoppingProblem()
 		}
 		return &Problem{
@@ -427,7 +427,7 @@
 		}
 	}
 	if !c.opts.Clock.Now().Before(c.deadline.Add(-timerTolerance)) || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
-		if c.sentAttempts == 0 {
+		if c.ranAttempts == 0 {
 			return c.unavailableProblem("no endpoint could take the request in time")
 		}
 		return &Problem{
--- a/internal/serve/serve_test.go
+++ b/internal/serve/serve_test.go
@@ -484,6 +484,32 @@
 	}
 }
 
+// TestTurnedAwayThenTimeout guards against telling the caller of a request which endpoints
+// have turned away that it may have run: such a booking could not be sent again.
+func TestTurnedAwayThenTimeout(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		end  func(*harness, *Request)
+	}{
+		{name: "deadline", end: func(_ *harness, q *Request) { q.Wait = 150 * time.Millisecond }},
+		{name: "end of the process", end: func(h *harness, _ *Request) { time.AfterFunc(150*time.Millisecond, h.server.Interrupt) }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newHarness(t, fixedAdmission{})
+			// The request waits for an endpoint that has not turned it away.
+			h.table.SetEndpoints(time.Now(), []fleet.Endpoint{{ID: "app0", Incarnation: 1, Service: "app", Domain: "north", Slots: 6}})
+			h.sender.outcomes = []fakeOutcome{outcomeRejected}
+			q := h.request("book")
+			tc.end(h, q)
+			c := &fakeCaller{}
+			h.server.Serve(t.Context(), q, c)
+			if c.status != http.StatusServiceUnavailable || !c.problem.NotRun || h.sender.runs != 0 {
+				t.Errorf("the caller got %+v after %d runs, want 503 and not run", c.problem, h.sender.runs)
+			}
+		})
+	}
+}
+
 // TestPaceComparesEnginesAtTheSameModel guards against treating an engine as slow
 // because it holds a slow model: requests would avoid it and leave it idle.
 func TestPaceComparesEnginesAtTheSameModel(t *testing.T) {
