--- a/internal/serve/change_test.go
+++ b/internal/serve/change_test.go
@@ -704,3 +704,39 @@
 		t.Errorf("status %d after %v, the endpoint had %v, want 504 after %v", c.status, took, remaining, lowered)
 	}
 }
+
+// TestSeriesOfChanges guards against refusing a request because its route is moved several
+// times while it waits, although each configuration allows it, and against an attempt that
+// is made under another configuration than the one in force.
+func TestSeriesOfChanges(t *testing.T) {
+	h := newHarness(t, fixedAdmission{})
+	h.table.SetEndpoints(time.Now(), cellEndpoints(""))
+	const moves = 8
+	moved := 0
+	h.server.opts.Sender = senderFunc(func(ctx context.Context, a Attempt) (*Reply, error) {
+		if moved < moves {
+			moved++
+			config := cellConfig(int64(2 + moved))
+			if moved%2 == 1 {
+				editRoutes(func(r *fleet.Route) { r.Targets[0].Service += "2" })(config)
+			}
+			if err := config.Prepare(); err != nil {
+				t.Error(err)
+			}
+			h.server.SetConfig(config)
+		}
+		if err := a.Check(); err != nil {
+			return nil, &conn.NotSentError{Err: err}
+		}
+		checkAllowed(t, h.server.Config(), a.Request, a)
+		return h.sender.Send(ctx, a)
+	})
+	before := cellConfig(2)
+	if err := before.Prepare(); err != nil {
+		t.Fatal(err)
+	}
+	h.server.SetConfig(before)
+	if c := h.serve("book"); c.status != http.StatusOK || h.sender.runs != 1 || moved != moves {
+		t.Errorf("status %d after %d runs and %d moves, problem %+v", c.status, h.sender.runs, moved, c.problem)
+	}
+}
