--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -27,8 +27,11 @@
 	route     *fleet.Route
 	service   *fleet.Service
 	workspace *fleet.Workspace
-	// deadline is the latest time of the final answer.
+	// deadline is the latest time of the final answer. shorter ends the request there if it
+	// was moved forward, with expire.
 	deadline time.Time
+	shorter  *time.Timer
+	expire   context.CancelCauseFunc
 
 	sentAttempts    int      // attempts with a byte that may have been sent
 	sentTo          []string // addresses of these attempts
@@ -49,6 +52,10 @@
 	lastError       string
 	// brokenProbe tells whether the engine at which the last attempt broke off crashed.
 	brokenProbe *probe
+	// maxRuns is how many endpoints may run the request, atMostOnce whether one of the
+	// configurations that it met allows one run only.
+	maxRuns    int
+	atMostOnce bool
 	// isRefusedByConfig is set once a configuration that came into force refuses further
 	// attempts.
 	isRefusedByConfig bool
@@ -94,18 +101,19 @@
 	defer cancel()
 	ctx, interrupt := context.WithCancelCause(ctx)
 	defer context.AfterFunc(c.interrupted, func() { interrupt(errInterrupted) })()
-	tokens := c.tokenCost()
-	if c.workspace != nil && c.workspace.Rate > 0 {
-		limit := min(maxAdmitWait, c.route.Objective/2)
-		retryAfter, ok := c.opts.Admission.Admit(ctx, c.workspace.Name, tokens, limit)
-		if !ok {
-			c.sendProblem(c.rateProblem(ctx, retryAfter, tokens))
-			return
+	c.expire = interrupt
+	defer func() {
+		if c.shorter != nil {
+			c.shorter.Stop()
 		}
+	}()
+	if p := c.admit(ctx); p != nil {
+		c.sendProblem(p)
+		return
 	}
 	c.countRequest(c.service.Name)
 	if c.service.Engine != nil {
-		c.opts.Demand.RecordArrival(c.service.Name, c.req.Model, c.req.Adapter, tokens*c.workWeight(c.service.Name, c.req.Model))
+		c.opts.Demand.RecordArrival(c.service.Name, c.req.Model, c.req.Adapter, c.tokenCost()*c.workWeight(c.service.Name, c.req.Model))
 	}
 	for {
 		again, p := c.attempt(ctx)
@@ -126,60 +134,20 @@
 	if why := c.stop.Load().Arrival(c.opts.Clock.Now(), 0); why != drain.Accepted {
 		return c.stoppingProblem(why)
 	}
-	if p := c.applyConfig(); p != nil {
+	t, p := c.look(c.config)
+	if p != nil {
+		c.route = t.route
 		return p
 	}
+	c.setTerms(t)
 	if p := c.checkStop(c.opts.Clock.Now()); p != nil {
 		return p
 	}
-	timeout := c.route.Timeout
-	if timeout <= 0 {
-		timeout = defaultTimeout
-	}
-	if c.req.Wait > 0 {
-		timeout = min(timeout, c.req.Wait)
-	}
-	c.deadline = c.req.Arrived.Add(timeout)
+	c.deadline = c.deadlineUnder(c.route)
 	c.lastEvent = c.req.LastEvent
 	return nil
 }
 
-// applyConfig finds the route, the workspace and the service of the request in c.config.
-// It changes nothing else, since attempts may have been made.
-func (c *call) applyConfig() *Problem {
-	if c.config == nil {
-		return &Problem{
-			Status:     http.StatusServiceUnavailable,
-			Code:       "no-configuration",
-			Message:    "this node has not read a configuration yet",
-			NotRun:     true,
-			RetryAfter: configRetryAfter,
-		}
-	}
-	c.route = c.config.Match(c.req.Host, c.req.Path)
-	if c.route == nil {
-		return &Problem{
-			Status:  http.StatusNotFound,
-			Code:    "route-unknown",
-			Message: "no route matches the host and path",
-			NotRun:  true,
-		}
-	}
-	if c.config.Workspaces != nil {
-		c.workspace = c.config.WorkspaceOf(c.req.Key)
-		if c.workspace == nil && !c.route.AllowAnonymous {
-			return &Problem{
-				Status:  http.StatusUnauthorized,
-				Code:    "key-unknown",
-				Message: "the key is not known",
-				NotRun:  true,
-			}
-		}
-	}
-	c.service = c.config.Services[c.route.Target(c.req.ID)]
-	return nil
-}
-
 // stoppingProblem returns the refusal of a request that another node can take.
 func (c *call) stoppingProblem(why drain.Reason) *Problem {
 	c.logStop("request refused by a stopping process", why)
@@ -195,6 +163,28 @@
 // errInterrupted is the cause of the end of requests that Server.Interrupt ends.
 var errInterrupted = errors.New("serve: the node ends")
 
+// admit waits until the request is within the rate of its workspace.
+func (c *call) admit(ctx context.Context) *Problem {
+	until := c.opts.Clock.Now().Add(min(maxAdmitWait, c.route.Objective/2))
+	for c.workspace != nil && c.workspace.Rate > 0 {
+		waitCtx, stop := c.untilAffected(ctx)
+		tokens := c.tokenCost()
+		retryAfter, ok := c.opts.Admission.Admit(waitCtx, c.workspace.Name, tokens, max(0, until.Sub(c.opts.Clock.Now())))
+		cause := context.Cause(waitCtx)
+		stop()
+		if ok {
+			return nil
+		}
+		if !errors.Is(cause, errConfigChanged) {
+			return c.rateProblem(ctx, retryAfter, tokens)
+		}
+		if p := c.recheck(); p != nil {
+			return p
+		}
+	}
+	return nil
+}
+
 // tokenCost returns what the request counts against the rate of its workspace: 1
 // where the rate is in requests, tokens otherwise.
 func (c *call) tokenCost() float64 {
@@ -326,35 +316,15 @@
 	if !c.opts.Table.Health().Ask(now, c.lastChoice.Endpoint.Key()).Usable {
 		return errEndpointUnusable
 	}
-	config := c.Server.Config()
-	if config == c.config || config == nil {
-		return nil
-	}
-	if c.workspace != nil && config.Workspaces != nil {
-		if w := config.WorkspaceOf(c.req.Key); w == nil || w.Name != c.workspace.Name {
-			return errKeyWithdrawn
-		}
+	if c.isAffected(c.Server.Config()) {
+		return errConfigChanged
 	}
-	r := config.Match(c.req.Host, c.req.Path)
-	if r == nil {
-		return errRouteRemoved
-	}
-	for _, t := range r.Targets {
-		if t.Service == c.service.Name {
-			return nil
-		}
-	}
-	return errRouteMoved
+	return nil
 }
 
 var (
-	errKeyWithdrawn = errors.New("serve: the key was withdrawn")
-	errRouteRemoved = errors.New("serve: the route was removed")
-	errRouteMoved   = errors.New("serve: the route leads to another service now")
-
 	errEndpointUnusable = errors.New("serve: the endpoint leaves or wants no requests")
-
-	errStopping = errors.New("serve: the process stops before the request is expected to end")
+	errStopping         = errors.New("serve: the process stops before the request is expected to end")
 )
 
 // handleSendError decides how to go on after an attempt without an answer.
@@ -377,9 +347,10 @@
 		return c.handleLostAnswer(ctx, "the connection to the endpoint broke off")
 	}
 	switch {
-	case errors.Is(err, errKeyWithdrawn), errors.Is(err, errRouteRemoved), errors.Is(err, errRouteMoved):
+	case errors.Is(err, errConfigChanged):
+		// The next choice obeys the configuration.
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
-		return c.reapplyConfig()
+		return true, nil
 	case ctx.Err() != nil:
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		return false, c.contextProblem(ctx)
@@ -407,39 +378,6 @@
 	return true, nil
 }
 
-// reapplyConfig takes over the configuration that came into force while the request
-// waited. The deadline, the attempts and the position in the stream stay. If that
-// configuration refuses the request, the call keeps the former one, since an attempt that
-// was sent under it may still go on.
-func (c *call) reapplyConfig() (again bool, p *Problem) {
-	config, route, workspace, service := c.config, c.route, c.workspace, c.service
-	c.config = c.Server.Config()
-	p = c.applyConfig()
-	switch {
-	case p != nil:
-		p.NotRun = c.ranAttempts == 0
-	case workspace != nil && (c.workspace == nil || c.workspace.Name != workspace.Name):
-		p = c.unavailableProblem("the configuration changed while the request waited")
-	case c.ranAttempts > 0 && (c.route.AtMostOnce() || c.ranAttempts >= max(1, c.route.MaxAttempts)):
-		p = c.unavailableProblem("the route does not allow another attempt any more")
-	case c.service.Name != service.Name && c.sentAttempts > 0 && !c.allowRepeat(c.service.Name):
-		p = c.unavailableProblem("the service to which the route leads now has no retries left")
-	}
-	c.opts.Log.Info("configuration applied again", "request", c.req.ID, "config", c.configVersion(), "former-config", config.Version,
-		"route", c.routeName(), "service", c.serviceName(), "former-service", service.Name, "refused", p != nil,
-		"ran", c.ranAttempts, "after-event", c.lastEvent)
-	if p != nil {
-		c.isRefusedByConfig = true
-		c.config, c.route, c.workspace, c.service = config, route, workspace, service
-		return false, p
-	}
-	c.unsentAttempts++
-	if c.unsentAttempts >= maxUnsentAttempts {
-		return false, c.unavailableProblem("the configuration changed while the request waited")
-	}
-	return true, nil
-}
-
 func (c *call) excludeEndpoint(key fleet.Key) {
 	if c.exclude == nil {
 		c.exclude = make(map[fleet.Key]bool)
@@ -476,7 +414,12 @@
 	if ctx.Err() != nil {
 		return false, c.contextProblem(ctx)
 	}
-	if !c.route.AtMostOnce() && c.ranAttempts < max(1, c.route.MaxAttempts) && !c.mayCrashAgain(ctx) && c.allowRepeat(c.service.Name) {
+	if c.mayRunAgain() {
+		if p := c.recheck(); p != nil {
+			return false, p
+		}
+	}
+	if c.mayRunAgain() && !c.mayCrashAgain(ctx) && c.allowRepeat(c.service.Name) {
 		c.opts.Log.Warn("request repeated", "request", c.req.ID, "endpoint", c.lastChoice.Endpoint.ID, "why", why,
 			"error", c.lastError, "ran", c.ranAttempts, "events", c.eventCount)
 		return true, nil
@@ -504,8 +447,8 @@
 			Message: "this node ends before the endpoint has answered; the request may have run",
 		}
 	}
-	if !c.opts.Clock.Now().Before(c.deadline.Add(-timerTolerance)) || errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		if c.sentAttempts == 0 {
+	if !c.opts.Clock.Now().Before(c.deadline.Add(-timerTolerance)) || errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
+		if c.ranAttempts == 0 {
 			return c.unavailableProblem("no endpoint could take the request in time")
 		}
 		return &Problem{
