--- a/internal/soak/fault.go
+++ b/internal/soak/fault.go
@@ -39,16 +39,7 @@
 	{name: "stop", inject: func(ctx context.Context, r *run, c faultParams) {
 		r.restart(ctx, c.node, syscall.SIGTERM, 200*time.Millisecond)
 	}},
-	{name: "pause", inject: func(ctx context.Context, r *run, c faultParams) {
-		c.node.beginDisturbance()
-		defer c.node.endDisturbance()
-		r.noteInterruption(c.node.name)
-		c.node.signal(syscall.SIGSTOP)
-		sleep(ctx, c.duration)
-		c.node.signal(syscall.SIGCONT)
-		r.noteInterruption(c.node.name)
-		r.noteRecovery(c.node.name)
-	}},
+	{name: "pause", inject: func(ctx context.Context, r *run, c faultParams) { r.suspend(ctx, c.node, c.duration) }},
 	{name: "reload", inject: func(ctx context.Context, r *run, c faultParams) { r.reloadReady(ctx, c.node) }},
 	{name: "peers", inject: func(ctx context.Context, r *run, c faultParams) {
 		c.disturbLink(ctx, c.node.peers)
@@ -225,16 +216,14 @@
 	for i := range c.Tenants {
 		c.Tenants[i].Keys = slices.Clone(c.Tenants[i].Keys)
 	}
+	c.Routes = slices.Clone(c.Routes)
 	f(&c)
 	c.Version += 1 + c.Version%3
 	r.config = c
 	if err := r.site.Store.SetConfig(c); err != nil {
 		panic("soak: encode configuration: " + err.Error())
 	}
-	r.record.configs = append(r.record.configs, writtenConfig{
-		at:     time.Now(),
-		config: c,
-	})
+	r.record.configs = append(r.record.configs, newWrittenConfig(time.Now(), c))
 	r.logf("configuration %d: %s", c.Version, what)
 }
 
