--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -4,10 +4,10 @@
 	"context"
 	"errors"
 	"math/rand/v2"
-	"net/http"
 	"strings"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/health"
 	"trefoildale.example/trefoildale/internal/picker"
 	"trefoildale.example/trefoildale/internal/triage"
@@ -16,21 +16,23 @@
 // choose picks an endpoint. It waits for a model that no endpoint holds as long as
 // package triage decides, and up to maxEndpointWait for an endpoint.
 func (c *call) choose(ctx context.Context) (picker.Choice, *Problem) {
-	q := c.query()
-	if c.service.Engine != nil {
-		if _, ok := c.service.Engine.Models[c.req.Model]; !ok {
-			return picker.Choice{}, &Problem{
-				Status:  http.StatusNotFound,
-				Code:    "model-unknown",
-				Message: "service " + c.service.Name + " has no such model",
-				NotRun:  c.ranAttempts == 0,
-			}
-		}
-	}
+	var q picker.Query
 	var since time.Time
+	var service *fleet.Service
 	stop := func() {}
 	defer func() { stop() }()
 	for {
+		if p := c.recheckChoice(ctx); p != nil {
+			return picker.Choice{}, p
+		}
+		if c.service != service {
+			// The wait begins anew if the route leads elsewhere now.
+			if service == nil || c.service.Name != service.Name || (c.service.Engine == nil) != (service.Engine == nil) {
+				stop()
+				since, stop = time.Time{}, func() {}
+			}
+			q, service = c.query(), c.service
+		}
 		changed := c.opts.Table.Changed()
 		now := c.opts.Clock.Now()
 		if p := c.checkStop(now); p != nil {
@@ -81,6 +83,25 @@
 	}
 }
 
+// recheckChoice is recheck before a choice. The request has to be within the rate of the
+// workspace to which its key belongs now, and a repeat that was allowed at the former
+// service has to be allowed where the route leads now.
+func (c *call) recheckChoice(ctx context.Context) *Problem {
+	former, workspace := c.service.Name, c.workspace
+	if p := c.recheck(); p != nil {
+		return p
+	}
+	if !isSameWorkspace(workspace, c.workspace) {
+		if p := c.admit(ctx); p != nil {
+			return p
+		}
+	}
+	if c.service.Name != former && c.sentAttempts > 0 && !c.allowRepeat(c.service.Name) {
+		return c.unavailableProblem("the service to which the route leads now has no retries left")
+	}
+	return nil
+}
+
 // isLoadedBefore reports whether a further copy of the request's model is expected before
 // the given time.
 func (c *call) isLoadedBefore(t time.Time) bool {
@@ -196,8 +217,11 @@
 	remaining := maxAdapterWait - c.adapterLoadTime
 	loadCtx, cancel := context.WithTimeout(ctx, remaining)
 	defer cancel()
+	loadCtx, stop := c.untilAffected(loadCtx)
 	startedAt := c.opts.Clock.Now()
 	err := c.opts.Demand.LoadAdapter(loadCtx, choice.Endpoint, c.req.Model, c.req.Adapter)
+	cause := context.Cause(loadCtx)
+	stop()
 	elapsed := c.opts.Clock.Now().Sub(startedAt)
 	c.adapterLoadTime += elapsed
 	if err == nil {
@@ -205,6 +229,10 @@
 	}
 	key := choice.Endpoint.Key()
 	c.opts.Table.EndAttempt(c.opts.Clock.Now(), key, picker.Ended)
+	if errors.Is(cause, errConfigChanged) {
+		// The next choice obeys the configuration.
+		return true, nil
+	}
 	c.lastError = err.Error()
 	c.opts.Log.Warn("adapter not loaded", "request", c.req.ID, "endpoint", key.ID, "model", c.req.Model,
 		"adapter", c.req.Adapter, "error", err.Error())
