clock, proc, node, cmds: wait for the end of a stop in one way

Both entry processes waited for the end of their grace by the clock that counts suspension, and both counted the stop from the last moment at which they surely handled signals, with code of their own. clock.At and drain.Pulse serve both now. The test of the wait moved with it. awaitStop sets its next beat only after the last one, as proc does, so that two beats cannot come in a row after a suspension; its test is unchanged but for the way to pass beats. No change of behaviour else.

--- a/internal/cmds/trefoild.go
+++ b/internal/cmds/trefoild.go
@@ -16,6 +16,7 @@
 
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/conf"
+	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/node"
 )
 
@@ -69,9 +70,7 @@
 	n.Stats().Publish()
 	w := cmd.Root().Writer
 	fmt.Fprintf(w, "callers %s\npeers %s\nadmin %s\n", n.CallersAddr, n.PeersAddr, n.AdminAddr)
-	ticker := time.NewTicker(aliveInterval)
-	defer ticker.Stop()
-	arrived := awaitStop(ctx, clk, ticker.C, stops)
+	arrived := awaitStop(ctx, clk, func() <-chan time.Time { return time.After(aliveInterval) }, stops)
 	klog.InfoS("Stop begins", "signal-age-ms", clk.Now().Sub(arrived).Milliseconds(), "drain", time.Duration(set.Shutdown.Drain).String())
 	return shutdown(n, set, arrived, stops)
 }
@@ -80,19 +79,18 @@
 const aliveInterval = 50 * time.Millisecond
 
 // awaitStop waits for a signal, or for the end of ctx. It returns the earliest time at
-// which the signal may have arrived: a process that was suspended handles it late, and may
-// handle two ticks before it, one that it had received before and one that is due.
-func awaitStop(ctx context.Context, clk clock.Clock, ticks <-chan time.Time, stops <-chan os.Signal) time.Time {
-	now := clk.Now()
-	alive := [3]time.Time{now, now, now}
+// which the signal may have arrived. Each call of next returns when the process is to note
+// that it is not suspended.
+func awaitStop(ctx context.Context, clk clock.Clock, next func() <-chan time.Time, stops <-chan os.Signal) time.Time {
+	pulse := drain.NewPulse(clk.Now())
 	for {
 		select {
 		case <-stops:
-			return alive[0]
+			return pulse.Since()
 		case <-ctx.Done():
-			return alive[0]
-		case <-ticks:
-			alive = [3]time.Time{alive[1], alive[2], clk.Now()}
+			return pulse.Since()
+		case <-next():
+			pulse.Beat(clk.Now())
 		}
 	}
 }
--- a/internal/cmds/trefoild_test.go
+++ b/internal/cmds/trefoild_test.go
@@ -24,7 +24,7 @@
 			clk := clock.NewFake()
 			ticks, stops := make(chan time.Time), make(chan os.Signal)
 			arrived := make(chan time.Time, 1)
-			go func() { arrived <- awaitStop(t.Context(), clk, ticks, stops) }()
+			go func() { arrived <- awaitStop(t.Context(), clk, func() <-chan time.Time { return ticks }, stops) }()
 			for range 5 {
 				clk.Advance(aliveInterval)
 				ticks <- time.Time{}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,8 +44,6 @@
 	callerIdleLimit = 2 * time.Minute
 	// finalAnswerTime is how long requests that are cut have for their final answers.
 	finalAnswerTime = time.Second
-	// endCheckInterval is how often a stopping process compares the time with its end.
-	endCheckInterval = 20 * time.Millisecond
 	// maxOpenLines bounds the lines about requests that are open when the process ends.
 	maxOpenLines = 50
 	// releaseTimeout bounds the return of slots and leases at shutdown.
@@ -361,7 +359,7 @@
 			AcceptUntil: endsAt,
 			EndsAt:      endsAt,
 		})
-		go cancelAt(ctx, cancel, n.clock, endsAt)
+		go clock.At(ctx, n.clock, endsAt, cancel)
 	}
 	n.audit.Record(audit.Event{
 		Reason: audit.ShutdownStarted,
@@ -411,21 +409,6 @@
 	return cut
 }
 
-// cancelAt calls cancel at a time of the clock, unless ctx ends before. Timers do not
-// advance while the VM is suspended, so it looks at the clock.
-func cancelAt(ctx context.Context, cancel context.CancelFunc, clk clock.Clock, at time.Time) {
-	t := time.NewTicker(endCheckInterval)
-	defer t.Stop()
-	for clk.Now().Before(at) {
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return
-		}
-	}
-	cancel()
-}
-
 // releaseResources stores pending outcomes and releases slots and the lease. It
 // has its own timeout because it is useful even after the operator's deadline.
 func (n *Node) releaseResources() {
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -372,11 +372,11 @@
 	p.callerServer.CloseIdle()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	go at(ctx, p.clock, plan.EndsAt, func() {
+	go clock.At(ctx, p.clock, plan.EndsAt, func() {
 		p.log.Warn("requests interrupted at the end of the grace", "active", p.server.Active())
 		p.server.Interrupt()
 	})
-	go at(ctx, p.clock, kill, cancel)
+	go clock.At(ctx, p.clock, kill, cancel)
 	p.waitUntil(signals, kill, func(now time.Time) bool {
 		return now.Sub(startedAt) >= minDrainTime && p.callerServer.Counts().Busy == 0
 	})
@@ -393,19 +393,6 @@
 	p.log.Info("process ends", "active", p.callerServer.Counts().Busy, "after-ms", p.clock.Now().Sub(startedAt).Milliseconds())
 }
 
-// at calls f at t, unless ctx ends before. Timers alone stand still while the VM is
-// suspended.
-func at(ctx context.Context, clk clock.Clock, t time.Time, f func()) {
-	for now := clk.Now(); now.Before(t); now = clk.Now() {
-		select {
-		case <-ctx.Done():
-			return
-		case <-time.After(min(drainCheckInterval, t.Sub(now))):
-		}
-	}
-	f()
-}
-
 // waitUntil returns once done returns true, or at limit.
 func (p *Process) waitUntil(signals <-chan os.Signal, limit time.Time, done func(now time.Time) bool) {
 	for {
