drain, serve, entry: do not expect unknown requests to need no time

While nothing is known of a service, a request counts as lasting until its deadline on the users' platform, and as long as the latency targets allow on the completion API; with a stop under way it is refused then, and another node takes it.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -177,3 +177,32 @@
 		t.Errorf("expected to take %v, and %v at an endpoint that takes 2.5 times as long", usual, slow)
 	}
 }
+
+// TestKnows guards against requests that are expected to need no time because nothing is
+// known of their service.
+func TestKnows(t *testing.T) {
+	kind := Kind{Service: "lm", Model: "a"}
+	for _, tc := range []struct {
+		name    string
+		samples []Sample
+		tokens  float64
+		want    bool
+	}{
+		{name: "nothing", tokens: 100},
+		{name: "nothing, without tokens"},
+		{name: "the first part only", samples: []Sample{{First: time.Second, Tokens: 5, Parts: 1}}, tokens: 100},
+		{name: "the first part only, without tokens", samples: []Sample{{First: time.Second}}, want: true},
+		{name: "parts", samples: []Sample{{First: time.Second, Rest: time.Second, Tokens: 100, Parts: 10}}, tokens: 100, want: true},
+		{name: "tokens", samples: []Sample{{Rest: time.Second, Tokens: 100}}, tokens: 100, want: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var times Times
+			for _, s := range tc.samples {
+				times.Record(Kind{Service: "lm", Model: "b"}, s)
+			}
+			if got := times.Knows(kind, tc.tokens); got != tc.want {
+				t.Errorf("known: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/drain/times.go
+++ b/internal/drain/times.go
@@ -119,6 +119,14 @@
 	return time.Duration((own.first.high() + rest) * float64(time.Second))
 }
 
+// Knows reports whether the samples show how long such requests take.
+func (t *Times) Knows(k Kind, tokens float64) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	all := t.byKind[Kind{Service: k.Service}]
+	return all != nil && (tokens == 0 || all.perToken.samples+all.perPart.samples > 0)
+}
+
 // rest returns how many seconds all tokens that are allowed take after the first part.
 func (t *kindTimes) rest(tokens, pace, partsPerToken float64) float64 {
 	if t.perPart.samples == 0 {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -50,6 +50,15 @@
 	tokens float64
 }
 
+// expected returns how long the request is likely to take at most. While nothing is known of
+// a service, its completions are expected to be as slow as the latency targets allow.
+func (q *request) expected(n need) time.Duration {
+	if n.tokens > 0 && !q.times.Knows(n.kind, n.tokens) {
+		return firstTokenTarget + time.Duration(n.tokens*float64(tokenGapTarget))
+	}
+	return q.times.Expect(n.kind, n.tokens)
+}
+
 // stopProblem returns the rejection of a request that the stopping process cannot finish,
 // or nil. The caller sets NotRun.
 func (q *request) stopProblem(n need) *problem {
@@ -58,7 +67,7 @@
 		return nil
 	}
 	now := q.opts.Clock.Now()
-	expected := q.times.Expect(n.kind, n.tokens)
+	expected := q.expected(n)
 	decide := stop.Start
 	if !q.arrived.Before(stop.AcceptUntil) {
 		decide = stop.Arrival
@@ -80,7 +89,7 @@
 	if stop == nil || stop.EndsAt.IsZero() {
 		return time.Time{}, false
 	}
-	return stop.EndsAt.Add(-q.times.Expect(n.kind, n.tokens)), true
+	return stop.EndsAt.Add(-q.expected(n)), true
 }
 
 // endProblem returns the rejection of a request that the process does not finish.
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -140,12 +140,9 @@
 		return p
 	}
 	c.setTerms(t)
-	if p := c.checkStop(c.opts.Clock.Now()); p != nil {
-		return p
-	}
 	c.deadline = c.deadlineUnder(c.route)
 	c.lastEvent = c.req.LastEvent
-	return nil
+	return c.checkStop(c.opts.Clock.Now())
 }
 
 // stoppingProblem returns the refusal of a request that another node can take.
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -30,7 +30,17 @@
 	if stop == nil || c.ranAttempts > 0 {
 		return drain.Accepted
 	}
-	return stop.Start(at, c.expected(pace))
+	return stop.Start(at, c.need(at, pace))
+}
+
+// need returns how long the request is likely to need at most if it is sent at the given time,
+// to an endpoint with the given pace. While nothing is known of such requests, it may need
+// the time until its deadline.
+func (c *call) need(at time.Time, pace float64) time.Duration {
+	if c.service == nil || !c.times.Knows(c.kind(), c.req.OutputTokens) {
+		return c.deadline.Sub(at)
+	}
+	return c.expected(pace)
 }
 
 // expected returns how long the request is likely to take at most from its sending on, to an
@@ -89,7 +99,7 @@
 		pace = c.lastChoice.Pace
 	}
 	c.opts.Log.Warn(message, "request", c.req.ID, "route", c.routeName(), "why", string(why),
-		"expected-ms", c.expected(pace).Milliseconds(), "left-ms", plan.EndsAt.Sub(now).Milliseconds(),
+		"expected-ms", c.need(now, pace).Milliseconds(), "left-ms", plan.EndsAt.Sub(now).Milliseconds(),
 		"arrived-after-stop-ms", c.req.Arrived.Sub(plan.Since).Milliseconds(), "waited-ms", now.Sub(c.req.Arrived).Milliseconds(),
 		"tokens", c.req.OutputTokens, "sent", c.sentAttempts, "ran", c.ranAttempts, "events", c.eventCount)
 }
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -63,7 +63,11 @@
 		runs    int
 	}{
 		{name: "not stopping, long", route: "stream", need: long, status: 200, runs: 1},
-		{name: "arrives, nothing known", route: "stream", prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
+		{name: "arrives, nothing known, ends in time", route: "stream", prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
+		{name: "arrives, nothing known, may last too long", route: "stream", prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			h.server.Config().Match(q.Host, q.Path).Timeout, q.Wait = time.Minute, time.Minute
+			stop(time.Minute)
+		}, status: 503},
 		{name: "arrives, short", route: "stream", need: short, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
 		{name: "arrives, long stream", route: "stream", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives, long answer", route: "book", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
