proc: exit by the end of the grace, whatever still runs

Callers saw nothing; the platform had to kill processes that had answered all requests. After the drain the process waited without a limit for its readers of the store and the coordination. It waits until shortly before the kill now and logs it if that was not enough.

--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -80,6 +80,8 @@
 	pulseInterval = 100 * time.Millisecond
 	// drainKillMargin is how long before the kill a stopping process exits.
 	drainKillMargin = 300 * time.Millisecond
+	// exitMargin is how much longer the process waits for its goroutines.
+	exitMargin = 100 * time.Millisecond
 	// softMemoryShare is the part of the process's memory that is the soft limit of
 	// the Go runtime: the garbage collector runs more often as memory use approaches
 	// it. The rest is for bytes that the kernel holds and for what grows meanwhile.
@@ -285,10 +287,6 @@
 func (p *Process) Run(ctx context.Context, signals <-chan os.Signal, read func() (*conf.Fleet, error)) {
 	ctx, cancel := context.WithCancel(ctx)
 	var wg sync.WaitGroup
-	defer func() {
-		cancel()
-		wg.Wait()
-	}()
 	p.log.Info("process started", "domain", p.settings.Node.Domain, "callers", p.settings.Listen.Callers,
 		"store", p.settings.Store.Address, "seeds", len(p.settings.Seeds))
 	wg.Go(func() { p.node.Run(ctx) })
@@ -314,7 +312,26 @@
 		}
 		break
 	}
-	p.drain(signals)
+	exitBy := p.drain(signals)
+	cancel()
+	if !waitFor(&wg, exitBy.Sub(p.clock.Now())) {
+		p.log.Warn("process ends before its goroutines")
+	}
+}
+
+// waitFor waits for goroutines and reports whether they ended within the limit.
+func waitFor(wg *sync.WaitGroup, limit time.Duration) bool {
+	ended := make(chan struct{})
+	go func() {
+		wg.Wait()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+		return true
+	case <-time.After(limit):
+		return false
+	}
 }
 
 // reload applies changes of the seeds, the grace and the bounds on retries. All
@@ -356,8 +373,8 @@
 
 // drain makes the process report not ready to the load balancer, lets running
 // requests finish and returns before the process is killed at the end of its
-// grace, which counts from the signal.
-func (p *Process) drain(signals <-chan os.Signal) {
+// grace, which counts from the signal. It returns by when the process has to exit.
+func (p *Process) drain(signals <-chan os.Signal) (exitBy time.Time) {
 	startedAt, since := p.clock.Now(), p.pulse.Since()
 	kill := since.Add(time.Duration(p.settings.Bounds.Grace) - drainKillMargin)
 	plan := drain.Stop{
@@ -391,6 +408,7 @@
 		p.logOpen()
 	}
 	p.log.Info("process ends", "active", p.callerServer.Counts().Busy, "after-ms", p.clock.Now().Sub(startedAt).Milliseconds())
+	return kill.Add(exitMargin)
 }
 
 // waitUntil returns once done returns true, or at limit.
