serve: expect streams that nothing is known of to be as slow as their route allows

The change before counted such a stream as lasting until its deadline, so a process told to stop soon after its start refused streams of three events too; TestStopKeepsAcceptedRequests failed (grace 4 s, deadline 8 s: no request was served). Each part, taken to have four tokens, now counts as taking the longest pause that the route allows. The test passes as it is; the cases of TestStopRefusesWhatItCannotFinish hold for 400 tokens (refused) and 10.

--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -33,14 +33,22 @@
 	return stop.Start(at, c.need(at, pace))
 }
 
+// unknownPartTokens is how many tokens each part of a stream is taken to have while no answer
+// has shown it.
+const unknownPartTokens = 4
+
 // need returns how long the request is likely to need at most if it is sent at the given time,
-// to an endpoint with the given pace. While nothing is known of such requests, it may need
-// the time until its deadline.
+// to an endpoint with the given pace. While nothing is known of such requests, each part may
+// take the longest pause that the route allows.
 func (c *call) need(at time.Time, pace float64) time.Duration {
-	if c.service == nil || !c.times.Knows(c.kind(), c.req.OutputTokens) {
-		return c.deadline.Sub(at)
+	if c.service == nil {
+		return 0
+	}
+	if c.times.Knows(c.kind(), c.req.OutputTokens) {
+		return c.expected(pace)
 	}
-	return c.expected(pace)
+	slowest := c.route.Objective + time.Duration(c.req.OutputTokens/unknownPartTokens*float64(c.route.MaxPause))
+	return min(c.deadline.Sub(at), slowest)
 }
 
 // expected returns how long the request is likely to take at most from its sending on, to an
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -65,9 +65,15 @@
 		{name: "not stopping, long", route: "stream", need: long, status: 200, runs: 1},
 		{name: "arrives, nothing known, ends in time", route: "stream", prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
 		{name: "arrives, nothing known, may last too long", route: "stream", prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
-			h.server.Config().Match(q.Host, q.Path).Timeout, q.Wait = time.Minute, time.Minute
+			r := h.server.Config().Match(q.Host, q.Path)
+			r.Timeout, r.MaxPause, q.Wait, q.OutputTokens = time.Minute, 150*time.Millisecond, time.Minute, 400
 			stop(time.Minute)
 		}, status: 503},
+		{name: "arrives, nothing known, few tokens", route: "stream", prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			r := h.server.Config().Match(q.Host, q.Path)
+			r.Timeout, r.MaxPause, q.Wait, q.OutputTokens = time.Minute, 150*time.Millisecond, time.Minute, 10
+			stop(time.Minute)
+		}, status: 200, runs: 1},
 		{name: "arrives, short", route: "stream", need: short, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
 		{name: "arrives, long stream", route: "stream", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives, long answer", route: "book", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
