serve: expect no request to last beyond its deadline when the process stops

Callers saw a stopping process refuse a request (503, not run) that is expected to last long although its deadline is before the end of the process, which then can't cut it. The expected time was compared with the end of the process without regard to the deadline.

Test: 'arrives, long, deadline before the end' of TestStopRefusesWhatItCannotFinish failed before (503, want 200). The other cases and TestStopRefusesAtOnceWhileModelLoads used a timeout of 2 s, before the end of the process at 10 and 4 s, so that what they are about could not happen; they use one of a minute now and check the same.

--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -44,11 +44,12 @@
 	if c.service == nil {
 		return 0
 	}
+	need := c.route.Objective + time.Duration(c.req.OutputTokens/unknownPartTokens*float64(c.route.MaxPause))
 	if c.times.Knows(c.kind(), c.req.OutputTokens) {
-		return c.expected(pace)
+		need = c.expected(pace)
 	}
-	slowest := c.route.Objective + time.Duration(c.req.OutputTokens/unknownPartTokens*float64(c.route.MaxPause))
-	return min(c.deadline.Sub(at), slowest)
+	// The request ends at its deadline in any case.
+	return min(need, c.deadline.Sub(at))
 }
 
 // expected returns how long the request is likely to take at most from its sending on, to an
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -56,6 +56,7 @@
 		route string
 		// need is how long such requests took before.
 		need     time.Duration
+		timeout  time.Duration // of the route, 0 for one beyond the end
 		outcomes []fakeOutcome
 		// prepare arranges that stop is called in the state of the request that is tested.
 		prepare func(h *harness, hook *hooks, q *Request, stop func(acceptFor time.Duration))
@@ -66,14 +67,15 @@
 		{name: "arrives, nothing known, ends in time", route: "stream", prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
 		{name: "arrives, nothing known, may last too long", route: "stream", prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
 			r := h.server.Config().Match(q.Host, q.Path)
-			r.Timeout, r.MaxPause, q.Wait, q.OutputTokens = time.Minute, 150*time.Millisecond, time.Minute, 400
+			r.MaxPause, q.OutputTokens = 150*time.Millisecond, 400
 			stop(time.Minute)
 		}, status: 503},
 		{name: "arrives, nothing known, few tokens", route: "stream", prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
 			r := h.server.Config().Match(q.Host, q.Path)
-			r.Timeout, r.MaxPause, q.Wait, q.OutputTokens = time.Minute, 150*time.Millisecond, time.Minute, 10
+			r.MaxPause, q.OutputTokens = 150*time.Millisecond, 10
 			stop(time.Minute)
 		}, status: 200, runs: 1},
+		{name: "arrives, long, deadline before the end", route: "stream", need: long, timeout: 5 * time.Second, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
 		{name: "arrives, short", route: "stream", need: short, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
 		{name: "arrives, long stream", route: "stream", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives, long answer", route: "book", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
@@ -134,6 +136,10 @@
 				}
 			}
 			q := h.request(tc.route)
+			if tc.timeout == 0 {
+				tc.timeout = time.Minute
+			}
+			h.server.Config().Match(q.Host, q.Path).Timeout = tc.timeout
 			if tc.prepare != nil {
 				tc.prepare(h, hook, q, func(acceptFor time.Duration) {
 					now := h.clock.Now()
@@ -177,7 +183,10 @@
 		AcceptUntil: now.Add(3 * time.Second),
 		EndsAt:      now.Add(4 * time.Second),
 	})
-	c := h.serve("stream")
+	q := h.request("stream")
+	h.server.Config().Match(q.Host, q.Path).Timeout = time.Minute
+	c := &fakeCaller{}
+	h.server.Serve(t.Context(), q, c)
 	if took := h.clock.Now().Sub(now); c.problem == nil || c.problem.Code != "stopping" || took > 500*time.Millisecond {
 		t.Errorf("answered %d, %+v after %v", c.status, c.problem, took)
 	}
