caller: report a request without an answer once

The counter and the line 'request ended without an answer' could name a request twice, where the server closes its connections while the handler's own close is under way.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -45,6 +45,8 @@
 	httpDeadline time.Time
 	// headerDeadline is the read deadline while a request's header is read.
 	headerDeadline time.Time
+	// isReported is set once OnClose was told that the request got no answer.
+	isReported bool
 	// nextBegun is set if http.Server has read the first byte of the next request
 	// while it handled one.
 	nextBegun bool
@@ -96,7 +98,8 @@
 	err := c.Conn.Close()
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
-	if c.state == stateHandling && !c.answerBegun.Load() && !c.peerClosed.Load() {
+	if c.state == stateHandling && !c.isReported && !c.answerBegun.Load() && !c.peerClosed.Load() {
+		c.isReported = true
 		closing := Closing{
 			Reason: Unanswered,
 		}
--- a/internal/caller/request_test.go
+++ b/internal/caller/request_test.go
@@ -79,3 +79,25 @@
 		})
 	}
 }
+
+// TestUnansweredRequestIsReportedOnce guards against a request that is reported twice,
+// because its handler and the server close its connection at about the same time.
+func TestUnansweredRequestIsReportedOnce(t *testing.T) {
+	t.Parallel()
+	s, l := newTestServer(t, noLimit, nil)
+	reports := 0
+	s.opts.OnClose = func(Closing) { reports++ }
+	dial(t, l)
+	accepted, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	c := s.track(accepted).(*trackedConn)
+	c.state = stateHandling
+	for range 2 {
+		_ = c.Close()
+	}
+	if reports != 1 {
+		t.Errorf("the request was reported %d times", reports)
+	}
+}
