drain: expect requests to be as late as recent ones

A stopping process accepted a stream 1.87 s after SIGTERM that was expected to take 5.38 s at most, with 5.49 s left. It waited 1.69 s in its engine's queue, had sent 93 of 106 events after 5.49 s, and was cut. The expectation is made of means with a margin, while waits in a queue and pauses within an answer are rare and long.

Change: Times keeps by how much recent requests took longer than expected, as a highest value that decays, and adds it. Both request paths use it.

Result: TestExpectAfterLateAnswers, three cases, failed before and passes.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -178,6 +178,43 @@
 	}
 }
 
+// TestExpectAfterLateAnswers guards against streams that a stopping process accepts and cuts,
+// because few of those before them waited in a queue or paused.
+func TestExpectAfterLateAnswers(t *testing.T) {
+	kind := Kind{Service: "lm", Model: "a"}
+	usual := Sample{First: 50 * time.Millisecond, Rest: 950 * time.Millisecond, Tokens: 100, Parts: 20}
+	for _, tc := range []struct {
+		name string
+		late Sample
+	}{
+		{name: "queue", late: Sample{First: 1650 * time.Millisecond, Rest: 950 * time.Millisecond, Tokens: 100, Parts: 20}},
+		{name: "pause", late: Sample{First: 50 * time.Millisecond, Rest: 2550 * time.Millisecond, Tokens: 100, Parts: 20}},
+		{name: "pause in a short answer", late: Sample{First: 50 * time.Millisecond, Rest: 1700 * time.Millisecond, Tokens: 100, Parts: 3}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var times Times
+			record := func(n int, s Sample) {
+				for range n {
+					times.Record(kind, s)
+				}
+			}
+			record(100, usual)
+			if got := times.Expect(kind, 100); got > 1300*time.Millisecond {
+				t.Errorf("expected to take %v, each took 1s", got)
+			}
+			record(1, tc.late)
+			record(5, usual)
+			if got := times.Expect(kind, 100); got < 2400*time.Millisecond {
+				t.Errorf("expected to take %v soon after one that was 1.6s late", got)
+			}
+			record(300, usual)
+			if got := times.Expect(kind, 100); got > 1300*time.Millisecond {
+				t.Errorf("expected to take %v, the last 300 took 1s", got)
+			}
+		})
+	}
+}
+
 // TestKnows guards against requests that are expected to need no time because nothing is
 // known of their service.
 func TestKnows(t *testing.T) {
--- a/internal/drain/times.go
+++ b/internal/drain/times.go
@@ -15,6 +15,8 @@
 	paceSpread = 1.25
 	// maxDecay is the weight of one sample that is below a highest value.
 	maxDecay = 0.001
+	// lateDecay is the weight of one sample that is below the highest lateness.
+	lateDecay = 0.02
 	// minSamples is how many samples of a model are needed to do without those of the
 	// other models.
 	minSamples = 8
@@ -55,6 +57,9 @@
 	// partsPerToken is the highest number of parts of an answer for each token that its
 	// caller allowed. Most answers end long before.
 	partsPerToken float64
+	// late is by how many seconds recent requests took longer than expected at most: waits in
+	// an endpoint's queue and pauses within answers are rare and long.
+	late float64
 }
 
 // Record adds a sample.
@@ -78,6 +83,7 @@
 }
 
 func (t *kindTimes) add(s Sample) {
+	t.late = max(t.lateness(s), t.late*(1-lateDecay))
 	if s.First > 0 {
 		t.first.add(s.First.Seconds())
 	}
@@ -95,6 +101,22 @@
 	}
 }
 
+// lateness returns by how many seconds a request took longer than the samples before it
+// let expect of one with as many parts.
+func (t *kindTimes) lateness(s Sample) float64 {
+	var late float64
+	if s.First > 0 && t.first.samples >= minSamples {
+		late += s.First.Seconds() - t.first.high()
+	}
+	switch {
+	case s.Parts > 1 && t.perPart.samples >= minSamples:
+		late += s.Rest.Seconds() - float64(s.Parts-1)*t.perPart.mean*paceSpread
+	case s.Parts <= 0 && s.Tokens > 0 && t.perToken.samples >= minSamples:
+		late += s.Rest.Seconds() - s.Tokens*t.perToken.high()
+	}
+	return late
+}
+
 // Expect returns how long a request with the given number of output tokens is likely to
 // take at most. Requests of a model that has few samples are compared with all of the service
 // too; without any sample the result is 0.
@@ -112,11 +134,11 @@
 	if own == nil {
 		own = all
 	}
-	rest := own.rest(tokens, pace, all.partsPerToken)
+	rest, late := own.rest(tokens, pace, all.partsPerToken), own.late
 	if own.perToken.samples+own.perPart.samples < minSamples {
-		rest = max(rest, all.rest(tokens, pace, all.partsPerToken))
+		rest, late = max(rest, all.rest(tokens, pace, all.partsPerToken)), max(late, all.late)
 	}
-	return time.Duration((own.first.high() + rest) * float64(time.Second))
+	return time.Duration((own.first.high() + rest + late) * float64(time.Second))
 }
 
 // Knows reports whether the samples show how long such requests take.
