drain: tell a signal after a suspension from one within it

A process that was suspended takes the begin of the suspension for the time of a signal that it handles soon after it was resumed, and cuts running streams that much too early, since a signal within the suspension looks alike.

Change: after a gap between two beats the process sends itself a signal without effect (SIGWINCH). The system delivers it after a stop signal that was sent before, so that what arrives later was sent later: the grace counts from the sending of that probe.

Ruled out: the notice of SIGCONT, since nothing tells when the process was resumed.

--- a/internal/cmds/trefoild.go
+++ b/internal/cmds/trefoild.go
@@ -70,7 +70,9 @@
 	n.Stats().Publish()
 	w := cmd.Root().Writer
 	fmt.Fprintf(w, "callers %s\npeers %s\nadmin %s\n", n.CallersAddr, n.PeersAddr, n.AdminAddr)
-	arrived := awaitStop(ctx, clk, func() <-chan time.Time { return time.After(aliveInterval) }, stops)
+	probe, endProbe := drain.NewProbe()
+	arrived := awaitStop(ctx, clk, func() <-chan time.Time { return time.After(aliveInterval) }, stops, probe)
+	endProbe()
 	klog.InfoS("Stop begins", "signal-age-ms", clk.Now().Sub(arrived).Milliseconds(), "drain", time.Duration(set.Shutdown.Drain).String())
 	return shutdown(n, set, arrived, stops)
 }
@@ -81,8 +83,8 @@
 // awaitStop waits for a signal, or for the end of ctx. It returns the earliest time at
 // which the signal may have arrived. Each call of next returns when the process is to note
 // that it is not suspended.
-func awaitStop(ctx context.Context, clk clock.Clock, next func() <-chan time.Time, stops <-chan os.Signal) time.Time {
-	pulse := drain.NewPulse(clk.Now())
+func awaitStop(ctx context.Context, clk clock.Clock, next func() <-chan time.Time, stops <-chan os.Signal, probe drain.Probe) time.Time {
+	pulse := drain.NewPulse(clk.Now(), aliveInterval)
 	for {
 		select {
 		case <-stops:
@@ -90,7 +92,17 @@
 		case <-ctx.Done():
 			return pulse.Since()
 		case <-next():
-			pulse.Beat(clk.Now())
+			if !pulse.Beat(clk.Now()) {
+				continue
+			}
+			if err := probe.Send(); err != nil {
+				klog.InfoS("Probe not sent", "err", err)
+			}
+		case <-probe.C:
+			// A signal that was sent before the probe is there by now.
+			if len(stops) == 0 {
+				pulse.Confirm()
+			}
 		}
 	}
 }
