serve: don't expect an end in time at an engine whose load is not known

A stopping process accepted a stream 1.98 s after SIGTERM and expected 2.79 s at most. The engine's last load report was 2.4 s old, as the store was being restored; its load counted as none. The stream waited 3.95 s in the engine's queue and was cut.

Change: if the report of the chosen engine is too old to count for the choice (1.5 s), each part of the stream counts as the longest pause that the route allows, as where nothing is known of a service.

Result: TestStopRefusesWhatItCannotFinish has two cases, of which the one with the old report failed before (200 in place of 503).

--- a/internal/picker/pick.go
+++ b/internal/picker/pick.go
@@ -30,6 +30,8 @@
 	Load       float64
 	Candidates int
 	ReportAge  time.Duration
+	// IsStale is whether that report is too old to say how busy the endpoint is.
+	IsStale bool
 	// Pace is the time that the endpoint takes for a unit of work, relative to others.
 	Pace float64
 }
@@ -107,6 +109,7 @@
 	}
 	if !best.reported.IsZero() {
 		out.ReportAge = now.Sub(best.reported)
+		out.IsStale = out.ReportAge >= reportMaxAge
 	}
 	t.startProbe(best)
 	best.running++
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -304,7 +304,7 @@
 	if !now.Before(c.deadline) {
 		return errors.New("serve: the deadline of the request has passed")
 	}
-	if c.whyRefused(now, c.lastChoice.Pace) != drain.Accepted {
+	if c.whyRefused(now, c.lastChoice) != drain.Accepted {
 		return errStopping
 	}
 	if c.checkParts() != nil {
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -4,49 +4,53 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/drain"
+	"trefoildale.example/trefoildale/internal/picker"
 )
 
 // maxInterruptedLogged is how many requests that the end of the process interrupts are
 // logged one by one.
 const maxInterruptedLogged = 100
 
-// usualPace is the pace of an endpoint that is not chosen yet.
-const usualPace = 1.0
+// notChosen stands for the endpoint of a request for which none is chosen yet.
+var notChosen = picker.Choice{
+	Pace: 1,
+}
 
 // checkStop returns the refusal of a request that would be sent at the given time, if it has
 // not run and the process is not expected to finish it.
 func (c *call) checkStop(at time.Time) *Problem {
-	if why := c.whyRefused(at, usualPace); why != drain.Accepted {
+	if why := c.whyRefused(at, notChosen); why != drain.Accepted {
 		return c.stoppingProblem(why)
 	}
 	return nil
 }
 
 // whyRefused returns why a stopping process refuses a request that would be sent at the given
-// time, to an endpoint with the given pace. One that may have run is not refused, since
-// another node would run it again.
-func (c *call) whyRefused(at time.Time, pace float64) drain.Reason {
+// time to the chosen endpoint. One that may have run is not refused, since another node would
+// run it again.
+func (c *call) whyRefused(at time.Time, choice picker.Choice) drain.Reason {
 	stop := c.stop.Load()
 	if stop == nil || c.ranAttempts > 0 {
 		return drain.Accepted
 	}
-	return stop.Start(at, c.need(at, pace))
+	return stop.Start(at, c.need(at, choice))
 }
 
 // unknownPartTokens is how many tokens each part of a stream is taken to have while no answer
 // has shown it.
 const unknownPartTokens = 4
 
-// need returns how long the request is likely to need at most if it is sent at the given time,
-// to an endpoint with the given pace. While nothing is known of such requests, each part may
-// take the longest pause that the route allows.
-func (c *call) need(at time.Time, pace float64) time.Duration {
+// need returns how long the request is likely to need at most if it is sent at the given time
+// to the chosen endpoint. While nothing is known of such requests, or of how busy the engine
+// is, each part may take the longest pause that the route allows.
+func (c *call) need(at time.Time, choice picker.Choice) time.Duration {
 	if c.service == nil {
 		return 0
 	}
 	need := c.route.Objective + time.Duration(c.req.OutputTokens/unknownPartTokens*float64(c.route.MaxPause))
-	if c.times.Knows(c.kind(), c.req.OutputTokens) {
-		need = c.expected(pace)
+	isBusyUnknown := c.service.Engine != nil && choice.IsStale
+	if !isBusyUnknown && c.times.Knows(c.kind(), c.req.OutputTokens) {
+		need = c.expected(choice.Pace)
 	}
 	// The request ends at its deadline in any case.
 	return min(need, c.deadline.Sub(at))
@@ -103,12 +107,12 @@
 	if p := c.stop.Load(); p != nil {
 		plan = *p
 	}
-	now, pace := c.opts.Clock.Now(), usualPace
+	now, choice := c.opts.Clock.Now(), notChosen
 	if c.lastChoice.Pace > 0 {
-		pace = c.lastChoice.Pace
+		choice = c.lastChoice
 	}
 	c.opts.Log.Warn(message, "request", c.req.ID, "route", c.routeName(), "why", string(why),
-		"expected-ms", c.need(now, pace).Milliseconds(), "left-ms", plan.EndsAt.Sub(now).Milliseconds(),
+		"expected-ms", c.need(now, choice).Milliseconds(), "left-ms", plan.EndsAt.Sub(now).Milliseconds(),
 		"arrived-after-stop-ms", c.req.Arrived.Sub(plan.Since).Milliseconds(), "waited-ms", now.Sub(c.req.Arrived).Milliseconds(),
 		"tokens", c.req.OutputTokens, "sent", c.sentAttempts, "ran", c.ranAttempts, "events", c.eventCount)
 }
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -43,6 +43,25 @@
 	return h.sender.Send(ctx, a)
 }
 
+// prepareReports lets all engines have reported their load as long ago as given, and makes the
+// request one of which nothing is known without that.
+func prepareReports(h *harness, q *Request, age time.Duration) {
+	q.OutputTokens = 400
+	h.server.Config().Match(q.Host, q.Path).MaxPause = 150 * time.Millisecond
+	h.server.times.Record(drain.Kind{Service: "lm", Model: "m1"}, drain.Sample{
+		First:  100 * time.Millisecond,
+		Rest:   time.Second,
+		Tokens: q.OutputTokens,
+		Parts:  100,
+	})
+	for _, e := range h.table.Endpoints() {
+		h.table.SetReport(h.clock.Now().Add(-age), fleet.Report{
+			Key:    e.Key(),
+			Models: e.Models,
+		})
+	}
+}
+
 // TestStopRefusesWhatItCannotFinish guards against a stopping process that sends a request
 // which it will cut at its end, and against one that refuses a request which may have run or
 // which it can finish.
@@ -77,6 +96,14 @@
 		}, status: 200, runs: 1},
 		{name: "arrives, long, deadline before the end", route: "stream", need: long, timeout: 5 * time.Second, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
 		{name: "arrives, short", route: "stream", need: short, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
+		{name: "arrives, short, how busy engines are is known", route: "stream", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			prepareReports(h, q, 100*time.Millisecond)
+			stop(time.Minute)
+		}, status: 200, runs: 1},
+		{name: "arrives, short, how busy engines are is not known", route: "stream", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			prepareReports(h, q, 2400*time.Millisecond)
+			stop(time.Minute)
+		}, status: 503},
 		{name: "arrives, long stream", route: "stream", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives, long answer", route: "book", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives too late", route: "book", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
@@ -230,7 +257,7 @@
 			if tc.route == "book" {
 				c.service = h.server.Config().Services["app"]
 			}
-			if got := c.expected(usualPace); (got >= wait) != tc.known || !tc.known && got != 0 {
+			if got := c.expected(notChosen.Pace); (got >= wait) != tc.known || !tc.known && got != 0 {
 				t.Errorf("expected to take %v, known %v", got, tc.known)
 			}
 		})
