soak: excuse a stream whose second engine crashed after the first was left

The stream's first engine was silent for 1.2 s, the process went on at a second one and left the first, and 64 ms later the second one crashed; the route allows two runs. The check took the first engine for one that worked on the request until its end, since it was left within 0.1 s of that.

Change: only an engine that worked on after the last one broke off counts. A request that is cut while another engine works on it stays LOST.

--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -53,8 +53,8 @@
 func (r *run) whyLost(rec record, configs []writtenConfig, q *request, runs []site.Execution, arrivals []site.Arrival) (kind, reason string) {
 	took := q.ended.Sub(q.sent)
 	s := rec.stopBeside(q)
-	broken := slices.IndexFunc(arrivals, func(a site.Arrival) bool { return a.Broken != "" })
-	if workedAtEnd(q, runs, arrivals) {
+	broken := lastBroken(arrivals)
+	if broken >= 0 && workedAtEnd(q, arrivals[broken].Ended, runs, arrivals) {
 		broken = -1
 	}
 	switch {
@@ -82,11 +82,22 @@
 	return "CUT", ""
 }
 
+// lastBroken returns the index of the arrival that its engine broke off last, or -1.
+func lastBroken(arrivals []site.Arrival) int {
+	last := -1
+	for i, a := range arrivals {
+		if a.Broken != "" && (last < 0 || a.Ended.After(arrivals[last].Ended)) {
+			last = i
+		}
+	}
+	return last
+}
+
 // workedAtEnd reports whether an engine that broke nothing off worked on a request until its
-// end.
-func workedAtEnd(q *request, runs []site.Execution, arrivals []site.Arrival) bool {
+// end, after another had broken it off.
+func workedAtEnd(q *request, brokenAt time.Time, runs []site.Execution, arrivals []site.Arrival) bool {
 	return slices.ContainsFunc(arrivals, func(a site.Arrival) bool {
-		return a.Broken == "" && a.Ended.Sub(q.ended).Abs() < sameMoment &&
+		return a.Broken == "" && !a.Ended.Before(brokenAt) && a.Ended.Sub(q.ended).Abs() < sameMoment &&
 			slices.ContainsFunc(runs, func(x site.Execution) bool { return x.Endpoint == a.Endpoint && !x.At.Before(a.At) })
 	})
 }
--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -30,8 +30,9 @@
 		refused  bool
 		unsent   bool
 		broken   string
-		second   bool    // another engine worked until the end
-		timeout  float64 // in a configuration beside it, in milliseconds
+		second   bool          // another engine worked on it
+		left     time.Duration // how long before the end that engine was left
+		timeout  float64       // in a configuration beside it, in milliseconds
 		want     string
 	}{
 		{name: "whole", sent: -time.Second, ended: time.Second, status: 200, complete: true, ran: true},
@@ -52,6 +53,7 @@
 		{name: "its body not sent in full", sent: 0, ended: time.Second, unsent: true},
 		{name: "its engine broke it off", sent: 0, ended: time.Second, ran: true, broken: "crash"},
 		{name: "its first engine broke off, its second worked on", sent: 0, ended: time.Second, ran: true, broken: "crash", second: true, want: "LOST"},
+		{name: "its first engine was left, its second broke off", sent: 0, ended: time.Second, status: 200, ran: true, broken: "crash", second: true, left: 65 * time.Millisecond},
 		{name: "at a timeout that was lowered meanwhile", sent: 0, ended: time.Second, ran: true, timeout: 1000},
 		{name: "not passed on and kept open", sent: 0, ended: 400 * time.Millisecond, want: "LOST"},
 	} {
@@ -91,7 +93,7 @@
 				arrivals["q"] = append(arrivals["q"], site.Arrival{
 					Endpoint: "e",
 					At:       q.sent,
-					Ended:    q.ended,
+					Ended:    q.ended.Add(-tc.left),
 				})
 			}
 			if tc.ran {
