entry: learn the rest of a whole answer without the lateness of others

What a whole answer took beyond the first part was learned as its time less the expected time of a first part, which now contains how late recent requests were. After a late one, the following answers would have been learned as shorter.

Change: Times.ExpectFirst, without lateness.

Result: TestExpectAfterLateAnswers checks it; TestLearnsTimes and the tests of stops in internal/entry pass.

--- a/internal/drain/drain_test.go
+++ b/internal/drain/drain_test.go
@@ -204,6 +204,9 @@
 			}
 			record(1, tc.late)
 			record(5, usual)
+			if got := times.ExpectFirst(kind); got > 400*time.Millisecond {
+				t.Errorf("the first part is expected to take %v after one late answer", got)
+			}
 			if got := times.Expect(kind, 100); got < 2400*time.Millisecond {
 				t.Errorf("expected to take %v soon after one that was 1.6s late", got)
 			}
--- a/internal/drain/times.go
+++ b/internal/drain/times.go
@@ -122,6 +122,21 @@
 // too; without any sample the result is 0.
 func (t *Times) Expect(k Kind, tokens float64) time.Duration { return t.ExpectAt(k, tokens, 1) }
 
+// ExpectFirst returns how long the first part of an answer is likely to take at most, apart
+// from waits and pauses, which may fall anywhere in the answer.
+func (t *Times) ExpectFirst(k Kind) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	times := t.byKind[k]
+	if times == nil {
+		times = t.byKind[Kind{Service: k.Service}]
+	}
+	if times == nil {
+		return 0
+	}
+	return time.Duration(times.first.high() * float64(time.Second))
+}
+
 // ExpectAt is Expect at an endpoint. Its pace is the time that it takes for a part, relative
 // to all endpoints.
 func (t *Times) ExpectAt(k Kind, tokens, pace float64) time.Duration {
--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -64,7 +64,7 @@
 	case c.in.MaxTokens <= shortAnswer:
 		sample.First, sample.Tokens = took, 0
 	default:
-		sample.Rest = max(0, took-c.times.Expect(n.kind, 0))
+		sample.Rest = max(0, took-c.times.ExpectFirst(n.kind))
 	}
 	c.times.Record(n.kind, sample)
 }
