coord, grant: wait for the own fraction before a request is over its rate

In a series of stops one coordinator follows the other; a node whose coordinator has just ended has no tokens, and admits from its own fraction of the rate only 0.9 s after the last reply. The wait for an unanswered token request was 0.4 s and did not cover that.

Change: the wait follows CoordinatorTimeout, 1.1 s, and a request that waits looks again when the coordinator counts as lost. Once a coordinator has said that the tokens are used up, it is refused at once as before.

--- a/internal/coord/admitter.go
+++ b/internal/coord/admitter.go
@@ -18,7 +18,7 @@
 // the coordinator has not answered yet: refusing it would call a workspace over its
 // rate that may not be. It covers the time until a node that has lost the coordinator
 // admits from its own fraction.
-const unansweredWait = 400 * time.Millisecond
+const unansweredWait = grant.CoordinatorTimeout + 200*time.Millisecond
 
 // localRetryInterval is how often a waiting request retries while the node
 // admits from its own fraction of the rate.
@@ -117,7 +117,11 @@
 		default:
 			signal(a.exchangeRequested)
 		}
-		if !a.waitForTokens(ctx, min(wake.Sub(now), until.Sub(now))) {
+		limit := min(wake.Sub(now), until.Sub(now))
+		if lost := a.limiter.CoordinatorUntil(); lost.After(now) {
+			limit = min(limit, lost.Sub(now))
+		}
+		if !a.waitForTokens(ctx, limit) {
 			return overRateRetryAfter, false
 		}
 		now = a.clock.Now()
--- a/internal/grant/limiter.go
+++ b/internal/grant/limiter.go
@@ -127,7 +127,16 @@
 
 // HasCoordinator reports whether the coordinator replied recently.
 func (n *NodeLimiter) HasCoordinator(now time.Time) bool {
-	return !n.lastReplyAt.IsZero() && now.Sub(n.lastReplyAt) < CoordinatorTimeout
+	return now.Before(n.CoordinatorUntil())
+}
+
+// CoordinatorUntil returns until when the coordinator counts as reached without a further
+// reply; zero if it has never replied.
+func (n *NodeLimiter) CoordinatorUntil() time.Time {
+	if n.lastReplyAt.IsZero() {
+		return time.Time{}
+	}
+	return n.lastReplyAt.Add(CoordinatorTimeout)
 }
 
 // AddDemand adds the tokens of a request to the workspace's demand.
@@ -191,7 +200,7 @@
 	if ws.mintedAt.IsZero() {
 		ws.mintedAt, ws.localTokens = now, 0
 		if !n.lastReplyAt.IsZero() {
-			ws.mintedAt = n.lastReplyAt.Add(CoordinatorTimeout)
+			ws.mintedAt = n.CoordinatorUntil()
 		}
 	}
 	rate := limit.Rate * n.fraction
