serve: expect a wait in the queue of an engine that is nearly full

A stopping process accepted a stream 2.00 s after SIGTERM for an engine with 7 requests, by a report 0.3 s old, on 8 slots. Other processes sent there meanwhile; the stream waited 4.09 s in the engine's queue and was cut at the end of the grace. The expected time knew nothing of the queue at the chosen engine.

Change: at an engine that is filled to 0.8 of its slots or more, a stopping process expects the time of one more request of this kind, or of as many as the engine has for each slot.

Result: TestStopRefusesWhatItCannotFinish has a case, which failed before (200 in place of 503).

--- a/internal/picker/pick.go
+++ b/internal/picker/pick.go
@@ -32,6 +32,8 @@
 	ReportAge  time.Duration
 	// IsStale is whether that report is too old to say how busy the endpoint is.
 	IsStale bool
+	// Fill is the load as a fraction of the endpoint's slots; 0 if these are not known.
+	Fill float64
 	// Pace is the time that the endpoint takes for a unit of work, relative to others.
 	Pace float64
 }
@@ -103,6 +105,9 @@
 	out.Endpoint = best.Endpoint
 	out.Load = best.estimatedLoad(now, t.nodes)
 	out.HasAdapter, out.Pace = true, best.pace
+	if best.Slots > 0 {
+		out.Fill = out.Load / float64(best.Slots)
+	}
 	if q.Adapter != "" {
 		r := fleet.Find(best.Models, q.Model)
 		out.HasAdapter = r.Has(q.Adapter)
@@ -182,8 +187,8 @@
 	if !e.reported.IsZero() && t.newestReport.Sub(e.reported) > reportMaxAge {
 		cost += staleReportCost
 	}
-	if slots := float64(e.Slots); slots > 0 && load >= slots*nearFullShare {
-		cost += fullCost * (load - slots*nearFullShare + 1)
+	if slots := float64(e.Slots); slots > 0 && load >= slots*NearFullShare {
+		cost += fullCost * (load - slots*NearFullShare + 1)
 	}
 	cost *= e.pace
 	cost *= 1 + failureCost*e.failureRate
--- a/internal/picker/table.go
+++ b/internal/picker/table.go
@@ -60,9 +60,9 @@
 	// idleSlotShare limits the base cost to a fraction of the engine's slots: with
 	// few slots, a slow engine is better than one whose slots are taken.
 	idleSlotShare = 0.3
-	// nearFullShare is the fraction of an endpoint's slots above which each further
+	// NearFullShare is the fraction of an endpoint's slots above which each further
 	// request adds fullCost: reports are late, so the last slots may be taken.
-	nearFullShare = 0.8
+	NearFullShare = 0.8
 	fullCost      = 3
 	// idlePlainLoad is the base cost of an endpoint of a plain service, which serves
 	// few requests at once.
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -51,6 +51,10 @@
 	isBusyUnknown := c.service.Engine != nil && choice.IsStale
 	if !isBusyUnknown && c.times.Knows(c.kind(), c.req.OutputTokens) {
 		need = c.expected(choice.Pace)
+		if c.service.Engine != nil && choice.Fill >= picker.NearFullShare {
+			// It may wait in the engine's queue until as many others have ended.
+			need += time.Duration(max(1, choice.Fill) * float64(need))
+		}
 	}
 	// The request ends at its deadline in any case.
 	return min(need, c.deadline.Sub(at))
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -43,14 +43,14 @@
 	return h.sender.Send(ctx, a)
 }
 
-// prepareReports lets all engines have reported their load as long ago as given, and makes the
-// request one of which nothing is known without that.
-func prepareReports(h *harness, q *Request, age time.Duration) {
+// prepareReports lets all engines have reported their load as long ago as given, and lets the
+// request be expected to take half the time to the end of the process.
+func prepareReports(h *harness, q *Request, age time.Duration, active int) {
 	q.OutputTokens = 400
 	h.server.Config().Match(q.Host, q.Path).MaxPause = 150 * time.Millisecond
 	h.server.times.Record(drain.Kind{Service: "lm", Model: "m1"}, drain.Sample{
 		First:  100 * time.Millisecond,
-		Rest:   time.Second,
+		Rest:   4 * time.Second,
 		Tokens: q.OutputTokens,
 		Parts:  100,
 	})
@@ -58,6 +58,7 @@
 		h.table.SetReport(h.clock.Now().Add(-age), fleet.Report{
 			Key:    e.Key(),
 			Models: e.Models,
+			Active: active,
 		})
 	}
 }
@@ -97,11 +98,15 @@
 		{name: "arrives, long, deadline before the end", route: "stream", need: long, timeout: 5 * time.Second, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
 		{name: "arrives, short", route: "stream", need: short, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 200, runs: 1},
 		{name: "arrives, short, how busy engines are is known", route: "stream", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
-			prepareReports(h, q, 100*time.Millisecond)
+			prepareReports(h, q, 100*time.Millisecond, 5)
 			stop(time.Minute)
 		}, status: 200, runs: 1},
+		{name: "arrives, short, would queue in its engine", route: "stream", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			prepareReports(h, q, 100*time.Millisecond, 60)
+			stop(time.Minute)
+		}, status: 503},
 		{name: "arrives, short, how busy engines are is not known", route: "stream", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
-			prepareReports(h, q, 2400*time.Millisecond)
+			prepareReports(h, q, 2400*time.Millisecond, 5)
 			stop(time.Minute)
 		}, status: 503},
 		{name: "arrives, long stream", route: "stream", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
