serve, picker: load an adapter again that was unloaded before a request arrived

Cause, from the logs: the coordinator unloads an adapter for the room of another one (order given, adapter-room); 0.17 to 0.3 s later a node whose report is 0.4 s old sends a request for it, and the engine answers 421. The engine was excluded, and since no other one held the model the request was refused.

An engine that answers 421 is no longer excluded the first time. Its answer counts against its last report until a newer one, or for 1.5 s, so that the adapter is loaded again there, and a model that is gone is waited for as any other that no engine holds.

--- a/internal/picker/pick.go
+++ b/internal/picker/pick.go
@@ -67,7 +67,7 @@
 		served++
 		var r *fleet.Resident
 		if q.Model != "" {
-			if r = fleet.Find(e.Models, q.Model); r == nil {
+			if r = e.find(now, q.Model); r == nil {
 				continue
 			}
 		}
@@ -109,8 +109,7 @@
 		out.Fill = out.Load / float64(best.Slots)
 	}
 	if q.Adapter != "" {
-		r := fleet.Find(best.Models, q.Model)
-		out.HasAdapter = r.Has(q.Adapter)
+		out.HasAdapter = best.has(now, fleet.Find(best.Models, q.Model), q.Adapter)
 	}
 	if !best.reported.IsZero() {
 		out.ReportAge = now.Sub(best.reported)
@@ -163,7 +162,7 @@
 		if preferred {
 			cost -= affinityBonus
 		}
-		if !r.Has(q.Adapter) {
+		if !e.has(now, r, q.Adapter) {
 			cost += adapterLoadCost
 			if e.report.Busy || t.busyEngines[e.Key()] {
 				cost += busyEngineCost
@@ -243,7 +242,7 @@
 	defer t.mu.Unlock()
 	var closed *health.ClosedError
 	for _, e := range t.endpoints {
-		if e.Service != q.Service || q.Model != "" && fleet.Find(e.Models, q.Model) == nil || now.Before(e.unreachableUntil) {
+		if e.Service != q.Service || q.Model != "" && e.find(now, q.Model) == nil || now.Before(e.unreachableUntil) {
 			continue
 		}
 		switch v := t.health.Ask(now, e.Key()); {
--- a/internal/picker/table.go
+++ b/internal/picker/table.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"reflect"
 	"sync"
@@ -123,6 +124,9 @@
 	report      fleet.Report
 	reported    time.Time // when report was requested
 
+	// missing is when the endpoint last answered that it lacks a model or an adapter.
+	missing map[residentKey]time.Time
+
 	running int
 	sentAt  []time.Time // of requests that the last report may not include
 	// waitingSince is when the endpoint last sent a byte while requests were
@@ -391,6 +395,50 @@
 	}
 }
 
+// residentKey is an adapter of a model, or the model itself if there is no adapter.
+type residentKey struct{ model, adapter string }
+
+// RecordMissing records that an endpoint has answered that it lacks the adapter, or the
+// model if there is no adapter. That holds until a report that was made later.
+func (t *Table) RecordMissing(now time.Time, key fleet.Key, model, adapter string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.find(key)
+	if e == nil {
+		return
+	}
+	if e.missing == nil {
+		e.missing = make(map[residentKey]time.Time)
+	}
+	maps.DeleteFunc(e.missing, func(_ residentKey, at time.Time) bool { return !e.isNewest(now, at) })
+	e.missing[residentKey{model: model, adapter: adapter}] = now
+}
+
+// isNewest reports whether what the endpoint answered at a time is newer than its last
+// report.
+func (e *endpointState) isNewest(now, at time.Time) bool {
+	return now.Sub(at) < reportMaxAge && !e.reported.After(at.Add(reportLag))
+}
+
+// find returns the model at the endpoint, nil if it lacks it.
+func (e *endpointState) find(now time.Time, model string) *fleet.Resident {
+	r := fleet.Find(e.Models, model)
+	if r == nil || e.isMissing(now, model, "") {
+		return nil
+	}
+	return r
+}
+
+// has reports whether the endpoint, which holds the model r, holds the adapter too.
+func (e *endpointState) has(now time.Time, r *fleet.Resident, adapter string) bool {
+	return r.Has(adapter) && !e.isMissing(now, r.Model, adapter)
+}
+
+func (e *endpointState) isMissing(now time.Time, model, adapter string) bool {
+	at, ok := e.missing[residentKey{model: model, adapter: adapter}]
+	return ok && e.isNewest(now, at)
+}
+
 // RecordPace adds a sample of how long an endpoint took for a unit of work,
 // relative to the usual time for the same work.
 func (t *Table) RecordPace(key fleet.Key, relative float64) {
--- a/internal/picker/table_test.go
+++ b/internal/picker/table_test.go
@@ -366,6 +366,53 @@
 	}
 }
 
+// TestMissing guards against sending further requests to an engine that has just said that
+// it lacks their model or adapter, because of a report that is older than its answer.
+func TestMissing(t *testing.T) {
+	tb := NewTable("north")
+	a := engineOf("a", "m1", "x", "y")
+	tb.SetEndpoints(t0, []fleet.Endpoint{a})
+	report := func(now time.Time) {
+		tb.SetReport(now, fleet.Report{Key: a.Key(), Models: a.Models})
+	}
+	report(t0)
+	steps := []struct {
+		name    string
+		at      time.Duration
+		missing string // model and adapter
+		report  bool
+		// holds and has are whether the engine is chosen for the model, and said to hold
+		// the adapter x.
+		holds bool
+		has   bool
+	}{
+		{name: "at first", holds: true, has: true},
+		{name: "another adapter is missing", at: 10 * time.Millisecond, missing: "m1/y", holds: true, has: true},
+		{name: "the adapter is missing", at: 20 * time.Millisecond, missing: "m1/x", holds: true},
+		{name: "a report that may be older", at: 100 * time.Millisecond, report: true, holds: true},
+		{name: "a newer report", at: 300 * time.Millisecond, report: true, holds: true, has: true},
+		{name: "the model is missing", at: 400 * time.Millisecond, missing: "m1/"},
+		{name: "no report", at: 1800 * time.Millisecond},
+		{name: "no report for long", at: 2 * time.Second, holds: true, has: true},
+	}
+	for _, s := range steps {
+		now := t0.Add(s.at)
+		if model, adapter, ok := strings.Cut(s.missing, "/"); ok {
+			tb.RecordMissing(now, a.Key(), model, adapter)
+		}
+		if s.report {
+			report(now)
+		}
+		c, err := tb.Pick(now, Query{Service: "lm", Model: "m1", Adapter: "x"})
+		if (err == nil) != s.holds || c.HasAdapter != s.has {
+			t.Errorf("%s: chosen %v (%v), adapter %v; want %v, %v", s.name, err == nil, err, c.HasAdapter, s.holds, s.has)
+		}
+		if err == nil {
+			tb.EndAttempt(now, c.Endpoint.Key(), Served)
+		}
+	}
+}
+
 // TestReportNewerThanEntry guards against ignoring the reports of an engine once
 // its registered entry was written more often than orders were given: requests
 // then waited for models that had been loaded seconds before.
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -40,9 +40,10 @@
 	unsentAttempts  int           // attempts that ended before a byte was sent
 	adapterLoadTime time.Duration // spent on loading the adapter
 	exclude         map[fleet.Key]bool
-	responseStarted bool   // the caller has received a part of the answer
-	lastEvent       string // id of the last event that the caller has
-	mediaType       string // of the answer that the caller receives
+	missed          map[fleet.Key]bool // endpoints that have answered once that they lack the model or adapter
+	responseStarted bool               // the caller has received a part of the answer
+	lastEvent       string             // id of the last event that the caller has
+	mediaType       string             // of the answer that the caller receives
 	eventCount      int
 	firstByte       time.Duration // from the arrival
 	lastEventAt     time.Time     // of the last event
@@ -391,7 +392,16 @@
 	}
 	c.opts.Table.EndAttempt(c.opts.Clock.Now(), key, outcome)
 	c.rejections++
-	c.excludeEndpoint(key)
+	if outcome == picker.Missing && c.service.Engine != nil && !c.missed[key] {
+		// It may take the request once the model or adapter is loaded there again.
+		if c.missed == nil {
+			c.missed = make(map[fleet.Key]bool)
+		}
+		c.missed[key] = true
+		c.opts.Table.RecordMissing(c.opts.Clock.Now(), key, c.req.Model, c.req.Adapter)
+	} else {
+		c.excludeEndpoint(key)
+	}
 	c.opts.Log.Warn("endpoint turned request away", "request", c.req.ID, "endpoint", key.ID, "status", reply.Status,
 		"outcome", outcome.String(), "rejections", c.rejections, "leaving", reply.Leaving,
 		"retry-after", reply.Wait.Text, "retry-after-rule", string(reply.Wait.Rule), "closed-for-ms", reply.Wait.For.Milliseconds())
