serve: end the pause of a search when its handler panics

Cause: a resumable stream holds the lock of its hedge from pauseSearch to allowSearch, while a comment is forwarded. The end of the hedge, which is deferred, waits for that lock. A panic in between left the request hanging for good: neither an answer nor a report of the panic, and a stop waited for it to the end of the grace.

Change: the pause ends by defer.

Result: TestPanicWithinStream, two cases: the one with a comment hung for 5 s before and passes now; the one with an event passed before and after.

--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -194,17 +194,8 @@
 			if len(held) > 0 {
 				event, held = append(held, event...), nil
 			}
-			werr := c.forwardEvent(reply, event)
-			if werr == nil {
-				c.recordEventTime(now)
-			}
-			// A search may use the call's state from here on.
-			if isProgress {
-				h.rearm()
-			} else {
-				h.allowSearch()
-			}
-			if werr != nil {
+			// A search may use the call's state after that.
+			if werr := c.relayEvent(h, reply, event, now, isProgress); werr != nil {
 				h.takeBack()
 				c.lastError = werr.Error()
 				c.opts.Table.EndAttempt(now, key, picker.Ended)
@@ -272,6 +263,22 @@
 	return c.resume(ctx, key)
 }
 
+// relayEvent forwards an event, or a comment after a successful pauseSearch, and lets a search
+// begin after that. The end of a hedge whose search is paused would wait forever, so that a
+// panic has to end the pause too.
+func (c *call) relayEvent(h *hedge, reply *Reply, event []byte, now time.Time, isProgress bool) error {
+	if isProgress {
+		defer h.rearm()
+	} else {
+		defer h.allowSearch()
+	}
+	if err := c.forwardEvent(reply, event); err != nil {
+		return err
+	}
+	c.recordEventTime(now)
+	return nil
+}
+
 // refuseContinuation handles an answer that doesn't continue the stream of which the
 // caller has a part. Nothing of it reaches the caller.
 func (c *call) refuseContinuation(ctx context.Context, key fleet.Key, reply *Reply) (again bool, p *Problem) {
