platform: refuse requests whose body has not arrived in time at once

A caller that sends its body slowly waited for the refusal, and where the body went on until the process ended it got none: the end of the grace ends requests of package serve only, not the reading of bodies.

Change: the reading of a body ends once the process refuses what has not arrived, at the end of the grace at the latest, and the request is refused as not run.

--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -111,6 +111,9 @@
 	// interrupted ends when Interrupt is called.
 	interrupted context.Context
 	interrupt   context.CancelFunc
+	// refusing ends when refuse is called: once no request that arrives is accepted.
+	refusing context.Context
+	refuse   context.CancelFunc
 	// interruptedCalls is how many requests Interrupt has ended.
 	interruptedCalls atomic.Int64
 
@@ -135,9 +138,12 @@
 		opts.MayTest = func() bool { return false }
 	}
 	interrupted, interrupt := context.WithCancel(context.Background())
+	refusing, refuse := context.WithCancel(interrupted)
 	return &Server{
 		interrupted: interrupted,
 		interrupt:   interrupt,
+		refusing:    refusing,
+		refuse:      refuse,
 		opts:        opts,
 		nodes:       1,
 		retryRule:   opts.Retries,
@@ -200,7 +206,25 @@
 func (s *Server) Active() int64 { return s.active.Load() }
 
 // SetStop makes the server refuse what the process can't finish by this plan.
-func (s *Server) SetStop(plan drain.Stop) { s.stop.Store(&plan) }
+func (s *Server) SetStop(plan drain.Stop) {
+	s.stop.Store(&plan)
+	go clock.At(s.refusing, s.opts.Clock, plan.AcceptUntil, s.refuse)
+}
+
+// Refusing returns a context that ends once the process, which stops, accepts no request whose
+// body has not arrived.
+func (s *Server) Refusing() context.Context { return s.refusing }
+
+// RefuseUnread refuses a request whose body has not arrived while Refusing has ended.
+func (s *Server) RefuseUnread(req *Request, caller Caller) {
+	c := &call{
+		Server: s,
+		req:    req,
+		caller: caller,
+		config: s.config.Load(),
+	}
+	c.sendProblem(c.stoppingProblem(drain.TooLate))
+}
 
 // Interrupt ends all requests now: those without an answer so far get a final one, and
 // streams break off.
