serve: keep what is known where an engine's load is not

Cause: where the load report of the chosen engine is too old, the longest pauses that the route allows replaced what recent requests had shown, in place of adding to it. At engines that are slower than these pauses, and for streams without a token count, a stopping process then expected less time than with a report, and accepted what it would cut.

Change: the longer of the two counts.

Result: a case of TestStopRefusesWhatItCannotFinish failed before (200 in place of 503).

--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -41,17 +41,21 @@
 const unknownPartTokens = 4
 
 // need returns how long the request is likely to need at most if it is sent at the given time
-// to the chosen endpoint. While nothing is known of such requests, or of how busy the engine
-// is, each part may take the longest pause that the route allows.
+// to the chosen endpoint. While nothing is known of such requests, each part may take the
+// longest pause that the route allows, and at least that where it is not known how busy the
+// engine is.
 func (c *call) need(at time.Time, choice picker.Choice) time.Duration {
 	if c.service == nil {
 		return 0
 	}
-	need := c.route.Objective + time.Duration(c.req.OutputTokens/unknownPartTokens*float64(c.route.MaxPause))
-	isBusyUnknown := c.service.Engine != nil && choice.IsStale
-	if !isBusyUnknown && c.times.Knows(c.kind(), c.req.OutputTokens) {
+	unknown := c.route.Objective + time.Duration(c.req.OutputTokens/unknownPartTokens*float64(c.route.MaxPause))
+	need, isEngine := unknown, c.service.Engine != nil
+	if c.times.Knows(c.kind(), c.req.OutputTokens) {
 		need = c.expected(choice.Pace)
-		if c.service.Engine != nil && choice.Fill >= picker.NearFullShare {
+		switch {
+		case isEngine && choice.IsStale:
+			need = max(need, unknown)
+		case isEngine && choice.Fill >= picker.NearFullShare:
 			// It may wait in the engine's queue until as many others have ended.
 			need += time.Duration(max(1, choice.Fill) * float64(need))
 		}
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -109,6 +109,16 @@
 			prepareReports(h, q, 2400*time.Millisecond, 5)
 			stop(time.Minute)
 		}, status: 503},
+		{name: "arrives, short, at slow engines, how busy these are is not known", route: "stream", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			prepareReports(h, q, 2400*time.Millisecond, 5)
+			h.server.Config().Match(q.Host, q.Path).MaxPause = 10 * time.Millisecond
+			for _, e := range h.table.Endpoints() {
+				for range 100 {
+					h.table.RecordPace(e.Key(), 3)
+				}
+			}
+			stop(time.Minute)
+		}, status: 503},
 		{name: "arrives, long stream", route: "stream", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives, long answer", route: "book", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives too late", route: "book", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
