picker: take an engine without a load report for one of unknown load

Cause: a stopping process expects the longest time for a stream at an engine whose load report is too old, but an engine that has never sent one counted as known, with the load of this node's own requests. Each engine that is new, or that has a new address or incarnation, is in that state until its first report, and takes requests by its entry in the store.

Change: such an engine counts as one with an old report. The choice of an engine stays as it is.

Result: a case of TestStopRefusesWhatItCannotFinish failed before (200 in place of 503).

--- a/internal/picker/pick.go
+++ b/internal/picker/pick.go
@@ -30,7 +30,8 @@
 	Load       float64
 	Candidates int
 	ReportAge  time.Duration
-	// IsStale is whether that report is too old to say how busy the endpoint is.
+	// IsStale is whether that report is too old to say how busy the endpoint is, or there is
+	// none.
 	IsStale bool
 	// Fill is the load as a fraction of the endpoint's slots; 0 if these are not known.
 	Fill float64
@@ -114,8 +115,8 @@
 	}
 	if !best.reported.IsZero() {
 		out.ReportAge = now.Sub(best.reported)
-		out.IsStale = out.ReportAge >= reportMaxAge
 	}
+	out.IsStale = !best.hasReport(now)
 	t.startProbe(best)
 	best.running++
 	best.sentAt = append(best.sentAt, now)
@@ -143,11 +144,16 @@
 	return best
 }
 
+// hasReport reports whether the endpoint has a report that says how busy it is.
+func (e *endpointState) hasReport(now time.Time) bool {
+	return !e.reported.IsZero() && now.Sub(e.reported) < reportMaxAge
+}
+
 // estimatedLoad estimates the number of requests that all nodes have at an
 // endpoint. Without a recent report it assumes that every node has as many as
 // this one.
 func (e *endpointState) estimatedLoad(now time.Time, nodes int) float64 {
-	if !e.reported.IsZero() && now.Sub(e.reported) < reportMaxAge {
+	if e.hasReport(now) {
 		return max(float64(e.running), float64(e.report.Active+e.report.Queued+len(e.sentAt)))
 	}
 	return float64(e.running * nodes)
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -43,9 +43,8 @@
 	return h.sender.Send(ctx, a)
 }
 
-// prepareReports lets all engines have reported their load as long ago as given, and lets the
-// request be expected to take half the time to the end of the process.
-func prepareReports(h *harness, q *Request, age time.Duration, active int) {
+// prepareTimes lets the request be expected to take half the time to the end of the process.
+func prepareTimes(h *harness, q *Request) {
 	q.OutputTokens = 400
 	h.server.Config().Match(q.Host, q.Path).MaxPause = 150 * time.Millisecond
 	h.server.times.Record(drain.Kind{Service: "lm", Model: "m1"}, drain.Sample{
@@ -54,6 +53,12 @@
 		Tokens: q.OutputTokens,
 		Parts:  100,
 	})
+}
+
+// prepareReports is prepareTimes, and lets all engines have reported their load as long ago as
+// given.
+func prepareReports(h *harness, q *Request, age time.Duration, active int) {
+	prepareTimes(h, q)
 	for _, e := range h.table.Endpoints() {
 		h.table.SetReport(h.clock.Now().Add(-age), fleet.Report{
 			Key:    e.Key(),
@@ -109,6 +114,10 @@
 			prepareReports(h, q, 2400*time.Millisecond, 5)
 			stop(time.Minute)
 		}, status: 503},
+		{name: "arrives, short, how busy engines are was never reported", route: "stream", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			prepareTimes(h, q)
+			stop(time.Minute)
+		}, status: 503},
 		{name: "arrives, short, at slow engines, how busy these are is not known", route: "stream", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
 			prepareReports(h, q, 2400*time.Millisecond, 5)
 			h.server.Config().Match(q.Host, q.Path).MaxPause = 10 * time.Millisecond
