serve, picker: ask how busy an engine is before the first byte

Cause: a stopping process decides before the first byte whether it can finish a request, by the load report that it had when it chose the engine. Up to 1.2 s for an adapter and the time for a connection lie between: meanwhile the engine may have been filled or have reported no more.

Change: Table.Look returns the choice with the load as of now, without the request's own place.

Result: two cases of TestStopRefusesWhatItCannotFinish failed before (200 in place of 503); one with an engine as full as before passes before and after.

--- a/internal/picker/pick.go
+++ b/internal/picker/pick.go
@@ -104,19 +104,12 @@
 		return Choice{}, ErrNoEndpoint
 	}
 	out.Endpoint = best.Endpoint
-	out.Load = best.estimatedLoad(now, t.nodes)
 	out.HasAdapter, out.Pace = true, best.pace
-	if best.Slots > 0 {
-		out.Fill = out.Load / float64(best.Slots)
-	}
+	best.describeLoad(now, t.nodes, 0, &out)
 	if q.Adapter != "" {
 		r := fleet.Find(best.Models, q.Model)
 		out.HasAdapter = r.Has(q.Adapter)
 	}
-	if !best.reported.IsZero() {
-		out.ReportAge = now.Sub(best.reported)
-	}
-	out.IsStale = !best.hasReport(now)
 	t.startProbe(best)
 	best.running++
 	best.sentAt = append(best.sentAt, now)
@@ -126,6 +119,30 @@
 	return out, nil
 }
 
+// Look returns a choice of Pick, whose attempt has not ended, with what is known by now of how
+// busy its endpoint is.
+func (t *Table) Look(now time.Time, c Choice) Choice {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e := t.find(c.Endpoint.Key()); e != nil {
+		e.describeLoad(now, t.nodes, 1, &c)
+	}
+	return c
+}
+
+// describeLoad sets what is known of how busy an endpoint is, apart from own requests that were
+// chosen and not sent.
+func (e *endpointState) describeLoad(now time.Time, nodes, own int, out *Choice) {
+	out.Load = e.estimatedLoad(now, nodes, own)
+	if e.Slots > 0 {
+		out.Fill = out.Load / float64(e.Slots)
+	}
+	if !e.reported.IsZero() {
+		out.ReportAge = now.Sub(e.reported)
+	}
+	out.IsStale = !e.hasReport(now)
+}
+
 // affinity returns the id of the endpoint that requests of the same session
 // prefer, by rendezvous hashing.
 func (t *Table) affinity(now time.Time, q Query) string {
@@ -150,19 +167,20 @@
 }
 
 // estimatedLoad estimates the number of requests that all nodes have at an
-// endpoint. Without a recent report it assumes that every node has as many as
-// this one.
-func (e *endpointState) estimatedLoad(now time.Time, nodes int) float64 {
+// endpoint, apart from own ones of this node. Without a recent report it assumes
+// that every node has as many as this one.
+func (e *endpointState) estimatedLoad(now time.Time, nodes, own int) float64 {
+	running := max(0, e.running-own)
 	if e.hasReport(now) {
-		return max(float64(e.running), float64(e.report.Active+e.report.Queued+len(e.sentAt)))
+		return max(float64(running), float64(e.report.Active+e.report.Queued+max(0, len(e.sentAt)-own)))
 	}
-	return float64(e.running * nodes)
+	return float64(running * nodes)
 }
 
 // cost returns the cost of sending a request to an endpoint, in units of requests
 // that already run there; lower is better.
 func (t *Table) cost(now time.Time, e *endpointState, q *Query, r *fleet.Resident, preferred bool) float64 {
-	load := e.estimatedLoad(now, t.nodes)
+	load := e.estimatedLoad(now, t.nodes, 0)
 	cost := idlePlainLoad + load
 	if r != nil {
 		cost = idleEngineCost(e.Slots) + load
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -304,7 +304,7 @@
 	if !now.Before(c.deadline) {
 		return errors.New("serve: the deadline of the request has passed")
 	}
-	if c.whyRefused(now, c.lastChoice) != drain.Accepted {
+	if c.whyRefused(now, c.opts.Table.Look(now, c.lastChoice)) != drain.Accepted {
 		return errStopping
 	}
 	if c.checkParts() != nil {
@@ -352,8 +352,9 @@
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		return false, c.contextProblem(ctx)
 	case errors.Is(err, errStopping):
+		p := c.stoppingProblem(drain.TooLong)
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
-		return false, c.stoppingProblem(drain.TooLong)
+		return false, p
 	case errors.Is(err, errPartBlocked):
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
 		p := c.checkParts()
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -117,7 +117,7 @@
 	}
 	now, choice := c.opts.Clock.Now(), notChosen
 	if c.lastChoice.Pace > 0 {
-		choice = c.lastChoice
+		choice = c.opts.Table.Look(now, c.lastChoice)
 	}
 	c.opts.Log.Warn(message, "request", c.req.ID, "route", c.routeName(), "why", string(why),
 		"expected-ms", c.need(now, choice).Milliseconds(), "left-ms", plan.EndsAt.Sub(now).Milliseconds(),
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -128,6 +128,24 @@
 			}
 			stop(time.Minute)
 		}, status: 503},
+		{name: "waits for an adapter, its engine is filled meanwhile", route: "stream", need: short, prepare: func(h *harness, hook *hooks, q *Request, stop func(time.Duration)) {
+			q.Adapter = "a1"
+			prepareReports(h, q, 100*time.Millisecond, 5)
+			hook.adapter = func() { prepareReports(h, q, 0, 60) }
+			stop(time.Minute)
+		}, status: 503},
+		{name: "waits for an adapter, its engine reports no more", route: "stream", need: short, prepare: func(h *harness, hook *hooks, q *Request, stop func(time.Duration)) {
+			q.Adapter = "a1"
+			prepareReports(h, q, 1300*time.Millisecond, 5)
+			hook.adapter = func() { time.Sleep(300 * time.Millisecond) }
+			stop(time.Minute)
+		}, status: 503},
+		{name: "waits for an adapter, its engine reports as before", route: "stream", need: short, prepare: func(h *harness, hook *hooks, q *Request, stop func(time.Duration)) {
+			q.Adapter = "a1"
+			prepareReports(h, q, 100*time.Millisecond, 51)
+			hook.adapter = func() { prepareReports(h, q, 0, 51) }
+			stop(time.Minute)
+		}, status: 200, runs: 1},
 		{name: "arrives, long stream", route: "stream", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives, long answer", route: "book", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives too late", route: "book", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
