caller: answer 408 to a header that does not arrive in time

Cause: a server that stops refuses what may be on its way on a connection that it closes, but the limit on the time for a header closed without a word. A caller of which a part of a request was read, or whose first request was on its way, got neither an answer nor a refusal.

Change: 408 there too, which promises that the request will not run; the connection is read for up to 1 s after that, as at a stop.

Result: TestRequestThatCrossesALimitIsRefused, three cases, failed before (unexpected EOF).

--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -78,8 +78,8 @@
 	// a connection, to the end of the header.
 	HeaderTimeout  time.Duration
 	MaxHeaderBytes int
-	// LastAnswer is sent on a connection without a request before a server that stops
-	// closes it. It has to promise that a request that is on its way will not run. It may
+	// LastAnswer is sent on a connection without a whole header of a request before the
+	// server closes it. It has to promise that a request that is on its way will not run. It may
 	// be empty.
 	LastAnswer string
 	// RequestID names a request whose header was read. It may be nil.
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -243,7 +243,7 @@
 		reason = IdleLimit
 	}
 	// http.Server closes it too, but later: a request may arrive in between.
-	if reason != Stop || !c.closeWithRefusal() {
+	if reason == IdleLimit || !c.closeWithRefusal() {
 		_ = c.Conn.Close()
 	}
 	c.server.opts.OnClose(Closing{
@@ -264,7 +264,7 @@
 	if text == "" {
 		return false
 	}
-	// The socket's buffer is empty, as the answer before was sent.
+	// The socket's buffer is empty, as any answer before was sent.
 	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime))
 	if _, err := io.WriteString(c.Conn, text); err != nil || c.CloseWrite() != nil {
 		return false
--- a/internal/caller/refuse_test.go
+++ b/internal/caller/refuse_test.go
@@ -162,3 +162,56 @@
 		t.Errorf("got %d, want 408", res.StatusCode)
 	}
 }
+
+// TestRequestThatCrossesALimitIsRefused guards against requests that get neither an answer nor
+// a refusal because a limit of their connection ends before they have arrived.
+func TestRequestThatCrossesALimitIsRefused(t *testing.T) {
+	t.Parallel()
+	const limit = 100 * time.Millisecond
+	for _, tc := range []struct {
+		name string
+		// isUsed is set if the connection has had a request.
+		isUsed bool
+		// begun is the part of the request that arrives before the limit ends.
+		begun  string
+		reason Reason
+	}{
+		{name: "header_timeout_before_the_first_byte", reason: HeaderTimeout},
+		{name: "header_timeout", begun: "POST / HT", reason: HeaderTimeout},
+		{name: "header_timeout_of_another_request", isUsed: true, begun: "POST / HT", reason: HeaderTimeout},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s, l := newTestServer(t, noLimit, nil)
+			closings := make(chan Closing, 2)
+			s.opts.LastAnswer, s.opts.HeaderTimeout = RequestTimeout, limit
+			s.http.ReadHeaderTimeout = limit
+			s.opts.OnClose = func(c Closing) { closings <- c }
+			go func() { _ = s.Serve(l) }()
+			c := dial(t, l)
+			if tc.isUsed {
+				fmt.Fprintf(c, request, "first")
+				if err := c.receive(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			fmt.Fprint(c, tc.begun)
+			if closing := <-closings; closing.Reason != tc.reason || closing.Partial != (tc.begun != "") {
+				t.Errorf("closed as %+v, want %q", closing, tc.reason)
+			}
+			whole := "POST / HTTP/1.1\r\nHost: caller.example\r\nContent-Length: 4\r\n\r\nbody"
+			if _, err := io.WriteString(c, whole[len(tc.begun):]); err != nil {
+				t.Errorf("the request was not sent: %v", err)
+			}
+			_ = c.SetReadDeadline(time.Now().Add(5 * time.Second))
+			res, err := http.ReadResponse(c.in, nil)
+			if err != nil {
+				t.Fatalf("the request got no answer: %v", err)
+			}
+			_ = res.Body.Close()
+			if res.StatusCode != http.StatusRequestTimeout || !res.Close {
+				t.Errorf("got %d, close %v, want 408 that ends the connection", res.StatusCode, res.Close)
+			}
+		})
+	}
+}
