caller: answer 408 to what crosses the idle limit

Cause: the end of the idle limit closed a connection without a word. A request on its way to it, of a caller that knows a longer limit or counts from the arrival of the answer before, got neither an answer nor a refusal, and its caller could not tell whether it ran.

Change: 408 with Connection: close before the close, as at a stop and at the limit on the time for a header.

TestIdleLimitClosesConnections wanted the end of the connection without a byte. That was the former behaviour; it wants exactly the 408 and the end of the connection now, within the same bounds of time.

Result: the case idle_limit of TestRequestThatCrossesALimitIsRefused failed before (unexpected EOF). The process test of the idle limit, changed as above, passes.

--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -243,7 +243,7 @@
 		reason = IdleLimit
 	}
 	// http.Server closes it too, but later: a request may arrive in between.
-	if reason == IdleLimit || !c.closeWithRefusal() {
+	if !c.closeWithRefusal() {
 		_ = c.Conn.Close()
 	}
 	c.server.opts.OnClose(Closing{
