proc: let a grace that is lowered during a stop hold for it

Cause: the end of a stop was fixed at its signal, and a SIGHUP after that was dropped. If the grace was lowered meanwhile, the process went on to the end of the former one, so that its kill at the end of the new one cut requests without an answer.

Change: a stopping process reads its settings again at SIGHUP. A higher one does not move it back.

--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -312,7 +312,7 @@
 		}
 		break
 	}
-	exitBy := p.drain(signals)
+	exitBy := p.drain(signals, read)
 	cancel()
 	if !waitFor(&wg, exitBy.Sub(p.clock.Now())) {
 		p.log.Warn("process ends before its goroutines")
@@ -373,30 +373,44 @@
 
 // drain makes the process report not ready to the load balancer, lets running
 // requests finish and returns before the process is killed at the end of its
-// grace, which counts from the signal. It returns by when the process has to exit.
-func (p *Process) drain(signals <-chan os.Signal) (exitBy time.Time) {
+// grace, which counts from the signal. A grace that is lowered meanwhile holds too. It
+// returns by when the process has to exit.
+func (p *Process) drain(signals <-chan os.Signal, read func() (*conf.Fleet, error)) (exitBy time.Time) {
 	startedAt, since := p.clock.Now(), p.pulse.Since()
-	kill := since.Add(time.Duration(p.settings.Bounds.Grace) - drainKillMargin)
+	kill := p.killTime(since)
 	plan := drain.Stop{
 		Since:       since,
 		AcceptUntil: since.Add(drainAcceptTime),
-		EndsAt:      kill.Add(-interruptMargin),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	follow := func() {
+		plan.EndsAt = kill.Add(-interruptMargin)
+		p.server.SetStop(plan)
+		go clock.At(ctx, p.clock, plan.EndsAt, func() {
+			p.log.Warn("requests interrupted at the end of the grace", "active", p.server.Active())
+			p.server.Interrupt()
+		})
+		go clock.At(ctx, p.clock, kill, cancel)
 	}
 	p.stopping.Store(true)
-	p.server.SetStop(plan)
+	follow()
 	p.node.ReleaseLease()
 	// Callers that are idle go on at other nodes, which shortens the stop.
 	p.callerServer.CloseIdle()
-	ctx, cancel := context.WithCancel(context.Background())
-	defer cancel()
-	go clock.At(ctx, p.clock, plan.EndsAt, func() {
-		p.log.Warn("requests interrupted at the end of the grace", "active", p.server.Active())
-		p.server.Interrupt()
-	})
-	go clock.At(ctx, p.clock, kill, cancel)
-	p.waitUntil(signals, kill, func(now time.Time) bool {
+	for p.waitUntil(signals, kill, func(now time.Time) bool {
 		return now.Sub(startedAt) >= minDrainTime && p.callerServer.Counts().Busy == 0
-	})
+	}) {
+		p.reload(read)
+		if lowered := p.killTime(since); lowered.Before(kill) {
+			kill = lowered
+			// The requests that are interrupted need time for their answers.
+			if earliest := p.clock.Now().Add(interruptMargin); kill.Before(earliest) {
+				kill = earliest
+			}
+			follow()
+		}
+	}
 	// Requests that still arrive are refused, and those accepted before are finished.
 	plan.AcceptUntil = p.clock.Now()
 	p.server.SetStop(plan)
@@ -411,15 +425,25 @@
 	return kill.Add(exitMargin)
 }
 
-// waitUntil returns once done returns true, or at limit.
-func (p *Process) waitUntil(signals <-chan os.Signal, limit time.Time, done func(now time.Time) bool) {
+// killTime returns when a process that got the signal to stop at the given time has to end
+// what still runs.
+func (p *Process) killTime(since time.Time) time.Time {
+	return since.Add(time.Duration(p.settings.Bounds.Grace) - drainKillMargin)
+}
+
+// waitUntil returns once done returns true, or at limit. It returns early, and true, if the
+// settings are to be read again.
+func (p *Process) waitUntil(signals <-chan os.Signal, limit time.Time, done func(now time.Time) bool) (isReload bool) {
 	for {
 		now := p.clock.Now()
 		if done(now) || !now.Before(limit) {
-			return
+			return false
 		}
 		select {
-		case <-signals:
+		case s := <-signals:
+			if s == syscall.SIGHUP {
+				return true
+			}
 		case <-time.After(drainCheckInterval):
 		}
 	}
