drain: don't let the first answers alone say how long streams take

Cause: one whole stream was enough for a process to take the length of streams as known. Most answers end long before the tokens that their caller allows, so that one answer which ended early let it expect the next ones to be as short: a process that is told to stop soon after its start accepted streams that it would cut, as it did while nothing was known at all.

Change: below eight streams, as many as a model needs to be judged by itself, the time that holds while nothing is known is the least that is expected. Both request paths use it.

The tests of what a stopping process expects by known times record eight answers now in place of one; what they want is the same.

--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -50,13 +50,14 @@
 	tokens float64
 }
 
-// expected returns how long the request is likely to take at most. While nothing is known of
-// a service, its completions are expected to be as slow as the latency targets allow.
+// expected returns how long the request is likely to take at most. While little is known of
+// a service, its completions are expected to be as slow as the latency targets allow, or slower.
 func (q *request) expected(n need) time.Duration {
-	if n.tokens > 0 && !q.times.Knows(n.kind, n.tokens) {
-		return firstTokenTarget + time.Duration(n.tokens*float64(tokenGapTarget))
+	expected := q.times.Expect(n.kind, n.tokens)
+	if q.times.KnowsFew(n.kind, n.tokens) {
+		return max(expected, firstTokenTarget+time.Duration(n.tokens*float64(tokenGapTarget)))
 	}
-	return q.times.Expect(n.kind, n.tokens)
+	return expected
 }
 
 // stopProblem returns the rejection of a request that the stopping process cannot finish,
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -42,8 +42,8 @@
 
 // need returns how long the request is likely to need at most if it is sent at the given time
 // to the chosen endpoint. While nothing is known of such requests, each part may take the
-// longest pause that the route allows, and at least that where it is not known how busy the
-// engine is.
+// longest pause that the route allows, and at least that while little is known, or where it is
+// not known how busy the engine is.
 func (c *call) need(at time.Time, choice picker.Choice) time.Duration {
 	if c.service == nil {
 		return 0
@@ -52,13 +52,13 @@
 	need, isEngine := unknown, c.service.Engine != nil
 	if c.times.Knows(c.kind(), c.req.OutputTokens) {
 		need = c.expected(choice.Pace)
-		switch {
-		case isEngine && choice.IsStale:
-			need = max(need, unknown)
-		case isEngine && choice.Fill >= picker.NearFullShare:
+		if isEngine && !choice.IsStale && choice.Fill >= picker.NearFullShare {
 			// It may wait in the engine's queue until as many others have ended.
 			need += time.Duration(max(1, choice.Fill) * float64(need))
 		}
+		if isEngine && choice.IsStale || c.times.KnowsFew(c.kind(), c.req.OutputTokens) {
+			need = max(need, unknown)
+		}
 	}
 	// The request ends at its deadline in any case.
 	return min(need, c.deadline.Sub(at))
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -47,18 +47,25 @@
 func prepareTimes(h *harness, q *Request) {
 	q.OutputTokens = 400
 	h.server.Config().Match(q.Host, q.Path).MaxPause = 150 * time.Millisecond
-	h.server.times.Record(drain.Kind{Service: "lm", Model: "m1"}, drain.Sample{
-		First:  100 * time.Millisecond,
-		Rest:   4 * time.Second,
-		Tokens: q.OutputTokens,
-		Parts:  100,
-	})
+	for range 8 {
+		h.server.times.Record(drain.Kind{Service: "lm", Model: "m1"}, drain.Sample{
+			First:  100 * time.Millisecond,
+			Rest:   4 * time.Second,
+			Tokens: q.OutputTokens,
+			Parts:  100,
+		})
+	}
 }
 
 // prepareReports is prepareTimes, and lets all engines have reported their load as long ago as
 // given.
 func prepareReports(h *harness, q *Request, age time.Duration, active int) {
 	prepareTimes(h, q)
+	reportLoads(h, age, active)
+}
+
+// reportLoads lets all engines have reported their load as long ago as given.
+func reportLoads(h *harness, age time.Duration, active int) {
 	for _, e := range h.table.Endpoints() {
 		h.table.SetReport(h.clock.Now().Add(-age), fleet.Report{
 			Key:    e.Key(),
@@ -146,6 +153,18 @@
 			hook.adapter = func() { prepareReports(h, q, 0, 51) }
 			stop(time.Minute)
 		}, status: 200, runs: 1},
+		{name: "arrives, the only answer before ended early", route: "stream", prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			r := h.server.Config().Match(q.Host, q.Path)
+			r.MaxPause, q.OutputTokens = 150*time.Millisecond, 400
+			h.server.times.Record(drain.Kind{Service: "lm", Model: "m1"}, drain.Sample{
+				First:  100 * time.Millisecond,
+				Rest:   100 * time.Millisecond,
+				Tokens: q.OutputTokens,
+				Parts:  3,
+			})
+			reportLoads(h, 100*time.Millisecond, 5)
+			stop(time.Minute)
+		}, status: 503},
 		{name: "arrives, long stream", route: "stream", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives, long answer", route: "book", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives too late", route: "book", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
