--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -41,20 +41,24 @@
 const unknownPartTokens = 4
 
 // need returns how long the request is likely to need at most if it is sent at the given time
-// to the chosen endpoint. While nothing is known of such requests, or of how busy the engine
-// is, each part may take the longest pause that the route allows.
+// to the chosen endpoint. While nothing is known of such requests, each part may take the
+// longest pause that the route allows, and at least that while little is known, or where it is
+// not known how busy the engine is.
 func (c *call) need(at time.Time, choice picker.Choice) time.Duration {
 	if c.service == nil {
 		return 0
 	}
-	need := c.route.Objective + time.Duration(c.req.OutputTokens/unknownPartTokens*float64(c.route.MaxPause))
-	isBusyUnknown := c.service.Engine != nil && choice.IsStale
-	if !isBusyUnknown && c.times.Knows(c.kind(), c.req.OutputTokens) {
+	unknown := c.route.Objective + time.Duration(c.req.OutputTokens/unknownPartTokens*float64(c.route.MaxPause))
+	need, isEngine := unknown, c.service.Engine != nil
+	if c.times.Knows(c.kind(), c.req.OutputTokens) {
 		need = c.expected(choice.Pace)
-		if c.service.Engine != nil && choice.Fill >= picker.NearFullShare {
+		if isEngine && !choice.IsStale && choice.Fill >= picker.NearFullShare {
 			// It may wait in the engine's queue until as many others have ended.
 			need += time.Duration(max(1, choice.Fill) * float64(need))
 		}
+		if isEngine && choice.IsStale || c.times.KnowsFew(c.kind(), c.req.OutputTokens) {
+			need = max(need, unknown)
+		}
 	}
 	// The request ends at its deadline in any case.
 	return min(need, c.deadline.Sub(at))
@@ -113,7 +117,7 @@
 	}
 	now, choice := c.opts.Clock.Now(), notChosen
 	if c.lastChoice.Pace > 0 {
-		choice = c.lastChoice
+		choice = c.opts.Table.Look(now, c.lastChoice)
 	}
 	c.opts.Log.Warn(message, "request", c.req.ID, "route", c.routeName(), "why", string(why),
 		"expected-ms", c.need(now, choice).Milliseconds(), "left-ms", plan.EndsAt.Sub(now).Milliseconds(),
