coord, grant: wait for the tokens that a new coordinator withholds

Cause: a new coordinator begins with few tokens, or none while it knows no limit of the workspace, since the last one may have issued the others. It reported that lack like tokens that were used. The nodes took it for the word that the rate is used up, and refused at once or after 120 ms with 429.

Change: a shortage says after what time the refill makes up for tokens that may only be withheld. A request that can wait for that does, within the wait of 1.1 s and its own deadline. Others are refused at once with 503 rate-unreachable and Retry-After. What the coordinator issues is unchanged. After the refill has yielded the withheld tokens once, or the last coordinator has handed over its levels, a lack counts as used as before.

The check of refusals in calm takes the new code as it takes 429: only where a lowered rate may be in force.

--- a/internal/coord/admitter.go
+++ b/internal/coord/admitter.go
@@ -8,6 +8,7 @@
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/grant"
+	"trefoildale.example/trefoildale/internal/serve"
 )
 
 // overRateRetryAfter is the retry delay returned to a caller that exceeds its
@@ -90,28 +91,36 @@
 // Admit implements serve.Admission. A request for which the node has too few
 // tokens waits for up to wait while more are requested from the coordinator or,
 // if that is not reached, from the pool of the failure domain. Until one of them
-// has answered that the tokens are used up, it waits for up to unansweredWait.
-func (a *Admitter) Admit(ctx context.Context, workspace string, tokens float64, wait time.Duration) (time.Duration, bool) {
+// has answered that the tokens are used up, it waits for up to unansweredWait, unless
+// a coordinator that has just begun will not have enough of them by then.
+func (a *Admitter) Admit(ctx context.Context, workspace string, tokens float64, wait time.Duration) (serve.Refusal, bool) {
 	now := a.clock.Now()
 	began, until := now, now.Add(wait)
+	last := began.Add(max(wait, unansweredWait))
+	refillBy := last
+	if deadline, ok := ctx.Deadline(); ok {
+		refillBy = now.Add(min(last.Sub(now), time.Until(deadline)))
+	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.limiter.AddDemand(now, workspace, tokens)
 	if a.limiter.Take(now, workspace, tokens) {
-		return 0, true
+		return serve.Refusal{}, true
 	}
 	done := a.limiter.Wait(workspace, tokens)
 	defer done()
 	for {
-		short := a.limiter.NoTokensUntil(workspace)
+		short, refilledAt := a.limiter.NoTokensUntil(workspace), a.limiter.RefilledAt(workspace)
 		wake := until
 		switch {
 		case !a.limiter.HasCoordinator(now):
 			// Without the coordinator, tokens become available as time passes.
 			wake = now.Add(localRetryInterval)
 			signal(a.poolRequested)
-		case !short.Before(until):
-			return max(overRateRetryAfter, short.Sub(now)), false
+		case short.After(now) && refilledAt.After(refillBy):
+			return a.refusal(now, workspace), false
+		case !short.Before(until) && refilledAt.IsZero():
+			return a.refusal(now, workspace), false
 		case short.After(now):
 			wake = short
 		default:
@@ -122,23 +131,37 @@
 			limit = min(limit, lost.Sub(now))
 		}
 		if !a.waitForTokens(ctx, limit) {
-			return overRateRetryAfter, false
+			return a.refusal(a.clock.Now(), workspace), false
 		}
 		now = a.clock.Now()
 		if a.limiter.Take(now, workspace, tokens) {
-			return 0, true
+			return serve.Refusal{}, true
 		}
 		if now.Before(until) {
 			continue
 		}
-		last := began.Add(max(wait, unansweredWait))
-		if answered := a.limiter.NoTokensUntil(workspace).After(began); answered || !now.Before(last) {
-			return overRateRetryAfter, false
+		usedUp := a.limiter.NoTokensUntil(workspace).After(began) && a.limiter.RefilledAt(workspace).IsZero()
+		if usedUp || !now.Before(last) {
+			return a.refusal(now, workspace), false
 		}
 		until = last
 	}
 }
 
+// refusal returns why a request is refused, by the last answer about its workspace. The
+// caller holds the lock.
+func (a *Admitter) refusal(now time.Time, workspace string) serve.Refusal {
+	retryAt := a.limiter.NoTokensUntil(workspace)
+	refilledAt := a.limiter.RefilledAt(workspace)
+	if !refilledAt.IsZero() {
+		retryAt = refilledAt
+	}
+	return serve.Refusal{
+		RetryAfter:  max(overRateRetryAfter, retryAt.Sub(now)),
+		Unreachable: !refilledAt.IsZero(),
+	}
+}
+
 // signal wakes the receiver of a channel with a buffer of one. It does not
 // block.
 func signal(c chan<- struct{}) {
--- a/internal/coord/members.go
+++ b/internal/coord/members.go
@@ -130,10 +130,7 @@
 				Tokens:    issued,
 			})
 		} else if request.Need > 0 {
-			r.Shortages = append(r.Shortages, grant.Shortage{
-				Workspace: request.Workspace,
-				RetryIn:   c.issuer.WaitTime(now, request.Workspace, request.Need),
-			})
+			r.Shortages = append(r.Shortages, c.issuer.Shortage(now, request.Workspace, request.Need))
 			c.logShortage(now, x.Node, request)
 		}
 	}
--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -308,6 +308,124 @@
 	}
 }
 
+// TestShortage guards against stating that tokens were used which the issuer only withholds
+// at its start, and against withholding them for longer than the refill takes.
+func TestShortage(t *testing.T) {
+	const need = 300
+	start := time.Unix(1000, 0)
+	limits := map[string]Limit{"w": {Rate: 1000, Burst: 2000}}
+	for _, tc := range []struct {
+		name   string
+		issuer func() *Issuer
+		now    time.Time
+		want   Shortage
+	}{
+		{
+			name: "no limits yet",
+			issuer: func() *Issuer {
+				return NewIssuer(0, false)
+			},
+			now: start,
+			want: Shortage{
+				Workspace: "w",
+				RetryIn:   minRetryWait,
+				RefillIn:  minRetryWait,
+			},
+		},
+		{
+			name: "just begun",
+			issuer: func() *Issuer {
+				s := NewIssuer(100, false)
+				s.SetLimits(start, limits)
+				return s
+			},
+			now: start.Add(100 * time.Millisecond),
+			want: Shortage{
+				Workspace: "w",
+				RetryIn:   100 * time.Millisecond,
+				RefillIn:  100 * time.Millisecond,
+			},
+		},
+		{
+			name: "just begun, with a low rate",
+			issuer: func() *Issuer {
+				s := NewIssuer(0, false)
+				s.SetLimits(start, map[string]Limit{"w": {Rate: 100, Burst: 2000}})
+				return s
+			},
+			now: start,
+			want: Shortage{
+				Workspace: "w",
+				RetryIn:   maxRetryWait,
+				RefillIn:  3 * time.Second,
+			},
+		},
+		{
+			name: "used since, until the refill is done",
+			issuer: func() *Issuer {
+				s := NewIssuer(0, false)
+				s.SetLimits(start, limits)
+				s.Issue(start.Add(2*time.Second), "w", 2000, 0)
+				return s
+			},
+			now: start.Add(2 * time.Second),
+			want: Shortage{
+				Workspace: "w",
+				RetryIn:   300 * time.Millisecond,
+			},
+		},
+		{
+			name: "level of the former issuer",
+			issuer: func() *Issuer {
+				s := NewIssuer(0, false)
+				s.SetLimits(start, limits)
+				s.AddTokens(start, "w", 200)
+				return s
+			},
+			now: start,
+			want: Shortage{
+				Workspace: "w",
+				RetryIn:   100 * time.Millisecond,
+			},
+		},
+		{
+			name: "first issuer",
+			issuer: func() *Issuer {
+				s := NewIssuer(0, true)
+				s.SetLimits(start, limits)
+				s.Issue(start, "w", 2000, 0)
+				return s
+			},
+			now: start,
+			want: Shortage{
+				Workspace: "w",
+				RetryIn:   300 * time.Millisecond,
+			},
+		},
+		{
+			name: "lowered burst",
+			issuer: func() *Issuer {
+				s := NewIssuer(0, false)
+				s.SetLimits(start, map[string]Limit{"w": {Rate: 1000, Burst: 1_000_000}})
+				s.SetLimits(start, limits)
+				s.Issue(start.Add(2*time.Second), "w", 2000, 0)
+				return s
+			},
+			now: start.Add(2 * time.Second),
+			want: Shortage{
+				Workspace: "w",
+				RetryIn:   300 * time.Millisecond,
+			},
+		},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			if got := tc.issuer().Shortage(tc.now, "w", need); got != tc.want {
+				t.Errorf("got %+v, want %+v", got, tc.want)
+			}
+		})
+	}
+}
+
 // TestPool guards against refusing requests within the rate while there is no
 // coordinator. With 87 nodes, the fraction of one yields less than a request in
 // the time that a caller waits.
--- a/internal/grant/issuer.go
+++ b/internal/grant/issuer.go
@@ -41,6 +41,9 @@
 	limit     Limit
 	level     float64
 	updatedAt time.Time
+	// withheld is how many tokens more the bucket may have held at the start of the
+	// issuer, less those that were refilled since.
+	withheld float64
 }
 
 // NewIssuer returns an issuer without limits. Buckets start with at most
@@ -74,11 +77,13 @@
 			if s.startFull {
 				b.level = l.Burst
 			}
+			b.withheld = l.Burst - b.level
 			s.buckets[name] = b
 		}
 		b.refill(now, s.refillPart)
 		b.limit = l
 		b.level = min(b.level, l.Burst)
+		b.withheld = min(b.withheld, l.Burst-b.level)
 	}
 }
 
@@ -97,7 +102,9 @@
 
 func (b *bucket) refill(now time.Time, refillPart float64) {
 	if d := now.Sub(b.updatedAt); d > 0 {
-		b.level = min(b.limit.Burst, b.level+d.Seconds()*b.limit.Rate*refillPart)
+		refilled := d.Seconds() * b.limit.Rate * refillPart
+		b.level = min(b.limit.Burst, b.level+refilled)
+		b.withheld = max(0, b.withheld-refilled)
 		b.updatedAt = now
 	}
 }
@@ -123,19 +130,32 @@
 	return issued
 }
 
-// WaitTime estimates the time until a bucket holds need tokens.
-func (s *Issuer) WaitTime(now time.Time, workspace string, need float64) time.Duration {
+// Shortage states that there are fewer than need tokens of a workspace.
+func (s *Issuer) Shortage(now time.Time, workspace string, need float64) Shortage {
 	b := s.buckets[workspace]
 	if b == nil {
-		return 0
+		// The issuer does not know the limit yet.
+		return Shortage{
+			Workspace: workspace,
+			RetryIn:   minRetryWait,
+			RefillIn:  minRetryWait,
+		}
 	}
 	b.refill(now, s.refillPart)
 	need = min(need, b.limit.Burst*fullBucketPart)
-	rate := b.limit.Rate * s.refillPart
-	if rate*maxRetryWait.Seconds() < need-b.level {
-		return maxRetryWait
+	refillIn := maxRefillWait
+	if rate := b.limit.Rate * s.refillPart; rate*maxRefillWait.Seconds() > need-b.level {
+		refillIn = time.Duration((need - b.level) / rate * float64(time.Second))
+	}
+	refillIn = max(minRetryWait, refillIn)
+	out := Shortage{
+		Workspace: workspace,
+		RetryIn:   min(refillIn, maxRetryWait),
 	}
-	return max(minRetryWait, time.Duration((need-b.level)/rate*float64(time.Second)))
+	if b.level+b.withheld >= need {
+		out.RefillIn = refillIn
+	}
+	return out
 }
 
 const (
@@ -145,6 +165,8 @@
 	// a released fraction of the rate.
 	minRetryWait = 15 * time.Millisecond
 	maxRetryWait = 500 * time.Millisecond
+	// maxRefillWait is longer than any request waits for tokens.
+	maxRefillWait = time.Minute
 )
 
 // fullBucketPart is the part of the burst from which a bucket is treated as full
@@ -160,6 +182,7 @@
 	}
 	b.refill(now, s.refillPart)
 	b.level = min(b.limit.Burst, b.level+level)
+	b.withheld = 0
 }
 
 // Levels returns the levels of all buckets by workspace.
--- a/internal/grant/limiter.go
+++ b/internal/grant/limiter.go
@@ -43,6 +43,9 @@
 type Shortage struct {
 	Workspace string        `cbor:"1,keyasint"`
 	RetryIn   time.Duration `cbor:"2,keyasint"`
+	// RefillIn is set if the tokens may be missing only because the coordinator has
+	// just begun: after what time the refill yields them.
+	RefillIn time.Duration `cbor:"3,keyasint,omitempty"`
 }
 
 // Grant is an amount of tokens of a workspace, issued by the coordinator or a
@@ -72,6 +75,7 @@
 	localTokens   float64   // minted from the node's own fraction
 	mintedAt      time.Time // time up to which localTokens are minted
 	noTokensUntil time.Time // until when the coordinator has too few tokens
+	refilledAt    time.Time // when a coordinator that has just begun has enough; zero if tokens were used
 	usualSize     float64   // moving average of the request size
 }
 
@@ -311,9 +315,14 @@
 // node sent the message that was answered, on its own clock.
 func (n *NodeLimiter) SetShortages(sent time.Time, list []Shortage) {
 	for _, s := range list {
-		if ws := n.state(s.Workspace); sent.Add(s.RetryIn).After(ws.noTokensUntil) {
+		ws := n.state(s.Workspace)
+		if sent.Add(s.RetryIn).After(ws.noTokensUntil) {
 			ws.noTokensUntil = sent.Add(s.RetryIn)
 		}
+		ws.refilledAt = time.Time{}
+		if s.RefillIn > 0 {
+			ws.refilledAt = sent.Add(s.RefillIn)
+		}
 	}
 }
 
@@ -323,6 +332,12 @@
 	return n.state(workspace).noTokensUntil
 }
 
+// RefilledAt returns when the coordinator expects to have enough tokens, if it may lack them
+// only because it has just begun; zero if they were used.
+func (n *NodeLimiter) RefilledAt(workspace string) time.Time {
+	return n.state(workspace).refilledAt
+}
+
 // ApplyReply applies the tokens and the fraction of a coordinator's reply. sent
 // is when this node sent the message that was answered, on its own clock.
 func (n *NodeLimiter) ApplyReply(sent time.Time, grants []Grant, fraction float64) {
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -231,7 +231,7 @@
 type nodeHolder struct{ *coord.Node }
 
 // Admit implements serve.Admission.
-func (h *nodeHolder) Admit(ctx context.Context, workspace string, tokens float64, wait time.Duration) (time.Duration, bool) {
+func (h *nodeHolder) Admit(ctx context.Context, workspace string, tokens float64, wait time.Duration) (serve.Refusal, bool) {
 	return h.Admitter.Admit(ctx, workspace, tokens, wait)
 }
 
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -166,14 +166,14 @@
 	for c.workspace != nil && c.workspace.Rate > 0 {
 		waitCtx, stop := c.untilAffected(ctx)
 		tokens := c.tokenCost()
-		retryAfter, ok := c.opts.Admission.Admit(waitCtx, c.workspace.Name, tokens, max(0, until.Sub(c.opts.Clock.Now())))
+		refusal, ok := c.opts.Admission.Admit(waitCtx, c.workspace.Name, tokens, max(0, until.Sub(c.opts.Clock.Now())))
 		cause := context.Cause(waitCtx)
 		stop()
 		if ok {
 			return nil
 		}
 		if !errors.Is(cause, errConfigChanged) {
-			return c.rateProblem(ctx, retryAfter, tokens)
+			return c.rateProblem(ctx, refusal, tokens)
 		}
 		if p := c.recheck(); p != nil {
 			return p
@@ -197,10 +197,21 @@
 }
 
 // rateProblem returns the refusal of a request that was not admitted.
-func (c *call) rateProblem(ctx context.Context, retryAfter time.Duration, tokens float64) *Problem {
+func (c *call) rateProblem(ctx context.Context, r Refusal, tokens float64) *Problem {
 	if ctx.Err() != nil {
 		return c.contextProblem(ctx)
 	}
+	if r.Unreachable {
+		c.opts.Log.Warn("rate of request not known", "request", c.req.ID, "workspace", c.workspaceName(),
+			"tokens", tokens, "rate", c.workspace.Rate, "config", c.config.Version, "retry-after-ms", r.RetryAfter.Milliseconds())
+		return &Problem{
+			Status:     http.StatusServiceUnavailable,
+			Code:       "rate-unreachable",
+			Message:    "the node that issues the tokens of the workspace has just begun and has too few of them",
+			NotRun:     true,
+			RetryAfter: r.RetryAfter,
+		}
+	}
 	c.opts.Log.Warn("request over rate", "request", c.req.ID, "workspace", c.workspaceName(),
 		"tokens", tokens, "rate", c.workspace.Rate, "config", c.config.Version)
 	return &Problem{
@@ -208,7 +219,7 @@
 		Code:       "over-rate",
 		Message:    "the workspace has used up its rate",
 		NotRun:     true,
-		RetryAfter: retryAfter,
+		RetryAfter: r.RetryAfter,
 	}
 }
 
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -140,7 +140,14 @@
 // Admission decides whether the tokens of a request are within its workspace's
 // rate. It may wait for tokens.
 type Admission interface {
-	Admit(ctx context.Context, workspace string, tokens float64, wait time.Duration) (retryAfter time.Duration, ok bool)
+	Admit(ctx context.Context, workspace string, tokens float64, wait time.Duration) (Refusal, bool)
+}
+
+// Refusal says why a request was not admitted.
+type Refusal struct {
+	RetryAfter time.Duration
+	// Unreachable is set if it is not known that the workspace has used up its rate.
+	Unreachable bool
 }
 
 // Demand collects the demand for models, which the coordinator plans with, and
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -13,10 +13,11 @@
 
 // Codes of refusals.
 const (
-	modelUnknown = "model-unknown"
-	overRate     = "over-rate"
-	keyUnknown   = "key-unknown"
-	routeUnknown = "route-unknown"
+	modelUnknown    = "model-unknown"
+	overRate        = "over-rate"
+	rateUnreachable = "rate-unreachable"
+	keyUnknown      = "key-unknown"
+	routeUnknown    = "route-unknown"
 	// internalError is the code of an answer to a request whose handler failed.
 	internalError = "internal-error"
 )
@@ -126,7 +127,7 @@
 	known := false
 	for _, c := range r.configsInForce(configs, q) {
 		switch code {
-		case overRate:
+		case overRate, rateUnreachable:
 			known = known || slices.ContainsFunc(c.config.Tenants, func(t site.Tenant) bool {
 				return t.Name == r.workspaceOf(q.key) && t.Rate < unlimitedRate
 			})
@@ -143,7 +144,7 @@
 	}
 	switch {
 	case q.status == http.StatusServiceUnavailable:
-		known = slices.Contains(fullCodes, code)
+		known = slices.Contains(fullCodes, code) || code == rateUnreachable && known
 	case q.status < http.StatusInternalServerError && code == "":
 		known = false
 	}
--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -131,6 +131,8 @@
 	}{
 		{name: "over a rate that nobody reaches", status: 429, code: overRate, want: true},
 		{name: "over a lowered rate", status: 429, code: overRate, lowered: true},
+		{name: "not known to be within a rate that nobody reaches", status: 503, code: rateUnreachable, want: true},
+		{name: "not known to be within a lowered rate", status: 503, code: rateUnreachable, lowered: true},
 		{name: "a key that is there", status: 401, code: keyUnknown, want: true},
 		{name: "a withdrawn key", status: 401, code: keyUnknown, lowered: true},
 		{name: "a route that is there", status: 404, code: routeUnknown, want: true},
--- a/internal/trail/explain.go
+++ b/internal/trail/explain.go
@@ -36,6 +36,7 @@
 	"request served":                "{node} passed on the whole answer of {endpoint} with status {status} after {total-ms} ms.",
 	"request failed":                "{node} ended the request with status {status} ({code}): {why}. Attempts sent: {sent}; that may have run: {ran}. Last error: {error}.",
 	"request over rate":             "Workspace {workspace} had no tokens left for the {tokens} of the request; its rate is {rate} a second under configuration {config}.",
+	"rate of request not known":     "{node} got no tokens of workspace {workspace} for the {tokens} of the request, since the coordinator had just begun; its rate is {rate} a second under configuration {config}.",
 	"request repeated":              "{node} tried again after {endpoint}: {why}. {error}",
 	"stream resumed":                "{node} resumed the stream after event {after-event}, which {endpoint} had broken off. {error}",
 	"endpoint not reached":          "{endpoint} took no connection, so nothing was sent: {error}.",
--- a/internal/trail/rates.go
+++ b/internal/trail/rates.go
@@ -58,7 +58,7 @@
 				at:     l.Time.Add(-time.Duration(waited * float64(time.Millisecond))),
 				tokens: tokens,
 			})
-		case l.Message == "request over rate":
+		case l.Message == "request over rate", l.Message == "rate of request not known":
 			rate, _ := l.fields["rate"].(float64)
 			events = append(events, rateEvent{
 				at:      l.Time,
