serve: take a running stream for proof of its prompt

A stream cleared the parts of its prompt when it ended. Where answers take longer than the time between crashes, three crashes with other causes blocked a part that running streams showed to be sound, and all requests with it were refused until one of them ended.

An event of a stream now clears the parts once its engine has written for 250 ms, at most every 250 ms. That is the rule by which the end of a stream was proof, at an earlier time: comments are no proof, and the crashes that are cleared are those before the event.

--- a/internal/serve/crash.go
+++ b/internal/serve/crash.go
@@ -132,12 +132,24 @@
 
 // recordProof records that the engine answered the request, which clears the parts of
 // its prompt.
-func (c *call) recordProof() {
+func (c *call) recordProof(at time.Time) {
 	if c.service.Engine != nil && len(c.req.Parts) > 0 {
-		c.opts.Parts.RecordServed(c.opts.Clock.Now(), c.req.Parts)
+		c.opts.Parts.RecordServed(at, c.req.Parts)
 	}
 }
 
+// recordRunning records a proof if an event of a stream was read when one was due, which is
+// each provenAfter from its first event. It returns when the next one is due.
+func (c *call) recordRunning(at, due time.Time) time.Time {
+	if at.Before(due) {
+		return due
+	}
+	if !due.IsZero() {
+		c.recordProof(at)
+	}
+	return at.Add(provenAfter)
+}
+
 var errPartBlocked = errors.New("serve: a part of the prompt is blocked")
 
 // checkParts returns the refusal of a request with a blocked part.
--- a/internal/serve/crash_test.go
+++ b/internal/serve/crash_test.go
@@ -5,10 +5,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/fleet"
 )
 
@@ -214,3 +217,51 @@
 		t.Error("the newest probe is not used")
 	}
 }
+
+// TestProofOfRunningStream guards against refusing sound requests because the answers that
+// show it are streams that have not ended yet.
+func TestProofOfRunningStream(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		pause time.Duration // after the first event
+		then  string
+		want  bool
+	}{
+		{name: "an engine that has written for long", pause: provenAfter, then: "id: 2\ndata: b\n\n", want: true},
+		{name: "an engine that has begun to write", pause: provenAfter - time.Millisecond, then: "id: 2\ndata: b\n\n"},
+		{name: "an engine that writes comments", pause: provenAfter, then: ":\n\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			h := newCrashHarness(t, fakeProber{})
+			now := clock.NewFake()
+			now.Advance(time.Since(now.Now()))
+			h.clock, h.server.opts.Clock = now, now
+			body, engine := io.Pipe()
+			h.sender.body = func(Attempt) io.ReadCloser { return body }
+			var running sync.WaitGroup
+			running.Go(func() { h.serveParts("stream", "first") })
+			defer running.Wait()
+			defer engine.Close()
+			write := func(event string) {
+				// The comment is read once the event has been relayed.
+				for _, text := range []string{event, ":\n\n"} {
+					if _, err := io.WriteString(engine, text); err != nil {
+						t.Fatal(err)
+					}
+				}
+			}
+			write("id: 1\ndata: a\n\n")
+			for i := range 3 {
+				h.server.opts.Parts.RecordCrash(now.Now().Add(time.Duration(i-3)*time.Second), fleet.Key{ID: strconv.Itoa(i)}, "r", []string{"first"})
+			}
+			if h.server.opts.Parts.Blocked() != 1 {
+				t.Fatal("the part is not blocked")
+			}
+			now.Advance(tc.pause)
+			write(tc.then)
+			if got := h.server.opts.Parts.Blocked() == 0; got != tc.want {
+				t.Errorf("the part is free: %v, want %v", got, tc.want)
+			}
+		})
+	}
+}
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -60,7 +60,7 @@
 	case reply.EndsWithConnection:
 		c.watchEnd(now)
 	default:
-		c.recordProof()
+		c.recordProof(now)
 		c.recordAnswerTime(reply, now)
 	}
 	c.caller.Respond(reply.Status, reply.Header, body)
@@ -159,7 +159,7 @@
 	defer unread.release()
 	buf := make([]byte, readSize)
 	var held []byte // comments that the caller has not got
-	var first, last time.Time
+	var first, last, proofDue time.Time
 	events := 0
 	var err error
 	for err == nil {
@@ -198,6 +198,9 @@
 			if werr == nil {
 				c.recordEventTime(now)
 			}
+			if isProgress {
+				proofDue = c.recordRunning(now, proofDue)
+			}
 			// A search may use the call's state from here on.
 			if isProgress {
 				h.rearm()
@@ -241,7 +244,7 @@
 	switch {
 	case events == 0:
 	case complete && !reply.EndsWithConnection, last.Sub(first) >= provenAfter:
-		c.recordProof()
+		c.recordProof(now)
 	case complete:
 		c.watchEnd(now)
 	}
