serve: take a large whole answer for proof of its prompt

An answer that is not a stream and too large to be buffered cleared no part of its prompt, and a crash that ended it with its connection was held against none. Where all answers of a route are so large, nothing but the time of a block ended one of a sound part.

Such an answer counts as a smaller one does: whole, it clears the parts; ended by its connection, the engine is asked whether it still runs.

--- a/internal/serve/crash.go
+++ b/internal/serve/crash.go
@@ -130,6 +130,17 @@
 	}
 }
 
+// recordWhole records what a whole answer that is not a stream shows of its prompt.
+func (c *call) recordWhole(reply *Reply, at time.Time) {
+	switch {
+	case reply.Status >= http.StatusMultipleChoices:
+	case reply.EndsWithConnection:
+		c.watchEnd(at)
+	default:
+		c.recordProof(at)
+	}
+}
+
 // recordProof records that the engine answered the request, which clears the parts of
 // its prompt.
 func (c *call) recordProof(at time.Time) {
--- a/internal/serve/crash_test.go
+++ b/internal/serve/crash_test.go
@@ -164,6 +164,10 @@
 		{name: "a refusal that ends with its connection", body: "no", change: func(r *Reply) { r.EndsWithConnection, r.Status = true, http.StatusNotFound }},
 		{name: "a whole answer that ends with its connection, engine alive", route: "whole", body: "yes", change: untilClose, want: true},
 		{name: "the same, engine crashed in it", route: "whole", body: "yes", change: untilClose, prober: fakeProber{crashed: true}, crash: true},
+		{name: "a large whole answer", route: "whole", body: large, want: true},
+		{name: "a large answer that ends with its connection, engine alive", route: "whole", body: large, change: untilClose, want: true},
+		{name: "the same, engine crashed", route: "whole", body: large, change: untilClose, prober: fakeProber{crashed: true}, crash: true},
+		{name: "a large refusal", route: "whole", body: large, change: func(r *Reply) { r.Status = http.StatusNotFound }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			h := newCrashHarness(t, tc.prober)
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -55,12 +55,8 @@
 	c.opts.Table.EndAttempt(now, key, outcome)
 	c.firstByte = now.Sub(c.req.Arrived)
 	c.opts.Observer.FirstByte(c.service.Name, c.firstByte)
-	switch {
-	case reply.Status >= http.StatusMultipleChoices:
-	case reply.EndsWithConnection:
-		c.watchEnd(now)
-	default:
-		c.recordProof(now)
+	c.recordWhole(reply, now)
+	if reply.Status < http.StatusMultipleChoices && !reply.EndsWithConnection {
 		c.recordAnswerTime(reply, now)
 	}
 	c.caller.Respond(reply.Status, reply.Header, body)
@@ -124,6 +120,7 @@
 	now := c.opts.Clock.Now()
 	if errors.Is(err, io.EOF) {
 		c.opts.Table.EndAttempt(now, key, outcome)
+		c.recordWhole(reply, now)
 		c.caller.End()
 		c.recordServed(reply.Status)
 		return false, nil
