--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -55,12 +55,8 @@
 	c.opts.Table.EndAttempt(now, key, outcome)
 	c.firstByte = now.Sub(c.req.Arrived)
 	c.opts.Observer.FirstByte(c.service.Name, c.firstByte)
-	switch {
-	case reply.Status >= http.StatusMultipleChoices:
-	case reply.EndsWithConnection:
-		c.watchEnd(now)
-	default:
-		c.recordProof()
+	c.recordWhole(reply, now)
+	if reply.Status < http.StatusMultipleChoices && !reply.EndsWithConnection {
 		c.recordAnswerTime(reply, now)
 	}
 	c.caller.Respond(reply.Status, reply.Header, body)
@@ -124,6 +120,7 @@
 	now := c.opts.Clock.Now()
 	if errors.Is(err, io.EOF) {
 		c.opts.Table.EndAttempt(now, key, outcome)
+		c.recordWhole(reply, now)
 		c.caller.End()
 		c.recordServed(reply.Status)
 		return false, nil
@@ -159,7 +156,7 @@
 	defer unread.release()
 	buf := make([]byte, readSize)
 	var held []byte // comments that the caller has not got
-	var first, last time.Time
+	var first, last, proofDue time.Time
 	events := 0
 	var err error
 	for err == nil {
@@ -194,6 +191,9 @@
 			if len(held) > 0 {
 				event, held = append(held, event...), nil
 			}
+			if isProgress {
+				proofDue = c.recordRunning(now, proofDue)
+			}
 			// A search may use the call's state after that.
 			if werr := c.relayEvent(h, reply, event, now, isProgress); werr != nil {
 				h.takeBack()
@@ -232,7 +232,7 @@
 	switch {
 	case events == 0:
 	case complete && !reply.EndsWithConnection, last.Sub(first) >= provenAfter:
-		c.recordProof()
+		c.recordProof(now)
 	case complete:
 		c.watchEnd(now)
 	}
