entry: don't refuse by a revision that is known to be old

The same fault as in package serve: a node knows from its peers that a higher revision exists (feed.View.Known) and still answered 401 or 404 for a key, model, adapter or service that only the newer one has. The freshness of the key table bounds it to 3 s for requests with a key; services that need none had no bound.

Such a request waits for the newer revision for up to 1 s and is refused with 503 config-behind then. A revision that has been known for 5 s without arriving may not be readable here; the one in force decides then, as before.

--- a/internal/audit/reason.go
+++ b/internal/audit/reason.go
@@ -133,6 +133,7 @@
 	ShutdownDone
 	ShutdownCut
 	InternalError
+	ConfigBehind
 	numReasons
 )
 
@@ -156,6 +157,7 @@
 	KeyUnknown:      {"key-unknown", KindRefusal, CauseCaller, requestSubject + "was refused because its access key is not one that we issued." + notRunNote},
 	KeyWithdrawn:    {"key-withdrawn", KindRefusal, CauseCaller, requestSubject + "was refused because its access key[ {key}] has been withdrawn." + notRunNote},
 	KeyUnverifiable: {"key-unverifiable", KindRefusal, CauseSystem, requestSubject + "was refused because we could not check whether its access key is still valid: we had no fresh news[ for {wait}]." + notRunNote + retryHint},
+	ConfigBehind:    {"config-behind", KindRefusal, CauseSystem, requestSubject + "was refused because the settings that this entry point has do not know what it asks for, and newer ones exist that had not arrived." + notRunNote + retryHint},
 	OverRate:        {"over-rate", KindRefusal, CauseAllowance, requestSubject + "was refused because the workspace had used up its allowance[: the request needed {wanted} tokens and {available} were left]." + notRunNote + retryHint},
 	OverBurst:       {"over-burst", KindRefusal, CauseCaller, requestSubject + "was refused because it is larger than the workspace may send at once[: it needed {wanted} tokens and the most allowed is {limit}]." + notRunNote},
 	RateUnreachable: {"rate-unreachable", KindRefusal, CauseSystem, requestSubject + "was refused because the part of the workspace's allowance that we could reach was too small[: the request needed {wanted} tokens and {available} could be used here]. The rest is held at sites that did not answer[ within {wait}]." + notRunNote + retryHint},
--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -48,8 +48,14 @@
 	}
 	q.secret = secret
 	q.verdict = q.opts.Keys.Check(secret)
+	for q.verdict.Result == keys.Unknown && q.awaitNewer() {
+		q.verdict = q.opts.Keys.Check(secret)
+	}
 	if p, bad := keyProblem(q.verdict.Result); bad {
 		q.countRejectedKey(q.verdict.Result)
+		if q.verdict.Result == keys.Unknown {
+			p = q.unknown(p)
+		}
 		return &p
 	}
 	q.workspace = q.view.index.Workspaces[q.verdict.Workspace]
--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -108,9 +108,21 @@
 	}
 }
 
+// isKnown reports whether the request's view has its model and adapter.
+func (c *completion) isKnown() bool {
+	index := c.view.index
+	if a := index.Adapters[c.in.Model]; index.Models[c.in.Model] == nil {
+		return a != nil && index.Models[a.Model] != nil
+	}
+	return c.adapter == "" || hasAdapter(index, c.in.Model, c.adapter)
+}
+
 // resolve finds the model and checks the adapter. The request may name an adapter
 // as its model.
 func (c *completion) resolve() bool {
+	for !c.isKnown() && c.awaitNewer() {
+		// The newer configuration may have what this one lacks.
+	}
 	index := c.view.index
 	c.spec = index.Models[c.in.Model]
 	if a := index.Adapters[c.in.Model]; c.spec == nil && a != nil {
@@ -124,12 +136,12 @@
 		c.body = body
 	}
 	if c.spec == nil {
-		c.refuse(*modelProblem(c.in.Model), audit.Event{})
+		c.refuse(c.unknown(*modelProblem(c.in.Model)), audit.Event{})
 		return false
 	}
 	c.model, c.service = c.spec.Name, c.spec.Service
 	if c.adapter != "" && !hasAdapter(index, c.model, c.adapter) {
-		c.refuse(*adapterProblem(c.model, c.adapter), audit.Event{
+		c.refuse(c.unknown(*adapterProblem(c.model, c.adapter)), audit.Event{
 			Other: c.adapter,
 		})
 		return false
--- a/internal/entry/plain.go
+++ b/internal/entry/plain.go
@@ -104,8 +104,11 @@
 // one. If it returns false, it has answered the request.
 func (q *request) findCall() (*spec.Service, spec.Method, bool) {
 	svc := q.view.findService(q.r.URL.Path)
+	for svc == nil && q.awaitNewer() {
+		svc = q.view.findService(q.r.URL.Path)
+	}
 	if svc == nil {
-		q.refuse(serviceProblem(), audit.Event{})
+		q.refuse(q.unknown(serviceProblem()), audit.Event{})
 		return nil, spec.Method{}, false
 	}
 	if !svc.Open && q.workspace == nil && !q.authenticate() {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -100,6 +100,7 @@
 	retryPolicy once.Policy
 	seq         atomic.Uint64
 	config      atomic.Pointer[view]
+	newest      atomic.Pointer[newestRevision]
 	ready       atomic.Bool
 
 	stop  atomic.Pointer[drain.Stop]
@@ -122,6 +123,7 @@
 
 // view is a configuration with the lookups that handlers need.
 type view struct {
+	revision int64
 	index    *spec.Index
 	models   []string
 	services []*spec.Service
@@ -152,7 +154,8 @@
 // SetConfig applies a configuration.
 func (s *Server) SetConfig(c *spec.Config) {
 	v := &view{
-		index: c.Index(),
+		revision: c.Revision,
+		index:    c.Index(),
 	}
 	for i := range c.Services {
 		if c.Services[i].Kind == spec.KindPlain {
@@ -269,6 +272,8 @@
 	id      string
 	arrived time.Time
 	view    *view
+	// newerUntil is until when the request waits for newer configurations, zero before.
+	newerUntil time.Time
 
 	verdict   keys.Verdict
 	workspace *spec.Workspace
