poison: look for the cause among parts without an answer first

The part with the most crashes was taken for the cause, and whether it had been answered decided only between parts with equally many.

Parts without an answer are asked first. Crashes that such a part explains, or may explain until its time to object is over, are not held against a part that was answered before. That is no weaker against a part that was never answered. One that was, and crashes engines since, is blocked after the fifth crash in place of the third if a part without an answer stood beside the first two.

Two of the three new cases of TestBlocked fail before; the third shows that fifth crash. The tests of internal/poison pass with the race detector, and those of internal/coord on crashing parts, once each.

--- a/internal/poison/decide.go
+++ b/internal/poison/decide.go
@@ -23,7 +23,9 @@
 }
 
 // decide derives the blocked parts from the evidence. Crashes under a blocked part are
-// not held against the other parts that were there.
+// not held against the other parts that were there. A part that was answered before is the
+// cause only of crashes that no part without an answer explains, or may explain once the
+// time to object is over.
 func (t *Tracker) decide(now time.Time) {
 	t.forget(now)
 	order := slices.Collect(maps.Values(t.suspects))
@@ -32,14 +34,16 @@
 		counts[s.part] = countCrashes(s.crashes)
 	}
 	slices.SortFunc(order, func(a, b *suspect) int {
-		// Of two with the same crashes, the one that was never answered is the cause.
-		return cmp.Or(cmp.Compare(counts[b.part], counts[a.part]), a.served.Compare(b.served), cmp.Compare(a.part, b.part))
+		return cmp.Or(compareTrue(a.served.IsZero(), b.served.IsZero()), cmp.Compare(counts[b.part], counts[a.part]),
+			a.served.Compare(b.served), cmp.Compare(a.part, b.part))
 	})
-	explained := make(map[fleet.Key]bool)
+	explained, mayBeExplained := make(map[fleet.Key]bool), make(map[fleet.Key]bool)
 	blocks := make(map[string]Block)
 	t.decideAt = time.Time{}
 	for _, s := range order {
-		rest := slices.DeleteFunc(slices.Clone(s.crashes), func(c crash) bool { return explained[c.engine] })
+		rest := slices.DeleteFunc(slices.Clone(s.crashes), func(c crash) bool {
+			return explained[c.engine] || !s.served.IsZero() && mayBeExplained[c.engine]
+		})
 		count := countCrashes(rest)
 		if count < crashesToBlockUnserved {
 			s.strongSince = time.Time{}
@@ -56,6 +60,9 @@
 				if t.decideAt.IsZero() || end.Before(t.decideAt) {
 					t.decideAt = end
 				}
+				for _, c := range s.crashes {
+					mayBeExplained[c.engine] = true
+				}
 				continue
 			}
 		}
@@ -71,6 +78,17 @@
 	t.replaceBlocks(now, blocks)
 }
 
+// compareTrue orders true before false.
+func compareTrue(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	}
+	return 1
+}
+
 // blockTime returns how long a part is blocked after its last crash.
 func blockTime(crashes int) time.Duration {
 	if crashes < crashesToBlock {
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -132,6 +132,42 @@
 			blocked: []string{"x-deadly"},
 			free:    []string{"rare"},
 		},
+		{
+			name: "a part that was answered before, at a crash that has another cause",
+			events: []event{
+				{at: 0, parts: []string{"first"}},
+				{at: 1 * time.Second, crash: 1, parts: []string{"first", "deadly"}},
+				{at: 2 * time.Second, crash: 2, parts: []string{"first", "deadly"}},
+				{at: 4 * time.Second, crash: 3, parts: []string{"first"}},
+			},
+			check:   4 * time.Second,
+			blocked: []string{"deadly"},
+			free:    []string{"first"},
+		},
+		{
+			name: "the same during the time to object",
+			events: []event{
+				{at: 0, parts: []string{"first"}},
+				{at: 1 * time.Second, crash: 1, parts: []string{"first", "deadly"}},
+				{at: 2 * time.Second, crash: 2, parts: []string{"first", "deadly"}},
+				{at: 2*time.Second + objectionTime/2, crash: 3, parts: []string{"first"}},
+			},
+			check: 2*time.Second + objectionTime/2,
+			free:  []string{"first", "deadly"},
+		},
+		{
+			name: "an answered part that crashes engines, beside one that no request was answered with",
+			events: []event{
+				{at: 0, parts: []string{"deadly"}},
+				{at: 1 * time.Second, crash: 1, parts: []string{"rare", "deadly"}},
+				{at: 2 * time.Second, crash: 2, parts: []string{"rare", "deadly"}},
+				{at: 4 * time.Second, crash: 3, parts: []string{"deadly"}},
+				{at: 5 * time.Second, crash: 4, parts: []string{"deadly"}},
+				{at: 6 * time.Second, crash: 5, parts: []string{"deadly"}},
+			},
+			check:   6 * time.Second,
+			blocked: []string{"deadly"},
+		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			tr := newTestTracker()
