serve, drain: expect whole answers to last as long as whole answers

Cause: a stopping process looked up the length of each request among those of streams. The whole answers of plain services are recorded without tokens, so that a request with a token count found nothing known: it was accepted where such answers take longer than the process has, and refused where its tokens let a stream take that long. Whole answers of engines were not recorded at all, and nothing known counted as the target of their route.

Change: the tokens count only where the time depends on them, and whole answers of engines are a kind of their own. Until one has been seen, the streams of the engine count as before. A whole answer on the route of a stream is not recorded.

Result: four new cases of TestStopRefusesWhatItCannotFinish; three failed before (200 in place of 503 twice, 503 in place of 200 once), one passed before and after.

--- a/internal/drain/times.go
+++ b/internal/drain/times.go
@@ -27,6 +27,14 @@
 type Kind struct {
 	Service string
 	Model   string
+	// IsWhole is set for answers that come in one part, after all of their tokens.
+	IsWhole bool
+}
+
+// all returns the kind that stands for all models.
+func (k Kind) all() Kind {
+	k.Model = ""
+	return k
 }
 
 // Sample is the course of one request that was answered in full.
@@ -66,7 +74,7 @@
 func (t *Times) Record(k Kind, s Sample) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for _, key := range []Kind{k, {Service: k.Service}} {
+	for _, key := range []Kind{k, k.all()} {
 		times := t.byKind[key]
 		if times == nil {
 			if t.byKind == nil {
@@ -129,7 +137,7 @@
 	defer t.mu.Unlock()
 	times := t.byKind[k]
 	if times == nil {
-		times = t.byKind[Kind{Service: k.Service}]
+		times = t.byKind[k.all()]
 	}
 	if times == nil {
 		return 0
@@ -142,7 +150,7 @@
 func (t *Times) ExpectAt(k Kind, tokens, pace float64) time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all, own := t.byKind[Kind{Service: k.Service}], t.byKind[k]
+	all, own := t.byKind[k.all()], t.byKind[k]
 	if all == nil {
 		return 0
 	}
@@ -160,7 +168,7 @@
 func (t *Times) Knows(k Kind, tokens float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := t.byKind[Kind{Service: k.Service}]
+	all := t.byKind[k.all()]
 	return all != nil && (tokens == 0 || all.perToken.samples+all.perPart.samples > 0)
 }
 
@@ -169,7 +177,7 @@
 func (t *Times) KnowsFew(k Kind, tokens float64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	all := t.byKind[Kind{Service: k.Service}]
+	all := t.byKind[k.all()]
 	return tokens > 0 && (all == nil || all.perToken.samples+all.perPart.samples < minSamples)
 }
 
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/drain"
+	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/picker"
 )
 
@@ -48,15 +49,16 @@
 	if c.service == nil {
 		return 0
 	}
-	unknown := c.route.Objective + time.Duration(c.req.OutputTokens/unknownPartTokens*float64(c.route.MaxPause))
+	tokens := c.neededTokens()
+	unknown := c.route.Objective + time.Duration(tokens/unknownPartTokens*float64(c.route.MaxPause))
 	need, isEngine := unknown, c.service.Engine != nil
-	if c.times.Knows(c.kind(), c.req.OutputTokens) {
+	if c.times.Knows(c.comparedKind(), tokens) {
 		need = c.expected(choice.Pace)
 		if isEngine && !choice.IsStale && choice.Fill >= picker.NearFullShare {
 			// It may wait in the engine's queue until as many others have ended.
 			need += time.Duration(max(1, choice.Fill) * float64(need))
 		}
-		if isEngine && choice.IsStale || c.times.KnowsFew(c.kind(), c.req.OutputTokens) {
+		if isEngine && choice.IsStale || c.times.KnowsFew(c.comparedKind(), tokens) {
 			need = max(need, unknown)
 		}
 	}
@@ -70,28 +72,55 @@
 	if c.service == nil {
 		return 0
 	}
-	return c.times.ExpectAt(c.kind(), c.req.OutputTokens, pace)
+	return c.times.ExpectAt(c.comparedKind(), c.neededTokens(), pace)
 }
 
-// kind returns with which requests the time of this one is compared.
+// neededTokens returns the number of tokens on which the time of the request depends. A whole
+// answer of a plain service does not depend on them.
+func (c *call) neededTokens() float64 {
+	if c.service.Engine == nil && c.route.Kind != fleet.Stream {
+		return 0
+	}
+	return c.req.OutputTokens
+}
+
+// kind returns of which kind the request is.
 func (c *call) kind() drain.Kind {
 	k := drain.Kind{
 		Service: c.service.Name,
 	}
 	if c.service.Engine != nil {
-		k.Model = c.req.Model
+		k.Model, k.IsWhole = c.req.Model, c.route.Kind != fleet.Stream
+	}
+	return k
+}
+
+// comparedKind returns with which requests the time of this one is compared. While no whole
+// answer of an engine has shown how long they take, its streams do.
+func (c *call) comparedKind() drain.Kind {
+	k := c.kind()
+	if k.IsWhole && !c.times.Knows(k, c.neededTokens()) {
+		k.IsWhole = false
 	}
 	return k
 }
 
 // recordAnswerTime records the time of a whole answer. An engine's depends on the number of
-// tokens, and its first part on the last one, so that it can't be compared with streams.
+// tokens, if that is known. An answer in place of a stream shows nothing.
 func (c *call) recordAnswerTime(reply *Reply, now time.Time) {
-	if c.service.Engine != nil {
+	if c.route.Kind == fleet.Stream {
+		return
+	}
+	took, tokens := now.Sub(reply.sentAt), c.neededTokens()
+	if tokens > 0 {
+		c.times.Record(c.kind(), drain.Sample{
+			Rest:   took,
+			Tokens: tokens,
+		})
 		return
 	}
 	c.times.Record(c.kind(), drain.Sample{
-		First: now.Sub(reply.sentAt),
+		First: took,
 	})
 }
 
--- a/internal/serve/stop_test.go
+++ b/internal/serve/stop_test.go
@@ -167,6 +167,38 @@
 		}, status: 503},
 		{name: "arrives, long stream", route: "stream", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
 		{name: "arrives, long answer", route: "book", need: long, prepare: func(_ *harness, _ *hooks, _ *Request, stop func(time.Duration)) { stop(time.Minute) }, status: 503},
+		{name: "arrives, long answer, tokens counted", route: "book", need: long, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			h.server.Config().Match(q.Host, q.Path).MaxPause, q.OutputTokens = 0, 100
+			stop(time.Minute)
+		}, status: 503},
+		{name: "arrives, short answer, tokens counted", route: "book", need: short, prepare: func(_ *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			q.OutputTokens = 400
+			stop(time.Minute)
+		}, status: 200, runs: 1},
+		{name: "arrives, long answer of an engine", route: "book", prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			r := h.server.Config().Match(q.Host, q.Path)
+			r.MaxPause, r.Targets[0].Service = 0, "lm"
+			q.OutputTokens = 400
+			reportLoads(h, 100*time.Millisecond, 5)
+			c := &call{
+				Server:  h.server,
+				req:     q,
+				route:   r,
+				service: h.server.Config().Services["lm"],
+			}
+			for range 8 {
+				now := h.clock.Now()
+				c.recordAnswerTime(&Reply{
+					sentAt: now.Add(-long),
+				}, now)
+			}
+			stop(time.Minute)
+		}, status: 503},
+		{name: "arrives, long answer of an engine, long streams", route: "book", need: long, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
+			r := h.server.Config().Match(q.Host, q.Path)
+			r.MaxPause, r.Targets[0].Service = 0, "lm"
+			stop(time.Minute)
+		}, status: 503},
 		{name: "arrives too late", route: "book", need: short, prepare: func(h *harness, _ *hooks, q *Request, stop func(time.Duration)) {
 			stop(0)
 			q.Arrived = h.clock.Now()
@@ -313,6 +345,7 @@
 			c := &call{
 				Server:  h.server,
 				req:     q,
+				route:   h.server.Config().Match(q.Host, q.Path),
 				service: h.server.Config().Services["lm"],
 			}
 			if tc.route == "book" {
