--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -120,8 +120,9 @@
 // resolve finds the model and checks the adapter. The request may name an adapter
 // as its model.
 func (c *completion) resolve() bool {
-	for !c.isKnown() && c.awaitNewer() {
-		// The newer configuration may have what this one lacks.
+	// The newer configuration may have what this one lacks.
+	for isKnown := c.isKnown(); !isKnown && c.awaitNewer(); {
+		isKnown = c.isKnown()
 	}
 	index := c.view.index
 	c.spec = index.Models[c.in.Model]
