coord: wait for a configuration before the first election

Cause: a process that has just started took the lease, which a stopping one had given back, 4 ms after its start. Its answers kept the other nodes from their own fractions of the rates.

Change: a node competes for the lease from when it has a configuration, and without one from 1 s after its start. Without a coordinator the nodes admit requests from their fractions.

Result: TestLeaseAfterConfiguration: the lease was taken after 6 ms before, now after the configuration or 1 s. A trial in which a coordinator without a configuration answered as if it were none made other tests of the package fail; it was reverted.

--- a/internal/coord/coord_test.go
+++ b/internal/coord/coord_test.go
@@ -622,6 +622,40 @@
 	}
 }
 
+// TestLeaseAfterConfiguration guards against a process that takes the lease before it has a
+// configuration: it issues no tokens, and the other nodes wait for it.
+func TestLeaseAfterConfiguration(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		configIn time.Duration
+		from     time.Duration
+	}{
+		{name: "soon", configIn: 400 * time.Millisecond, from: 400 * time.Millisecond},
+		{name: "never", configIn: time.Hour, from: maxConfigWait},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newTestFleet(t)
+			began := time.Now()
+			n := f.start("a")
+			configured := time.AfterFunc(tc.configIn, func() {
+				if err := n.SetRawConfig(t.Context(), []byte("1"), storeSource); err != nil {
+					t.Error(err)
+				}
+			})
+			defer configured.Stop()
+			f.eventually("the node coordinates", 5*time.Second, func() bool {
+				n.mu.Lock()
+				defer n.mu.Unlock()
+				return n.isCoordinator
+			})
+			if took := time.Since(began); took < tc.from {
+				t.Errorf("the node took the lease after %v, want %v or later", took, tc.from)
+			}
+		})
+	}
+}
+
 // TestDeputies guards against small nodes as deputies in a fleet that has larger
 // ones. Coordinating 74 nodes takes twice the CPU of the smallest VMs.
 func TestDeputies(t *testing.T) {
--- a/internal/coord/elect.go
+++ b/internal/coord/elect.go
@@ -34,9 +34,19 @@
 		Node:   n,
 		keeper: keeper,
 	}
+	configWait := time.NewTimer(maxConfigWait)
+	defer configWait.Stop()
 	if !sleep(ctx, n.firstElectionIn) {
 		return
 	}
+	// A coordinator without a configuration issues no tokens, and keeps the other nodes from
+	// admitting requests within their own fractions.
+	select {
+	case <-n.configured:
+	case <-configWait.C:
+	case <-ctx.Done():
+		return
+	}
 	for {
 		e.step(ctx)
 		if !sleep(ctx, electionInterval) {
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -68,6 +68,9 @@
 	// gossipAfter is how long a node waits for the coordinator, or for a recent
 	// view of the store, before it exchanges messages with other nodes.
 	gossipAfter = 550 * time.Millisecond
+	// maxConfigWait is how long after its start a node waits for a configuration before it
+	// competes for the lease without one.
+	maxConfigWait = time.Second
 	// competeAfter is how long the store must have answered a node before it
 	// competes with a coordinator that answers but has not renewed its lease.
 	// After an outage of the store the coordinator therefore renews first.
@@ -132,6 +135,8 @@
 	// documentsRequested is signalled when another node holds newer documents.
 	documentsRequested chan struct{}
 	firstElectionIn    time.Duration // from the start of the node
+	// configured is closed when the node has its first configuration.
+	configured chan struct{}
 
 	// configMu is held while a configuration is put into force, endpointsMu while the
 	// endpoints change. They are locked before mu.
@@ -218,6 +223,7 @@
 		coord:              newCoordinator(o),
 		exchangeRequested:  make(chan struct{}, 1),
 		documentsRequested: make(chan struct{}, 1),
+		configured:         make(chan struct{}),
 		registry:           fleet.NewRegistry(),
 		isDeputy:           true,
 		engineStates:       make(map[int]*EngineState),
@@ -259,9 +265,14 @@
 	// them in the same order.
 	n.configMu.Lock()
 	defer n.configMu.Unlock()
-	if c := n.opts.Server.Config(); c != nil && c.Version >= config.Version {
+	c := n.opts.Server.Config()
+	if c != nil && c.Version >= config.Version {
 		return nil
 	}
+	if c == nil {
+		// The coordinator of this node must learn it first.
+		defer close(n.configured)
+	}
 	// Requests that wait for tokens ask for them again once the server has the configuration.
 	n.Admitter.SetConfig(config)
 	n.opts.Server.SetConfig(config)
