grant: keep handed-over levels for buckets that do not exist yet

Cause: a coordinator that learns the levels of the last one before it has a configuration has no buckets, and dropped the levels. What the last one had left was lost, and so was a debt of a request larger than the burst, which the next one then issued again.

Change: the issuer keeps these levels until the workspace gets its bucket, and hands them on if it resigns before.

Result: TestHandoverBeforeLimits: 500 tokens where 3,500 were left, and 500 where 800 were owed, before; 3,500 and -300 now.

--- a/internal/grant/grant_test.go
+++ b/internal/grant/grant_test.go
@@ -25,6 +25,7 @@
 	limit        Limit
 	slack        float64
 	issuer       *Issuer
+	begunAt      time.Time // when the issuer began
 	members      map[int]*simulatedMember
 	limiters     []*NodeLimiter
 	disconnected []bool
@@ -130,7 +131,26 @@
 }
 
 func (s *simulation) startCoordinator(startFull bool) {
-	s.issuer = NewIssuer(testInitialTokens, startFull)
+	s.startIssuer(NewIssuer(testInitialTokens, startFull))
+}
+
+// handOver replaces the coordinator by one that learns the levels of the former, before or
+// after the limits.
+func (s *simulation) handOver(limitsFirst bool) {
+	s.issuer.SetReserved(s.now, s.reserved())
+	levels := s.issuer.Levels(s.now)
+	next := NewIssuer(testInitialTokens, false)
+	if !limitsFirst {
+		next.AddTokens(s.now, "w", levels["w"])
+	}
+	s.startIssuer(next)
+	if limitsFirst {
+		next.AddTokens(s.now, "w", levels["w"])
+	}
+}
+
+func (s *simulation) startIssuer(issuer *Issuer) {
+	s.issuer, s.begunAt = issuer, s.now
 	s.issuer.SetLimits(s.now, map[string]Limit{"w": s.limit})
 	for _, m := range s.members {
 		m.lastExchange = s.now
@@ -180,6 +200,10 @@
 				s.withoutPool[i] = !s.withoutPool[i]
 			case 5:
 				s.pools[rapid.IntRange(0, 1).Draw(t, "pool lost")] = NewPool()
+			case 6:
+				if s.issuer != nil && s.now.Sub(s.begunAt) >= testWindow/4 {
+					s.handOver(rapid.Bool().Draw(t, "limits first"))
+				}
 			case 2:
 				s.issuer = nil
 			case 3:
@@ -308,6 +332,42 @@
 	}
 }
 
+// TestHandoverBeforeLimits guards against losing what the former issuer had left, or its
+// debt, when the next one learns it before it knows the limits.
+func TestHandoverBeforeLimits(t *testing.T) {
+	now := time.Unix(1000, 0)
+	limits := map[string]Limit{"w": {Rate: 1000, Burst: 5000}}
+	for _, tc := range []struct {
+		name  string
+		level float64
+		want  float64
+	}{
+		{name: "tokens left", level: 3000, want: 3500},
+		{name: "full bucket", level: 5000, want: 5000},
+		{name: "debt", level: -800, want: -300},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			next := NewIssuer(500, false)
+			next.AddTokens(now, "w", tc.level)
+			if got := next.Levels(now)["w"]; got != tc.level {
+				t.Errorf("the next would hand over %v tokens, want %v", got, tc.level)
+			}
+			for range 2 {
+				// Only the first bucket gets the tokens.
+				next.SetLimits(now, nil)
+				next.SetLimits(now, limits)
+				if got := next.Level(now, "w"); got != tc.want {
+					t.Errorf("the next holds %v tokens, want %v", got, tc.want)
+				}
+				tc.want = 500
+			}
+			if got := next.Issue(now, "w", 9000, 0); got != 500 {
+				t.Errorf("a second bucket issued %v tokens, want 500", got)
+			}
+		})
+	}
+}
+
 // TestShortage guards against stating that tokens were used which the issuer only withholds
 // at its start, and against withholding them for longer than the refill takes.
 func TestShortage(t *testing.T) {
--- a/internal/grant/issuer.go
+++ b/internal/grant/issuer.go
@@ -11,7 +11,10 @@
 // The package has no goroutines and does no I/O.
 package grant
 
-import "time"
+import (
+	"maps"
+	"time"
+)
 
 // Term is how long issued tokens may be spent. It counts from when the node sent
 // its token request, on that node's clock. Requests rarely wait longer than this
@@ -35,6 +38,8 @@
 	// is set.
 	initialTokens float64
 	startFull     bool
+	// handedOver are the levels of a former issuer's buckets that do not exist here yet.
+	handedOver map[string]float64
 }
 
 type bucket struct {
@@ -55,6 +60,7 @@
 		refillPart:    1,
 		initialTokens: initialTokens,
 		startFull:     startFull,
+		handedOver:    make(map[string]float64),
 	}
 }
 
@@ -79,6 +85,10 @@
 			}
 			b.withheld = l.Burst - b.level
 			s.buckets[name] = b
+			if level, ok := s.handedOver[name]; ok {
+				delete(s.handedOver, name)
+				s.AddTokens(now, name, level)
+			}
 		}
 		b.refill(now, s.refillPart)
 		b.limit = l
@@ -174,10 +184,12 @@
 const fullBucketPart = 0.98
 
 // AddTokens adds the tokens that a former issuer had not issued when it stopped.
-// A negative level is subtracted.
+// A negative level is subtracted. If the limit of the workspace is not known yet, its bucket
+// gets them when it is.
 func (s *Issuer) AddTokens(now time.Time, workspace string, level float64) {
 	b := s.buckets[workspace]
 	if b == nil {
+		s.handedOver[workspace] += level
 		return
 	}
 	b.refill(now, s.refillPart)
@@ -185,9 +197,10 @@
 	b.withheld = 0
 }
 
-// Levels returns the levels of all buckets by workspace.
+// Levels returns the levels of all buckets by workspace, and those handed over for buckets
+// that do not exist yet.
 func (s *Issuer) Levels(now time.Time) map[string]float64 {
-	out := make(map[string]float64, len(s.buckets))
+	out := maps.Clone(s.handedOver)
 	for name := range s.buckets {
 		out[name] = s.Level(now, name)
 	}
