soak: report sound requests that are refused for a part

The soak reported refusals for a blocked part only if more than half of all sound requests beside a deadly part got them, and none in plays without such parts. A popular part that was blocked for a moment went unseen.

Each such refusal by a stable process of this build is reported now, unless a part of the prompt crashes engines or may be taken for one that does: no request was answered with it before, and two were not.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -53,6 +53,7 @@
 	for _, d := range rec.deadly {
 		r.checkDeadlyPart(d, executions, rec.requests)
 	}
+	r.checkBlocked(rec)
 	r.checkRoutes(configs, rec.requests)
 	r.checkServices(configs, executions, rec.requests)
 	var noted map[string]int
--- a/internal/soak/incident.go
+++ b/internal/soak/incident.go
@@ -33,6 +33,8 @@
 	// crashes and stablePeriod.
 	allowedCrashers   = 3
 	crashesUntilKnown = 5
+	// crashesToBlock is with how many crashes a part without an answer may be blocked.
+	crashesToBlock = 2
 	// minSoundSample is from how many sound requests on their share is checked.
 	minSoundSample = 20
 	// idleCallerInterval makes each third caller keep idle connections, and reusableShare
@@ -247,7 +249,7 @@
 			continue
 		}
 		sound++
-		if strings.Contains(q.answer, "prompt-part-blocked") {
+		if strings.Contains(q.answer, partBlocked) {
 			refused++
 		}
 	}
@@ -255,3 +257,40 @@
 		r.reportViolation("LOST: %d of %d sound requests beside part %s were refused for it", refused, sound, d.id)
 	}
 }
+
+// checkBlocked checks that stable processes of this build refuse no request for a prompt part
+// unless one of its parts crashes engines, or may be taken for one that does: no request was
+// answered with it before, and crashesToBlock were not.
+func (r *run) checkBlocked(rec record) {
+	byPart := map[string][]*request{}
+	for _, q := range rec.requests {
+		for _, part := range q.parts {
+			byPart[part] = append(byPart[part], q)
+		}
+	}
+	mayBeTaken := func(part string, at time.Time) bool {
+		if slices.ContainsFunc(rec.deadly, func(d deadlyPart) bool { return d.id == part }) {
+			return true
+		}
+		unanswered := 0
+		for _, q := range byPart[part] {
+			switch {
+			case !q.ended.Before(at):
+			case q.status == http.StatusOK && q.complete:
+				return false
+			default:
+				unanswered++
+			}
+		}
+		return unanswered >= crashesToBlock
+	}
+	for _, q := range rec.requests {
+		if code, _ := q.refusal(); code != partBlocked || !q.stable || q.node.isFormer() {
+			continue
+		}
+		if !slices.ContainsFunc(q.parts, func(part string) bool { return mayBeTaken(part, q.sent) }) {
+			r.reportViolation("LOST: %s (%s) at %.2f s was refused by %s for a part of its prompt, none of which crashes engines: %v", q.id, q.route.Name,
+				q.sent.Sub(r.began).Seconds(), q.node.name, q.parts)
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/incident_test.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/fake/site"
+)
+
+// TestCheckBlocked guards against a soak that overlooks sound requests that are refused for a
+// part of their prompt, or counts refusals of prompts that crash engines.
+func TestCheckBlocked(t *testing.T) {
+	began := time.Unix(1000, 0)
+	sent := began.Add(10 * time.Second)
+	for _, tc := range []struct {
+		name     string
+		parts    []string
+		code     string
+		answered time.Duration // of a request with the sound parts, from the refused one
+		lost     int           // requests with the rare part that were not answered before
+		unwell   bool          // the process is not stable
+		want     bool
+	}{
+		{name: "a part that crashes engines", parts: []string{"first", "deadly"}, code: partBlocked, answered: -time.Second},
+		{name: "sound parts", parts: []string{"first", "second"}, code: partBlocked, answered: -time.Second, want: true},
+		{name: "the part that all requests share", code: partBlocked, answered: -time.Second, want: true},
+		{name: "a part that was not answered yet, lost twice", parts: []string{"first", "rare"}, code: partBlocked, answered: -time.Second, lost: 2},
+		{name: "a part that was not answered yet, lost once", parts: []string{"first", "rare"}, code: partBlocked, answered: -time.Second, lost: 1, want: true},
+		{name: "sound parts that were answered later, not lost", parts: []string{"first", "second"}, code: partBlocked, answered: time.Second, want: true},
+		{name: "sound parts, process not stable", parts: []string{"first", "second"}, code: partBlocked, answered: -time.Second, unwell: true},
+		{name: "sound parts, refused for another reason", parts: []string{"first", "second"}, code: "no-endpoint", answered: -time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			n := &node{
+				name: "node-1",
+				run:  &run{},
+			}
+			route := &site.Route{
+				Name: "plans",
+			}
+			r := &run{
+				began: began,
+			}
+			requests := map[string]*request{
+				"before": {
+					id:       "before",
+					route:    route,
+					node:     n,
+					parts:    []string{"first", "second"},
+					ended:    sent.Add(tc.answered),
+					status:   http.StatusOK,
+					complete: true,
+				},
+				"refused": {
+					id:     "refused",
+					route:  route,
+					node:   n,
+					parts:  tc.parts,
+					sent:   sent,
+					ended:  sent,
+					stable: !tc.unwell,
+					status: http.StatusServiceUnavailable,
+					answer: `{"error":{"code":"` + tc.code + `"}}`,
+				},
+			}
+			for i := range tc.lost {
+				id := strconv.Itoa(i)
+				requests[id] = &request{
+					id:    id,
+					route: route,
+					node:  n,
+					parts: []string{"rare"},
+					ended: sent.Add(-time.Second),
+				}
+			}
+			r.checkBlocked(record{
+				deadly: []deadlyPart{
+					{id: "deadly"},
+				},
+				requests: requests,
+			})
+			if got := len(r.record.violations) > 0; got != tc.want {
+				t.Errorf("reported %v, want %v: %v", got, tc.want, r.record.violations)
+			}
+		})
+	}
+}
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -17,13 +17,14 @@
 	overRate     = "over-rate"
 	keyUnknown   = "key-unknown"
 	routeUnknown = "route-unknown"
+	partBlocked  = "prompt-part-blocked"
 	// internalError is the code of an answer to a request whose handler failed.
 	internalError = "internal-error"
 )
 
 // fullCodes are the codes of refusals because engines are full, fail or lack a model, which
 // are correct while that may be so.
-var fullCodes = []string{"no-endpoint", "no-further-endpoint", "prompt-part-blocked"}
+var fullCodes = []string{"no-endpoint", "no-further-endpoint", partBlocked}
 
 // checkPlanned checks that each whole request got a complete answer, where nothing but
 // planned work and trouble of engines and of the store happened, and that each refusal has a
