--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -18,6 +18,7 @@
 	rateUnreachable = "rate-unreachable"
 	keyUnknown      = "key-unknown"
 	routeUnknown    = "route-unknown"
+	configBehind    = "config-behind"
 	partBlocked     = "prompt-part-blocked"
 	// internalError is the code of an answer to a request whose handler failed.
 	internalError = "internal-error"
@@ -125,6 +126,8 @@
 		return ""
 	}
 	code, message := q.refusal()
+	hasKey := func(t site.Tenant) bool { return slices.Contains(t.Keys, q.key) }
+	isSpare := func(m site.Model) bool { return m.Name == spareModel }
 	known := false
 	for _, c := range r.configsInForce(configs, q) {
 		switch code {
@@ -133,19 +136,22 @@
 				return t.Name == r.workspaceOf(q.key) && t.Rate < unlimitedRate
 			})
 		case keyUnknown:
-			known = known || !slices.ContainsFunc(c.config.Tenants, func(t site.Tenant) bool { return slices.Contains(t.Keys, q.key) })
+			known = known || !slices.ContainsFunc(c.config.Tenants, hasKey)
 		case routeUnknown:
 			_, ok := c.routes[q.route.Name]
 			known = known || !ok
 		case modelUnknown:
-			known = known || !slices.ContainsFunc(c.config.Services[0].Engine.Models, func(m site.Model) bool { return m.Name == spareModel })
+			known = known || !slices.ContainsFunc(c.config.Services[0].Engine.Models, isSpare)
+		case configBehind:
+			_, ok := c.routes[q.route.Name]
+			known = known || !ok || !slices.ContainsFunc(c.config.Tenants, hasKey) || !slices.ContainsFunc(c.config.Services[0].Engine.Models, isSpare)
 		default:
 			known = true
 		}
 	}
 	switch {
 	case q.status == http.StatusServiceUnavailable:
-		known = slices.Contains(fullCodes, code) || code == rateUnreachable && known
+		known = slices.Contains(fullCodes, code) || (code == rateUnreachable || code == configBehind) && known
 	case q.status < http.StatusInternalServerError && code == "":
 		known = false
 	}
--- a/internal/soak/planned_test.go
+++ b/internal/soak/planned_test.go
@@ -137,6 +137,8 @@
 		{name: "a withdrawn key", status: 401, code: keyUnknown, lowered: true},
 		{name: "a route that is there", status: 404, code: routeUnknown, want: true},
 		{name: "a removed route", status: 404, code: routeUnknown, lowered: true},
+		{name: "an old configuration that allows the request", status: 503, code: configBehind, want: true},
+		{name: "an old configuration that refuses the request", status: 503, code: configBehind, lowered: true},
 		{name: "a model that is there", status: 404, code: modelUnknown, want: true},
 		{name: "about to stop, but is not", status: 503, code: "stopping", want: true},
 		{name: "about to stop", status: 503, code: "stopping", unwell: true},
