soak: don't hold a leaving endpoint's word against a restarted one

The check was wrong: faults are serialized for a process and an endpoint, so that an endpoint restarts from one fault within the drain of another.

The check compares the incarnation now: a request that ran at a process which began after the announcement is no violation. TestCheckDrains: the case "restarted since" failed before; the others passed before and after.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -317,8 +317,11 @@
 		}
 		for _, d := range rec.drains {
 			// An endpoint exits 2.5 s after it announces that it is leaving, and is
-			// restarted later.
+			// restarted later, or earlier by another fault.
 			since := a.At.Sub(d.at)
+			if time.UnixMilli(a.Incarnation).After(d.at) {
+				continue
+			}
 			if d.name == a.Endpoint && since > drainBound && since < 2500*time.Millisecond && q.sent.After(d.at) {
 				r.reportViolation("DRAIN: %s reached %s from %s %v after the endpoint announced that it was leaving", a.Request, a.Endpoint, q.node.name, since)
 			}
--- a/internal/soak/incident_test.go
+++ b/internal/soak/incident_test.go
@@ -87,3 +87,52 @@
 		})
 	}
 }
+
+// TestCheckDrains guards against a soak that overlooks requests to endpoints that leave, or
+// counts those to an endpoint that was restarted since it said so.
+func TestCheckDrains(t *testing.T) {
+	began := time.Unix(1000, 0)
+	left := began.Add(10 * time.Second)
+	for _, tc := range []struct {
+		name     string
+		endpoint string
+		started  time.Time
+		at       time.Duration // since the endpoint said that it leaves
+		unwell   bool          // the process is not stable
+		want     bool
+	}{
+		{name: "soon", endpoint: "a", started: began, at: drainBound},
+		{name: "later than the bound", endpoint: "a", started: began, at: drainBound + time.Millisecond, want: true},
+		{name: "another endpoint", endpoint: "b", started: began, at: drainBound + time.Millisecond},
+		{name: "restarted since", endpoint: "a", started: left.Add(time.Second), at: drainBound + time.Millisecond},
+		{name: "the process is not stable", endpoint: "a", started: began, at: drainBound + time.Millisecond, unwell: true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := &run{
+				began: began,
+			}
+			at := left.Add(tc.at)
+			r.checkDrains([]site.Execution{
+				{
+					At:          at,
+					Request:     "q",
+					Endpoint:    tc.endpoint,
+					Incarnation: tc.started.UnixMilli(),
+				},
+			}, record{
+				drains: []event{{name: "a", at: left}},
+				requests: map[string]*request{
+					"q": {
+						id:     "q",
+						node:   &node{name: "node-1"},
+						sent:   at,
+						stable: !tc.unwell,
+					},
+				},
+			})
+			if got := len(r.record.violations) > 0; got != tc.want {
+				t.Errorf("reported %v, want %v: %v", got, tc.want, r.record.violations)
+			}
+		})
+	}
+}
