--- a/internal/drain/times.go
+++ b/internal/drain/times.go
@@ -172,15 +172,6 @@
 	return all != nil && (tokens == 0 || all.perToken.samples+all.perPart.samples > 0)
 }
 
-// KnowsFew reports whether so few samples show how long such requests take that one answer
-// which ended early decides what is expected of the next.
-func (t *Times) KnowsFew(k Kind, tokens float64) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	all := t.byKind[k.all()]
-	return tokens > 0 && (all == nil || all.perToken.samples+all.perPart.samples < minSamples)
-}
-
 // rest returns how many seconds all tokens that are allowed take after the first part.
 func (t *kindTimes) rest(tokens, pace, partsPerToken float64) float64 {
 	if t.perPart.samples == 0 {
--- a/internal/entry/stop.go
+++ b/internal/entry/stop.go
@@ -50,14 +50,13 @@
 	tokens float64
 }
 
-// expected returns how long the request is likely to take at most. While little is known of
-// a service, its completions are expected to be as slow as the latency targets allow, or slower.
+// expected returns how long the request is likely to take at most. While nothing is known of
+// a service, its completions are expected to be as slow as the latency targets allow.
 func (q *request) expected(n need) time.Duration {
-	expected := q.times.Expect(n.kind, n.tokens)
-	if q.times.KnowsFew(n.kind, n.tokens) {
-		return max(expected, firstTokenTarget+time.Duration(n.tokens*float64(tokenGapTarget)))
+	if n.tokens > 0 && !q.times.Knows(n.kind, n.tokens) {
+		return firstTokenTarget + time.Duration(n.tokens*float64(tokenGapTarget))
 	}
-	return expected
+	return q.times.Expect(n.kind, n.tokens)
 }
 
 // stopProblem returns the rejection of a request that the stopping process cannot finish,
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -43,8 +43,8 @@
 
 // need returns how long the request is likely to need at most if it is sent at the given time
 // to the chosen endpoint. While nothing is known of such requests, each part may take the
-// longest pause that the route allows, and at least that while little is known, or where it is
-// not known how busy the engine is.
+// longest pause that the route allows, and at least that where it is not known how busy the
+// engine is.
 func (c *call) need(at time.Time, choice picker.Choice) time.Duration {
 	if c.service == nil {
 		return 0
@@ -54,13 +54,13 @@
 	need, isEngine := unknown, c.service.Engine != nil
 	if c.times.Knows(c.comparedKind(), tokens) {
 		need = c.expected(choice.Pace)
-		if isEngine && !choice.IsStale && choice.Fill >= picker.NearFullShare {
+		switch {
+		case isEngine && choice.IsStale:
+			need = max(need, unknown)
+		case isEngine && choice.Fill >= picker.NearFullShare:
 			// It may wait in the engine's queue until as many others have ended.
 			need += time.Duration(max(1, choice.Fill) * float64(need))
 		}
-		if isEngine && choice.IsStale || c.times.KnowsFew(c.comparedKind(), tokens) {
-			need = max(need, unknown)
-		}
 	}
 	// The request ends at its deadline in any case.
 	return min(need, c.deadline.Sub(at))
