serve: look at an engine's load before the first byte only while stopping

Since each attempt took the lock of the picker's table once more, for a load that only a stopping process uses. The look moves behind that question. Behaviour stays: the tests of internal/serve on stops pass.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -316,7 +316,7 @@
 	if !now.Before(c.deadline) {
 		return errors.New("serve: the deadline of the request has passed")
 	}
-	if c.whyRefused(now, c.opts.Table.Look(now, c.lastChoice)) != drain.Accepted {
+	if c.whyUnsent(now) != drain.Accepted {
 		return errStopping
 	}
 	if c.checkParts() != nil {
--- a/internal/serve/stop.go
+++ b/internal/serve/stop.go
@@ -37,6 +37,15 @@
 	return stop.Start(at, c.need(at, choice))
 }
 
+// whyUnsent returns why a stopping process does not send the request to the chosen endpoint,
+// by what is known by now of how busy that is.
+func (c *call) whyUnsent(now time.Time) drain.Reason {
+	if c.stop.Load() == nil {
+		return drain.Accepted
+	}
+	return c.whyRefused(now, c.opts.Table.Look(now, c.lastChoice))
+}
+
 // unknownPartTokens is how many tokens each part of a stream is taken to have while no answer
 // has shown it.
 const unknownPartTokens = 4
