triage: keep the newest known version of the configuration in one record

The version that others have named, since when, and for how long it is waited for stood three times: in coord.Node, in serve and in entry, the latter two with their own limits. triage.Newest holds it for both request paths, and coord asks the one of its server.

go test -race of triage, serve, entry, coord and proc passes.

--- a/internal/coord/documents.go
+++ b/internal/coord/documents.go
@@ -45,9 +45,7 @@
 		delete(n.documentSources, address)
 		return
 	}
-	if v.config > n.document.Version && v.config > n.newestConfig {
-		n.newestConfig, n.newestConfigAt = v.config, n.opts.Clock.Now()
-		n.opts.Server.RecordNewerConfig(v.config)
+	if v.config > n.document.Version && n.opts.Server.Newest().Record(n.opts.Clock.Now(), v.config) {
 		n.opts.Log.Info("newer configuration known", "config", v.config, "in-force", n.document.Version, "source", address)
 	}
 	n.documentSources[address] = v
@@ -62,15 +60,6 @@
 	})
 }
 
-// configDelay returns for how long this node has known of a configuration that is as
-// new as the given one. The caller holds the lock.
-func (n *Node) configDelay(version int64) time.Duration {
-	if n.newestConfig < version {
-		return 0
-	}
-	return n.opts.Clock.Now().Sub(n.newestConfigAt)
-}
-
 // takeSource removes and returns a node that holds newer documents than this one,
 // preferably the coordinator.
 func (n *Node) takeSource(except map[string]bool) (address string, ok bool) {
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -196,10 +196,6 @@
 	// documentSources are the nodes that hold newer documents than this one, by
 	// address.
 	documentSources map[string]documentVersions
-	// newestConfig is the newest configuration that another node has named,
-	// newestConfigAt when the first did.
-	newestConfig   int64
-	newestConfigAt time.Time
 }
 
 // StoreReader identifies one of the goroutines that read a table of the store.
@@ -284,8 +280,8 @@
 			Packed:  packed,
 		}
 	}
-	delay := n.configDelay(config.Version)
 	n.mu.Unlock()
+	delay := n.opts.Server.Newest().KnownFor(n.opts.Clock.Now(), config.Version)
 	n.coord.post(ctx, configChanged{
 		config: config,
 	})
--- a/internal/entry/newer.go
+++ b/internal/entry/newer.go
@@ -5,39 +5,17 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/triage"
 )
 
-const (
-	// maxConfigWait is how long a request for something that the configuration in force
-	// lacks waits for a newer one.
-	maxConfigWait = time.Second
-	// maxConfigDelay is how long a newer revision may take to arrive. One that takes longer
-	// may not be readable here at all.
-	maxConfigDelay   = 5 * time.Second
-	configRetryAfter = time.Second
-)
-
-// newestRevision is the highest revision that is known to exist.
-type newestRevision struct {
-	revision int64
-	knownAt  time.Time
-}
+const configRetryAfter = time.Second
 
-// SetNewest records the highest revision that is known to exist. Calls must not overlap.
-func (s *Server) SetNewest(revision int64) {
-	if n := s.newest.Load(); n != nil && n.revision >= revision {
-		return
-	}
-	s.newest.Store(&newestRevision{
-		revision: revision,
-		knownAt:  s.opts.Clock.Now(),
-	})
-}
+// RecordNewest records that a revision is known to exist.
+func (s *Server) RecordNewest(revision int64) { s.newest.Record(s.opts.Clock.Now(), revision) }
 
 // isBehind reports whether a newer configuration than the request's view is expected.
 func (q *request) isBehind() bool {
-	n := q.newest.Load()
-	return n != nil && n.revision > q.view.revision && q.opts.Clock.Now().Before(n.knownAt.Add(maxConfigDelay))
+	return q.newest.IsExpected(q.opts.Clock.Now(), q.view.revision)
 }
 
 // awaitNewer is called when the request's view lacks something. It waits until the view is
@@ -47,7 +25,7 @@
 		return false
 	}
 	if q.newerUntil.IsZero() {
-		q.newerUntil = q.opts.Clock.Now().Add(maxConfigWait)
+		q.newerUntil = q.opts.Clock.Now().Add(triage.MaxConfigWait)
 	}
 	t := time.NewTimer(q.newerUntil.Sub(q.opts.Clock.Now()))
 	defer t.Stop()
--- a/internal/entry/newer_test.go
+++ b/internal/entry/newer_test.go
@@ -10,6 +10,7 @@
 
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/keys"
+	"trefoildale.example/trefoildale/internal/triage"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
 
@@ -50,7 +51,7 @@
 		{name: "key not arrived", remove: removeKey, path: "/v1/models", code: "config-behind"},
 		{name: "model not arrived", remove: removeModel, path: "/v1/completions", body: `{"model":"m2","max_tokens":1,"prompt":"p"}`, code: "config-behind"},
 		{name: "service not arrived", remove: removeService, path: "/open/x", code: "config-behind"},
-		{name: "not arrived for long", remove: removeKey, path: "/v1/models", knownFor: maxConfigDelay, code: "key-unknown"},
+		{name: "not arrived for long", remove: removeKey, path: "/v1/models", knownFor: triage.MaxConfigDelay, code: "key-unknown"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -68,10 +69,7 @@
 				tt.remove(c)
 				c.Revision = 7
 			})
-			b.server.newest.Store(&newestRevision{
-				revision: 8,
-				knownAt:  b.server.opts.Clock.Now().Add(-tt.knownFor),
-			})
+			b.server.newest.Record(b.server.opts.Clock.Now().Add(-tt.knownFor), 8)
 			if tt.arrives {
 				time.AfterFunc(100*time.Millisecond, func() {
 					b.apply(func(c *spec.Config) {
@@ -94,7 +92,7 @@
 			w := httptest.NewRecorder()
 			began := time.Now()
 			b.server.Handler().ServeHTTP(w, r)
-			if took := time.Since(began); took > 2*maxConfigWait {
+			if took := time.Since(began); took > 2*triage.MaxConfigWait {
 				t.Errorf("answered after %v", took)
 			}
 			if tt.code == "" {
--- a/internal/entry/server.go
+++ b/internal/entry/server.go
@@ -25,6 +25,7 @@
 	"trefoildale.example/trefoildale/internal/once"
 	"trefoildale.example/trefoildale/internal/route"
 	"trefoildale.example/trefoildale/internal/stats"
+	"trefoildale.example/trefoildale/internal/triage"
 	"trefoildale.example/trefoildale/pkg/spec"
 )
 
@@ -100,7 +101,7 @@
 	retryPolicy once.Policy
 	seq         atomic.Uint64
 	config      atomic.Pointer[view]
-	newest      atomic.Pointer[newestRevision]
+	newest      triage.Newest
 	ready       atomic.Bool
 
 	stop  atomic.Pointer[drain.Stop]
--- a/internal/node/sync.go
+++ b/internal/node/sync.go
@@ -246,7 +246,7 @@
 		klog.V(1).InfoS("Configuration not applied", "error", err.Error())
 	}
 	l.node.keyChecker.SetConfig(l.view.Config(), l.view.FreshAt())
-	l.node.entry.SetNewest(l.view.Known())
+	l.node.entry.RecordNewest(l.view.Known())
 	if next := l.view.State(); next.Revision() != old.Revision() {
 		l.applyConfig(old, next)
 	}
--- a/internal/serve/newer.go
+++ b/internal/serve/newer.go
@@ -6,46 +6,16 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/triage"
 )
 
-const (
-	// maxConfigWait is how long a request that the configuration in force refuses waits
-	// for a newer one.
-	maxConfigWait = time.Second
-	// maxConfigDelay is how long a newer configuration may take to arrive. One that takes
-	// longer may not be usable here at all.
-	maxConfigDelay = 5 * time.Second
-)
-
-// newerConfig is the newest configuration that another node has named.
-type newerConfig struct {
-	version int64
-	knownAt time.Time
-}
-
-// RecordNewerConfig records that another node has named a configuration.
-func (s *Server) RecordNewerConfig(version int64) {
-	for {
-		old := s.newerConfig.Load()
-		if old != nil && old.version >= version {
-			return
-		}
-		if s.newerConfig.CompareAndSwap(old, &newerConfig{
-			version: version,
-			knownAt: s.opts.Clock.Now(),
-		}) {
-			return
-		}
-	}
-}
+// Newest returns the record of the newest configuration that other nodes have named.
+func (s *Server) Newest() *triage.Newest { return &s.newest }
 
 // NewestConfig returns the version of the newest configuration that is in force here or
 // was named by another node, 0 if there is none.
 func (s *Server) NewestConfig() int64 {
-	version := int64(0)
-	if n := s.newerConfig.Load(); n != nil {
-		version = n.version
-	}
+	version := s.newest.Version()
 	if c := s.Config(); c != nil {
 		version = max(version, c.Version)
 	}
@@ -54,8 +24,7 @@
 
 // isBehind reports whether a newer configuration than that of the call is expected.
 func (c *call) isBehind() bool {
-	n := c.newerConfig.Load()
-	return n != nil && n.version > c.configVersion() && c.opts.Clock.Now().Before(n.knownAt.Add(maxConfigDelay))
+	return c.newest.IsExpected(c.opts.Clock.Now(), c.configVersion())
 }
 
 // lookUp returns what the configuration in force says of an arrived request. If it refuses
@@ -67,7 +36,7 @@
 		return t, p
 	}
 	former, code := c.configVersion(), p.Code
-	until := c.opts.Clock.Now().Add(maxConfigWait)
+	until := c.opts.Clock.Now().Add(triage.MaxConfigWait)
 	if c.req.Wait > 0 {
 		until = earliest(until, c.req.Arrived.Add(c.req.Wait))
 	}
@@ -80,7 +49,7 @@
 		t, p = c.look(c.config)
 	}
 	c.opts.Log.Info("request waited for configuration", "request", c.req.ID, "config", c.configVersion(), "former-config", former,
-		"former-code", code, "newest-config", c.newerConfig.Load().version, "refused", p != nil,
+		"former-code", code, "newest-config", c.newest.Version(), "refused", p != nil,
 		"waited-ms", c.opts.Clock.Now().Sub(c.req.Arrived).Milliseconds())
 	return t, p
 }
--- a/internal/serve/newer_test.go
+++ b/internal/serve/newer_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/triage"
 )
 
 // TestNewerConfiguration guards against requests that are refused by a configuration of
@@ -34,19 +35,19 @@
 			name:    "route added",
 			inForce: removed(func(c *fleet.Config) { c.Routes = nil }),
 			arrives: testConfig(3),
-			within:  maxConfigWait,
+			within:  triage.MaxConfigWait,
 		},
 		{
 			name:    "key added",
 			inForce: removed(func(c *fleet.Config) { c.Keys = nil }),
 			arrives: testConfig(3),
-			within:  maxConfigWait,
+			within:  triage.MaxConfigWait,
 		},
 		{
 			name:    "model added",
 			inForce: removed(func(c *fleet.Config) { c.Services["lm"].Engine.Models = nil }),
 			arrives: testConfig(3),
-			within:  maxConfigWait,
+			within:  triage.MaxConfigWait,
 		},
 		{
 			name:    "the newer one refuses too",
@@ -58,7 +59,7 @@
 			}(),
 			status: http.StatusNotFound,
 			code:   "route-unknown",
-			within: maxConfigWait,
+			within: triage.MaxConfigWait,
 		},
 		{
 			name:    "an older one than the newest arrives",
@@ -66,14 +67,14 @@
 			arrives: removed(func(c *fleet.Config) { c.Routes = nil }),
 			status:  http.StatusServiceUnavailable,
 			code:    "config-behind",
-			within:  2 * maxConfigWait,
+			within:  2 * triage.MaxConfigWait,
 		},
 		{
 			name:    "it does not arrive",
 			inForce: removed(func(c *fleet.Config) { c.Routes = nil }),
 			status:  http.StatusServiceUnavailable,
 			code:    "config-behind",
-			within:  2 * maxConfigWait,
+			within:  2 * triage.MaxConfigWait,
 		},
 		{
 			name:    "it does not arrive while the caller waits",
@@ -81,15 +82,15 @@
 			wait:    50 * time.Millisecond,
 			status:  http.StatusServiceUnavailable,
 			code:    "config-behind",
-			within:  maxConfigWait,
+			within:  triage.MaxConfigWait,
 		},
 		{
 			name:     "it has not arrived for long",
 			inForce:  removed(func(c *fleet.Config) { c.Routes = nil }),
-			knownFor: maxConfigDelay,
+			knownFor: triage.MaxConfigDelay,
 			status:   http.StatusNotFound,
 			code:     "route-unknown",
-			within:   maxConfigWait / 2,
+			within:   triage.MaxConfigWait / 2,
 		},
 	}
 	for _, tt := range tests {
@@ -100,10 +101,7 @@
 				t.Fatal(err)
 			}
 			h.server.config.Store(tt.inForce)
-			h.server.newerConfig.Store(&newerConfig{
-				version: 3,
-				knownAt: h.clock.Now().Add(-tt.knownFor),
-			})
+			h.server.Newest().Record(h.clock.Now().Add(-tt.knownFor), 3)
 			if tt.arrives != nil {
 				if err := tt.arrives.Prepare(); err != nil {
 					t.Fatal(err)
@@ -139,7 +137,7 @@
 func TestWaitForNewerConfigurationEnds(t *testing.T) {
 	for _, interrupts := range []bool{false, true} {
 		h := newHarness(t, fixedAdmission{})
-		h.server.RecordNewerConfig(2)
+		h.server.Newest().Record(h.clock.Now(), 2)
 		ctx, leave := context.WithCancel(context.Background())
 		defer leave()
 		req := h.request("stream")
@@ -154,7 +152,7 @@
 		})
 		began := time.Now()
 		h.server.Serve(ctx, req, c)
-		if took := time.Since(began); took > maxConfigWait/2 {
+		if took := time.Since(began); took > triage.MaxConfigWait/2 {
 			t.Errorf("interrupted %v: answered after %v", interrupts, took)
 		}
 		want := statusClientClosed
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -12,6 +12,7 @@
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/picker"
 	"trefoildale.example/trefoildale/internal/poison"
+	"trefoildale.example/trefoildale/internal/triage"
 )
 
 const (
@@ -100,9 +101,8 @@
 type Server struct {
 	opts   Options
 	config atomic.Pointer[fleet.Config]
-	// newerConfig is nil until another node names a configuration that is not in force here.
-	newerConfig atomic.Pointer[newerConfig]
-	active      atomic.Int64
+	newest triage.Newest
+	active atomic.Int64
 	// buffers bounds the memory for unfinished answers.
 	buffers bufferPool
 	probes  probes
--- a/internal/triage/triage.go
+++ b/internal/triage/triage.go
@@ -11,6 +11,9 @@
 // further copies are loaded. Requests that they reject are refused at once, and their
 // callers return when the next copy is expected.
 //
+// A request that the configuration in force refuses waits for a newer one that another node
+// has named, and for no longer than that is likely to arrive.
+//
 // The package has no goroutine, no clock and no network.
 package triage
 
