entry, serve: look a model up in one place, and reuse the test harness

The wait for a newer revision looked the model and adapter up beside resolve, which did the same again, as unservable does for its own. lookUp and checkModel serve all three. missing_test.go built a server as newHarness does; it uses that one now. Behaviour and assertions stay: go test -race of entry and the test of serve pass.

--- a/internal/entry/model.go
+++ b/internal/entry/model.go
@@ -108,45 +108,53 @@
 	}
 }
 
-// isKnown reports whether the request's view has its model and adapter.
-func (c *completion) isKnown() bool {
+// lookUp finds the model and the adapter of the request in its view. The request may name an
+// adapter as its model.
+func (c *completion) lookUp() (model, adapter string, p *problem) {
 	index := c.view.index
-	if a := index.Adapters[c.in.Model]; index.Models[c.in.Model] == nil {
-		return a != nil && index.Models[a.Model] != nil
+	model, adapter = c.in.Model, c.adapter
+	if a := index.Adapters[model]; index.Models[model] == nil && a != nil {
+		model, adapter = a.Model, a.Name
 	}
-	return c.adapter == "" || hasAdapter(index, c.in.Model, c.adapter)
+	return model, adapter, checkModel(index, model, adapter)
 }
 
-// resolve finds the model and checks the adapter. The request may name an adapter
-// as its model.
+// checkModel returns the refusal of a request for a model or an adapter of it that does not
+// exist, or nil.
+func checkModel(index *spec.Index, model, adapter string) *problem {
+	if index.Models[model] == nil {
+		return modelProblem(model)
+	}
+	if adapter != "" && !hasAdapter(index, model, adapter) {
+		return adapterProblem(model, adapter)
+	}
+	return nil
+}
+
+// resolve finds the model and checks the adapter.
 func (c *completion) resolve() bool {
-	// The newer configuration may have what this one lacks.
-	for isKnown := c.isKnown(); !isKnown && c.awaitNewer(); {
-		isKnown = c.isKnown()
+	model, adapter, p := c.lookUp()
+	for p != nil && c.awaitNewer() {
+		model, adapter, p = c.lookUp()
 	}
-	index := c.view.index
-	c.spec = index.Models[c.in.Model]
-	if a := index.Adapters[c.in.Model]; c.spec == nil && a != nil {
-		c.spec = index.Models[a.Model]
-		c.adapter = a.Name
-		body, err := withModel(c.body, a.Model)
+	c.spec = c.view.index.Models[model]
+	if p != nil {
+		event := audit.Event{}
+		if c.spec != nil {
+			event.Other = adapter
+		}
+		c.refuse(c.unknown(*p), event)
+		return false
+	}
+	if model != c.in.Model {
+		body, err := withModel(c.body, model)
 		if err != nil {
 			c.badRequest(err.Error())
 			return false
 		}
 		c.body = body
 	}
-	if c.spec == nil {
-		c.refuse(c.unknown(*modelProblem(c.in.Model)), audit.Event{})
-		return false
-	}
-	c.model, c.service = c.spec.Name, c.spec.Service
-	if c.adapter != "" && !hasAdapter(index, c.model, c.adapter) {
-		c.refuse(c.unknown(*adapterProblem(c.model, c.adapter)), audit.Event{
-			Other: c.adapter,
-		})
-		return false
-	}
+	c.model, c.service, c.adapter = model, c.spec.Service, adapter
 	return true
 }
 
--- a/internal/entry/wait.go
+++ b/internal/entry/wait.go
@@ -17,14 +17,10 @@
 // request is resolved. The caller sets NotRun.
 func (c *completion) unservable() *problem {
 	index := c.config.Load().index
-	m := index.Models[c.model]
-	if m == nil {
-		return modelProblem(c.model)
+	if p := checkModel(index, c.model, c.adapter); p != nil {
+		return p
 	}
-	if c.adapter != "" && !hasAdapter(index, c.model, c.adapter) {
-		return adapterProblem(c.model, c.adapter)
-	}
-	if m.MaxContextTokens > 0 && c.tokens > m.MaxContextTokens {
+	if m := index.Models[c.model]; m.MaxContextTokens > 0 && c.tokens > m.MaxContextTokens {
 		return contextTooLong(c.tokens, m.MaxContextTokens)
 	}
 	return c.stopProblem(c.need())
--- a/internal/serve/missing_test.go
+++ b/internal/serve/missing_test.go
@@ -2,13 +2,9 @@
 
 import (
 	"context"
-	"log/slog"
 	"testing"
-	"time"
 
-	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/fleet"
-	"trefoildale.example/trefoildale/internal/picker"
 )
 
 // loadedAdapters counts the loads of adapters.
@@ -58,45 +54,26 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			clk := clock.NewReal()
-			table := picker.NewTable("north")
-			engine := fleet.Endpoint{
-				ID:          "lm0",
-				Incarnation: 1,
-				Service:     "lm",
-				Domain:      "north",
-				Slots:       64,
-				Models:      []fleet.Resident{{Model: "m1", Adapters: []string{"a1"}}},
-			}
-			table.SetEndpoints(clk.Now(), []fleet.Endpoint{engine})
-			sender := &fakeSender{
-				outcomes: tt.outcomes,
-			}
-			demand := &loadedAdapters{}
-			s := New(Options{
-				Clock:     clk,
-				Table:     table,
-				Sender:    sender,
-				Admission: fixedAdmission{},
-				Demand:    demand,
-				Log:       slog.New(slog.DiscardHandler),
-				Retries:   RetryRule{Ratio: 0.2, Slack: 100, Window: 10 * time.Second},
-				Observer:  noObserver{},
+			h := newHarness(t, fixedAdmission{})
+			h.table.SetEndpoints(h.clock.Now(), []fleet.Endpoint{
+				{
+					ID:          "lm0",
+					Incarnation: 1,
+					Service:     "lm",
+					Domain:      "north",
+					Slots:       64,
+					Models:      []fleet.Resident{{Model: "m1", Adapters: []string{"a1"}}},
+				},
 			})
-			config := testConfig(1)
-			if err := config.Prepare(); err != nil {
-				t.Fatal(err)
-			}
-			s.SetConfig(config)
-			h := &harness{
-				clock: clk,
-			}
+			h.sender.outcomes = tt.outcomes
+			demand := &loadedAdapters{}
+			h.server.opts.Demand = demand
 			req := h.request("stream")
 			req.Adapter = tt.adapter
 			c := &fakeCaller{}
-			s.Serve(context.Background(), req, c)
-			if len(sender.attempts) != tt.attempts || demand.count != tt.loads {
-				t.Errorf("sent %d times after %d loads of the adapter, want %d and %d", len(sender.attempts), demand.count, tt.attempts, tt.loads)
+			h.server.Serve(context.Background(), req, c)
+			if len(h.sender.attempts) != tt.attempts || demand.count != tt.loads {
+				t.Errorf("sent %d times after %d loads of the adapter, want %d and %d", len(h.sender.attempts), demand.count, tt.attempts, tt.loads)
 			}
 			if tt.code != "" && (c.problem == nil || c.problem.Code != tt.code || !c.problem.NotRun) {
 				t.Errorf("answered with %+v, want %s, not run", c.problem, tt.code)
