coord: keep the head start of large nodes where no configuration arrives

The 1 s ran beside the delay by which small nodes leave the lease to large ones: with no configuration by then, nodes of all sizes competed at the same time, and a small one could become the coordinator.

Where the configuration arrives later than all delays, nodes of all sizes still compete at once; a larger one takes the lease over (TestSmallCoordinatorHandsOver).

--- a/internal/coord/elect.go
+++ b/internal/coord/elect.go
@@ -34,11 +34,11 @@
 		Node:   n,
 		keeper: keeper,
 	}
-	configWait := time.NewTimer(maxConfigWait)
-	defer configWait.Stop()
 	if !sleep(ctx, n.firstElectionIn) {
 		return
 	}
+	configWait := time.NewTimer(maxConfigWait)
+	defer configWait.Stop()
 	// A coordinator without a configuration issues no tokens, and keeps the other nodes from
 	// admitting requests within their own fractions.
 	select {
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -68,8 +68,8 @@
 	// gossipAfter is how long a node waits for the coordinator, or for a recent
 	// view of the store, before it exchanges messages with other nodes.
 	gossipAfter = 550 * time.Millisecond
-	// maxConfigWait is how long after its start a node waits for a configuration before it
-	// competes for the lease without one.
+	// maxConfigWait is how long a node waits for a configuration, beyond the delay at its
+	// start by its size, before it competes for the lease without one.
 	maxConfigWait = time.Second
 	// competeAfter is how long the store must have answered a node before it
 	// competes with a coordinator that answers but has not renewed its lease.
