serve: repeat a sound request whose own crash is recorded first

A request whose engine crashes is repeated if all parts of its prompt were answered before. That was asked while a goroutine recorded the crash against these parts; if it came first, the caller got 502 in place of the second attempt.

The crash of another request at the same engine may still be recorded first.

--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -51,7 +51,8 @@
 	lastChoice      picker.Choice
 	lastReason      triage.Reason // of the last decision about waiting for a model
 	lastError       string
-	// brokenProbe tells whether the engine at which the last attempt broke off crashed.
+	// brokenProbe tells whether the engine at which the last attempt broke off crashed; nil
+	// if the parts of the prompt were known as sound.
 	brokenProbe *probe
 	// maxRuns is how many endpoints may run the request, atMostOnce whether one of the
 	// configurations that it met allows one run only.
--- a/internal/serve/crash.go
+++ b/internal/serve/crash.go
@@ -85,8 +85,12 @@
 		return
 	}
 	e := c.lastChoice.Endpoint
+	// Asked before this crash counts against the parts.
+	isSound := c.opts.Parts.AllServed(c.req.Parts)
 	p := c.probeEngine(e, time.Time{})
-	c.brokenProbe = p
+	if !isSound {
+		c.brokenProbe = p
+	}
 	go func() {
 		<-p.done
 		if p.crashed {
