health, serve, platform: log the limit of requests that an engine names

The header is read by a named rule (decimal, zero, capped, lowest of several, unreadable), kept with what the engine says of itself, and one line is logged where a limit comes, changes or ends, with the words of the engine, their source and age. An answer without the header ends a limit only if its request was sent after the limit was last heard; reports count only where they have named it.

No decision asks for it yet: no request goes elsewhere by this change. The stand-in names limits.

--- a/internal/coord/health.go
+++ b/internal/coord/health.go
@@ -16,6 +16,15 @@
 	}
 }
 
+// HearLimit records what an engine's answer to a report or an order, which took the given
+// time, says of its limit.
+func (n *Node) HearLimit(took time.Duration, key fleet.Key, l health.Limit) {
+	now := n.opts.Clock.Now()
+	if change := n.opts.Table.Health().HearLimit(now, now.Add(-took), key, l, health.Report); change != nil {
+		n.opts.Log.Info(health.LimitLogged, change.Attrs()...)
+	}
+}
+
 // mergeLeaving records which engines another node has heard to leave.
 func (n *Node) mergeLeaving(now time.Time, list []health.Statement, source string) {
 	if len(list) == 0 {
--- a/internal/fake/site/engine.go
+++ b/internal/fake/site/engine.go
@@ -27,6 +27,7 @@
 	headerNotRun         = "Trefoildale-Not-Run"
 	headerLastEvent      = "Last-Event-Id"
 	headerLeaving        = "Server-Leaving"
+	headerLimit          = "Server-Limit"
 	headerRetryAfter     = "Retry-After"
 )
 
@@ -100,6 +101,7 @@
 	alive          bool
 	draining       bool
 	saysLeaving    bool      // in answers, whatever the entry says
+	limit          LimitWord // named in answers
 	stopsAt        time.Time // end announced by Drain, zero if none
 	faults         EndpointFaults
 	orderRunning   bool
@@ -159,7 +161,7 @@
 // holds e.mu, or the endpoint is not shared yet.
 func (e *Endpoint) resetState(models []string) {
 	e.incarnation, e.alive, e.draining, e.stopsAt = time.Now().UnixMilli(), true, false, time.Time{}
-	e.saysLeaving = false
+	e.saysLeaving, e.limit = false, LimitWord{}
 	e.orderRunning, e.acceptedOrders, e.models, e.inMemory = false, 0, nil, nil
 	for _, name := range models {
 		e.addResident(name)
@@ -233,6 +235,9 @@
 		if e.leaves() {
 			w.Header().Set(headerLeaving, "1")
 		}
+		for _, text := range e.namedLimit(r) {
+			w.Header().Add(headerLimit, text)
+		}
 		h.ServeHTTP(w, r)
 	})
 }
@@ -271,6 +276,32 @@
 	e.saysLeaving = true
 }
 
+// LimitWord is how an endpoint in need names how many requests a second it takes from all
+// machines together.
+type LimitWord struct {
+	// Values are those of the header; without any the endpoint names no limit.
+	Values []string
+	// InReports is set if reports and answers to orders name it too.
+	InReports bool
+}
+
+// NameLimit makes the endpoint name a limit in its answers, or none.
+func (e *Endpoint) NameLimit(l LimitWord) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.limit = l
+}
+
+// namedLimit returns the limit that the answer to a call names.
+func (e *Endpoint) namedLimit(r *http.Request) []string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.limit.InReports && r.Header.Get(headerRequestID) == "" {
+		return nil
+	}
+	return e.limit.Values
+}
+
 // track records open connections, so that Crash can close them.
 func (e *Endpoint) track(c net.Conn, state http.ConnState) {
 	e.mu.Lock()
@@ -542,6 +573,7 @@
 		Request:  id,
 		Endpoint: e.opts.ID,
 		Leaving:  w.Header().Get(headerLeaving) != "",
+		Limit:    strings.Join(w.Header()[headerLimit], ","),
 	}
 	finished := false
 	defer func() {
--- a/internal/fake/site/journal.go
+++ b/internal/fake/site/journal.go
@@ -34,6 +34,8 @@
 	// Misdirected is set if the answer has status 421.
 	Misdirected bool
 	Leaving     bool
+	// Limit is the limit that the answer named, empty if it named none.
+	Limit string
 	// RetryAfter is the header of an answer that turned the request away.
 	RetryAfter string
 	Form       Form
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -1,5 +1,5 @@
-// Package health holds what engines say of themselves: that they leave, and that they
-// want no requests for a time. It answers one question, whether an engine is usable for
+// Package health holds what engines say of themselves: that they leave, that they want no
+// requests for a time, and how many requests per second they take from all nodes together. It answers one question, whether an engine is usable for
 // a new request now, and if not, why and until when.
 //
 // Evidence comes from answers to requests and orders, from reports, from the list of
@@ -102,12 +102,13 @@
 	// did.
 	closedUntil time.Time
 	closedAt    time.Time
+	limit       limitRecord
 	// unlistedSince is when the engine left the list, zero while it is listed.
 	unlistedSince time.Time
 }
 
 func (r *record) isEmpty(now time.Time) bool {
-	return r.saidLeaving.IsZero() && r.listedLeaving.IsZero() && !now.Before(r.closedUntil)
+	return r.saidLeaving.IsZero() && r.listedLeaving.IsZero() && !now.Before(r.closedUntil) && !r.limit.isInForce()
 }
 
 // Table holds the evidence about all engines. It is safe for concurrent use; Ask takes
--- /dev/null
+++ b/internal/health/limit.go
@@ -0,0 +1,199 @@
+package health
+
+import (
+	"errors"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"trefoildale.example/trefoildale/internal/fleet"
+)
+
+// maxRequestRate bounds the limits that are kept, in requests per second. A higher one
+// limits nobody.
+const maxRequestRate = 1e6
+
+// LimitRule says how the limit that an engine named was read.
+type LimitRule string
+
+// The rules.
+const (
+	// PerSecond is a number above zero.
+	PerSecond LimitRule = "per-second"
+	// Zero is a limit of zero: the engine wants no requests at all.
+	Zero LimitRule = "zero"
+	// CappedRate is a number beyond maxRequestRate, which replaces it.
+	CappedRate LimitRule = "capped"
+	// Lowest is the lowest of several limits in one answer.
+	Lowest LimitRule = "lowest"
+	// UnreadableLimit is anything else. It neither sets a limit nor ends one.
+	UnreadableLimit LimitRule = "unreadable"
+)
+
+// Limit is how many requests per second an engine takes from all nodes together, as an
+// answer names it. The zero value is that of an answer that names none.
+type Limit struct {
+	Rate float64
+	// Rule is empty if the answer names no limit.
+	Rule LimitRule
+	// Text is the beginning of what the engine sent.
+	Text string
+}
+
+// IsNamed reports whether the answer names a limit that can be read.
+func (l Limit) IsNamed() bool { return l.Rule != "" && l.Rule != UnreadableLimit }
+
+// ParseLimit reads the values of the header that names a limit. One value may hold several
+// limits, separated by commas, as proxies join headers.
+func ParseLimit(values []string) Limit {
+	if len(values) == 0 {
+		return Limit{}
+	}
+	text := strings.Join(values, ",")
+	out := Limit{
+		Rule: UnreadableLimit,
+		Text: text[:min(len(text), maxText)],
+	}
+	read := 0
+	for value := range strings.SplitSeq(text, ",") {
+		rate, rule := parseRate(value)
+		if rule == UnreadableLimit {
+			continue
+		}
+		if read++; read == 1 || rate < out.Rate {
+			out.Rate, out.Rule = rate, rule
+		}
+	}
+	if read > 1 {
+		out.Rule = Lowest
+	}
+	return out
+}
+
+func parseRate(text string) (float64, LimitRule) {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	// Beyond the range of numbers it is an infinity of the right sign.
+	isBeyond := errors.Is(err, strconv.ErrRange)
+	switch {
+	case err != nil && !isBeyond, !isBeyond && math.IsInf(rate, 0), math.IsNaN(rate), rate < 0:
+		return 0, UnreadableLimit
+	case rate > maxRequestRate:
+		return maxRequestRate, CappedRate
+	case rate == 0:
+		return 0, Zero
+	}
+	return rate, PerSecond
+}
+
+// limitSettle is how much later than an engine was last heard to name its limit a request
+// must have been sent for its answer without one to end the limit. Answers overtake each
+// other, and what other nodes have heard arrives with the delay of a message.
+const limitSettle = 300 * time.Millisecond
+
+// limitRefresh is how old the last word of a limit is at least before the same word is
+// recorded again.
+const limitRefresh = 100 * time.Millisecond
+
+// limitRecord is the evidence about the limit of an engine. The latest times win, so that
+// records merge in any order.
+type limitRecord struct {
+	rate float64
+	// namedAt is when the engine was last heard to name the limit, zero if it was not.
+	namedAt time.Time
+	namedBy Source
+	// reported is set once a report, or the answer to an order, has named a limit, so that
+	// one without it says that there is none.
+	reported bool
+	// absentAt is when the last request was sent whose answer named no limit.
+	absentAt time.Time
+}
+
+func (l *limitRecord) isInForce() bool {
+	return !l.namedAt.IsZero() && l.absentAt.Sub(l.namedAt) < limitSettle
+}
+
+// LimitChange is a limit that came into force, changed or ended.
+type LimitChange struct {
+	Key    fleet.Key
+	Rate   float64
+	Before float64
+	// InForce is whether there is a limit now, WasInForce whether there was one before.
+	InForce, WasInForce bool
+	Source              Source
+	Limit               Limit
+	// Age is the time since the answer.
+	Age time.Duration
+}
+
+// LimitLogged is the message with which a LimitChange is logged.
+const LimitLogged = "endpoint's limit of requests changed"
+
+// Attrs returns the change as it is written to logs.
+func (c *LimitChange) Attrs() []any {
+	return []any{
+		"endpoint", c.Key.ID, "incarnation", c.Key.Incarnation, "in-force", c.InForce, "per-second", c.Rate,
+		"was-in-force", c.WasInForce, "per-second-before", c.Before, "source", string(c.Source),
+		"text", c.Limit.Text, "rule", string(c.Limit.Rule), "age-ms", c.Age.Milliseconds(),
+	}
+}
+
+// HearLimit records what an answer of an engine says of its limit: the limit that it names,
+// or that it names none. The request of the answer was sent at sentAt. It returns the change
+// of the limit in force, nil if there is none.
+func (t *Table) HearLimit(now, sentAt time.Time, key fleet.Key, l Limit, from Source) *LimitChange {
+	if l.Rule == UnreadableLimit {
+		return nil
+	}
+	if !l.IsNamed() && !t.hasLimit(key) {
+		// Nearly all answers.
+		return nil
+	}
+	change := t.changeLimit(now, key, func(r *limitRecord) {
+		switch {
+		case l.IsNamed():
+			r.reported = r.reported || from == Report
+			if r.isInForce() && r.rate == l.Rate && now.Sub(r.namedAt) < limitRefresh {
+				return
+			}
+			if now.After(r.namedAt) {
+				r.rate, r.namedAt, r.namedBy = l.Rate, now, from
+			}
+		case from == Report && !r.reported:
+		case sentAt.After(r.absentAt):
+			r.absentAt = sentAt
+		}
+	})
+	if change != nil {
+		change.Source, change.Limit = from, l
+	}
+	return change
+}
+
+// hasLimit reports whether an engine was heard to name a limit.
+func (t *Table) hasLimit(key fleet.Key) bool {
+	r, ok := (*t.records.Load())[key.ID]
+	return ok && r.incarnation == key.Incarnation && !r.limit.namedAt.IsZero()
+}
+
+// changeLimit applies f to the limit of an engine, unless a later incarnation is known, and
+// returns the change of the limit in force, nil if there is none.
+func (t *Table) changeLimit(now time.Time, key fleet.Key, f func(*limitRecord)) *LimitChange {
+	var change *LimitChange
+	t.change(now, key, func(r *record) {
+		before := r.limit
+		f(&r.limit)
+		is, was := r.limit.isInForce(), before.isInForce()
+		if is == was && (!is || r.limit.rate == before.rate) {
+			return
+		}
+		change = &LimitChange{
+			Key:        key,
+			Rate:       r.limit.rate,
+			Before:     before.rate,
+			InForce:    is,
+			WasInForce: was,
+		}
+	})
+	return change
+}
--- a/internal/serve/health.go
+++ b/internal/serve/health.go
@@ -16,4 +16,11 @@
 	if reply.Wait.For > 0 {
 		c.opts.Table.Health().SetClosed(now, key, now.Add(reply.Wait.For))
 	}
+	if reply.Verdict == Foreign || reply.Verdict == Misdirected {
+		// Another endpoint may have sent it.
+		return
+	}
+	if change := c.opts.Table.Health().HearLimit(now, reply.sentAt, key, reply.Limit, health.Answer); change != nil {
+		c.opts.Log.Info(health.LimitLogged, append(change.Attrs(), "request", c.req.ID, "status", reply.Status)...)
+	}
 }
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -101,6 +101,8 @@
 	Leaving bool
 	// Wait is how long the endpoint wants no requests of this node, if it says so.
 	Wait health.Wait
+	// Limit is how many requests per second the endpoint takes from all nodes together.
+	Limit health.Limit
 
 	// sentAt is when the sending of the attempt began.
 	sentAt time.Time
