grant: issue few tokens in turn, for limits that endpoints name

A limit of 1.2 requests a second over 8 or 295 nodes can't be divided: a burst of one a node is 8, and the bound is 12 in 4 s. The issuer, the node limiter and the tokens with a term that share the rates of workspaces serve here too; new are whole tokens, and turns: nodes with waiting requests get tokens by urgency, then by the time for which they have waited, and a node that does not ask again loses its turn. A shortage says when the node's turn comes.

TestLimitIsUsed checks that four fifths of a limit are used with 1 to 295 busy nodes, TestTurns the order.

--- a/internal/grant/issuer.go
+++ b/internal/grant/issuer.go
@@ -1,5 +1,7 @@
-// Package grant limits the requests that all nodes together admit for a
-// workspace to its rate and burst.
+// Package grant limits the requests that all nodes together admit for a workspace, or send
+// to an endpoint, to its rate and burst. The names of workspaces and of endpoints are the
+// names of limits here; those of the two kinds are held apart by their own issuer, node
+// limiters and pools.
 //
 // One node, the coordinator, holds a token bucket for each workspace and issues
 // tokens from it. Issued tokens expire after Term, so tokens spent in a window
@@ -40,6 +42,7 @@
 	startFull     bool
 	// handedOver are the levels of a former issuer's buckets that do not exist here yet.
 	handedOver map[string]float64
+	turns      turns
 }
 
 type bucket struct {
@@ -61,6 +64,9 @@
 		initialTokens: initialTokens,
 		startFull:     startFull,
 		handedOver:    make(map[string]float64),
+		turns: turns{
+			byName: make(map[string][]turn),
+		},
 	}
 }
 
@@ -70,6 +76,7 @@
 	for name := range s.buckets {
 		if _, ok := limits[name]; !ok {
 			delete(s.buckets, name)
+			delete(s.turns.byName, name)
 		}
 	}
 	for name, l := range limits {
--- a/internal/grant/limiter.go
+++ b/internal/grant/limiter.go
@@ -30,12 +30,18 @@
 	localBurstTime = 350 * time.Millisecond
 )
 
-// TokenRequest requests tokens of a workspace from the coordinator or a pool.
+// TokenRequest requests tokens of a limit from the coordinator or a pool.
 type TokenRequest struct {
+	// Workspace is the name of the limit, see the package's comment.
 	Workspace string  `cbor:"1,keyasint"`
 	Want      float64 `cbor:"2,keyasint"`
 	// Need is the size of the smallest waiting request, 0 if none waits.
 	Need float64 `cbor:"3,keyasint,omitempty"`
+	// Urgency is that of the most urgent waiting request, 0 first, where nodes wait in
+	// turn.
+	Urgency int `cbor:"4,keyasint,omitempty"`
+	// Waiting is the part of Want that waiting requests need.
+	Waiting float64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Shortage states that the coordinator had too few tokens for a token request,
@@ -46,6 +52,9 @@
 	// RefillIn is set if the tokens may be missing only because the coordinator has
 	// just begun: after what time the refill yields them.
 	RefillIn time.Duration `cbor:"3,keyasint,omitempty"`
+	// ReadyIn is after what time the node gets its tokens in turn, where nodes wait in turn;
+	// zero if that is not known.
+	ReadyIn time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Grant is an amount of tokens of a workspace, issued by the coordinator or a
@@ -77,6 +86,9 @@
 	noTokensUntil time.Time // until when the coordinator has too few tokens
 	refilledAt    time.Time // when a coordinator that has just begun has enough; zero if tokens were used
 	usualSize     float64   // moving average of the request size
+	urgency       int       // of the most urgent waiting request
+	readyAt       time.Time // when tokens come in turn, zero if that is not known
+	wishedUntil   time.Time // see Wish
 }
 
 type batch struct {
@@ -112,6 +124,16 @@
 	n.limits = limits
 }
 
+// DropStates forgets the demand and the tokens of limits that are no more, unless requests
+// wait.
+func (n *NodeLimiter) DropStates() {
+	for name, ws := range n.states {
+		if _, limited := n.limits[name]; !limited && ws.waiting <= 0 {
+			delete(n.states, name)
+		}
+	}
+}
+
 // SetFraction sets the fraction that the node had before its restart, as other
 // nodes know it. It has no effect once the coordinator has replied.
 func (n *NodeLimiter) SetFraction(fraction float64) {
@@ -167,22 +189,68 @@
 // Take spends the tokens of a request. It returns false and spends none if there
 // are too few. A workspace without a limit needs no tokens.
 func (n *NodeLimiter) Take(now time.Time, workspace string, tokens float64) bool {
+	_, ok := n.TakeUntil(now, workspace, tokens)
+	return ok
+}
+
+// TakeUntil is Take, and returns until when the request may be sent; zero if it is not
+// limited.
+func (n *NodeLimiter) TakeUntil(now time.Time, workspace string, tokens float64) (until time.Time, ok bool) {
 	limit, limited := n.limits[workspace]
 	if !limited {
-		return true
+		return time.Time{}, true
 	}
 	ws := n.state(workspace)
+	until = n.expiry(now, ws)
 	if !n.HasCoordinator(now) {
-		return n.takeLocal(now, ws, limit, tokens)
+		return until, n.takeLocal(now, ws, limit, tokens)
 	}
-	ws.batches = dropExpired(ws.batches, now)
 	if totalTokens(ws.batches)+1e-9 < tokens {
-		return false
+		return time.Time{}, false
 	}
 	ws.batches = spend(ws.batches, tokens)
-	return true
+	return until, true
+}
+
+// expiry returns when the tokens expire that are spent first.
+func (n *NodeLimiter) expiry(now time.Time, ws *workspaceState) time.Time {
+	ws.batches = dropExpired(ws.batches, now)
+	if len(ws.batches) > 0 {
+		return ws.batches[0].expiresAt
+	}
+	return now.Add(PoolTerm)
 }
 
+// Available returns how many tokens may be spent now.
+func (n *NodeLimiter) Available(now time.Time, workspace string) float64 {
+	ws := n.state(workspace)
+	ws.batches = dropExpired(ws.batches, now)
+	sum := totalTokens(ws.batches)
+	if !n.HasCoordinator(now) {
+		n.mint(now, ws, n.limits[workspace])
+		sum += ws.localTokens
+	}
+	return sum
+}
+
+// Return gives back tokens that TakeUntil took and no request was sent with.
+func (n *NodeLimiter) Return(now time.Time, workspace string, tokens float64, until time.Time) {
+	if _, limited := n.limits[workspace]; limited && now.Before(until) {
+		n.add(workspace, tokens, until)
+	}
+}
+
+// Wish requests a token for a request that may come, beyond the expected demand.
+func (n *NodeLimiter) Wish(now time.Time, workspace string) {
+	n.state(workspace).wishedUntil = now.Add(Term)
+}
+
+// SetUrgency sets the urgency of the most urgent waiting request.
+func (n *NodeLimiter) SetUrgency(workspace string, urgency int) { n.state(workspace).urgency = urgency }
+
+// ReadyAt returns when the node gets tokens in turn, zero if that is not known.
+func (n *NodeLimiter) ReadyAt(workspace string) time.Time { return n.state(workspace).readyAt }
+
 // takeLocal spends tokens issued by a pool, then those minted from the node's
 // own fraction of the rate.
 func (n *NodeLimiter) takeLocal(now time.Time, ws *workspaceState, limit Limit, tokens float64) bool {
@@ -295,9 +363,13 @@
 			}
 		}
 		want := ws.waiting - usable
+		waiting := max(0, want)
 		if prefetch := ws.demand * prefetchTime.Seconds(); prefetch >= minPrefetchRequests*ws.usualSize && n.HasCoordinator(now) {
 			want += prefetch
 		}
+		if now.Before(ws.wishedUntil) && usable < 1 {
+			want = max(want, 1)
+		}
 		if want < 1 {
 			continue
 		}
@@ -305,6 +377,8 @@
 			Workspace: name,
 			Want:      want,
 			Need:      ws.need,
+			Urgency:   ws.urgency,
+			Waiting:   waiting,
 		})
 	}
 	slices.SortFunc(requests, func(a, b TokenRequest) int { return strings.Compare(a.Workspace, b.Workspace) })
@@ -323,6 +397,10 @@
 		if s.RefillIn > 0 {
 			ws.refilledAt = sent.Add(s.RefillIn)
 		}
+		ws.readyAt = time.Time{}
+		if s.ReadyIn > 0 {
+			ws.readyAt = sent.Add(s.ReadyIn)
+		}
 	}
 }
 
@@ -357,14 +435,18 @@
 
 func (n *NodeLimiter) addGrants(grants []Grant, expiresAt time.Time) {
 	for _, grant := range grants {
-		if grant.Tokens <= 0 {
-			continue
+		if grant.Tokens > 0 {
+			n.add(grant.Workspace, grant.Tokens, expiresAt)
 		}
-		ws := n.state(grant.Workspace)
-		ws.batches = append(ws.batches, batch{
-			tokens:    grant.Tokens,
-			expiresAt: expiresAt,
-		})
-		slices.SortStableFunc(ws.batches, func(a, b batch) int { return a.expiresAt.Compare(b.expiresAt) })
 	}
 }
+
+func (n *NodeLimiter) add(workspace string, tokens float64, expiresAt time.Time) {
+	ws := n.state(workspace)
+	ws.readyAt = time.Time{}
+	ws.batches = append(ws.batches, batch{
+		tokens:    tokens,
+		expiresAt: expiresAt,
+	})
+	slices.SortStableFunc(ws.batches, func(a, b batch) int { return a.expiresAt.Compare(b.expiresAt) })
+}
