--- a/internal/coord/admitter.go
+++ b/internal/coord/admitter.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/clock"
@@ -28,30 +27,17 @@
 // Admitter admits requests within the rates of their workspaces. It is safe for
 // concurrent use.
 type Admitter struct {
-	clock             clock.Clock
-	exchangeRequested chan struct{}
-	// poolRequested is signalled when a request needs tokens from the pool.
-	poolRequested chan struct{}
-
-	mu            sync.Mutex
-	limiter       *grant.NodeLimiter
-	pool          *grant.Pool
-	limits        map[string]grant.Limit
-	tokensChanged chan struct{}
+	*tokens
+	limits map[string]grant.Limit // guarded by the lock of tokens
 }
 
-// NewAdmitter returns an Admitter without tokens. It signals exchangeRequested
-// when a request needs tokens before the next regular exchange. While nodes do
+// NewAdmitter returns an Admitter without tokens. It signals exchangeRequested or
+// poolRequested when a request needs tokens before the next regular exchange. While nodes do
 // not reach the coordinator, all of them together may save up quotaDisconnected
 // tokens more than their fractions of the rate otherwise allow.
-func NewAdmitter(clk clock.Clock, exchangeRequested chan struct{}, quotaDisconnected float64) *Admitter {
+func NewAdmitter(clk clock.Clock, exchangeRequested, poolRequested chan struct{}, quotaDisconnected float64) *Admitter {
 	return &Admitter{
-		clock:             clk,
-		exchangeRequested: exchangeRequested,
-		poolRequested:     make(chan struct{}, 1),
-		limiter:           grant.NewNodeLimiter(quotaDisconnected),
-		pool:              grant.NewPool(),
-		tokensChanged:     make(chan struct{}),
+		tokens: newTokens(clk, exchangeRequested, poolRequested, quotaDisconnected),
 	}
 }
 
@@ -161,106 +147,3 @@
 		Unreachable: !refilledAt.IsZero(),
 	}
 }
-
-// signal wakes the receiver of a channel with a buffer of one. It does not
-// block.
-func signal(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
-// waitForTokens waits until tokens may have arrived or the limit has passed. It
-// returns false when the context has ended. The caller holds the lock, which is
-// released during the wait.
-func (a *Admitter) waitForTokens(ctx context.Context, limit time.Duration) bool {
-	changed := a.tokensChanged
-	a.mu.Unlock()
-	defer a.mu.Lock()
-	t := time.NewTimer(limit)
-	defer t.Stop()
-	select {
-	case <-changed:
-	case <-t.C:
-	case <-ctx.Done():
-		return false
-	}
-	return true
-}
-
-// hasCoordinator reports whether the coordinator answered recently.
-func (a *Admitter) hasCoordinator(now time.Time) bool {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.limiter.HasCoordinator(now)
-}
-
-// poolExchange returns the tokens to request from a pool and those to deposit
-// there. It returns nothing while the coordinator is reached.
-func (a *Admitter) poolExchange(now time.Time) (requests []grant.TokenRequest, deposits []grant.Grant) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.limiter.HasCoordinator(now) {
-		return nil, nil
-	}
-	return a.limiter.TokenRequests(now), a.limiter.TakeDeposits(now)
-}
-
-// servePool answers a node that uses the pool held by this node.
-func (a *Admitter) servePool(x *Exchange) *Reply {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	now := a.clock.Now()
-	a.pool.Deposit(now, x.Deposits)
-	r := &Reply{}
-	for _, request := range x.TokenRequests {
-		issued := a.pool.Issue(now, request.Workspace, request.Want, request.Need)
-		if issued > 0 {
-			r.Grants = append(r.Grants, grant.Grant{
-				Workspace: request.Workspace,
-				Tokens:    issued,
-			})
-		}
-	}
-	return r
-}
-
-// applyPoolReply adds the tokens that a pool issued.
-func (a *Admitter) applyPoolReply(sent time.Time, r *Reply) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.limiter.ApplyPoolReply(sent, r.Grants)
-	a.notify()
-}
-
-// notify wakes all waiting requests. The caller holds the lock.
-func (a *Admitter) notify() {
-	close(a.tokensChanged)
-	a.tokensChanged = make(chan struct{})
-}
-
-// tokenRequests returns the tokens to request from the coordinator.
-func (a *Admitter) tokenRequests(now time.Time) []grant.TokenRequest {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.limiter.TokenRequests(now)
-}
-
-// applyReply applies the coordinator's reply to a message that was sent at the
-// given time.
-func (a *Admitter) applyReply(sent time.Time, r *Reply) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.limiter.ApplyReply(sent, r.Grants, r.Fraction)
-	a.limiter.SetShortages(sent, r.Shortages)
-	a.notify()
-}
-
-// setFraction sets the node's fraction of the rates as other nodes know it. It
-// has no effect once the coordinator has answered.
-func (a *Admitter) setFraction(fraction float64) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.limiter.SetFraction(fraction)
-}
--- a/internal/coord/admitter_test.go
+++ b/internal/coord/admitter_test.go
@@ -32,7 +32,7 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			clk := clock.NewReal()
-			a := NewAdmitter(clk, make(chan struct{}, 1), 0)
+			a := NewAdmitter(clk, make(chan struct{}, 1), make(chan struct{}, 1), 0)
 			a.SetConfig(&fleet.Config{
 				Workspaces: map[string]*fleet.Workspace{"club": {Name: "club", Rate: rate, Burst: rate}},
 			})
@@ -43,7 +43,7 @@
 				reply.Shortages = []grant.Shortage{{Workspace: "club", RetryIn: time.Second}}
 			}
 			began := clk.Now()
-			a.applyReply(began, reply)
+			a.applyReply(began, reply.Grants, reply.Shortages, reply.Fraction)
 			_, admitted := a.Admit(t.Context(), "club", tc.tokens, wait)
 			if took := clk.Now().Sub(began); admitted != tc.admitted || took > tc.within {
 				t.Errorf("admitted %v after %v, want %v within %v", admitted, took, tc.admitted, tc.within)
@@ -85,7 +85,7 @@
 				Workspaces: map[string]*fleet.Workspace{"club": {Name: "club", Rate: tc.rate, Burst: 1000}},
 			}
 			requested := make(chan struct{}, 1)
-			a := NewAdmitter(clk, requested, 0)
+			a := NewAdmitter(clk, requested, make(chan struct{}, 1), 0)
 			a.SetConfig(config)
 			ctx := t.Context()
 			c := newCoordinator(Options{
@@ -118,7 +118,7 @@
 					reply: reply,
 				}.apply(ctx, c, sent)
 				r := <-reply
-				a.applyReply(sent, &r)
+				a.applyReply(sent, r.Grants, r.Shortages, r.Fraction)
 			}
 			exchange()
 			go func() {
--- a/internal/coord/coordinator.go
+++ b/internal/coord/coordinator.go
@@ -85,9 +85,12 @@
 	resignedFence int64
 	members       map[string]*member
 	issuer        *grant.Issuer
-	planner       *models.Planner
-	polls         map[fleet.Key]*enginePoll
-	fetches       []*adapterFetch
+	// places issues places at engines that name a limit of requests, as of limitVersion.
+	places       *grant.Issuer
+	limitVersion int64
+	planner      *models.Planner
+	polls        map[fleet.Key]*enginePoll
+	fetches      []*adapterFetch
 	// sending counts the orders without a final answer by engine. tenureEnded is closed
 	// when the tenure ends, after which none of them is sent again.
 	sending     map[fleet.Key]int
@@ -232,6 +235,7 @@
 	}
 	c.active, c.tenureEnded = true, make(chan struct{})
 	c.issuer = grant.NewIssuer(c.initialTokens, c.tenure.First)
+	c.places, c.limitVersion = grant.NewIssuer(0, false), -1
 	c.planner = models.New(now, c.tenure.OrdersFrom)
 	c.polls = make(map[fleet.Key]*enginePoll)
 	if c.config != nil {
@@ -286,7 +290,10 @@
 	if c.health.Version() != c.healthVersion {
 		c.setEndpoints()
 	}
-	c.issuer.SetReserved(now, c.reservedFraction(now))
+	reserved := c.reservedFraction(now)
+	c.issuer.SetReserved(now, reserved)
+	c.places.SetReserved(now, reserved)
+	c.applyLimits(now)
 	for key, p := range c.polls {
 		if !p.polling && !now.Before(p.nextPoll) {
 			p.polling = true
--- a/internal/coord/elect.go
+++ b/internal/coord/elect.go
@@ -180,7 +180,7 @@
 	for range maxHandoverAttempts {
 		sent := n.opts.Clock.Now()
 		x := n.newExchange(sent)
-		x.TokenRequests, x.Resign = nil, t.Fence
+		x.TokenRequests, x.PlaceRequests, x.Resign = nil, nil, t.Fence
 		r, err := n.send(ctx, t.Former, false, x)
 		if err == nil && r.Handover != nil {
 			// The times in the handover count from the receipt of the reply, which is
@@ -311,7 +311,7 @@
 	e.setMembers(ctx, former.Members, MembersVersion{})
 	for _, m := range former.Members {
 		if m.Node == e.opts.Node {
-			e.Admitter.setFraction(m.Fraction)
+			e.setFraction(m.Fraction)
 		}
 	}
 }
--- a/internal/coord/exchange.go
+++ b/internal/coord/exchange.go
@@ -111,7 +111,8 @@
 	}
 	n.recordStoreView(sent, r)
 	n.mu.Unlock()
-	n.Admitter.applyReply(sent, r)
+	n.Admitter.applyReply(sent, r.Grants, r.Shortages, r.Fraction)
+	n.Pacer.applyReply(sent, r.Places, r.PlaceShortages, r.Fraction)
 	return n.sendMissing(ctx, address, own, r)
 }
 
@@ -154,7 +155,7 @@
 
 // newExchange returns an Exchange with the fields that every message contains.
 func (n *Node) newExchange(now time.Time) *Exchange {
-	tokenRequests := n.Admitter.tokenRequests(now)
+	tokenRequests, placeRequests := n.Admitter.tokenRequests(now), n.Pacer.tokenRequests(now)
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return &Exchange{
@@ -173,6 +174,8 @@
 		VersionsOnly:   true,
 		Parts:          n.opts.Parts.Share(now),
 		LeavingEngines: n.opts.Table.Health().Share(now),
+		LimitedEngines: n.opts.Table.Health().ShareLimits(now),
+		PlaceRequests:  placeRequests,
 	}
 }
 
@@ -257,6 +260,7 @@
 	}
 	n.opts.Parts.Merge(sent, r.Parts)
 	n.mergeLeaving(sent, r.LeavingEngines, source)
+	n.mergeLimits(sent, r.LimitedEngines, source)
 	n.setMembers(ctx, r.Members, r.MembersVersion)
 	if !r.Coordinator || r.Seq == 0 {
 		return
@@ -391,7 +395,7 @@
 // coordinator itself.
 func (n *Node) handleExchange(ctx context.Context, x *Exchange) (*Reply, error) {
 	if x.UsePool {
-		return n.Admitter.servePool(x), nil
+		return n.servePool(x), nil
 	}
 	if n.acceptsView(x.ViewAge) {
 		n.applyDocument(ctx, x.Config, x.Node)
@@ -403,6 +407,7 @@
 	})
 	n.opts.Parts.Merge(n.opts.Clock.Now(), x.Parts)
 	n.mergeLeaving(n.opts.Clock.Now(), x.LeavingEngines, x.Node)
+	n.mergeLimits(n.opts.Clock.Now(), x.LimitedEngines, x.Node)
 	if x.DocumentsOnly {
 		return n.replyWithDocuments(x), nil
 	}
@@ -444,6 +449,7 @@
 		r.Parts = append(r.Parts, objections[:min(len(objections), poison.MaxShared-len(r.Parts))]...)
 	}
 	r.LeavingEngines = n.opts.Table.Health().Share(now)
+	r.LimitedEngines = n.opts.Table.Health().ShareLimits(now)
 	if !x.TokensOnly {
 		r.Lease = n.ownLease
 	}
@@ -529,7 +535,7 @@
 func (n *Node) gossipWith(ctx context.Context, address string) {
 	sent := n.opts.Clock.Now()
 	x := n.newExchange(sent)
-	x.TokenRequests = nil
+	x.TokenRequests, x.PlaceRequests = nil, nil
 	r, err := n.send(ctx, address, false, x)
 	if err != nil {
 		return
@@ -545,7 +551,13 @@
 	n.adoptCoordinator(r)
 	for _, m := range r.Members {
 		if m.Node == n.opts.Node {
-			n.Admitter.setFraction(m.Fraction)
+			n.setFraction(m.Fraction)
 		}
 	}
 }
+
+// setFraction sets this node's fraction of the rates as other nodes know it.
+func (n *Node) setFraction(fraction float64) {
+	n.Admitter.setFraction(fraction)
+	n.Pacer.setFraction(fraction)
+}
--- a/internal/coord/health.go
+++ b/internal/coord/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/grant"
 	"trefoildale.example/trefoildale/internal/health"
 )
 
@@ -36,6 +37,50 @@
 	}
 }
 
+// mergeLimits records which engines another node has heard to name a limit.
+func (n *Node) mergeLimits(now time.Time, list []health.LimitStatement, source string) {
+	if len(list) == 0 {
+		return
+	}
+	for _, change := range n.opts.Table.Health().MergeLimits(now, list) {
+		n.opts.Log.Info(health.LimitLogged, append(change.Attrs(), "peer", source)...)
+	}
+}
+
+// applyLimits makes the coordinator issue places at the engines that name a limit, and plan
+// with little of their pace.
+func (c *Coordinator) applyLimits(now time.Time) {
+	version := c.health.LimitVersion()
+	if version == c.limitVersion {
+		return
+	}
+	c.limitVersion = version
+	c.places.SetLimits(now, endpointLimits(c.health))
+	limited := make(map[fleet.Key]bool)
+	for key := range c.health.Limits() {
+		limited[key] = true
+	}
+	c.planner.SetLimited(limited)
+}
+
+// issuePlaces answers a node's requests for places.
+func (c *Coordinator) issuePlaces(now time.Time, x *Exchange, r *Reply) {
+	c.applyLimits(now)
+	for _, request := range x.PlaceRequests {
+		issued, short := c.places.IssueInTurn(now, x.Node, request)
+		if issued > 0 {
+			r.Places = append(r.Places, grant.Grant{
+				Workspace: request.Workspace,
+				Tokens:    issued,
+			})
+		}
+		if short != nil {
+			r.PlaceShortages = append(r.PlaceShortages, *short)
+			c.logShortage(now, c.places, x.Node, request)
+		}
+	}
+}
+
 // plannedEndpoints returns the endpoints as the planner sees them: those that have said
 // that they leave are marked, whatever the list says.
 func (c *Coordinator) plannedEndpoints(now time.Time) []fleet.Endpoint {
--- a/internal/coord/members.go
+++ b/internal/coord/members.go
@@ -131,9 +131,10 @@
 			})
 		} else if request.Need > 0 {
 			r.Shortages = append(r.Shortages, c.issuer.Shortage(now, request.Workspace, request.Need))
-			c.logShortage(now, x.Node, request)
+			c.logShortage(now, c.issuer, x.Node, request)
 		}
 	}
+	c.issuePlaces(now, x, &r)
 	if !x.TokensOnly {
 		mem.running = x.Running
 		c.fillReply(now, x, &r)
@@ -146,13 +147,13 @@
 const shortageLogInterval = time.Second
 
 // logShortage logs the numbers that explain why a node got no tokens.
-func (c *Coordinator) logShortage(now time.Time, node string, request grant.TokenRequest) {
+func (c *Coordinator) logShortage(now time.Time, from *grant.Issuer, node string, request grant.TokenRequest) {
 	if now.Sub(c.shortageLoggedAt[request.Workspace]) < shortageLogInterval {
 		return
 	}
 	c.shortageLoggedAt[request.Workspace] = now
-	c.log.Warn("no tokens to issue", "workspace", request.Workspace, "member", node, "want", request.Want, "need", request.Need,
-		"level", c.issuer.Level(now, request.Workspace), "reserved", c.reservedFraction(now), "members", len(c.members), "config", c.configVersion())
+	c.log.Warn("no tokens to issue", "limit", request.Workspace, "member", node, "want", request.Want, "need", request.Need,
+		"urgency", request.Urgency, "level", from.Level(now, request.Workspace), "reserved", c.reservedFraction(now), "members", len(c.members), "config", c.configVersion())
 }
 
 func (c *Coordinator) configVersion() int64 {
--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -5,6 +5,7 @@
 package coord
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -111,6 +112,12 @@
 	// endpoints does not name as leaving.
 	LeavingEngines []health.Statement `cbor:"30,keyasint,omitempty"`
 	Eras           *Eras              `cbor:"28,keyasint,omitempty"`
+	// LimitedEngines lists engines that have named a limit of requests. PlaceRequests are
+	// the tokens that the sender needs for requests to them, PlaceDeposits those that it
+	// adds to the pool.
+	LimitedEngines []health.LimitStatement `cbor:"31,keyasint,omitempty"`
+	PlaceRequests  []grant.TokenRequest    `cbor:"32,keyasint,omitempty"`
+	PlaceDeposits  []grant.Grant           `cbor:"33,keyasint,omitempty"`
 }
 
 // Pace is the time that an engine takes for a unit of work, relative to other
@@ -146,10 +153,10 @@
 	if x.Node == "" || x.Address == "" {
 		return errors.New("coord: exchange without a node or address")
 	}
-	if len(x.TokenRequests)+len(x.Work)+len(x.Waiting)+len(x.Running)+len(x.Deposits) > maxItems {
+	if len(x.TokenRequests)+len(x.Work)+len(x.Waiting)+len(x.Running)+len(x.Deposits)+len(x.PlaceRequests)+len(x.PlaceDeposits) > maxItems {
 		return fmt.Errorf("coord: exchange of node %.64q has too many list items", x.Node)
 	}
-	if err := health.ValidateAll(x.LeavingEngines); err != nil {
+	if err := cmp.Or(health.ValidateAll(x.LeavingEngines), health.ValidateLimits(x.LimitedEngines)); err != nil {
 		return err
 	}
 	return poison.ValidateAll(x.Parts)
@@ -261,6 +268,11 @@
 	// LeavingEngines is as in an Exchange.
 	LeavingEngines []health.Statement `cbor:"30,keyasint,omitempty"`
 	Eras           *Eras              `cbor:"26,keyasint,omitempty"`
+	// LimitedEngines is as in an Exchange. Places and PlaceShortages answer
+	// PlaceRequests.
+	LimitedEngines []health.LimitStatement `cbor:"31,keyasint,omitempty"`
+	Places         []grant.Grant           `cbor:"32,keyasint,omitempty"`
+	PlaceShortages []grant.Shortage        `cbor:"33,keyasint,omitempty"`
 }
 
 // Validate checks that the fraction of a decoded Reply is between 0 and 1.
@@ -268,7 +280,7 @@
 	if r.Fraction < 0 || r.Fraction > 1 {
 		return fmt.Errorf("coord: fraction %v is not between 0 and 1", r.Fraction)
 	}
-	if err := health.ValidateAll(r.LeavingEngines); err != nil {
+	if err := cmp.Or(health.ValidateAll(r.LeavingEngines), health.ValidateLimits(r.LimitedEngines)); err != nil {
 		return err
 	}
 	return poison.ValidateAll(r.Parts)
--- a/internal/coord/node.go
+++ b/internal/coord/node.go
@@ -121,6 +121,8 @@
 	QuotaDisconnected float64
 	// Parts keeps the evidence against parts of prompts; it may be nil.
 	Parts *poison.Tracker
+	// Pacer gives places at engines that limit requests; it may be nil.
+	Pacer *Pacer
 }
 
 // Node is this process's membership in the fleet: it takes part in the election,
@@ -129,6 +131,7 @@
 type Node struct {
 	opts              Options
 	Admitter          *Admitter
+	Pacer             *Pacer
 	usage             *usage
 	coord             *Coordinator
 	exchangeRequested chan struct{}
@@ -213,11 +216,15 @@
 	if o.Parts == nil {
 		o.Parts = poison.New(o.Log)
 	}
+	if o.Pacer == nil {
+		o.Pacer = NewPacer(o.Clock, healthOf(o))
+	}
 	n := &Node{
 		opts:               o,
 		usage:              newUsage(),
 		coord:              newCoordinator(o),
-		exchangeRequested:  make(chan struct{}, 1),
+		Pacer:              o.Pacer,
+		exchangeRequested:  o.Pacer.exchangeRequested,
 		documentsRequested: make(chan struct{}, 1),
 		configured:         make(chan struct{}),
 		registry:           fleet.NewRegistry(),
@@ -230,7 +237,7 @@
 	if n.firstElectionIn > 0 {
 		n.readStoreFrom = o.Clock.Now().Add(n.firstElectionIn + extraReadDelay)
 	}
-	n.Admitter = NewAdmitter(o.Clock, n.exchangeRequested, o.QuotaDisconnected)
+	n.Admitter = NewAdmitter(o.Clock, n.exchangeRequested, o.Pacer.poolRequested, o.QuotaDisconnected)
 	return n
 }
 
--- a/internal/coord/pool.go
+++ b/internal/coord/pool.go
@@ -56,20 +56,19 @@
 // exchangeWithPool deposits and requests tokens at the node that holds the pool.
 // It returns false if that node did not answer; the deposit is then lost.
 func (n *Node) exchangeWithPool(ctx context.Context, now time.Time, holder Member) bool {
-	requests, deposits := n.Admitter.poolExchange(now)
-	if len(requests)+len(deposits) == 0 {
-		return true
-	}
 	x := &Exchange{
-		Node:          n.opts.Node,
-		Address:       n.opts.Address,
-		UsePool:       true,
-		TokenRequests: requests,
-		Deposits:      deposits,
+		Node:    n.opts.Node,
+		Address: n.opts.Address,
+		UsePool: true,
+	}
+	x.TokenRequests, x.Deposits = n.Admitter.poolExchange(now)
+	x.PlaceRequests, x.PlaceDeposits = n.Pacer.poolExchange(now)
+	if len(x.TokenRequests)+len(x.Deposits)+len(x.PlaceRequests)+len(x.PlaceDeposits) == 0 {
+		return true
 	}
 	var r *Reply
 	if holder.Node == n.opts.Node {
-		r = n.Admitter.servePool(x)
+		r = n.servePool(x)
 	} else {
 		bounded, cancel := context.WithTimeout(ctx, poolTimeout)
 		defer cancel()
@@ -79,10 +78,19 @@
 			return false
 		}
 	}
-	n.Admitter.applyPoolReply(now, r)
+	n.Admitter.applyPoolReply(now, r.Grants)
+	n.Pacer.applyPoolReply(now, r.Places)
 	return true
 }
 
+// servePool answers a node that uses the pool held by this node.
+func (n *Node) servePool(x *Exchange) *Reply {
+	return &Reply{
+		Grants: n.Admitter.servePool(x.TokenRequests, x.Deposits),
+		Places: n.Pacer.servePool(x.PlaceRequests, x.PlaceDeposits),
+	}
+}
+
 // poolHolder returns the node that holds the pool of a failure domain: the first
 // of its largest nodes that is not avoided. Nodes that avoid the same nodes
 // choose the same holder.
--- a/internal/grant/limiter.go
+++ b/internal/grant/limiter.go
@@ -42,6 +42,9 @@
 	Urgency int `cbor:"4,keyasint,omitempty"`
 	// Waiting is the part of Want that waiting requests need.
 	Waiting float64 `cbor:"5,keyasint,omitempty"`
+	// Oldest is the time since the first of the most urgent waiting requests arrived, where
+	// nodes wait in turn.
+	Oldest time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
 // Shortage states that the coordinator had too few tokens for a token request,
@@ -52,9 +55,9 @@
 	// RefillIn is set if the tokens may be missing only because the coordinator has
 	// just begun: after what time the refill yields them.
 	RefillIn time.Duration `cbor:"3,keyasint,omitempty"`
-	// ReadyIn is after what time the node gets its tokens in turn, where nodes wait in turn;
-	// zero if that is not known.
-	ReadyIn time.Duration `cbor:"4,keyasint,omitempty"`
+	// QueuedFor is after what time all waiting requests as urgent as the node's have their
+	// tokens, where nodes wait in turn; zero if that is not known.
+	QueuedFor time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Grant is an amount of tokens of a workspace, issued by the coordinator or a
@@ -87,7 +90,15 @@
 	refilledAt    time.Time // when a coordinator that has just begun has enough; zero if tokens were used
 	usualSize     float64   // moving average of the request size
 	urgency       int       // of the most urgent waiting request
-	readyAt       time.Time // when tokens come in turn, zero if that is not known
+	// oldest is the arrival of the first of the most urgent waiting requests, zero where nodes
+	// do not wait in turn. isInLine is set if the coordinator was told last that requests wait.
+	oldest   time.Time
+	isInLine bool
+	// queuedUntil is when all requests that waited at queuedAt have their tokens, of those as
+	// urgent as queuedUrgency or more.
+	queuedUntil   time.Time
+	queuedAt      time.Time
+	queuedUrgency int
 	wishedUntil   time.Time // see Wish
 }
 
@@ -245,11 +256,21 @@
 	n.state(workspace).wishedUntil = now.Add(Term)
 }
 
-// SetUrgency sets the urgency of the most urgent waiting request.
-func (n *NodeLimiter) SetUrgency(workspace string, urgency int) { n.state(workspace).urgency = urgency }
+// SetFirst sets the urgency and the arrival of the first of the waiting requests.
+func (n *NodeLimiter) SetFirst(workspace string, urgency int, arrived time.Time) {
+	ws := n.state(workspace)
+	ws.urgency, ws.oldest = urgency, arrived
+}
 
-// ReadyAt returns when the node gets tokens in turn, zero if that is not known.
-func (n *NodeLimiter) ReadyAt(workspace string) time.Time { return n.state(workspace).readyAt }
+// QueuedUntil returns by when the requests have their tokens that come before a new one of the
+// given urgency, zero if that is not known or was long ago.
+func (n *NodeLimiter) QueuedUntil(now time.Time, workspace string, urgency int) time.Time {
+	ws := n.state(workspace)
+	if urgency < ws.queuedUrgency || now.Sub(ws.queuedAt) > maxRetryWait {
+		return time.Time{}
+	}
+	return ws.queuedUntil
+}
 
 // takeLocal spends tokens issued by a pool, then those minted from the node's
 // own fraction of the rate.
@@ -370,7 +391,9 @@
 		if now.Before(ws.wishedUntil) && usable < 1 {
 			want = max(want, 1)
 		}
-		if want < 1 {
+		leaves := ws.isInLine && waiting < 1
+		ws.isInLine = !ws.oldest.IsZero() && waiting >= 1
+		if want < 1 && !leaves {
 			continue
 		}
 		requests = append(requests, TokenRequest{
@@ -379,6 +402,7 @@
 			Need:      ws.need,
 			Urgency:   ws.urgency,
 			Waiting:   waiting,
+			Oldest:    max(0, now.Sub(ws.oldest)),
 		})
 	}
 	slices.SortFunc(requests, func(a, b TokenRequest) int { return strings.Compare(a.Workspace, b.Workspace) })
@@ -397,9 +421,8 @@
 		if s.RefillIn > 0 {
 			ws.refilledAt = sent.Add(s.RefillIn)
 		}
-		ws.readyAt = time.Time{}
-		if s.ReadyIn > 0 {
-			ws.readyAt = sent.Add(s.ReadyIn)
+		if s.QueuedFor > 0 {
+			ws.queuedAt, ws.queuedUntil, ws.queuedUrgency = sent, sent.Add(s.QueuedFor), ws.urgency
 		}
 	}
 }
@@ -443,7 +466,6 @@
 
 func (n *NodeLimiter) add(workspace string, tokens float64, expiresAt time.Time) {
 	ws := n.state(workspace)
-	ws.readyAt = time.Time{}
 	ws.batches = append(ws.batches, batch{
 		tokens:    tokens,
 		expiresAt: expiresAt,
--- a/internal/grant/turns_test.go
+++ b/internal/grant/turns_test.go
@@ -93,6 +93,7 @@
 	if !ok {
 		if n.waiting == nil {
 			n.waiting = n.limiter.Wait("e", 1)
+			n.limiter.SetFirst("e", 0, f.now)
 		}
 		return
 	}
@@ -263,78 +264,92 @@
 		after   time.Duration
 		node    string
 		urgency int
-		want    float64 // 1 if none
-		wish    bool
+		oldest  time.Duration
+		waiting float64
+		want    float64 // beyond waiting
 		issued  float64
-		readyIn time.Duration
+		// queued is when all that wait have their tokens, 0 if nothing is short.
+		queued time.Duration
 	}
+	const perToken = 400 * time.Millisecond
 	for _, tc := range []struct {
 		name string
 		asks []ask
 	}{
 		{
-			name: "the first one first",
+			name: "the one that arrived first",
 			asks: []ask{
-				{node: "a", readyIn: time.Second},
-				{node: "b", readyIn: 2 * time.Second},
-				{after: 500 * time.Millisecond, node: "a", readyIn: 500 * time.Millisecond},
-				{after: 500 * time.Millisecond, node: "b", readyIn: time.Second},
-				{node: "a", issued: 1},
-				{after: 500 * time.Millisecond, node: "b", readyIn: 500 * time.Millisecond},
-				{after: 500 * time.Millisecond, node: "b", issued: 1},
+				{node: "a", waiting: 1, queued: perToken},
+				{node: "b", waiting: 1, oldest: perToken / 2, queued: 2 * perToken},
+				{after: perToken / 2, node: "a", oldest: perToken / 2, waiting: 1, queued: 3 * perToken / 2},
+				{node: "b", oldest: perToken, waiting: 1, queued: 3 * perToken / 2},
+				{after: perToken / 2, node: "a", oldest: perToken, waiting: 1, queued: perToken},
+				{node: "b", oldest: 3 * perToken / 2, waiting: 1, issued: 1},
+				{after: perToken, node: "a", oldest: 2 * perToken, waiting: 1, issued: 1},
 			},
 		},
 		{
-			name: "the most urgent first",
+			name: "one token at a time",
 			asks: []ask{
-				{node: "a", urgency: 5, readyIn: time.Second},
-				{node: "b", urgency: 0, readyIn: time.Second},
-				{node: "a", urgency: 5, readyIn: 2 * time.Second},
-				{after: 500 * time.Millisecond, node: "b", urgency: 0, readyIn: 500 * time.Millisecond},
-				{after: 500 * time.Millisecond, node: "a", urgency: 5, readyIn: time.Second},
-				{node: "b", urgency: 0, issued: 1},
+				{node: "a", waiting: 5, queued: 5 * perToken},
+				{node: "b", waiting: 1, queued: 6 * perToken},
+				{after: perToken / 2, node: "a", oldest: perToken / 2, waiting: 5, queued: 11 * perToken / 2},
+				{after: perToken / 2, node: "b", oldest: perToken, waiting: 1, queued: 5 * perToken},
+				{node: "a", oldest: perToken, waiting: 5, issued: 1, queued: 5 * perToken},
+				{after: perToken / 2, node: "a", oldest: perToken, waiting: 4, queued: 9 * perToken / 2},
+				{node: "b", oldest: 3 * perToken / 2, waiting: 1, queued: 9 * perToken / 2},
+				{after: perToken / 2, node: "a", oldest: perToken, waiting: 4, queued: 4 * perToken},
+				{node: "b", oldest: 2 * perToken, waiting: 1, issued: 1},
 			},
 		},
 		{
-			name: "a node that does not return loses its turn",
+			name: "the most urgent",
 			asks: []ask{
-				{node: "a", readyIn: time.Second},
-				{after: 500 * time.Millisecond, node: "b", readyIn: 1500 * time.Millisecond},
-				{after: 500 * time.Millisecond, node: "b", issued: 1},
+				{node: "a", urgency: 5, oldest: perToken, waiting: 1, queued: perToken},
+				{node: "b", waiting: 1, queued: perToken},
+				{node: "a", urgency: 5, oldest: perToken, waiting: 1, queued: 2 * perToken},
+				{after: perToken / 2, node: "b", waiting: 1, queued: perToken / 2},
+				{after: perToken / 2, node: "a", urgency: 5, oldest: 2 * perToken, waiting: 1, queued: perToken},
+				{node: "b", waiting: 1, issued: 1},
+			},
+		},
+		{
+			name: "a node that does not return",
+			asks: []ask{
+				{node: "a", oldest: perToken, waiting: 1, queued: perToken},
+				{after: perToken / 2, node: "b", waiting: 1, queued: 3 * perToken / 2},
+				{after: perToken / 2, node: "b", oldest: perToken / 2, waiting: 1, queued: perToken},
+				{after: perToken / 2, node: "b", oldest: perToken, waiting: 1, issued: 1},
 			},
 		},
 		{
 			name: "wishes get what is left",
 			asks: []ask{
-				{after: time.Second, node: "a", want: 2, issued: 1, readyIn: time.Second},
-				{after: 250 * time.Millisecond, node: "b", wish: true},
-				{after: 500 * time.Millisecond, node: "b", wish: true},
-				{after: 250 * time.Millisecond, node: "a", issued: 1},
-				{after: time.Second, node: "b", wish: true, issued: 1},
+				{after: perToken, node: "a", waiting: 2, issued: 1, queued: perToken},
+				{after: perToken / 2, node: "b", want: 1},
+				{after: perToken / 2, node: "a", oldest: perToken, waiting: 1, issued: 1},
+				{after: perToken, node: "b", want: 1, issued: 1},
 			},
 		},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			now := time.Unix(1000, 0)
 			s := NewIssuer(0, false)
-			s.SetLimits(now, map[string]Limit{"e": {Rate: 1, Burst: 2}})
+			s.SetLimits(now, map[string]Limit{"e": {Rate: 1 / perToken.Seconds(), Burst: 2}})
 			for i, a := range tc.asks {
 				now = now.Add(a.after)
-				r := TokenRequest{
+				issued, short := s.IssueInTurn(now, a.node, TokenRequest{
 					Workspace: "e",
-					Want:      max(1, a.want),
-					Waiting:   max(1, a.want),
+					Want:      a.waiting + a.want,
+					Waiting:   a.waiting,
 					Urgency:   a.urgency,
-				}
-				if a.wish {
-					r.Waiting = 0
-				}
-				issued, short := s.IssueInTurn(now, a.node, r)
+					Oldest:    a.oldest,
+				})
 				if issued != a.issued {
 					t.Fatalf("ask %d: issued %v, want %v", i, issued, a.issued)
 				}
-				if (short != nil) != (a.readyIn > 0) || short != nil && short.ReadyIn.Round(time.Millisecond) != a.readyIn {
-					t.Fatalf("ask %d: short %+v, want ready in %v", i, short, a.readyIn)
+				if (short != nil) != (a.queued > 0) || short != nil && short.QueuedFor.Round(time.Millisecond) != a.queued {
+					t.Fatalf("ask %d: short %+v, want all within %v", i, short, a.queued)
 				}
 			}
 		})
--- a/internal/health/health.go
+++ b/internal/health/health.go
@@ -62,6 +62,10 @@
 	Source Source
 	// Until is when the engine is usable again, zero if it leaves.
 	Until time.Time
+	// IsLimited is set if the engine takes a limited rate of requests from all nodes
+	// together; LimitNamed is when it was last heard to say so.
+	IsLimited  bool
+	LimitNamed time.Time
 }
 
 // String describes the verdict for logs.
@@ -108,15 +112,16 @@
 }
 
 func (r *record) isEmpty(now time.Time) bool {
-	return r.saidLeaving.IsZero() && r.listedLeaving.IsZero() && !now.Before(r.closedUntil) && !r.limit.isInForce()
+	return r.saidLeaving.IsZero() && r.listedLeaving.IsZero() && !now.Before(r.closedUntil) && !r.limit.isKept(now)
 }
 
 // Table holds the evidence about all engines. It is safe for concurrent use; Ask takes
 // no lock.
 type Table struct {
 	records atomic.Pointer[map[string]record]
-	// version counts the changes of which engines leave.
-	version atomic.Int64
+	// version counts the changes of which engines leave, limitVersion those of limits.
+	version      atomic.Int64
+	limitVersion atomic.Int64
 
 	mu     sync.Mutex // held while records is replaced
 	listed map[string]int64
@@ -168,7 +173,11 @@
 			Until:  r.closedUntil,
 		}
 	}
-	return Verdict{Usable: true}
+	return Verdict{
+		Usable:     true,
+		IsLimited:  r.incarnation == key.Incarnation && r.limit.isInForce(),
+		LimitNamed: r.limit.namedAt,
+	}
 }
 
 // SetLeaving records that an engine was heard at the given time to say that it leaves.
@@ -227,6 +236,7 @@
 // replace makes next visible to Ask. The caller holds the lock.
 func (t *Table) replace(old, next map[string]record) {
 	t.records.Store(&next)
+	t.countLimitChange(old, next)
 	leaves := func(r record) bool { return !r.saidLeaving.IsZero() || !r.listedLeaving.IsZero() }
 	for id, r := range next {
 		if leaves(r) != leaves(old[id]) || leaves(r) && r.incarnation != old[id].incarnation {
--- a/internal/health/limit.go
+++ b/internal/health/limit.go
@@ -1,8 +1,11 @@
 package health
 
 import (
+	"cmp"
 	"errors"
+	"fmt"
 	"math"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -95,6 +98,14 @@
 // recorded again.
 const limitRefresh = 100 * time.Millisecond
 
+// limitEndSure is how long after its last word a limit was found to have ended for all that
+// nodes tell each other. Later answers are not recorded.
+const limitEndSure = 5 * time.Second
+
+// peerSettle is how much earlier a request counts whose answer another node reports to name
+// no limit. Messages may be that late, and ages then too low.
+const peerSettle = time.Second
+
 // limitRecord is the evidence about the limit of an engine. The latest times win, so that
 // records merge in any order.
 type limitRecord struct {
@@ -113,6 +124,12 @@
 	return !l.namedAt.IsZero() && l.absentAt.Sub(l.namedAt) < limitSettle
 }
 
+// isKept reports whether the limit is in force, or ended so recently that other nodes may
+// not know.
+func (l *limitRecord) isKept(now time.Time) bool {
+	return !l.namedAt.IsZero() && (l.isInForce() || now.Sub(l.absentAt) < sharedAfterEnd)
+}
+
 // LimitChange is a limit that came into force, changed or ended.
 type LimitChange struct {
 	Key    fleet.Key
@@ -159,8 +176,8 @@
 			if now.After(r.namedAt) {
 				r.rate, r.namedAt, r.namedBy = l.Rate, now, from
 			}
-		case from == Report && !r.reported:
-		case sentAt.After(r.absentAt):
+		case from == Report && !r.reported, r.absentAt.Sub(r.namedAt) >= limitEndSure:
+		case sentAt.Sub(r.absentAt) >= limitRefresh:
 			r.absentAt = sentAt
 		}
 	})
@@ -197,3 +214,132 @@
 	})
 	return change
 }
+
+// LimitVersion returns a number that changes whenever a limit comes into force, changes or
+// ends.
+func (t *Table) LimitVersion() int64 { return t.limitVersion.Load() }
+
+// countLimitChange changes the version of the limits if two sets of records differ in them.
+func (t *Table) countLimitChange(old, next map[string]record) {
+	same := func(a, b record) bool {
+		is, was := a.limit.isInForce(), b.limit.isInForce()
+		return is == was && (!is || a.limit.rate == b.limit.rate && a.incarnation == b.incarnation)
+	}
+	for id, r := range next {
+		if !same(r, old[id]) {
+			t.limitVersion.Add(1)
+			return
+		}
+	}
+	for id, r := range old {
+		if _, ok := next[id]; !ok && r.limit.isInForce() {
+			t.limitVersion.Add(1)
+			return
+		}
+	}
+}
+
+// Limits returns the limits in force.
+func (t *Table) Limits() map[fleet.Key]float64 {
+	out := make(map[fleet.Key]float64)
+	for id, r := range *t.records.Load() {
+		if r.limit.isInForce() {
+			out[fleet.Key{
+				ID:          id,
+				Incarnation: r.incarnation,
+			}] = r.limit.rate
+		}
+	}
+	return out
+}
+
+// sharedAfterEnd is how long after the end of a limit other nodes are told of it.
+const sharedAfterEnd = time.Minute
+
+// LimitStatement is what is known of an engine's limit, as one node tells it to another.
+type LimitStatement struct {
+	Key  fleet.Key `cbor:"1,keyasint"`
+	Rate float64   `cbor:"2,keyasint"`
+	// Age is the time since the engine was last heard to name the limit.
+	Age time.Duration `cbor:"3,keyasint,omitempty"`
+	// Ended is set if the limit has ended; AbsentAge is the time since the request was sent
+	// whose answer named none.
+	Ended     bool          `cbor:"4,keyasint,omitempty"`
+	AbsentAge time.Duration `cbor:"5,keyasint,omitempty"`
+}
+
+// ValidateLimits checks the decoded statements of a message.
+func ValidateLimits(list []LimitStatement) error {
+	if len(list) > MaxShared {
+		return fmt.Errorf("health: %d limits, at most %d are allowed", len(list), MaxShared)
+	}
+	for _, s := range list {
+		switch {
+		case s.Key.ID == "":
+			return errors.New("health: limit without an engine")
+		case !(s.Rate >= 0 && s.Rate <= maxRequestRate):
+			return fmt.Errorf("health: limit %v of engine %.64q is out of range", s.Rate, s.Key.ID)
+		case s.Age < 0 || s.Age > maxAge || s.AbsentAge < 0 || s.AbsentAge > maxAge:
+			return fmt.Errorf("health: limit of engine %.64q has ages %v and %v", s.Key.ID, s.Age, s.AbsentAge)
+		}
+	}
+	return nil
+}
+
+// ShareLimits returns the limits that other nodes may not know: those in force at listed
+// engines, and those that ended a short time ago. The newest come first.
+func (t *Table) ShareLimits(now time.Time) []LimitStatement {
+	var out []LimitStatement
+	for id, r := range *t.records.Load() {
+		ended := !r.limit.isInForce()
+		if !r.limit.isKept(now) || !r.unlistedSince.IsZero() {
+			continue
+		}
+		s := LimitStatement{
+			Key: fleet.Key{
+				ID:          id,
+				Incarnation: r.incarnation,
+			},
+			Rate:  r.limit.rate,
+			Age:   boundedAge(now, r.limit.namedAt),
+			Ended: ended,
+		}
+		if ended {
+			s.AbsentAge = boundedAge(now, r.limit.absentAt)
+		}
+		out = append(out, s)
+	}
+	slices.SortFunc(out, func(a, b LimitStatement) int {
+		return cmp.Or(cmp.Compare(a.Age, b.Age), cmp.Compare(a.Key.ID, b.Key.ID))
+	})
+	return out[:min(len(out), MaxShared)]
+}
+
+func boundedAge(now, at time.Time) time.Duration { return min(maxAge, max(0, now.Sub(at))) }
+
+// MergeLimits adds the statements of another node and returns the changes of limits in force.
+func (t *Table) MergeLimits(now time.Time, list []LimitStatement) []LimitChange {
+	var out []LimitChange
+	for _, s := range list {
+		if s.Ended && !t.hasLimit(s.Key) {
+			continue
+		}
+		namedAt, absentAt := now.Add(-s.Age), time.Time{}
+		if s.Ended {
+			absentAt = now.Add(-s.AbsentAge - peerSettle)
+		}
+		change := t.changeLimit(now, s.Key, func(r *limitRecord) {
+			if namedAt.After(r.namedAt.Add(limitRefresh)) || namedAt.After(r.namedAt) && r.rate != s.Rate {
+				r.rate, r.namedAt, r.namedBy = s.Rate, namedAt, Peer
+			}
+			if absentAt.After(r.absentAt) {
+				r.absentAt = absentAt
+			}
+		})
+		if change != nil {
+			change.Source, change.Age = Peer, s.Age
+			out = append(out, *change)
+		}
+	}
+	return out
+}
--- a/internal/health/limit_test.go
+++ b/internal/health/limit_test.go
@@ -1,6 +1,7 @@
 package health
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -168,3 +169,99 @@
 		t.Errorf("%d changes, want 3", count)
 	}
 }
+
+// TestLimitsAreShared guards against nodes that go on sending to an engine which another node
+// has heard to name a limit, and against a limit that other nodes keep after its end.
+func TestLimitsAreShared(t *testing.T) {
+	a, b, late := New(), New(), New()
+	for _, h := range []*Table{a, b, late} {
+		h.SetList(t0, listOf(1, false))
+	}
+	named := ParseLimit([]string{"1.4"})
+	a.HearLimit(t0, t0, key(1), named, Answer)
+	tell := func(now time.Time, from, to *Table) int {
+		t.Helper()
+		list := from.ShareLimits(now)
+		if err := ValidateLimits(list); err != nil {
+			t.Fatal(err)
+		}
+		return len(to.MergeLimits(now, list))
+	}
+	if n := tell(t0.Add(time.Second), a, b); n != 1 || tell(t0.Add(time.Second), a, b) != 0 {
+		t.Errorf("the limit was new %d times", n)
+	}
+	if v := b.Ask(t0.Add(time.Second), key(1)); !v.Usable || !v.IsLimited || !v.LimitNamed.Equal(t0) {
+		t.Errorf("the engine %+v", v)
+	}
+	if got := b.Limits()[key(1)]; got != 1.4 {
+		t.Errorf("the limit is %v", got)
+	}
+	tell(t0.Add(time.Second), a, late)
+	version := b.LimitVersion()
+	for i := range 4 {
+		at := t0.Add(time.Duration(i+2) * time.Second)
+		a.HearLimit(at, at, key(1), Limit{}, Answer)
+		tell(at, a, b)
+	}
+	if v := b.Ask(t0, key(1)); v.IsLimited || b.LimitVersion() == version {
+		t.Error("the limit did not end at the other node")
+	}
+	// A node that has heard of the limit only tells it again.
+	tell(t0.Add(7*time.Second), late, b)
+	if v := b.Ask(t0, key(1)); v.IsLimited {
+		t.Error("the limit came back")
+	}
+	tell(t0.Add(7*time.Second), b, late)
+	if v := late.Ask(t0, key(1)); v.IsLimited {
+		t.Error("the limit did not end at the third node")
+	}
+	end := t0.Add(2 * sharedAfterEnd)
+	for _, h := range []*Table{a, b, late} {
+		h.SetList(end, listOf(1, false))
+		if !h.IsEmpty() {
+			t.Error("an ended limit is kept")
+		}
+	}
+}
+
+// TestMergedLimitsAgree guards against nodes that hear the same statements in another order
+// and disagree about the limit.
+func TestMergedLimitsAgree(t *testing.T) {
+	statements := []LimitStatement{
+		{Key: key(1), Rate: 1.4, Age: 9 * time.Second},
+		{Key: key(1), Rate: 3, Age: 6 * time.Second, Ended: true, AbsentAge: 4 * time.Second},
+		{Key: key(1), Rate: 2, Age: time.Second},
+		{Key: key(1), Rate: 1.4, Age: 9 * time.Second, Ended: true, AbsentAge: 7 * time.Second},
+	}
+	now := t0.Add(time.Minute)
+	for i := range statements {
+		for j := range statements {
+			h := New()
+			h.SetList(t0, listOf(1, false))
+			order := append([]LimitStatement{statements[i], statements[j]}, statements...)
+			h.MergeLimits(now, order)
+			if got := h.Limits()[key(1)]; got != 2 {
+				t.Errorf("in the order %v the limit is %v", order, got)
+			}
+		}
+	}
+}
+
+// TestOddLimits guards against a message of another node that brings limits out of range.
+func TestOddLimits(t *testing.T) {
+	for _, s := range []LimitStatement{
+		{Rate: 1},
+		{Key: key(1), Rate: -1},
+		{Key: key(1), Rate: math.NaN()},
+		{Key: key(1), Rate: math.Inf(1)},
+		{Key: key(1), Rate: 1, Age: -1},
+		{Key: key(1), Rate: 1, AbsentAge: 2 * maxAge},
+	} {
+		if ValidateLimits([]LimitStatement{s}) == nil {
+			t.Errorf("%+v is valid", s)
+		}
+	}
+	if ValidateLimits(make([]LimitStatement, MaxShared+1)) == nil {
+		t.Error("too many are valid")
+	}
+}
--- a/internal/health/share.go
+++ b/internal/health/share.go
@@ -54,7 +54,7 @@
 				ID:          id,
 				Incarnation: r.incarnation,
 			},
-			Age: min(maxAge, max(0, now.Sub(r.saidLeaving))),
+			Age: boundedAge(now, r.saidLeaving),
 		})
 	}
 	slices.SortFunc(out, func(a, b Statement) int {
--- a/internal/models/models.go
+++ b/internal/models/models.go
@@ -132,6 +132,8 @@
 	plannedAt   time.Time
 	stepsReason string
 
+	// isLimited is set while the engine takes a limited rate of requests.
+	isLimited bool
 	// pace is how long the engine takes for a unit of work, relative to other
 	// engines; above 1 it is slower.
 	pace float64
@@ -160,6 +162,7 @@
 // engine holds, and creates the orders for it.
 type Planner struct {
 	services map[string]*service
+	limited  map[fleet.Key]bool // see SetLimited
 	engines  map[string]*engine
 	// sortedEngines is the result of sorted, nil after a change of engines or services.
 	sortedEngines []*engine
@@ -228,6 +231,14 @@
 	return !now.Before(from)
 }
 
+// SetLimited sets which engines take a limited rate of requests.
+func (p *Planner) SetLimited(limited map[fleet.Key]bool) {
+	p.limited = limited
+	for _, e := range p.engines {
+		e.isLimited = limited[e.Key()]
+	}
+}
+
 // RecordPace adds a node's measurement of how long an engine takes for a unit of
 // work, relative to other engines, to the engine's moving average.
 func (p *Planner) RecordPace(key fleet.Key, pace float64) {
@@ -304,7 +315,7 @@
 			}
 			p.engines[endpoint.ID] = e
 		}
-		e.class = s.class
+		e.class, e.isLimited = s.class, p.limited[endpoint.Key()]
 		e.Leaving, e.Address, e.Domain = endpoint.Leaving, endpoint.Address, endpoint.Domain
 	}
 	for id := range p.engines {
--- a/internal/models/models_test.go
+++ b/internal/models/models_test.go
@@ -546,6 +546,33 @@
 	t.Error("no other copy was ordered within 1.5 s of the last report")
 }
 
+// TestModelAtLimitedEngine guards against requests that wait for places at the only engine with
+// their model, which limits requests, while another one could load the model.
+func TestModelAtLimitedEngine(t *testing.T) {
+	now := time.Unix(1000, 0)
+	p := New(now, now)
+	p.SetConfig(now, testConfig(3))
+	ends := []fleet.Endpoint{{ID: "e0", Incarnation: 1, Service: "lm"}, {ID: "e1", Incarnation: 1, Service: "lm"}}
+	p.SetLimited(map[fleet.Key]bool{ends[0].Key(): true})
+	p.SetEndpoints(ends)
+	began := now
+	for now.Sub(began) < time.Second {
+		now = now.Add(50 * time.Millisecond)
+		p.RecordDemand(now, "lm", "m0", 1000)
+		p.RecordDemand(now, "lm", "m1", 2000)
+		p.SetWaiting(now, []Waiting{{Service: "lm", Model: "m0", Count: 3}})
+		p.SetReport(now, fleet.Report{Key: ends[0].Key(), Models: []fleet.Resident{{Model: "m0"}}})
+		p.SetReport(now, fleet.Report{Key: ends[1].Key(), Models: []fleet.Resident{{Model: "m1"}}, OnDisk: []string{"m0"}})
+		for _, o := range p.Step(now) {
+			if o.Load && o.Model == "m0" && o.Key.ID == "e1" {
+				return
+			}
+			p.RecordAnswer(now, o, Refused)
+		}
+	}
+	t.Error("no other copy was ordered within a second")
+}
+
 // TestOnlyLoadedCopyStays guards against evicting the only copy of a model that
 // serves requests because another engine is still loading a second one: on a day of
 // the users' bench its requests then found no copy for 6 s.
--- a/internal/models/plan.go
+++ b/internal/models/plan.go
@@ -195,8 +195,17 @@
 	return l
 }
 
+// limitedSpeed is the part of an engine's speed that is planned with while it takes a limited
+// rate of requests.
+const limitedSpeed = 0.1
+
 // speed is the reciprocal of the engine's pace.
-func (e *engine) speed() float64 { return 1 / e.pace }
+func (e *engine) speed() float64 {
+	if e.isLimited {
+		return limitedSpeed / e.pace
+	}
+	return 1 / e.pace
+}
 
 // plannedModels returns the models that the engine holds once its last order and
 // its planned steps are done.
@@ -252,13 +261,14 @@
 }
 
 // hasReachableCopy reports whether an engine holds the model. While requests
-// wait for the model, engines without recent reports don't count.
+// wait for the model, engines without recent reports, and those that take a limited rate of
+// requests, don't count.
 func (l *layout) hasReachableCopy(now time.Time, m *model) bool {
 	if m.waiting == 0 {
 		return len(l.holders[m.Name]) > 0
 	}
 	return slices.ContainsFunc(l.holders[m.Name], func(i int) bool {
-		return now.Sub(l.engines[i].reported) < silentAfter
+		return now.Sub(l.engines[i].reported) < silentAfter && !l.engines[i].isLimited
 	})
 }
 
--- a/internal/picker/health_test.go
+++ b/internal/picker/health_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -95,3 +96,64 @@
 		})
 	}
 }
+
+// TestLimitedEndpoints guards against a choice of endpoints that limit requests while others
+// have room, against requests there without a place, and against limits whose end nobody
+// notices.
+func TestLimitedEndpoints(t *testing.T) {
+	limit := health.ParseLimit([]string{"1.4"})
+	for _, tc := range []struct {
+		name      string
+		limited   string // endpoints
+		full      string
+		places    bool
+		after     time.Duration // since the limit was named
+		want      string        // empty if the choice waits for a place
+		preferred string
+	}{
+		{name: "another has room", limited: "a", places: true, want: "b"},
+		{name: "the others are full", limited: "a", full: "b", places: true, want: "a"},
+		{name: "the others are full, and no place", limited: "a", full: "b", want: "b", preferred: "a"},
+		{name: "all limit requests", limited: "ab", places: true, want: "ab"},
+		{name: "all limit requests, and no place", limited: "ab"},
+		{name: "nothing heard for long", limited: "a", full: "b", places: true, after: limitProbeAfter, want: "a"},
+		{name: "nothing heard for long, and no place", limited: "a", full: "b", after: limitProbeAfter, want: "b", preferred: "a"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			tb := NewTable("north")
+			tb.randomExp = func() float64 { return 0 }
+			ends := []fleet.Endpoint{engineOf("a", "m1"), engineOf("b", "m1")}
+			tb.SetEndpoints(t0, ends)
+			now := t0.Add(tc.after)
+			for _, e := range ends {
+				if strings.Contains(tc.limited, e.ID) {
+					tb.Health().HearLimit(t0, t0, e.Key(), limit, health.Answer)
+				}
+				if strings.Contains(tc.full, e.ID) {
+					tb.SetReport(now, fleet.Report{
+						Key:    e.Key(),
+						Models: e.Models,
+						Active: e.Slots,
+						Queued: e.Slots,
+					})
+				}
+			}
+			c, err := tb.Pick(now, Query{
+				Service:  "lm",
+				Model:    "m1",
+				HasPlace: func(fleet.Key) bool { return tc.places },
+			})
+			var limited *LimitedError
+			switch {
+			case tc.want == "" && !errors.As(err, &limited):
+				t.Errorf("chose %q, %v; want to wait for a place", c.Endpoint.ID, err)
+			case tc.want != "" && (err != nil || !strings.Contains(tc.want, c.Endpoint.ID)):
+				t.Errorf("chose %q, %v; want %q", c.Endpoint.ID, err, tc.want)
+			case c.Preferred.ID != tc.preferred:
+				t.Errorf("prefers %q, want %q", c.Preferred.ID, tc.preferred)
+			case c.IsLimited != (err == nil && strings.Contains(tc.limited, c.Endpoint.ID)):
+				t.Errorf("limited %v", c.IsLimited)
+			}
+		})
+	}
+}
--- a/internal/picker/pick.go
+++ b/internal/picker/pick.go
@@ -18,6 +18,9 @@
 	// Session identifies the prompt part that the request shares with others.
 	Session string
 	Exclude map[fleet.Key]bool
+	// HasPlace reports whether the request may be sent to an endpoint that limits requests;
+	// without it no request is limited.
+	HasPlace func(fleet.Key) bool
 }
 
 // Choice is a chosen endpoint, with the inputs of the choice for the log.
@@ -37,6 +40,33 @@
 	Fill float64
 	// Pace is the time that the endpoint takes for a unit of work, relative to others.
 	Pace float64
+	// IsLimited is whether the endpoint limits requests, so that this one needs a place.
+	IsLimited bool
+	// Preferred is a limited endpoint that would be better if there were a place; empty if
+	// there is none.
+	Preferred fleet.Key
+}
+
+// LimitedError means that only endpoints that limit requests could serve a request, and that
+// no place is free.
+type LimitedError struct {
+	// Endpoint is the best of them.
+	Endpoint fleet.Endpoint
+}
+
+// Error implements error.
+func (e *LimitedError) Error() string {
+	return "picker: no place is free at endpoint " + e.Endpoint.ID + ", which limits requests"
+}
+
+// limitProbeAfter is how long after an endpoint was last heard to name its limit it gets a
+// request although others have room, so that the end of the limit is noticed.
+const limitProbeAfter = 2 * time.Second
+
+// limitedCost returns the cost that is added at an endpoint that limits requests, in requests.
+// It counts as one whose slots are taken, so that others with room come first.
+func limitedCost(e *endpointState) float64 {
+	return float64(e.Slots) * (1 + (1-NearFullShare)*fullCost)
 }
 
 // unloadKey is a model at an engine.
@@ -50,8 +80,8 @@
 func (t *Table) Pick(now time.Time, q Query) (Choice, error) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var best *endpointState
-	var bestCost float64
+	var best, short *endpointState
+	var bestCost, shortCost float64
 	out := Choice{}
 	holders, served := 0, 0
 	closedKey, closedUntil := fleet.Key{}, time.Time{}
@@ -87,12 +117,30 @@
 		}
 		out.Candidates++
 		cost := t.cost(now, e, &q, r, e.ID == affinity) + jitter*t.randomExp()
+		if verdict.IsLimited {
+			if now.Sub(verdict.LimitNamed) < limitProbeAfter {
+				cost += limitedCost(e)
+			}
+			if q.HasPlace != nil && !q.HasPlace(e.Key()) {
+				if short == nil || cost < shortCost {
+					short, shortCost = e, cost
+				}
+				continue
+			}
+		}
 		if best == nil || cost < bestCost {
-			best, bestCost = e, cost
+			best, bestCost, out.IsLimited = e, cost, verdict.IsLimited
 		}
 	}
 	switch {
 	case best != nil:
+		if short != nil && shortCost < bestCost {
+			out.Preferred = short.Key()
+		}
+	case short != nil:
+		return Choice{}, &LimitedError{
+			Endpoint: short.Endpoint,
+		}
 	case holders == 0 && !closedUntil.IsZero():
 		return Choice{}, &health.ClosedError{
 			Engine: closedKey,
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -135,6 +135,7 @@
 	p.table.SetLog(log.Logger)
 	holder := &nodeHolder{}
 	parts := poison.New(log.Logger)
+	pacer := coord.NewPacer(clk, p.table.Health())
 	p.server = serve.New(serve.Options{
 		Clock:     clk,
 		Table:     p.table,
@@ -147,6 +148,7 @@
 		Parts:     parts,
 		Prober:    endpoints,
 		MayTest:   func() bool { return p.node.IsCoordinator() },
+		Places:    pacer,
 	})
 	p.node = coord.New(coord.Options{
 		Node:              settings.Node.Name,
@@ -169,6 +171,7 @@
 		QuotaInitial:      settings.Bounds.QuotaSlack * quotaInitialShare,
 		QuotaDisconnected: settings.Bounds.QuotaSlack * quotaDisconnectedShare,
 		Parts:             parts,
+		Pacer:             pacer,
 	})
 	holder.Node = p.node
 	store.OnEra(func(before, era int64) {
@@ -217,6 +220,9 @@
 	p.requestMetrics.addGauge("trefoildale_store_era", "How often the store was restored from a copy, by its highest answer.", func() float64 {
 		return float64(p.store.Era())
 	})
+	p.requestMetrics.addGauge("trefoildale_endpoints_limited", "Endpoints that limit how many requests per second they take.", func() float64 {
+		return float64(len(p.table.Health().Limits()))
+	})
 	p.requestMetrics.addGauge("trefoildale_endpoints", "Endpoints that are registered.", func() float64 { return float64(len(p.table.Endpoints())) })
 }
 
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -63,6 +63,7 @@
 	isRefusedByConfig bool
 	// hedge is the one whose search makes the attempts, nil for the request's own attempts.
 	hedge *hedge
+	place place
 	// testsPart is set if the request tests a blocked part of prompts.
 	testsPart bool
 }
@@ -90,6 +91,7 @@
 
 // run handles the request until its final answer was sent.
 func (c *call) run(ctx context.Context) {
+	defer c.leavePlaces()
 	if p := c.prepare(ctx); p != nil {
 		c.sendProblem(p)
 		return
@@ -263,6 +265,7 @@
 	c.opts.Log.Info("request sent", "request", c.req.ID, "route", c.route.Name, "workspace", c.workspaceName(),
 		"endpoint", choice.Endpoint.ID, "service", c.service.Name, "load", choice.Load, "candidates", choice.Candidates,
 		"report-age-ms", choice.ReportAge.Milliseconds(), "config", c.config.Version, "attempt", c.sentAttempts+1, "tokens", c.tokenCost(),
+		"place-ms", untilMS(c.opts.Clock.Now(), c.place.until),
 		"waited-ms", c.opts.Clock.Now().Sub(c.req.Arrived).Milliseconds())
 	sentAt := c.opts.Clock.Now()
 	reply, err := c.opts.Sender.Send(ctx, Attempt{
@@ -278,6 +281,7 @@
 	})
 	var notSent *conn.NotSentError
 	if !errors.As(err, &notSent) {
+		c.usePlace()
 		c.sentTo = append(c.sentTo, choice.Endpoint.Address)
 	}
 	if err != nil {
@@ -309,8 +313,8 @@
 }
 
 // check runs directly before the first byte is sent. It fails when the deadline
-// has passed, the endpoint has said that it leaves or wants no requests, or the
-// configuration in force no longer allows the request: time may have passed since the
+// has passed, the endpoint has said that it leaves or wants no requests, the request has
+// no place at an endpoint that limits requests, or the configuration in force no longer allows the request: time may have passed since the
 // choice, for instance while the VM was suspended.
 func (c *call) check() error {
 	now := c.opts.Clock.Now()
@@ -323,9 +327,14 @@
 	if c.checkParts() != nil {
 		return errPartBlocked
 	}
-	if !c.opts.Table.Health().Ask(now, c.lastChoice.Endpoint.Key()).Usable {
+	key := c.lastChoice.Endpoint.Key()
+	verdict := c.opts.Table.Health().Ask(now, key)
+	if !verdict.Usable {
 		return errEndpointUnusable
 	}
+	if verdict.IsLimited && !c.mayUsePlace(now, key) {
+		return errNoPlace
+	}
 	if c.isAffected(c.Server.Config()) {
 		return errConfigChanged
 	}
@@ -378,6 +387,11 @@
 		c.opts.Log.Info("request moved", "request", c.req.ID, "endpoint", key.ID,
 			"why", c.opts.Table.Health().Ask(now, key).String())
 		return true, nil
+	case errors.Is(err, errNoPlace):
+		c.opts.Table.EndAttempt(now, key, picker.Ended)
+		c.opts.Log.Info("request moved", "request", c.req.ID, "endpoint", key.ID, "why", "its place has ended, or it had none",
+			"limit-age-ms", now.Sub(c.opts.Table.Health().Ask(now, key).LimitNamed).Milliseconds())
+		return true, nil
 	}
 	c.opts.Table.EndAttempt(now, key, picker.Unreachable)
 	c.excludeEndpoint(key)
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -21,6 +21,8 @@
 	var service *fleet.Service
 	stop := func() {}
 	defer func() { stop() }()
+	c.returnPlace()
+	defer c.leaveTurn()
 	for {
 		if p := c.recheckChoice(ctx); p != nil {
 			return picker.Choice{}, p
@@ -39,9 +41,29 @@
 			return picker.Choice{}, p
 		}
 		choice, err := c.opts.Table.Pick(now, q)
-		if err == nil {
+		if err == nil && (!choice.IsLimited || c.takePlace(choice)) {
+			if choice.Preferred.ID != "" {
+				c.opts.Places.Wish(choice.Preferred)
+			}
 			return choice, nil
 		}
+		if err == nil {
+			c.opts.Table.EndAttempt(now, choice.Endpoint.Key(), picker.Ended)
+			continue
+		}
+		var limited *picker.LimitedError
+		if errors.As(err, &limited) {
+			if since.IsZero() {
+				since = now
+				if c.service.Engine != nil {
+					stop = c.opts.Demand.TrackWaiting(c.service.Name, c.req.Model)
+				}
+			}
+			if p := c.awaitPlace(ctx, now, since, limited); p != nil {
+				return picker.Choice{}, p
+			}
+			continue
+		}
 		var closed *health.ClosedError
 		isClosed := errors.As(err, &closed)
 		if isClosed && !c.isLoadedBefore(closed.Until) {
@@ -132,8 +154,9 @@
 // query returns what an endpoint is chosen for.
 func (c *call) query() picker.Query {
 	q := picker.Query{
-		Service: c.service.Name,
-		Exclude: c.exclude,
+		Service:  c.service.Name,
+		Exclude:  c.exclude,
+		HasPlace: c.hasPlace,
 	}
 	if c.service.Engine != nil {
 		q.Model, q.Adapter, q.Session = c.req.Model, c.req.Adapter, c.req.Session
@@ -159,29 +182,17 @@
 // decideAboutModel decides whether the request waits for a model that no endpoint
 // holds, and logs each new decision.
 func (c *call) decideAboutModel(now, since time.Time) triage.Decision {
-	leavesAt := c.deadline
-	if c.route.Patience > 0 && !c.responseStarted {
-		leavesAt = earliest(leavesAt, c.req.Arrived.Add(c.route.Patience))
-	}
+	request := c.triageRequest(since)
 	readyAt := c.opts.Table.LoadEnd(c.service.Name, c.req.Model)
-	d := triage.Decide(now, triage.Request{
-		Since:     since,
-		LeavesAt:  leavesAt,
-		FirstPart: firstPartTime,
-		Random:    rand.Float64(),
-	}, triage.Model{
+	d := triage.Decide(now, request, triage.Model{
 		ReadyAt:  readyAt,
 		LoadTime: c.service.Engine.Models[c.req.Model].StoreLoad,
 	})
 	if d.Reason != c.lastReason {
 		c.lastReason = d.Reason
-		readyIn := time.Duration(0)
-		if !readyAt.IsZero() {
-			readyIn = readyAt.Sub(now)
-		}
 		c.opts.Log.Info("request waits for model", "request", c.req.ID, "model", c.req.Model, "service", c.service.Name,
-			"waits", d.Wait, "reason", string(d.Reason), "load-known", !readyAt.IsZero(), "ready-in-ms", readyIn.Milliseconds(),
-			"caller-leaves-in-ms", leavesAt.Sub(now).Milliseconds(), "retry-after-ms", d.RetryAfter.Milliseconds())
+			"waits", d.Wait, "reason", string(d.Reason), "load-known", !readyAt.IsZero(), "ready-in-ms", untilMS(now, readyAt),
+			"caller-leaves-in-ms", request.LeavesAt.Sub(now).Milliseconds(), "retry-after-ms", d.RetryAfter.Milliseconds())
 	}
 	return d
 }
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -67,7 +67,7 @@
 	Window time.Duration
 }
 
-// Options are the dependencies and settings of a Server. All fields but the last three
+// Options are the dependencies and settings of a Server. All fields but the last four
 // are required.
 type Options struct {
 	Clock     clock.Clock
@@ -84,6 +84,9 @@
 	Prober EngineProber
 	// MayTest reports whether this node may test blocked parts.
 	MayTest func() bool
+	// Places gives places at endpoints that limit requests; without it limits are not
+	// obeyed.
+	Places Places
 }
 
 // Observer collects metrics of requests.
@@ -139,6 +142,11 @@
 	if opts.MayTest == nil {
 		opts.MayTest = func() bool { return false }
 	}
+	if opts.Places == nil {
+		opts.Places = unlimitedPlaces{
+			now: opts.Clock.Now,
+		}
+	}
 	interrupted, interrupt := context.WithCancel(context.Background())
 	refusing, refuse := context.WithCancel(interrupted)
 	return &Server{
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -152,6 +152,35 @@
 	Unreachable bool
 }
 
+// Turn is a request's position among those that wait for a place. The zero value is that of a
+// request that does not wait.
+type Turn int64
+
+// Places gives places to requests at endpoints that limit how many requests per second they
+// take from all nodes together.
+type Places interface {
+	// Has reports whether a place is free for a request at an endpoint. Requests that wait
+	// and come before it count as served first.
+	Has(key fleet.Key, turn Turn) bool
+	// Take takes a free place. The first byte of the request has to be sent before until.
+	Take(key fleet.Key, turn Turn) (until time.Time, ok bool)
+	// Return gives back a place with which no byte was sent.
+	Return(key fleet.Key, until time.Time)
+	// Wish asks for a place for a later request.
+	Wish(key fleet.Key)
+	// Wait makes a request wait for a place, until leave is called. The most urgent
+	// requests, 0 first, come first, and then those that arrived first.
+	Wait(key fleet.Key, urgency int, arrived time.Time) (turn Turn, leave func())
+	// QueuedUntil returns by when those that come before a new request of an urgency have
+	// their places, zero if that is not known.
+	QueuedUntil(key fleet.Key, urgency int) time.Time
+	// ExpectedAt returns when a waiting request is expected to get its place, zero if that
+	// is not known.
+	ExpectedAt(key fleet.Key, turn Turn) time.Time
+	// Changed returns a channel that is closed when places may have become free.
+	Changed() <-chan struct{}
+}
+
 // Demand collects the demand for models, which the coordinator plans with, and
 // requests loads of adapters.
 type Demand interface {
--- a/internal/triage/triage.go
+++ b/internal/triage/triage.go
@@ -38,6 +38,12 @@
 	// closedSpread is by how much the returns of callers are spread at least after
 	// engines wanted no requests.
 	closedSpread = 400 * time.Millisecond
+	// placeTime is how long the coordinator may take to say when a request gets a place at
+	// an endpoint that limits requests, a new coordinator included.
+	placeTime = 1100 * time.Millisecond
+	// placeMargin is by which part a wait for a place may take longer than expected: tokens
+	// are lost with nodes and messages.
+	placeMargin = 0.25
 )
 
 // Request is what the decision needs to know of a request.
@@ -73,6 +79,11 @@
 	LoadNotYet  Reason = "load-not-reported"
 	HoldersFull Reason = "holders-full"
 	AllClosed   Reason = "all-closed"
+	// Endpoints that limit requests are the only ones.
+	PlaceInTime  Reason = "place-in-time"
+	PlaceTooLate Reason = "place-too-late"
+	PlaceNotYet  Reason = "place-not-known-yet"
+	PlaceUnknown Reason = "place-not-known"
 )
 
 // Decision is what happens to a request now.
@@ -134,10 +145,65 @@
 // again. Callers are told whole numbers of unit.
 func Closed(now, reopens time.Time, unit time.Duration, random float64) Decision {
 	wait := max(reopens.Sub(now), MinRetryAfter)
-	spread := max(closedSpread, 2*unit, time.Duration(spreadShare*float64(wait)))
+	over := max(closedSpread, 2*unit, time.Duration(spreadShare*float64(wait)))
 	return Decision{
 		Reason:     AllClosed,
-		RetryAfter: wait + time.Duration(random*float64(spread)),
+		RetryAfter: wait + time.Duration(random*float64(over)),
+	}
+}
+
+// Place decides about a request that only endpoints which limit requests can serve. placeAt is
+// when it is expected to get a place there, readyAt when a further copy of its model is
+// expected elsewhere; each is zero if it is not known.
+func Place(now time.Time, r Request, placeAt, readyAt time.Time) Decision {
+	latest := r.LeavesAt.Add(-r.FirstPart)
+	at := placeAt
+	if wait := placeAt.Sub(now); !placeAt.IsZero() && wait > 0 {
+		at = placeAt.Add(time.Duration(placeMargin * float64(wait)))
+	}
+	if !readyAt.IsZero() {
+		if usable := readyAt.Add(reportTime); at.IsZero() || usable.Before(at) {
+			at = usable
+		}
+	}
+	if at.IsZero() {
+		known := r.Since.Add(placeTime)
+		if now.Before(known) && now.Before(latest) {
+			return Decision{
+				Wait:   true,
+				Until:  earliest(known, latest),
+				Reason: PlaceNotYet,
+			}
+		}
+		return spread(drainTime, r.Random, PlaceUnknown)
+	}
+	if at.Before(now) {
+		// The place comes with the next exchange.
+		at = now
+	}
+	if at.Before(latest) {
+		return Decision{
+			Wait:   true,
+			Until:  latest,
+			Reason: PlaceInTime,
+		}
+	}
+	return spread(at.Sub(now), r.Random, PlaceTooLate)
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// spread is reject with returns that are spread over at least closedSpread.
+func spread(wait time.Duration, random float64, reason Reason) Decision {
+	wait = max(wait, MinRetryAfter)
+	return Decision{
+		Reason:     reason,
+		RetryAfter: wait + time.Duration(random*float64(max(closedSpread, time.Duration(spreadShare*float64(wait))))),
 	}
 }
 
--- a/internal/triage/triage_test.go
+++ b/internal/triage/triage_test.go
@@ -201,3 +201,54 @@
 		}
 	}
 }
+
+// TestPlace guards against requests that wait in vain for a place at an endpoint that limits
+// requests, are refused although one comes in time, or return together.
+func TestPlace(t *testing.T) {
+	now := time.Unix(1000, 0)
+	in := func(d time.Duration) time.Time { return now.Add(d) }
+	for _, tc := range []struct {
+		name             string
+		since            time.Time
+		placeAt, readyAt time.Time
+		leavesIn         time.Duration
+		wait             bool
+		reason           Reason
+		retryAfter       time.Duration // at least
+	}{
+		{name: "in time", since: now, placeAt: in(time.Second), leavesIn: 2 * time.Second, wait: true, reason: PlaceInTime},
+		{name: "hardly in time", since: now, placeAt: in(1700 * time.Millisecond), leavesIn: 2 * time.Second, reason: PlaceTooLate, retryAfter: 1700 * time.Millisecond},
+		{name: "too late", since: now, placeAt: in(9 * time.Second), leavesIn: 2 * time.Second, reason: PlaceTooLate, retryAfter: 9 * time.Second},
+		{name: "a copy comes before", since: now, placeAt: in(9 * time.Second), readyAt: in(time.Second), leavesIn: 2 * time.Second, wait: true, reason: PlaceInTime},
+		{name: "a copy comes too late, too", since: now, placeAt: in(9 * time.Second), readyAt: in(3 * time.Second), leavesIn: 2 * time.Second, reason: PlaceTooLate, retryAfter: 3 * time.Second},
+		{name: "not known yet", since: now, leavesIn: 2 * time.Second, wait: true, reason: PlaceNotYet},
+		{name: "not known", since: in(-2 * time.Second), leavesIn: 2 * time.Second, reason: PlaceUnknown, retryAfter: MinRetryAfter},
+		{name: "due", since: in(-2 * time.Second), placeAt: in(-time.Second), leavesIn: 2 * time.Second, wait: true, reason: PlaceInTime},
+		{name: "due, and the caller leaves", since: in(-2 * time.Second), placeAt: in(-time.Second), leavesIn: 100 * time.Millisecond, reason: PlaceTooLate, retryAfter: MinRetryAfter},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			var returns []time.Duration
+			for _, random := range []float64{0, 0.5, 1} {
+				d := Place(now, Request{
+					Since:     tc.since,
+					LeavesAt:  in(tc.leavesIn),
+					FirstPart: 150 * time.Millisecond,
+					Random:    random,
+				}, tc.placeAt, tc.readyAt)
+				if d.Wait != tc.wait || d.Reason != tc.reason {
+					t.Fatalf("got %+v", d)
+				}
+				if d.Wait && (!d.Until.After(now) || d.Until.After(in(tc.leavesIn))) {
+					t.Errorf("waits until %v", d.Until.Sub(now))
+				}
+				returns = append(returns, d.RetryAfter)
+			}
+			if tc.wait {
+				return
+			}
+			if returns[0] < tc.retryAfter || returns[2]-returns[0] < closedSpread {
+				t.Errorf("callers return after %v", returns)
+			}
+		})
+	}
+}
