--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -49,6 +49,7 @@
 	r.checkOrders()
 	r.checkDrains(executions, rec)
 	r.checkStatements(rec)
+	r.checkLimits(rec)
 	r.checkLoads()
 	for _, d := range rec.deadly {
 		r.checkDeadlyPart(d, executions, rec.requests)
--- a/internal/soak/lost.go
+++ b/internal/soak/lost.go
@@ -26,7 +26,7 @@
 
 // fullCodes are the codes of refusals because engines are full, fail or lack a model, which
 // are correct while that may be so.
-var fullCodes = []string{"no-endpoint", "no-further-endpoint", partBlocked}
+var fullCodes = []string{"no-endpoint", "no-further-endpoint", "endpoint-limit", partBlocked}
 
 // checkPlanned checks that each whole request got a complete answer, where nothing but
 // planned work and trouble of engines and of the store happened, and that each refusal has a
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -76,6 +76,8 @@
 	Incidents bool
 	// Statements adds endpoints that say that they leave or want no requests for a time.
 	Statements bool
+	// Limits adds endpoints that name how many requests per second they take.
+	Limits bool
 	// Restores adds restores of the store from a copy.
 	Restores bool
 	// Planned replaces the faults by planned work (stops, reloads, configurations) and
@@ -160,6 +162,9 @@
 	if o.Statements && !o.Planned {
 		incidents.Go(func() { r.injectStatements(ctx) })
 	}
+	if o.Limits {
+		incidents.Go(func() { r.injectLimits(ctx) })
+	}
 	if o.Restores && !o.Planned {
 		incidents.Go(func() { r.injectRestores(ctx) })
 	}
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -87,6 +87,23 @@
 	})
 }
 
+// TestSoakLimits guards against requests beyond the limits that endpoints name, summed over
+// all processes, beside planned work. Where the limits are not obeyed, both seeds fail.
+func TestSoakLimits(t *testing.T) {
+	for _, seed := range []uint64{4002, 4003} {
+		t.Run(strconv.FormatUint(seed, 10), func(t *testing.T) {
+			runSeed(t, "fixed seed", soak.Options{
+				Seed:    seed,
+				Planned: true,
+				Limits:  true,
+				Nodes:   8,
+				Callers: 48,
+				Faults:  12 * time.Second,
+			})
+		})
+	}
+}
+
 // TestSoakPlanned guards against requests that are lost beside planned work (stops, reloads,
 // configurations) while engines are silent for a moment, with nothing else wrong.
 func TestSoakPlanned(t *testing.T) {
