serve, poison: log under which request an endpoint crashed, plain services included

The line names a fingerprint now, a digest of target, caller and body; plain endpoints are asked like engines whether they run on. No decision depends on it yet.

--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -137,8 +137,9 @@
 }
 
 // RecordCrash records that an engine crashed before it had answered a request with the
-// given parts for long. One crash may be recorded for several requests.
-func (t *Tracker) RecordCrash(at time.Time, engine fleet.Key, request string, parts []string) {
+// given parts for long. One crash may be recorded for several requests. The fingerprint of the
+// request tells in logs whether it has come before.
+func (t *Tracker) RecordCrash(at time.Time, engine fleet.Key, request, fingerprint string, parts []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
@@ -147,7 +148,7 @@
 			s.changedAt = at
 		}
 	}
-	t.log.Warn("engine crashed under request", "request", request, "endpoint", engine.ID, "parts", parts)
+	t.log.Warn("engine crashed under request", "request", request, "endpoint", engine.ID, "fingerprint", fingerprint, "parts", parts)
 	t.decide(at)
 }
 
--- a/internal/serve/crash.go
+++ b/internal/serve/crash.go
@@ -81,12 +81,13 @@
 // provenAfter. If the engine has crashed, the parts of the prompt are suspected.
 func (c *call) watchCrash(at time.Time) {
 	c.brokenProbe = nil
-	if c.opts.Prober == nil || c.service.Engine == nil || len(c.req.Parts) == 0 {
+	if c.opts.Prober == nil {
 		return
 	}
-	e := c.lastChoice.Endpoint
+	e, req := c.lastChoice.Endpoint, c.req
+	parts := c.suspectedParts()
 	// Asked before this crash counts against the parts.
-	isSound := c.opts.Parts.AllServed(c.req.Parts)
+	isSound := c.opts.Parts.AllServed(parts)
 	p := c.probeEngine(e, time.Time{})
 	if !isSound {
 		c.brokenProbe = p
@@ -94,11 +95,19 @@
 	go func() {
 		<-p.done
 		if p.crashed {
-			c.opts.Parts.RecordCrash(at, e.Key(), c.req.ID, c.req.Parts)
+			c.opts.Parts.RecordCrash(at, e.Key(), req.ID, req.Fingerprint(), parts)
 		}
 	}()
 }
 
+// suspectedParts returns the parts of the prompt that may crash an engine.
+func (c *call) suspectedParts() []string {
+	if c.service.Engine == nil {
+		return nil
+	}
+	return c.req.Parts
+}
+
 // watchEnd is called when an answer that looks whole ended with its connection before the
 // engine had written for provenAfter: a crash would look the same. Whether the engine runs
 // on tells them apart. It is asked only if that clears a part of the prompt.
@@ -112,7 +121,7 @@
 		<-p.done
 		switch {
 		case p.crashed:
-			c.opts.Parts.RecordCrash(at, e.Key(), req.ID, req.Parts)
+			c.opts.Parts.RecordCrash(at, e.Key(), req.ID, req.Fingerprint(), req.Parts)
 		case p.alive:
 			c.opts.Parts.RecordServed(at, req.Parts)
 		}
--- a/internal/serve/crash_test.go
+++ b/internal/serve/crash_test.go
@@ -256,7 +256,7 @@
 			}
 			write("id: 1\ndata: a\n\n")
 			for i := range 3 {
-				h.server.opts.Parts.RecordCrash(now.Now().Add(time.Duration(i-3)*time.Second), fleet.Key{ID: strconv.Itoa(i)}, "r", []string{"first"})
+				h.server.opts.Parts.RecordCrash(now.Now().Add(time.Duration(i-3)*time.Second), fleet.Key{ID: strconv.Itoa(i)}, "r", "", []string{"first"})
 			}
 			if h.server.opts.Parts.Blocked() != 1 {
 				t.Fatal("the part is not blocked")
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -7,6 +7,9 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
 	"io"
 	"net/http"
 	"time"
@@ -47,6 +50,23 @@
 	LastEvent string
 }
 
+// Fingerprint identifies the request however often it is sent: by its target, its caller and
+// its body. It has no part of an id that changes.
+func (r *Request) Fingerprint() string {
+	h := sha256.New()
+	for _, field := range [][]byte{[]byte(r.URI), []byte(r.Key), r.Body} {
+		// The lengths keep fields apart.
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+		h.Write(size[:])
+		h.Write(field)
+	}
+	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
+}
+
+// fingerprintBytes is how much of the digest a fingerprint keeps.
+const fingerprintBytes = 12
+
 // Attempt is one sending of a request to an endpoint.
 type Attempt struct {
 	Request   *Request
