--- a/internal/serve/crash_test.go
+++ b/internal/serve/crash_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -97,13 +98,11 @@
 	}
 }
 
-// replaceEngines gives all engines a new incarnation, as after a crash.
+// replaceEngines gives all endpoints a new incarnation, as after a crash.
 func (h *harness) replaceEngines(i int) {
 	list := h.table.Endpoints()
 	for j := range list {
-		if list[j].Service == "lm" {
-			list[j].Incarnation = int64(i + 2)
-		}
+		list[j].Incarnation = int64(i + 2)
 	}
 	h.table.SetEndpoints(time.Now(), list)
 }
@@ -269,3 +268,58 @@
 		})
 	}
 }
+
+// TestCrashingRequest guards against a request that crashes each endpoint which runs it, and
+// comes again with another id: at engines beside sound requests that share all parts of its
+// prompt, without parts, and at plain services. Others are served.
+func TestCrashingRequest(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		route string
+		parts []string
+	}{
+		{name: "a stream whose parts are shared", route: "stream", parts: []string{"first", "second"}},
+		{name: "a resumable stream", route: "resume", parts: []string{"first"}},
+		{name: "a stream without parts", route: "stream"},
+		{name: "a call that may be repeated", route: "read"},
+		{name: "a call that runs once", route: "book"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			h := newCrashHarness(t, fakeProber{crashed: true})
+			send := func(id, body string, outcomes ...fakeOutcome) *fakeCaller {
+				h.sender.outcomes = outcomes
+				req := h.request(tc.route)
+				req.ID, req.Body, req.Parts = id, []byte(body), tc.parts
+				c := &fakeCaller{}
+				h.server.Serve(t.Context(), req, c)
+				return c
+			}
+			arrivals, crashes := 0, 0
+			for i := range 12 {
+				if c := send(fmt.Sprintf("sound-%d", i), fmt.Sprintf("sound %d", i)); c.status != http.StatusOK {
+					t.Fatalf("a sound request got %d, %+v after %d crashes", c.status, c.problem, crashes)
+				}
+				before := h.sender.runs
+				c := send(fmt.Sprintf("deadly-%d", i), "deadly", outcomeLost, outcomeLost, outcomeLost)
+				if runs := h.sender.runs - before; crashes >= 3 {
+					arrivals += runs
+				} else {
+					crashes += runs
+				}
+				if c.status == http.StatusOK {
+					t.Fatal("the deadly request was served")
+				}
+				if c.status == http.StatusServiceUnavailable && (!c.problem.NotRun || c.problem.RetryAfter > 0) {
+					t.Errorf("problem %+v; want a refusal that says not run and no time to return", c.problem)
+				}
+				h.replaceEngines(i)
+				// Crashes at the same time count as one.
+				time.Sleep(120 * time.Millisecond)
+			}
+			if arrivals > 0 {
+				t.Errorf("the request reached endpoints %d times more after it had crashed three", arrivals)
+			}
+		})
+	}
+}
