serve, poison: block a request that crashes the endpoints which run it

Cause: the evidence was kept by part of the prompt. The parts of the deadly request are shared with sound ones, whose answers clear them; plain services and requests without parts had no evidence; and this system's own repeats took the request on to the next endpoint. Class: blame was given to what requests share only.

A request is now one more part of itself, named by a digest of target, caller and body, in the same store of evidence. Where it and a part of its prompt explain the same crashes, the request is blocked. After one crash a request is repeated as before, after two never. A blocked one is refused with 503 request-blocked, without a time to return, and tested twice in all.

--- a/internal/coord/parts_test.go
+++ b/internal/coord/parts_test.go
@@ -24,7 +24,7 @@
 func crashEngines(part string, nodes ...*testNode) {
 	for i := range 5 {
 		n := nodes[i%len(nodes)]
-		n.opts.Parts.RecordCrash(n.opts.Clock.Now(), fleet.Key{ID: fmt.Sprintf("e%d", i), Incarnation: 1}, "r", "", []string{part})
+		n.opts.Parts.RecordCrash(n.opts.Clock.Now(), fleet.Key{ID: fmt.Sprintf("e%d", i), Incarnation: 1}, "r", []string{part})
 		time.Sleep(120 * time.Millisecond)
 	}
 }
--- a/internal/poison/share.go
+++ b/internal/poison/share.go
@@ -54,7 +54,7 @@
 // knownAnswer returns the time of the last answer to a part that this node has given or
 // heard of.
 func (t *Tracker) knownAnswer(part string) time.Time {
-	at := t.served[part]
+	at := t.servedOf(part)[part]
 	if s := t.suspects[part]; s != nil && s.served.After(at) {
 		at = s.served
 	}
@@ -97,7 +97,7 @@
 	var chosen []*suspect
 	for _, s := range t.suspects {
 		recent := now.Sub(s.changedAt) < shareFor
-		count := countCrashes(s.crashes)
+		count := s.count(s.crashes)
 		cleared := recent && len(s.crashes) == 0 && s.wasStrong
 		if count >= crashesToBlockUnserved || recent && count >= minCrashes || cleared {
 			chosen = append(chosen, s)
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -1,17 +1,21 @@
-// Package poison finds the parts of prompts that crash engines, and blocks requests
-// that contain them.
+// Package poison finds the parts of prompts, and the whole requests, that crash endpoints, and
+// blocks them.
 //
 // A part is suspected when an engine crashes before it has answered a request with that
 // part for long. An answer to any request with the part clears it: a part that crashes
 // every engine is never answered. Nodes exchange what they have seen, so that a part is
 // blocked at all of them after a few crashes. Times of other nodes arrive as ages, so
 // clocks need not agree.
+//
+// A request that comes again is one more part of itself, named by RequestPart. Where it and a
+// part of its prompt explain the same crashes, the request is blocked, which refuses less.
 package poison
 
 import (
 	"log/slog"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -28,6 +32,9 @@
 	// simultaneousCrashes is the time within which crashes of several engines count as
 	// one: they have a common cause, such as a loss of power.
 	simultaneousCrashes = 100 * time.Millisecond
+	// simultaneousForRequest replaces it for requests: one that is repeated crashes the next
+	// endpoint soon after the first.
+	simultaneousForRequest = 30 * time.Millisecond
 	// minBlock is how long after the last crash a part is blocked before one request
 	// tests it again. Each further crash doubles the time up to maxBlock.
 	minBlock = time.Minute
@@ -36,23 +43,35 @@
 	minBlockUnserved = 10 * time.Second
 	// testTime is how long a test may take before the next one.
 	testTime = 30 * time.Second
+	// maxRequestTests is how often a blocked request is tested in all. It has no sound
+	// neighbours that a mistake would refuse, and each test may crash an endpoint.
+	maxRequestTests = 2
 	// forgetWeakAfter and forgetBlockedAfter are how long after its last crash the
 	// evidence against a part is dropped.
 	forgetWeakAfter    = 10 * time.Minute
 	forgetBlockedAfter = 2 * maxBlock
 	// maxSuspects and maxServed limit how many suspected parts, and times of answers to
-	// parts, are kept.
-	maxSuspects = 512
+	// parts, are kept; those of requests are kept apart from those of prompts.
+	maxSuspects = 2048
 	maxServed   = 4096
 	// shareFor is how long a change of the evidence is sent with every message. Several
 	// messages within this time reach every node, even if one is lost.
 	shareFor = 3 * time.Second
 )
 
+const requestPrefix = "request:"
+
+// RequestPart returns the name under which a request is a part of itself, from a fingerprint
+// that stays the same however often it comes.
+func RequestPart(fingerprint string) string { return requestPrefix + fingerprint }
+
+// IsRequest reports whether a part is a whole request.
+func IsRequest(part string) bool { return strings.HasPrefix(part, requestPrefix) }
+
 // Block says that a part is blocked.
 type Block struct {
 	Part string
-	// Until is when a request may test the part again.
+	// Until is when a request may test the part again, zero if none may any more.
 	Until time.Time
 	// Crashes is the number of crashes on which the block is based.
 	Crashes int
@@ -63,8 +82,10 @@
 	mu       sync.Mutex
 	log      *slog.Logger
 	suspects map[string]*suspect
-	served   map[string]time.Time
-	blocks   map[string]Block
+	// served and servedRequests are when parts of prompts, and requests, were answered last.
+	served         map[string]time.Time
+	servedRequests map[string]time.Time
+	blocks         map[string]Block
 	// decideAt is when the time to object ends for a part; zero if it does for none.
 	decideAt time.Time
 }
@@ -80,6 +101,9 @@
 	wasStrong   bool
 	changedAt   time.Time
 	testedUntil time.Time
+	tests       int
+	// askedAt is when the part was last refused here.
+	askedAt time.Time
 }
 
 type crash struct {
@@ -92,8 +116,10 @@
 	return &Tracker{
 		log:      log,
 		suspects: make(map[string]*suspect),
-		served:   make(map[string]time.Time),
 		blocks:   make(map[string]Block),
+
+		served:         make(map[string]time.Time),
+		servedRequests: make(map[string]time.Time),
 	}
 }
 
@@ -114,32 +140,40 @@
 	}
 }
 
+// servedOf returns the times of answers to parts of the kind of the given one.
+func (t *Tracker) servedOf(part string) map[string]time.Time {
+	if IsRequest(part) {
+		return t.servedRequests
+	}
+	return t.served
+}
+
 func (t *Tracker) recordServed(part string, at time.Time) {
-	if _, ok := t.served[part]; !ok && len(t.served) >= maxServed {
-		t.trimServed(at)
+	served := t.servedOf(part)
+	if _, ok := served[part]; !ok && len(served) >= maxServed {
+		trimServed(served, at)
 	}
-	if at.After(t.served[part]) {
-		t.served[part] = at
+	if at.After(served[part]) {
+		served[part] = at
 	}
 }
 
 // trimServed drops the older half of the times of answers, by age between the oldest
 // and now.
-func (t *Tracker) trimServed(now time.Time) {
+func trimServed(served map[string]time.Time, now time.Time) {
 	oldest := now
-	for _, at := range t.served {
+	for _, at := range served {
 		if at.Before(oldest) {
 			oldest = at
 		}
 	}
 	limit := oldest.Add(now.Sub(oldest) / 2)
-	maps.DeleteFunc(t.served, func(_ string, at time.Time) bool { return !at.After(limit) })
+	maps.DeleteFunc(served, func(_ string, at time.Time) bool { return !at.After(limit) })
 }
 
 // RecordCrash records that an engine crashed before it had answered a request with the
-// given parts for long. One crash may be recorded for several requests. The fingerprint of the
-// request tells in logs whether it has come before.
-func (t *Tracker) RecordCrash(at time.Time, engine fleet.Key, request, fingerprint string, parts []string) {
+// given parts for long. One crash may be recorded for several requests.
+func (t *Tracker) RecordCrash(at time.Time, engine fleet.Key, request string, parts []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
@@ -148,7 +182,7 @@
 			s.changedAt = at
 		}
 	}
-	t.log.Warn("engine crashed under request", "request", request, "endpoint", engine.ID, "fingerprint", fingerprint, "parts", parts)
+	t.log.Warn("engine crashed under request", "request", request, "endpoint", engine.ID, "parts", parts)
 	t.decide(at)
 }
 
@@ -158,7 +192,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, part := range parts {
-		if _, ok := t.served[part]; !ok {
+		if _, ok := t.servedOf(part)[part]; !ok {
 			return false
 		}
 		if s := t.suspects[part]; s != nil && len(s.crashes) > 0 {
@@ -168,6 +202,16 @@
 	return true
 }
 
+// Crashes returns how many endpoints have crashed under a part since its last answer.
+func (t *Tracker) Crashes(part string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if s := t.suspects[part]; s != nil {
+		return len(s.crashes)
+	}
+	return 0
+}
+
 // ensureSuspect returns the evidence against a part, a new one without crashes if there
 // is none yet.
 func (t *Tracker) ensureSuspect(part string) *suspect {
@@ -180,7 +224,7 @@
 	}
 	s = &suspect{
 		part:   part,
-		served: t.served[part],
+		served: t.servedOf(part)[part],
 	}
 	t.suspects[part] = s
 	return s
@@ -205,6 +249,10 @@
 		last = s.crashes[n-1].at
 	}
 	if _, blocked := t.blocks[s.part]; blocked {
+		if IsRequest(s.part) && s.askedAt.After(last) {
+			// It still comes, and would crash endpoints anew.
+			last = s.askedAt
+		}
 		return last.Add(forgetBlockedAfter)
 	}
 	return last.Add(forgetWeakAfter)
@@ -273,16 +321,28 @@
 			continue
 		}
 		s := t.suspects[part]
-		if !mayTest || now.Before(b.Until) || now.Before(s.testedUntil) {
+		s.askedAt = now
+		if !mayTest || b.Until.IsZero() || now.Before(b.Until) || now.Before(s.testedUntil) {
 			return b, true, false
 		}
 		s.testedUntil = now.Add(testTime)
+		if s.tests++; IsRequest(part) && s.tests >= maxRequestTests {
+			b.Until = time.Time{}
+			t.blocks[part] = b
+		}
 		test = true
-		t.log.Info("prompt part tested", "part", part, "crashes", b.Crashes)
+		t.log.Info("blocked part tested", "part", part, "crashes", b.Crashes, "tests", s.tests)
 	}
 	return Block{}, false, test
 }
 
+// IsEmpty reports whether nothing is suspected.
+func (t *Tracker) IsEmpty() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.suspects) == 0
+}
+
 // Blocked returns the number of blocked parts.
 func (t *Tracker) Blocked() int {
 	t.mu.Lock()
--- a/internal/poison/tracker_test.go
+++ b/internal/poison/tracker_test.go
@@ -177,9 +177,9 @@
 					tr.RecordServed(now, e.parts)
 					continue
 				}
-				tr.RecordCrash(now, engine(e.crash), "r", "", e.parts)
+				tr.RecordCrash(now, engine(e.crash), "r", e.parts)
 				if len(e.others) > 0 {
-					tr.RecordCrash(now, engine(e.crash), "other", "", e.others)
+					tr.RecordCrash(now, engine(e.crash), "other", e.others)
 				}
 			}
 			now := testStart.Add(tc.check)
@@ -202,7 +202,7 @@
 	now := testStart
 	for i := 1; i <= crashesToBlock; i++ {
 		now = testStart.Add(time.Duration(i) * time.Second)
-		tr.RecordCrash(now, engine(i), "r", "", []string{part})
+		tr.RecordCrash(now, engine(i), "r", []string{part})
 	}
 	return now
 }
@@ -234,7 +234,7 @@
 		if _, blocked, _ := tr.Check(due.Add(time.Second), []string{"p"}, true); !blocked {
 			t.Error("a second request passes while the first tests the part")
 		}
-		tr.RecordCrash(due.Add(2*time.Second), engine(9), "r", "", []string{"p"})
+		tr.RecordCrash(due.Add(2*time.Second), engine(9), "r", []string{"p"})
 		if _, blocked, _ := tr.Check(due.Add(2*time.Second+3*minBlock/2), []string{"p"}, true); !blocked {
 			t.Error("the time until the next test has not doubled")
 		}
@@ -251,7 +251,7 @@
 	now := testStart
 	for i := 1; i <= crashesToBlockUnserved; i++ {
 		now = now.Add(time.Second)
-		tr.RecordCrash(now, engine(i), "r", "", []string{"p"})
+		tr.RecordCrash(now, engine(i), "r", []string{"p"})
 	}
 	if !isBlocked(tr, now.Add(objectionTime), "p") {
 		t.Fatal("the part is not blocked")
@@ -266,9 +266,9 @@
 func TestMerge(t *testing.T) {
 	now := testStart.Add(10 * time.Second)
 	a, b := newTestTracker(), newTestTracker()
-	a.RecordCrash(now.Add(-3*time.Second), engine(1), "r", "", []string{"p", "q"})
-	b.RecordCrash(now.Add(-2*time.Second), engine(2), "r", "", []string{"p"})
-	a.RecordCrash(now.Add(-1*time.Second), engine(3), "r", "", []string{"p"})
+	a.RecordCrash(now.Add(-3*time.Second), engine(1), "r", []string{"p", "q"})
+	b.RecordCrash(now.Add(-2*time.Second), engine(2), "r", []string{"p"})
+	a.RecordCrash(now.Add(-1*time.Second), engine(3), "r", []string{"p"})
 	a.Merge(now, b.Share(now))
 	b.Merge(now, a.Share(now))
 	for _, tr := range []*Tracker{a, b} {
@@ -302,7 +302,7 @@
 	b.RecordServed(now, []string{"p"})
 	for i := 1; i <= crashesToBlockUnserved; i++ {
 		now = now.Add(time.Second)
-		a.RecordCrash(now, engine(i), "r", "", []string{"p"})
+		a.RecordCrash(now, engine(i), "r", []string{"p"})
 	}
 	b.Merge(now, a.Share(now))
 	a.Merge(now, b.Share(now))
@@ -319,7 +319,7 @@
 	now := testStart
 	for i := 1; i <= crashesToBlockUnserved; i++ {
 		now = now.Add(time.Second)
-		a.RecordCrash(now, engine(i), "r", "", []string{"p"})
+		a.RecordCrash(now, engine(i), "r", []string{"p"})
 	}
 	now = now.Add(objectionTime)
 	if !isBlocked(a, now, "p") {
@@ -355,7 +355,7 @@
 	for i := 1; i <= crashesToBlock; i++ {
 		now = now.Add(time.Second)
 		coordinator.RecordServed(now.Add(-time.Millisecond), []string{"p"})
-		a.RecordCrash(now, engine(i), "r", "", []string{"p"})
+		a.RecordCrash(now, engine(i), "r", []string{"p"})
 	}
 	if !isBlocked(a, now, "p") {
 		t.Fatal("the node does not block the part on what it has seen itself")
@@ -376,7 +376,7 @@
 		now := last.Add(time.Duration(i) * time.Millisecond)
 		tr.RecordServed(now, []string{fmt.Sprintf("s%d", i)})
 		if i < 3*maxSuspects {
-			tr.RecordCrash(now, engine(1000+i), "r", "", []string{fmt.Sprintf("c%d", i)})
+			tr.RecordCrash(now, engine(1000+i), "r", []string{fmt.Sprintf("c%d", i)})
 		}
 	}
 	if len(tr.served) > maxServed || len(tr.suspects) > maxSuspects {
@@ -386,7 +386,7 @@
 		t.Error("the blocked part was dropped for others")
 	}
 	end := last.Add(forgetBlockedAfter + time.Hour)
-	tr.RecordCrash(end, engine(1), "r", "", []string{"new"})
+	tr.RecordCrash(end, engine(1), "r", []string{"new"})
 	if len(tr.suspects) != 1 {
 		t.Errorf("%d suspected parts are kept after hours without a crash", len(tr.suspects))
 	}
@@ -410,7 +410,7 @@
 				o := nodes[rapid.IntRange(0, 2).Draw(r, "other")]
 				o.Merge(now, n.Share(now))
 			default:
-				n.RecordCrash(now, engine(i), "r", "", []string{part})
+				n.RecordCrash(now, engine(i), "r", []string{part})
 			}
 		}
 		// The first round may join the crashes of several nodes, the second brings the answers
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -51,9 +51,13 @@
 	lastChoice      picker.Choice
 	lastReason      triage.Reason // of the last decision about waiting for a model
 	lastError       string
-	// brokenProbe tells whether the engine at which the last attempt broke off crashed; nil
-	// if the parts of the prompt were known as sound.
-	brokenProbe *probe
+	// brokenProbe tells whether the endpoint at which the last attempt broke off crashed; nil
+	// if the parts of the prompt were known as sound and the request had crashed none before,
+	// which crashedBefore says.
+	brokenProbe   *probe
+	crashedBefore bool
+	// ownPart is what requestPart returns, empty before its first call.
+	ownPart string
 	// maxRuns is how many endpoints may run the request, atMostOnce whether one of the
 	// configurations that it met allows one run only.
 	maxRuns    int
--- a/internal/serve/crash.go
+++ b/internal/serve/crash.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/poison"
 )
 
 const (
@@ -77,62 +79,77 @@
 	return p
 }
 
-// watchCrash is called when an attempt broke off before the engine had written for
-// provenAfter. If the engine has crashed, the parts of the prompt are suspected.
+// suspects returns what may crash the endpoint of the request: the parts of its prompt, and the
+// request itself.
+func (c *call) suspects() []string {
+	return append(slices.Clone(c.promptParts()), c.requestPart())
+}
+
+// promptParts returns the parts of the prompt that may crash an engine.
+func (c *call) promptParts() []string {
+	if c.service.Engine == nil {
+		return nil
+	}
+	return c.req.Parts
+}
+
+// requestPart returns the request as a part of itself.
+func (c *call) requestPart() string {
+	if c.ownPart == "" {
+		c.ownPart = poison.RequestPart(c.req.Fingerprint())
+	}
+	return c.ownPart
+}
+
+// watchCrash is called when an attempt broke off before the endpoint had written for
+// provenAfter. If the endpoint has crashed, the request and the parts of its prompt are
+// suspected.
 func (c *call) watchCrash(at time.Time) {
 	c.brokenProbe = nil
 	if c.opts.Prober == nil {
 		return
 	}
-	e, req := c.lastChoice.Endpoint, c.req
-	parts := c.suspectedParts()
-	// Asked before this crash counts against the parts.
-	isSound := c.opts.Parts.AllServed(parts)
+	e, id, suspects := c.lastChoice.Endpoint, c.req.ID, c.suspects()
+	// Asked before this crash counts against them.
+	c.crashedBefore = c.opts.Parts.Crashes(c.requestPart()) > 0
+	isSound := c.opts.Parts.AllServed(c.promptParts())
 	p := c.probeEngine(e, time.Time{})
-	if !isSound {
+	if !isSound || c.crashedBefore {
 		c.brokenProbe = p
 	}
 	go func() {
 		<-p.done
 		if p.crashed {
-			c.opts.Parts.RecordCrash(at, e.Key(), req.ID, req.Fingerprint(), parts)
+			c.opts.Parts.RecordCrash(at, e.Key(), id, suspects)
 		}
 	}()
 }
 
-// suspectedParts returns the parts of the prompt that may crash an engine.
-func (c *call) suspectedParts() []string {
-	if c.service.Engine == nil {
-		return nil
-	}
-	return c.req.Parts
-}
-
 // watchEnd is called when an answer that looks whole ended with its connection before the
-// engine had written for provenAfter: a crash would look the same. Whether the engine runs
-// on tells them apart. It is asked only if that clears a part of the prompt.
+// endpoint had written for provenAfter: a crash would look the same. Whether the endpoint runs
+// on tells them apart. It is asked only if that clears a suspect.
 func (c *call) watchEnd(at time.Time) {
-	if c.opts.Prober == nil || c.service.Engine == nil || len(c.req.Parts) == 0 || c.opts.Parts.AllServed(c.req.Parts) {
+	if c.opts.Prober == nil || c.opts.Parts.AllServed(c.promptParts()) && c.opts.Parts.Crashes(c.requestPart()) == 0 {
 		return
 	}
-	e, req := c.lastChoice.Endpoint, c.req
+	e, id, suspects := c.lastChoice.Endpoint, c.req.ID, c.suspects()
 	p := c.probeEngine(e, at)
 	go func() {
 		<-p.done
 		switch {
 		case p.crashed:
-			c.opts.Parts.RecordCrash(at, e.Key(), req.ID, req.Fingerprint(), req.Parts)
+			c.opts.Parts.RecordCrash(at, e.Key(), id, suspects)
 		case p.alive:
-			c.opts.Parts.RecordServed(at, req.Parts)
+			c.opts.Parts.RecordServed(at, suspects)
 		}
 	}()
 }
 
-// mayCrashAgain reports whether the last attempt ended with a crash of its engine that a
-// part of the prompt may have caused. It waits for the probe of the engine if that
-// matters.
+// mayCrashAgain reports whether the last attempt ended with a crash of its endpoint that the
+// request may have caused, by a part of its prompt or since it has crashed another one before.
+// It waits for the probe of the endpoint if that matters.
 func (c *call) mayCrashAgain(ctx context.Context) bool {
-	if c.brokenProbe == nil || c.opts.Parts.AllServed(c.req.Parts) {
+	if c.brokenProbe == nil || !c.crashedBefore && c.opts.Parts.AllServed(c.promptParts()) {
 		return false
 	}
 	select {
@@ -154,13 +171,9 @@
 	}
 }
 
-// recordProof records that the engine answered the request, which clears the parts of
+// recordProof records that the endpoint answered the request, which clears it and the parts of
 // its prompt.
-func (c *call) recordProof(at time.Time) {
-	if c.service.Engine != nil && len(c.req.Parts) > 0 {
-		c.opts.Parts.RecordServed(at, c.req.Parts)
-	}
-}
+func (c *call) recordProof(at time.Time) { c.opts.Parts.RecordServed(at, c.suspects()) }
 
 // recordRunning records a proof if an event of a stream was read when one was due, which is
 // each provenAfter from its first event. It returns when the next one is due.
@@ -174,32 +187,34 @@
 	return at.Add(provenAfter)
 }
 
-var errPartBlocked = errors.New("serve: a part of the prompt is blocked")
+var errPartBlocked = errors.New("serve: the request or a part of its prompt is blocked")
 
-// checkParts returns the refusal of a request with a blocked part.
+// checkParts returns the refusal of a request that is blocked, or has a blocked part.
 func (c *call) checkParts() *Problem {
-	if c.testsPart || c.service.Engine == nil || len(c.req.Parts) == 0 {
+	if c.testsPart || c.opts.Parts.IsEmpty() {
 		return nil
 	}
 	now := c.opts.Clock.Now()
-	b, blocked, test := c.opts.Parts.Check(now, c.req.Parts, c.opts.MayTest())
+	b, blocked, test := c.opts.Parts.Check(now, c.suspects(), c.opts.MayTest())
 	if !blocked {
 		c.testsPart = test
 		return nil
 	}
 	c.lastError = "part " + b.Part
-	if c.ranAttempts > 0 {
-		return &Problem{
-			Status:  http.StatusBadGateway,
-			Code:    "prompt-part-blocked",
-			Message: "engines crash when they answer prompts with a part of this one; the request may have run",
-		}
-	}
-	return &Problem{
+	p := &Problem{
 		Status:     http.StatusServiceUnavailable,
 		Code:       "prompt-part-blocked",
 		Message:    "engines crash when they answer prompts with a part of this one",
 		NotRun:     true,
 		RetryAfter: max(endpointRetryAfter, b.Until.Sub(now)),
 	}
+	if poison.IsRequest(b.Part) {
+		// It would be refused again.
+		p.Code, p.Message, p.RetryAfter = "request-blocked", "endpoints crash when they run this request; do not send it again", 0
+	}
+	if c.ranAttempts > 0 {
+		p.Status, p.NotRun, p.RetryAfter = http.StatusBadGateway, false, 0
+		p.Message += "; the request may have run"
+	}
+	return p
 }
--- a/internal/serve/crash_test.go
+++ b/internal/serve/crash_test.go
@@ -255,7 +255,7 @@
 			}
 			write("id: 1\ndata: a\n\n")
 			for i := range 3 {
-				h.server.opts.Parts.RecordCrash(now.Now().Add(time.Duration(i-3)*time.Second), fleet.Key{ID: strconv.Itoa(i)}, "r", "", []string{"first"})
+				h.server.opts.Parts.RecordCrash(now.Now().Add(time.Duration(i-3)*time.Second), fleet.Key{ID: strconv.Itoa(i)}, "r", []string{"first"})
 			}
 			if h.server.opts.Parts.Blocked() != 1 {
 				t.Fatal("the part is not blocked")
@@ -287,6 +287,8 @@
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			h := newCrashHarness(t, fakeProber{crashed: true})
+			// An endpoint takes a moment until it crashes.
+			h.sender.change = func(*Reply) { time.Sleep(40 * time.Millisecond) }
 			send := func(id, body string, outcomes ...fakeOutcome) *fakeCaller {
 				h.sender.outcomes = outcomes
 				req := h.request(tc.route)
