--- a/internal/coord/health.go
+++ b/internal/coord/health.go
@@ -22,7 +22,7 @@
 func (n *Node) HearLimit(took time.Duration, key fleet.Key, l health.Limit) {
 	now := n.opts.Clock.Now()
 	if change := n.opts.Table.Health().HearLimit(now, now.Add(-took), key, l, health.Report); change != nil {
-		n.opts.Log.Info(health.LimitLogged, change.Attrs()...)
+		n.opts.Log.Info("endpoint's limit of requests changed", change.Attrs()...)
 	}
 }
 
@@ -43,7 +43,7 @@
 		return
 	}
 	for _, change := range n.opts.Table.Health().MergeLimits(now, list) {
-		n.opts.Log.Info(health.LimitLogged, append(change.Attrs(), "peer", source)...)
+		n.opts.Log.Info("endpoint's limit of requests changed", append(change.Attrs(), "peer", source)...)
 	}
 }
 
--- a/internal/fake/site/engine.go
+++ b/internal/fake/site/engine.go
@@ -119,10 +119,12 @@
 	silentUntil time.Time
 }
 
-// DeadlyPart is a part of prompts under which an engine crashes as it begins to write an
-// answer.
+// DeadlyPart is a part of prompts, or a request, under which an endpoint crashes as it begins to
+// write an answer.
 type DeadlyPart struct {
 	ID string
+	// Path is that of the request, for one that crashes endpoints whatever its prompt.
+	Path string
 	// Down is how long the engine is down.
 	Down time.Duration
 	// OnCrash, if set, is called at each crash.
@@ -487,13 +489,13 @@
 	e.deadly = d
 }
 
-// crashUnder crashes the endpoint if the deadly part is among the parts of a prompt, and
+// crashUnder crashes the endpoint if a request is deadly, or a part of its prompt, and
 // starts it again after the time that it is down. It reports whether it crashed.
-func (e *Endpoint) crashUnder(parts []string) bool {
+func (e *Endpoint) crashUnder(r *http.Request, parts []string) bool {
 	e.mu.Lock()
 	d, alive := e.deadly, e.alive
 	e.mu.Unlock()
-	if d.ID == "" || !slices.Contains(parts, d.ID) {
+	if (d.ID == "" || !slices.Contains(parts, d.ID)) && (d.Path == "" || d.Path != r.URL.Path) {
 		return false
 	}
 	if alive && d.OnCrash != nil {
@@ -674,6 +676,9 @@
 		if !e.work(r, step) {
 			return
 		}
+		if e.crashUnder(r, nil) {
+			panic(http.ErrAbortHandler)
+		}
 		if form != Unframed {
 			w.Header().Set("Content-Length", strconv.Itoa(len(PlainAnswer(id))))
 		}
@@ -694,7 +699,7 @@
 		if !e.work(r, step) {
 			return
 		}
-		if i == from+1 && e.crashUnder(parts) {
+		if i == from+1 && e.crashUnder(r, parts) {
 			panic(http.ErrAbortHandler)
 		}
 		fmt.Fprint(w, Event(id, i))
--- a/internal/health/limit.go
+++ b/internal/health/limit.go
@@ -143,9 +143,6 @@
 	Age time.Duration
 }
 
-// LimitLogged is the message with which a LimitChange is logged.
-const LimitLogged = "endpoint's limit of requests changed"
-
 // Attrs returns the change as it is written to logs.
 func (c *LimitChange) Attrs() []any {
 	return []any{
--- a/internal/serve/call.go
+++ b/internal/serve/call.go
@@ -393,7 +393,7 @@
 		return true, nil
 	case errors.Is(err, errNoPlace):
 		c.opts.Table.EndAttempt(now, key, picker.Ended)
-		c.opts.Log.Info("request moved", "request", c.req.ID, "endpoint", key.ID, "why", "its place has ended, or it had none",
+		c.opts.Log.Info("request moved", "request", c.req.ID, "endpoint", key.ID, "why", "limits requests, and the request has no place there any more",
 			"limit-age-ms", now.Sub(c.opts.Table.Health().Ask(now, key).LimitNamed).Milliseconds())
 		return true, nil
 	}
--- a/internal/serve/health.go
+++ b/internal/serve/health.go
@@ -21,6 +21,6 @@
 		return
 	}
 	if change := c.opts.Table.Health().HearLimit(now, reply.sentAt, key, reply.Limit, health.Answer); change != nil {
-		c.opts.Log.Info(health.LimitLogged, append(change.Attrs(), "request", c.req.ID, "status", reply.Status)...)
+		c.opts.Log.Info("endpoint's limit of requests changed", append(change.Attrs(), "request", c.req.ID, "status", reply.Status)...)
 	}
 }
