grant, coord: check the numbers of token requests, and share set-ups of tests

Found by reading the change: a message whose request for tokens is not a number would have spoiled the level of its bucket for good, of rates as well as of limits. Exchanges with such requests are refused now (TestOddRequests).

--- a/internal/coord/health_test.go
+++ b/internal/coord/health_test.go
@@ -15,6 +15,24 @@
 // is when no more requests may reach it.
 const leavingBound = 2 * time.Second
 
+// newEngineFleet returns four nodes with a configuration and engines, and their coordinator.
+func newEngineFleet(t *testing.T) (f *testFleet, nodes []*testNode, first *testNode) {
+	t.Helper()
+	f = newTestFleet(t)
+	for _, name := range []string{"a", "b", "c", "d"} {
+		nodes = append(nodes, f.start(name))
+	}
+	first = f.awaitCoordinator(5*time.Second, nodes...)
+	f.awaitMembers(nodes)
+	for _, n := range nodes {
+		if err := n.SetRawConfig(context.Background(), []byte("1"), "test"); err != nil {
+			t.Fatal(err)
+		}
+		n.SetEndpoints(context.Background(), testEndpoints, 1, true)
+	}
+	return f, nodes, first
+}
+
 // TestLeavingIsKnownEverywhere guards against nodes that go on sending to an engine that
 // another node has heard to leave: the store does not tell them, since the engine is cut
 // off from it, or it is down, or the coordinator is away.
@@ -48,19 +66,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			f := newTestFleet(t)
-			var nodes []*testNode
-			for _, name := range []string{"a", "b", "c", "d"} {
-				nodes = append(nodes, f.start(name))
-			}
-			first := f.awaitCoordinator(5*time.Second, nodes...)
-			f.awaitMembers(nodes)
-			for _, n := range nodes {
-				if err := n.SetRawConfig(context.Background(), []byte("1"), "test"); err != nil {
-					t.Fatal(err)
-				}
-				n.SetEndpoints(context.Background(), testEndpoints, 1, true)
-			}
+			f, nodes, first := newEngineFleet(t)
 			if tc.before != nil {
 				tc.before(f, first, nodes)
 			}
--- a/internal/coord/message.go
+++ b/internal/coord/message.go
@@ -156,10 +156,13 @@
 	if len(x.TokenRequests)+len(x.Work)+len(x.Waiting)+len(x.Running)+len(x.Deposits)+len(x.PlaceRequests)+len(x.PlaceDeposits) > maxItems {
 		return fmt.Errorf("coord: exchange of node %.64q has too many list items", x.Node)
 	}
-	if err := cmp.Or(health.ValidateAll(x.LeavingEngines), health.ValidateLimits(x.LimitedEngines)); err != nil {
-		return err
-	}
-	return poison.ValidateAll(x.Parts)
+	return cmp.Or(
+		health.ValidateAll(x.LeavingEngines),
+		health.ValidateLimits(x.LimitedEngines),
+		grant.ValidateRequests(x.TokenRequests),
+		grant.ValidateRequests(x.PlaceRequests),
+		poison.ValidateAll(x.Parts),
+	)
 }
 
 // LoadReport is an engine's load and the age of that report when the message was
@@ -280,10 +283,11 @@
 	if r.Fraction < 0 || r.Fraction > 1 {
 		return fmt.Errorf("coord: fraction %v is not between 0 and 1", r.Fraction)
 	}
-	if err := cmp.Or(health.ValidateAll(r.LeavingEngines), health.ValidateLimits(r.LimitedEngines)); err != nil {
-		return err
-	}
-	return poison.ValidateAll(r.Parts)
+	return cmp.Or(
+		health.ValidateAll(r.LeavingEngines),
+		health.ValidateLimits(r.LimitedEngines),
+		poison.ValidateAll(r.Parts),
+	)
 }
 
 // Fetch is a request to the coordinator to load an adapter at an engine.
--- a/internal/coord/pacer_test.go
+++ b/internal/coord/pacer_test.go
@@ -23,23 +23,6 @@
 	n.opts.Table.Health().HearLimit(now, now, limitedEngine, health.ParseLimit(text), health.Answer)
 }
 
-func newLimitFleet(t *testing.T) (f *testFleet, nodes []*testNode, first *testNode) {
-	t.Helper()
-	f = newTestFleet(t)
-	for _, name := range []string{"a", "b", "c", "d"} {
-		nodes = append(nodes, f.start(name))
-	}
-	first = f.awaitCoordinator(5*time.Second, nodes...)
-	f.awaitMembers(nodes)
-	for _, n := range nodes {
-		if err := n.SetRawConfig(context.Background(), []byte("1"), "test"); err != nil {
-			t.Fatal(err)
-		}
-		n.SetEndpoints(context.Background(), testEndpoints, 1, true)
-	}
-	return f, nodes, first
-}
-
 // TestLimitIsKnownEverywhere guards against nodes that send as before to an engine which
 // another node has heard to name a limit, and against a limit that outlasts its end there.
 func TestLimitIsKnownEverywhere(t *testing.T) {
@@ -63,7 +46,7 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			f, nodes, first := newLimitFleet(t)
+			f, nodes, first := newEngineFleet(t)
 			if tc.before != nil {
 				tc.before(f, first, nodes)
 			}
@@ -93,7 +76,7 @@
 // coordinator is killed again and again, and against none at all.
 func TestPlacesHoldOverHandovers(t *testing.T) {
 	const rate = 5.0
-	f, nodes, _ := newLimitFleet(t)
+	f, nodes, _ := newEngineFleet(t)
 	nodes[0].nameLimit(fmt.Sprint(rate))
 	f.eventually("all nodes know the limit", leavingBound, func() bool {
 		for _, n := range nodes {
--- a/internal/grant/limiter.go
+++ b/internal/grant/limiter.go
@@ -1,6 +1,7 @@
 package grant
 
 import (
+	"fmt"
 	"math"
 	"slices"
 	"strings"
@@ -47,6 +48,22 @@
 	Oldest time.Duration `cbor:"6,keyasint,omitempty"`
 }
 
+// ValidateRequests checks decoded token requests: a number that is none would spoil a bucket
+// for good.
+func ValidateRequests(list []TokenRequest) error {
+	for _, r := range list {
+		for _, tokens := range []float64{r.Want, r.Need, r.Waiting} {
+			if !(tokens >= 0 && tokens <= math.MaxFloat64) {
+				return fmt.Errorf("grant: request for %v tokens of %.64q", tokens, r.Workspace)
+			}
+		}
+		if r.Oldest < 0 {
+			return fmt.Errorf("grant: request for tokens of %.64q has waited for %v", r.Workspace, r.Oldest)
+		}
+	}
+	return nil
+}
+
 // Shortage states that the coordinator had too few tokens for a token request,
 // and after what time to send it again.
 type Shortage struct {
--- a/internal/grant/turns_test.go
+++ b/internal/grant/turns_test.go
@@ -355,3 +355,21 @@
 		})
 	}
 }
+
+// TestOddRequests guards against a message that spoils a bucket with a number that is none.
+func TestOddRequests(t *testing.T) {
+	if err := ValidateRequests([]TokenRequest{{Workspace: "e", Want: 1, Need: 1, Waiting: 1, Oldest: time.Hour}}); err != nil {
+		t.Error(err)
+	}
+	for _, r := range []TokenRequest{
+		{Want: math.NaN()},
+		{Want: math.Inf(1)},
+		{Want: 1, Waiting: -1},
+		{Want: 1, Need: math.NaN()},
+		{Want: 1, Oldest: -1},
+	} {
+		if ValidateRequests([]TokenRequest{r}) == nil {
+			t.Errorf("%+v is valid", r)
+		}
+	}
+}
