poison: decide by the suspects with several crashes only

Suspects with one crash can't be blocked and explain nothing; they are left out before sorting, 1,024 are kept, and ages are looked at once a second. No decision changes.

--- a/internal/poison/decide.go
+++ b/internal/poison/decide.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"maps"
 	"slices"
 	"time"
 
@@ -34,9 +33,15 @@
 // nobody is refused for it but those who send the same.
 func (t *Tracker) decide(now time.Time) {
 	t.forget(now)
-	order := slices.Collect(maps.Values(t.suspects))
-	counts := make(map[string]int, len(order))
-	for _, s := range order {
+	var order []*suspect
+	counts := make(map[string]int)
+	for _, s := range t.suspects {
+		if len(s.crashes) < crashesToBlockUnserved {
+			// Nearly all: whatever stood on a crashed endpoint.
+			s.strongSince = time.Time{}
+			continue
+		}
+		order = append(order, s)
 		counts[s.part] = s.count(s.crashes)
 	}
 	slices.SortFunc(order, func(a, b *suspect) int {
--- a/internal/poison/tracker.go
+++ b/internal/poison/tracker.go
@@ -52,7 +52,7 @@
 	forgetBlockedAfter = 2 * maxBlock
 	// maxSuspects and maxServed limit how many suspected parts, and times of answers to
 	// parts, are kept; those of requests are kept apart from those of prompts.
-	maxSuspects = 2048
+	maxSuspects = 1024
 	maxServed   = 4096
 	// shareFor is how long a change of the evidence is sent with every message. Several
 	// messages within this time reach every node, even if one is lost.
@@ -88,6 +88,7 @@
 	blocks         map[string]Block
 	// decideAt is when the time to object ends for a part; zero if it does for none.
 	decideAt time.Time
+	forgotAt time.Time
 }
 
 // suspect is a part with which engines crashed.
@@ -299,8 +300,15 @@
 	return first || len(s.crashes) < before
 }
 
+// forgetInterval is how often evidence is looked at for its age.
+const forgetInterval = time.Second
+
 // forget drops evidence that is too old.
 func (t *Tracker) forget(now time.Time) {
+	if now.Sub(t.forgotAt) < forgetInterval {
+		return
+	}
+	t.forgotAt = now
 	maps.DeleteFunc(t.suspects, func(_ string, s *suspect) bool { return now.After(t.keptUntil(s)) })
 }
 
