--- a/internal/coord/pacer.go
+++ b/internal/coord/pacer.go
@@ -151,8 +151,8 @@
 	p.notify()
 }
 
-// Wish implements serve.Places.
-func (p *Pacer) Wish(key fleet.Key) {
+// Prefetch implements serve.Places.
+func (p *Pacer) Prefetch(key fleet.Key) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.refresh()
@@ -162,7 +162,7 @@
 	}
 	now := p.clock.Now()
 	p.limiter.AddDemand(now, name, 1)
-	p.limiter.Wish(now, name)
+	p.limiter.Prefetch(now, name)
 }
 
 // Wait implements serve.Places.
--- a/internal/grant/limiter.go
+++ b/internal/grant/limiter.go
@@ -116,7 +116,7 @@
 	queuedUntil   time.Time
 	queuedAt      time.Time
 	queuedUrgency int
-	wishedUntil   time.Time // see Wish
+	prefetchUntil time.Time // see Prefetch
 }
 
 type batch struct {
@@ -268,9 +268,9 @@
 	}
 }
 
-// Wish requests a token for a request that may come, beyond the expected demand.
-func (n *NodeLimiter) Wish(now time.Time, workspace string) {
-	n.state(workspace).wishedUntil = now.Add(Term)
+// Prefetch requests a token for a request that may come, beyond the expected demand.
+func (n *NodeLimiter) Prefetch(now time.Time, workspace string) {
+	n.state(workspace).prefetchUntil = now.Add(Term)
 }
 
 // SetFirst sets the urgency and the arrival of the first of the waiting requests.
@@ -405,7 +405,7 @@
 		if prefetch := ws.demand * prefetchTime.Seconds(); prefetch >= minPrefetchRequests*ws.usualSize && n.HasCoordinator(now) {
 			want += prefetch
 		}
-		if now.Before(ws.wishedUntil) && usable < 1 {
+		if now.Before(ws.prefetchUntil) && usable < 1 {
 			want = max(want, 1)
 		}
 		leaves := ws.isInLine && waiting < 1
--- a/internal/grant/turns_test.go
+++ b/internal/grant/turns_test.go
@@ -323,7 +323,7 @@
 			},
 		},
 		{
-			name: "wishes get what is left",
+			name: "prefetched tokens come from what is left",
 			asks: []ask{
 				{after: perToken, node: "a", waiting: 2, issued: 1, queued: perToken},
 				{after: perToken / 2, node: "b", want: 1},
--- a/internal/serve/choose.go
+++ b/internal/serve/choose.go
@@ -43,7 +43,7 @@
 		choice, err := c.opts.Table.Pick(now, q)
 		if err == nil && (!choice.IsLimited || c.takePlace(choice)) {
 			if choice.Preferred.ID != "" {
-				c.opts.Places.Wish(choice.Preferred)
+				c.opts.Places.Prefetch(choice.Preferred)
 			}
 			return choice, nil
 		}
--- a/internal/serve/place.go
+++ b/internal/serve/place.go
@@ -163,8 +163,8 @@
 // Return implements Places.
 func (unlimitedPlaces) Return(fleet.Key, time.Time) {}
 
-// Wish implements Places.
-func (unlimitedPlaces) Wish(fleet.Key) {}
+// Prefetch implements Places.
+func (unlimitedPlaces) Prefetch(fleet.Key) {}
 
 // Wait implements Places.
 func (unlimitedPlaces) Wait(fleet.Key, int, time.Time) (Turn, func()) { return 0, func() {} }
--- a/internal/serve/place_test.go
+++ b/internal/serve/place_test.go
@@ -15,11 +15,11 @@
 
 // fakePlaces has some places at each endpoint.
 type fakePlaces struct {
-	mu     sync.Mutex
-	free   int
-	taken  int
-	wishes int
-	waits  int
+	mu         sync.Mutex
+	free       int
+	taken      int
+	prefetches int
+	waits      int
 	// lasts is how long a place may be used.
 	lasts      time.Duration
 	queuedFor  time.Duration
@@ -55,7 +55,7 @@
 	}
 }
 
-func (p *fakePlaces) Wish(fleet.Key) { p.wishes++ }
+func (p *fakePlaces) Prefetch(fleet.Key) { p.prefetches++ }
 
 func (p *fakePlaces) Wait(fleet.Key, int, time.Time) (Turn, func()) {
 	p.mu.Lock()
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -186,8 +186,8 @@
 	Take(key fleet.Key, turn Turn) (until time.Time, ok bool)
 	// Return gives back a place with which no byte was sent.
 	Return(key fleet.Key, until time.Time)
-	// Wish asks for a place for a later request.
-	Wish(key fleet.Key)
+	// Prefetch asks for a place for a later request.
+	Prefetch(key fleet.Key)
 	// Wait makes a request wait for a place, until leave is called. The most urgent
 	// requests, 0 first, come first, and then those that arrived first.
 	Wait(key fleet.Key, urgency int, arrived time.Time) (turn Turn, leave func())
