--- a/review/rig/notes.go
+++ b/review/rig/notes.go
@@ -6,9 +6,11 @@
 	"net"
 	"net/http"
 	"os"
+	"os/signal"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/fake/proxy"
@@ -28,11 +30,9 @@
 const (
 	engines = 9
 	// deadlyPart crashes the engines; commonPart and the sessions stand in sound requests too.
-	deadlyPart = "dead0001"
-	commonPart = "5c1e07a2"
-	sessions   = 24
-	// soundCallers is how many callers of a machine send sound requests, one after the other.
-	soundCallers = 8
+	deadlyPart   = "dead0001"
+	commonPart   = "5c1e07a2"
+	sessions     = 24
 	noteDeadline = 10 * time.Second
 	noteEvents   = 20
 	// retryPause is the pause of a caller after a refusal.
@@ -53,13 +53,15 @@
 	deadly  sync.WaitGroup
 	stop    chan struct{}
 
-	ids                    atomic.Int64
-	whole, broken, refused atomic.Int64
+	ids            atomic.Int64
+	whole, refused atomic.Int64
 
 	mu       sync.Mutex
 	proxies  map[string]*proxy.Proxy
 	crashes  []time.Time
 	isDeadly map[string]bool
+	// broken is when sound requests ended without a whole answer or a refusal.
+	broken []time.Time
 }
 
 func notesConfig() site.Config {
@@ -99,9 +101,10 @@
 	}
 }
 
-// StartNotes starts the deployment and its sound callers, and returns a function that ends it.
-// The settings and logs of its processes are in a temporary folder.
-func StartNotes(record *Record, folder string) (*Notes, func(), error) {
+// StartNotes starts the deployment, and callers of each machine that send sound requests one after
+// the other. It returns a function that ends it. The settings and logs of its processes are in a
+// temporary folder.
+func StartNotes(record *Record, folder string, callers int) (*Notes, func(), error) {
 	n := &Notes{
 		Record:   record,
 		stop:     make(chan struct{}),
@@ -113,14 +116,14 @@
 			n.closers[i]()
 		}
 	}
-	if err := n.start(folder); err != nil {
+	if err := n.start(folder, callers); err != nil {
 		release()
 		return nil, nil, err
 	}
 	return n, release, nil
 }
 
-func (n *Notes) start(folder string) error {
+func (n *Notes) start(folder string, callers int) error {
 	s, release, err := site.Start(site.Layout{
 		Config:            notesConfig(),
 		Domains:           []string{"tunapuna", "curepe"},
@@ -146,7 +149,7 @@
 		return err
 	}
 	for _, e := range n.entries {
-		for range soundCallers {
+		for range callers {
 			n.sound.Go(func() { n.callSound(e) })
 		}
 	}
@@ -275,7 +278,7 @@
 	res, err := http.ReadResponse(bufio.NewReader(c), nil)
 	if err != nil {
 		n.Record.Printf("request %s: no answer: %v", id, err)
-		n.count(isDeadly, &n.broken)
+		n.countBroken(isDeadly)
 		return
 	}
 	defer res.Body.Close()
@@ -294,38 +297,56 @@
 		n.count(isDeadly, &n.refused)
 		time.Sleep(retryPause)
 	default:
-		n.count(isDeadly, &n.broken)
+		n.countBroken(isDeadly)
 	}
 }
 
+func (n *Notes) countBroken(isDeadly bool) {
+	if isDeadly {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.broken = append(n.broken, time.Now())
+}
+
 func (*Notes) count(isDeadly bool, to *atomic.Int64) {
 	if !isDeadly {
 		to.Add(1)
 	}
 }
 
-// Judge waits for the answers and counts the requests with the deadly part that reached engines
-// later than stable_ms after the fifth crash. It returns the exit code of the case.
-func (n *Notes) Judge() int {
+// Wait waits for all answers and ends the sound callers.
+func (n *Notes) Wait() {
 	n.deadly.Wait()
 	close(n.stop)
 	n.sound.Wait()
+	for _, a := range n.Site.Journal.Arrivals() {
+		n.Record.PrintAt(a.At, "request %s reached engine %s, deadly: %v, misdirected: %v, broken: %q", a.Request, a.Endpoint, n.IsDeadly(a.Request), a.Misdirected, a.Broken)
+	}
+}
+
+// Judge counts the requests with the deadly part that reached engines later than stable_ms
+// after the fifth crash. It returns the exit code of the case.
+func (n *Notes) Judge() int {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	late := 0
-	var from time.Time
+	late, brokenLate := 0, 0
 	if len(n.crashes) >= crashesKnown {
-		from = n.crashes[crashesKnown-1].Add(Stable)
-		n.Record.PrintAt(from, "stable_ms after the fifth crash")
-	}
-	for _, a := range n.Site.Journal.Arrivals() {
-		n.Record.PrintAt(a.At, "request %s reached engine %s, deadly: %v, misdirected: %v, broken: %q", a.Request, a.Endpoint, n.isDeadly[a.Request], a.Misdirected, a.Broken)
-		if n.isDeadly[a.Request] && !from.IsZero() && a.At.After(from) {
-			late++
+		from := n.crashes[crashesKnown-1].Add(Stable)
+		for _, a := range n.Site.Journal.Arrivals() {
+			if n.isDeadly[a.Request] && a.At.After(from) {
+				late++
+			}
+		}
+		for _, at := range n.broken {
+			if at.After(from) {
+				brokenLate++
+			}
 		}
 	}
-	verdict := fmt.Sprintf("%d crashes, %d of %d allowed requests with the deadly part at engines later than stable_ms after the fifth; sound requests: %d whole, %d broken off, %d refused",
-		len(n.crashes), late, allowedLate, n.whole.Load(), n.broken.Load(), n.refused.Load())
+	verdict := fmt.Sprintf("%d crashes; later than stable_ms after the fifth %d requests with the deadly part at engines, %d allowed, and %d sound requests broken off; in all %d sound requests whole, %d broken off, %d refused",
+		len(n.crashes), late, allowedLate, brokenLate, n.whole.Load(), len(n.broken), n.refused.Load())
 	n.Record.Printf("%s", verdict)
 	fmt.Println(verdict)
 	if late > allowedLate {
@@ -342,6 +363,14 @@
 		return NotRun
 	}
 	defer os.RemoveAll(temporary)
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	go func() {
+		<-signals
+		started.killAll()
+		_ = os.RemoveAll(temporary)
+		os.Exit(NotRun)
+	}()
 	record, err := NewRecord(folder)
 	if err != nil {
 		fmt.Println(err)
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -8,11 +8,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -206,9 +208,42 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.cmd, e.exited = cmd, exited
+	started.add(e)
 	return nil
 }
 
+// started holds the entries whose processes were started, for a case that is ended early.
+var started entries
+
+type entries struct {
+	mu    sync.Mutex
+	all   map[*Entry]bool
+	ended bool
+}
+
+func (l *entries) add(e *Entry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.all == nil {
+		l.all = make(map[*Entry]bool)
+	}
+	l.all[e] = true
+	if l.ended {
+		_ = e.cmd.Process.Kill()
+	}
+}
+
+// killAll ends all processes, those that are started from now on too.
+func (l *entries) killAll() {
+	l.mu.Lock()
+	l.ended = true
+	all := slices.Collect(maps.Keys(l.all))
+	l.mu.Unlock()
+	for _, e := range all {
+		e.Kill()
+	}
+}
+
 // Exited returns a channel that is closed once the process has ended.
 func (e *Entry) Exited() <-chan struct{} {
 	e.mu.Lock()
