--- a/internal/serve/buffer.go
+++ b/internal/serve/buffer.go
@@ -1,46 +1,40 @@
 package serve
 
-import "sync/atomic"
+import "trefoildale.example/trefoildale/internal/budget"
 
-const (
-	// freeBuffer is how many bytes of an unfinished answer or event each request may
-	// hold without a reservation. Usual answers and events are smaller.
-	freeBuffer = 32 << 10
-	// maxReservedBuffers is how many bytes beyond freeBuffer all requests of a process
-	// may hold together. The smallest VMs have 144 MB.
-	maxReservedBuffers = 16 << 20
-)
+// bufferStep is the least share of the budget that a buffer asks for, so that requests don't
+// contend for it with each read.
+const bufferStep = 32 << 10
 
-// bufferPool bounds the memory that all requests of a process use for unfinished
-// answers, so that endpoints that send bytes without end can't exhaust it.
-type bufferPool struct {
-	reserved atomic.Int64
+// buffer bounds the memory that one request uses for an unfinished answer or event, so that
+// endpoints that send bytes without end can't exhaust that of the process. Usual answers and
+// events are smaller than what is free.
+type buffer struct {
+	pool   *budget.Pool
+	holder *budget.Holder
+	size   int64
 }
 
-// buffer is one request's part of a bufferPool.
-type buffer struct {
-	pool     *bufferPool
-	reserved int64
+// newBuffer returns a buffer, and a function that returns its memory.
+func (s *Server) newBuffer() (*buffer, func()) {
+	b := &buffer{
+		pool:   s.opts.Budget,
+		holder: s.opts.Budget.NewHolder(),
+	}
+	return b, func() { b.pool.Leave(b.holder) }
 }
 
-// grow reserves memory for size bytes. It returns false if the pool is used up.
+// grow reserves memory for size bytes. It returns false if the memory for answers is used
+// up.
 func (b *buffer) grow(size int) bool {
-	more := int64(size) - freeBuffer - b.reserved
+	more := int64(size) - budget.FreeAnswer - b.size
 	if more <= 0 {
 		return true
 	}
-	// Reserving in whole steps keeps requests from contending for the counter.
-	more = (more + freeBuffer - 1) / freeBuffer * freeBuffer
-	if b.pool.reserved.Add(more) > maxReservedBuffers {
-		b.pool.reserved.Add(-more)
+	more = (more + bufferStep - 1) / bufferStep * bufferStep
+	if !b.pool.TryGrow(b.holder, budget.Answers, more) {
 		return false
 	}
-	b.reserved += more
+	b.size += more
 	return true
 }
-
-// release returns the reserved memory.
-func (b *buffer) release() {
-	b.pool.reserved.Add(-b.reserved)
-	b.reserved = 0
-}
--- a/internal/serve/relay.go
+++ b/internal/serve/relay.go
@@ -27,11 +27,9 @@
 		c.opts.Table.EndAttempt(c.opts.Clock.Now(), key, outcome)
 		return c.handleLostAnswer(ctx, "the endpoint refused the request without saying that it did not run it")
 	}
-	buf := buffer{
-		pool: &c.buffers,
-	}
-	defer buf.release()
-	body, complete, err := readWhole(reply.Body, &buf)
+	buf, release := c.newBuffer()
+	defer release()
+	body, complete, err := readWhole(reply.Body, buf)
 	now := c.opts.Clock.Now()
 	if err != nil {
 		c.lastError = err.Error()
@@ -150,10 +148,8 @@
 		defer stop()
 	}
 	var s eventSplitter
-	unread := buffer{
-		pool: &c.buffers,
-	}
-	defer unread.release()
+	unread, release := c.newBuffer()
+	defer release()
 	buf := make([]byte, readSize)
 	var held []byte // comments that the caller has not got
 	var first, last, proofDue time.Time
--- a/internal/serve/server.go
+++ b/internal/serve/server.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/budget"
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/drain"
 	"trefoildale.example/trefoildale/internal/fleet"
@@ -67,7 +68,7 @@
 	Window time.Duration
 }
 
-// Options are the dependencies and settings of a Server. All fields but the last four
+// Options are the dependencies and settings of a Server. All fields but the last five
 // are required.
 type Options struct {
 	Clock     clock.Clock
@@ -87,6 +88,9 @@
 	// Places gives places at endpoints that limit requests; without it limits are not
 	// obeyed.
 	Places Places
+	// Budget bounds the memory for unfinished answers; without it, that is as for a process
+	// whose memory is not known.
+	Budget *budget.Pool
 }
 
 // Observer collects metrics of requests.
@@ -106,9 +110,7 @@
 	config atomic.Pointer[fleet.Config]
 	newest triage.Newest
 	active atomic.Int64
-	// buffers bounds the memory for unfinished answers.
-	buffers bufferPool
-	probes  probes
+	probes probes
 	// stop is the plan of a stopping process, nil before.
 	stop atomic.Pointer[drain.Stop]
 	// times are learned from requests that were answered in full.
@@ -147,6 +149,9 @@
 			now: opts.Clock.Now,
 		}
 	}
+	if opts.Budget == nil {
+		opts.Budget = budget.NewPool(budget.Divide(budget.DefaultMemory, 0))
+	}
 	interrupted, interrupt := context.WithCancel(context.Background())
 	refusing, refuse := context.WithCancel(interrupted)
 	return &Server{
