--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -26,6 +26,9 @@
 // String implements fmt.Stringer.
 func (p Part) String() string { return partNames[p] }
 
+// Parts returns all parts.
+func Parts() []Part { return []Part{Conns, Heads, Bodies, Answers} }
+
 // Limits holds the size of each part.
 type Limits [partCount]int64
 
@@ -77,11 +80,16 @@
 		memory = DefaultMemory
 	}
 	callers := max(memory-stateBytes, memory*minCallersShare)
-	conns := min(int64(callers*connsShare)/ConnCost, int64(descriptors-fileDescriptors)/descriptorsPerConn)
 	return Limits{
-		Conns:   max(minConns, conns),
+		Conns:   max(minConns, min(int64(callers*connsShare)/ConnCost, ConnsByDescriptors(descriptors))),
 		Heads:   int64(callers * headsShare),
 		Bodies:  int64(callers * bodiesShare),
 		Answers: int64(callers * answersShare),
 	}
 }
+
+// ConnsByDescriptors returns how many connections of callers a process with the given number
+// of descriptors may have.
+func ConnsByDescriptors(descriptors int) int64 {
+	return max(minConns, int64(descriptors-fileDescriptors)/descriptorsPerConn)
+}
--- a/internal/budget/pool.go
+++ b/internal/budget/pool.go
@@ -170,6 +170,26 @@
 	return !h.givesWay
 }
 
+// BeginWrite records that a part of the answer of a request in work is written. It returns
+// false if the holder has to give way.
+func (p *Pool) BeginWrite(h *Holder) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h.phase == Working {
+		h.enter(time.Now(), Writing)
+	}
+	return !h.givesWay
+}
+
+// EndWrite records that the caller has taken it.
+func (p *Pool) EndWrite(h *Holder) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h.phase == Writing {
+		h.enter(time.Now(), Working)
+	}
+}
+
 // Advance records bytes that arrived in the phase of a holder.
 func (p *Pool) Advance(h *Holder, n int) {
 	p.mu.Lock()
--- a/internal/budget/state.go
+++ b/internal/budget/state.go
@@ -205,7 +205,7 @@
 	case Fresh:
 		return stopped >= freshPatience
 	case ReadingHead:
-		return stopped >= headPatience
+		return !h.waiting && stopped >= headPatience
 	case ReadingBody:
 		return !h.waiting && stopped >= bodyPatience
 	case Writing:
--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -63,7 +63,8 @@
 	a.isBegun = true
 	// http.MaxBytesReader asks for the end of the connection only from the ResponseWriter
 	// of http.Server itself.
-	if a.isLast || status == http.StatusRequestEntityTooLarge || a.server.isEnding() {
+	isUnread := a.conn != nil && a.conn.bodyUnread.Load()
+	if a.isLast || isUnread || status == http.StatusRequestEntityTooLarge || a.server.isEnding(a.conn) {
 		a.Header().Set("Connection", "close")
 	}
 }
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -5,10 +5,13 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
 	"sync"
 	"time"
+
+	"trefoildale.example/trefoildale/internal/budget"
 )
 
 const (
@@ -29,6 +32,10 @@
 	// lastRefusalTime is how long a server that is shut down waits for the ends of these
 	// connections.
 	lastRefusalTime = 200 * time.Millisecond
+	// defaultDescriptors is how many descriptors a server without a budget may use.
+	defaultDescriptors = 4096
+	// maxRefused is how many refused connections are kept until their clients close them.
+	maxRefused = 32
 	// shutdownInterval is how often a server that is shut down checks whether all
 	// connections are closed.
 	shutdownInterval = 5 * time.Millisecond
@@ -47,6 +54,9 @@
 	Stop Reason = "stop"
 	// Unanswered is that the handler ended without an answer.
 	Unanswered Reason = "unanswered"
+	// Limited is that a part of the process's budget is used up, or that the client
+	// exceeds a limit of its own. Closing.Limit says which.
+	Limited Reason = "limited"
 )
 
 // RequestTimeout is a LastAnswer with HTTP's own status for a request that a server has not
@@ -60,8 +70,10 @@
 	Partial bool
 	// Idle is the time since the last answer, or since the connection was accepted.
 	Idle time.Duration
-	// Limit is the limit on Idle that is in force.
-	Limit time.Duration
+	// IdleLimit is the limit on Idle that is in force.
+	IdleLimit time.Duration
+	// Limit is the limit that has ended the connection, for Limited.
+	Limit Limit
 	// Request is the request that got no answer, for Unanswered.
 	Request Request
 }
@@ -74,10 +86,13 @@
 	// IdleMargin is by how much earlier or later than this process callers may learn of a
 	// change of the limit. Connections are closed that much later.
 	IdleMargin time.Duration
-	// HeaderTimeout limits the time from a request's first byte, or from the start of
-	// a connection, to the end of the header.
-	HeaderTimeout  time.Duration
-	MaxHeaderBytes int
+	// FirstByteTimeout limits the time from the start of a connection to its first byte, and
+	// HeaderTimeout that from a request's first byte to the end of its header.
+	FirstByteTimeout time.Duration
+	HeaderTimeout    func() time.Duration
+	// MaxHeaderBytes returns how many bytes a request's header may have; the default is
+	// DefaultMaxHeaderBytes.
+	MaxHeaderBytes func() int
 	// LastAnswer is sent on a connection without a whole header of a request before the
 	// server closes it. It has to promise that a request that is on its way will not run. It may
 	// be empty.
@@ -88,10 +103,20 @@
 	Fail func(w http.ResponseWriter, requestID string)
 	// OnPanic is called for each handler that has panicked.
 	OnPanic func(Panic)
-	// OnClose is called for each connection that the server closes by itself.
+	// OnClose is called for each connection that the server closes by itself. It must not
+	// block.
 	OnClose func(Closing)
+	// Budget bounds what all connections together use. Without one, the server has a budget
+	// for a process whose memory is not known.
+	Budget *budget.Pool
+	// Pacer bounds the processor time for bodies in small chunks. Without one, the server has
+	// one for a whole core.
+	Pacer *budget.Pacer
 }
 
+// DefaultMaxHeaderBytes is the limit on a request's header where none is set.
+const DefaultMaxHeaderBytes = 64 << 10
+
 // Server serves the requests of callers.
 type Server struct {
 	opts Options
@@ -112,15 +137,25 @@
 
 // NewServer returns a Server that does not listen yet.
 func NewServer(opts Options) *Server {
+	if opts.Budget == nil {
+		opts.Budget = budget.NewPool(budget.Divide(budget.DefaultMemory, defaultDescriptors))
+	}
+	if opts.Pacer == nil {
+		opts.Pacer = budget.NewPacer(1)
+	}
+	if opts.MaxHeaderBytes == nil {
+		opts.MaxHeaderBytes = func() int { return DefaultMaxHeaderBytes }
+	}
 	s := &Server{
 		opts:  opts,
 		conns: make(map[*trackedConn]struct{}),
 	}
 	s.http = &http.Server{
 		Handler:           http.HandlerFunc(s.serveHTTP),
-		ReadHeaderTimeout: opts.HeaderTimeout,
-		MaxHeaderBytes:    opts.MaxHeaderBytes,
-		ConnState:         s.onState,
+		ReadHeaderTimeout: opts.FirstByteTimeout,
+		// trackedConn applies the limit that is in force.
+		MaxHeaderBytes: math.MaxInt32,
+		ConnState:      s.onState,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, connKey{}, c)
 		},
@@ -131,6 +166,9 @@
 func (s *Server) serveHTTP(w http.ResponseWriter, r *http.Request) {
 	r, q := s.begin(r)
 	defer q.handlerEnded.Store(true)
+	if c, ok := r.Context().Value(connKey{}).(*trackedConn); ok {
+		defer s.opts.Budget.Release(c.holder, budget.Bodies)
+	}
 	a := &answerWriter{
 		ResponseWriter: w,
 		server:         s,
@@ -144,13 +182,16 @@
 	}()
 	s.opts.Handler.ServeHTTP(a, r)
 	a.begin(http.StatusOK)
+	if a.conn != nil && a.conn.bodyUnread.Load() && a.FlushError() == nil {
+		a.conn.discardBody(r)
+	}
 }
 
-// isEnding reports whether connections end after their next answer.
-func (s *Server) isEnding() bool {
+// isEnding reports whether a connection, which may be nil, ends after its next answer.
+func (s *Server) isEnding(c *trackedConn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.draining || s.closingIdle
+	return s.draining || s.closingIdle || c != nil && c.endedBy != nil
 }
 
 // Serve accepts connections until the listener fails or is closed by Shutdown or
@@ -328,11 +369,13 @@
 	switch state {
 	case http.StateActive:
 		c.state = stateHandling
+		s.opts.Budget.Enter(c.holder, budget.Working)
 		_ = c.Conn.SetReadDeadline(c.httpDeadline)
 	case http.StateIdle:
 		c.onIdle()
 	case http.StateClosed, http.StateHijacked:
 		delete(s.conns, c)
+		s.opts.Budget.Leave(c.holder)
 	case http.StateNew:
 	}
 }
--- a/internal/caller/caller_test.go
+++ b/internal/caller/caller_test.go
@@ -30,10 +30,11 @@
 		h = func(http.ResponseWriter, *http.Request) {}
 	}
 	s := NewServer(Options{
-		Handler:       h,
-		IdleLimit:     idle,
-		HeaderTimeout: 2 * time.Second,
-		OnClose:       func(Closing) {},
+		Handler:          h,
+		IdleLimit:        idle,
+		FirstByteTimeout: 2 * time.Second,
+		HeaderTimeout:    func() time.Duration { return 2 * time.Second },
+		OnClose:          func(Closing) {},
 	})
 	t.Cleanup(func() {
 		_ = s.Close()
@@ -159,7 +160,7 @@
 func TestHeaderTimeoutHoldsForSlowCallers(t *testing.T) {
 	t.Parallel()
 	s, l := newTestServer(t, noLimit, nil)
-	s.opts.HeaderTimeout = 300 * time.Millisecond
+	s.opts.HeaderTimeout = func() time.Duration { return 300 * time.Millisecond }
 	go func() { _ = s.Serve(l) }()
 	c := dial(t, l)
 	start := time.Now()
--- a/internal/caller/conn.go
+++ b/internal/caller/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"io"
 	"net"
 	"os"
 	"sync/atomic"
@@ -10,6 +9,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"trefoildale.example/trefoildale/internal/budget"
 )
 
 type connState int
@@ -58,6 +59,18 @@
 	isRefused atomic.Bool
 	// request is the one that is handled, once its header was read.
 	request atomic.Pointer[exchange]
+	// bodyBytes is how many bytes were read since the head of the request, chunk marks
+	// included.
+	bodyBytes atomic.Int64
+	// bodyUnread is set if a part of the request's body is not read, so that the
+	// connection ends after the answer.
+	bodyUnread atomic.Bool
+	// head is what was read of a request's head. It belongs to the goroutine that reads.
+	head headScan
+	// holder is what the connection has of the server's budget. endedBy is why it has to
+	// give way, nil if it doesn't.
+	holder  *budget.Holder
+	endedBy *budget.Cause
 }
 
 // Read implements net.Conn.
@@ -73,8 +86,9 @@
 				n, err = waiting, nil
 			}
 		}
-		if n > 0 {
-			c.onRead(n, len(p))
+		if n > 0 && c.onRead(n, len(p)) && !c.admitHead(p[:n]) {
+			// http.Server says nothing to the client after that.
+			return 0, os.ErrDeadlineExceeded
 		}
 		if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 			c.peerClosed.Store(true)
@@ -83,10 +97,60 @@
 	}
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. Each piece has to be taken in time by the caller, whatever the
+// handler does: it would wait forever for one that reads nothing.
 func (c *trackedConn) Write(p []byte) (int, error) {
 	c.answerBegun.Store(true)
-	return c.Conn.Write(p)
+	if !c.server.opts.Budget.BeginWrite(c.holder) {
+		// Its end may have been decided while a part of the answer waited.
+		c.server.mu.Lock()
+		isOver := c.endedBy != nil && c.endedBy.Phase == budget.Writing
+		c.server.mu.Unlock()
+		if isOver {
+			return 0, errGaveWay
+		}
+	}
+	defer c.server.opts.Budget.EndWrite(c.holder)
+	for written := 0; ; {
+		piece := p[written:min(len(p), written+writeSize)]
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(writeTime))
+		n, err := c.Conn.Write(piece)
+		written += n
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			c.reportUnread()
+		}
+		if err != nil || written == len(p) {
+			return written, err
+		}
+		c.server.opts.Budget.Advance(c.holder, n)
+	}
+}
+
+// SetWriteDeadline implements net.Conn. Write sets a deadline for each piece.
+func (*trackedConn) SetWriteDeadline(time.Time) error { return nil }
+
+var errGaveWay = errors.New("caller: the connection gave way to others")
+
+const (
+	// writeTime is how long the caller may take for writeSize bytes of an answer.
+	writeTime = 5 * time.Second
+	writeSize = 64 << 10
+)
+
+// reportUnread reports a caller that does not read its answer.
+func (c *trackedConn) reportUnread() {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	limit := Limit{
+		Name:  "answer-unread",
+		Size:  writeTime.Milliseconds(),
+		Used:  writeTime.Milliseconds(),
+		Phase: budget.Writing,
+	}
+	if c.endedBy != nil {
+		limit = limitOf(*c.endedBy)
+	}
+	c.server.reportLimited(limit, c.request.Load())
 }
 
 // Close implements net.Conn.
@@ -111,11 +175,14 @@
 	return err
 }
 
-func (c *trackedConn) onRead(n, size int) {
+// onRead records a read. It reports whether it was of a request's head.
+func (c *trackedConn) onRead(n, size int) (isHead bool) {
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	switch c.state {
 	case stateHandling:
+		c.server.opts.Budget.Advance(c.holder, n)
+		c.bodyBytes.Add(int64(n))
 		// While a request is handled, http.Server reads single bytes only to notice
 		// the end of the connection.
 		c.nextBegun = c.nextBegun || n == 1 && size == 1
@@ -123,14 +190,19 @@
 		c.beginRequest()
 	case stateReading:
 	}
+	return c.state == stateReading
 }
 
 // beginRequest is called at the first byte of a request, with the server's lock held.
 func (c *trackedConn) beginRequest() {
+	c.server.opts.Budget.Enter(c.holder, budget.ReadingHead)
 	c.state, c.nextBegun = stateReading, false
 	c.answerBegun.Store(false)
 	c.request.Store(nil)
-	c.headerDeadline = time.Now().Add(c.server.opts.HeaderTimeout)
+	c.head = headScan{}
+	c.bodyBytes.Store(0)
+	c.bodyUnread.Store(false)
+	c.headerDeadline = time.Now().Add(c.server.opts.HeaderTimeout())
 	_ = c.Conn.SetReadDeadline(c.headerDeadline)
 }
 
@@ -177,6 +249,8 @@
 // onIdle is called with the server's lock held when an answer has been sent.
 func (c *trackedConn) onIdle() {
 	c.idleSince = time.Now()
+	c.server.opts.Budget.Release(c.holder, budget.Heads)
+	c.server.opts.Budget.Enter(c.holder, budget.Idle)
 	if c.nextBegun {
 		c.beginRequest()
 		return
@@ -200,10 +274,36 @@
 	return at
 }
 
-// isDue reports whether the server is to close the connection because it stops. The
-// caller holds the server's lock.
+// isDue reports whether the server is to close the connection because it stops, or because
+// others need it. The caller holds the server's lock.
 func (c *trackedConn) isDue() bool {
-	return c.state == stateIdle && (c.server.closingIdle || c.server.closing) || c.state == stateFresh && c.server.closing
+	switch c.state {
+	case stateIdle:
+		return c.server.closingIdle || c.server.closing || c.endedBy != nil
+	case stateFresh:
+		return c.server.closing || c.endedBy != nil
+	case stateReading, stateHandling:
+	}
+	return false
+}
+
+// giveWay makes the connection end, since others need what it has. A request that arrived
+// meanwhile is still served.
+func (c *trackedConn) giveWay(cause budget.Cause) {
+	c.server.mu.Lock()
+	defer c.server.mu.Unlock()
+	c.endedBy = &cause
+	switch cause.Phase {
+	case budget.Writing:
+		_ = c.Conn.SetWriteDeadline(time.Now())
+	case budget.ReadingBody:
+		_ = c.Conn.SetReadDeadline(time.Now())
+	default:
+		// A request whose head has arrived meanwhile is served.
+		if c.state != stateHandling {
+			_ = c.Conn.SetReadDeadline(time.Now())
+		}
+	}
 }
 
 // closeIfDue makes the reading goroutine close the connection. The caller holds the
@@ -232,54 +332,42 @@
 	if c.state == stateIdle && !c.isDue() && c.extendIdle() {
 		return true, 0
 	}
-	if n := readWaiting(c.Conn, p); n > 0 {
-		return false, n
+	// A head that has stopped arriving gives way with the bytes that have come meanwhile.
+	if c.state != stateReading || c.endedBy == nil {
+		if n := readWaiting(c.Conn, p); n > 0 {
+			return false, n
+		}
+	}
+	closing := Closing{
+		Reason:    HeaderTimeout,
+		Partial:   c.state == stateReading,
+		Idle:      time.Since(c.idleSince),
+		IdleLimit: c.limit,
 	}
-	reason := HeaderTimeout
 	switch {
+	case c.endedBy != nil:
+		closing.Reason, closing.Limit = Limited, limitOf(*c.endedBy)
 	case c.isDue():
-		reason = Stop
+		closing.Reason = Stop
 	case c.state == stateIdle:
-		reason = IdleLimit
+		closing.Reason = IdleLimit
 	}
 	// http.Server closes it too, but later: a request may arrive in between.
-	if !c.closeWithRefusal() {
-		_ = c.Conn.Close()
-	}
-	c.server.opts.OnClose(Closing{
-		Reason:  reason,
-		Partial: c.state == stateReading,
-		Idle:    time.Since(c.idleSince),
-		Limit:   c.limit,
-	})
+	c.closeWith(c.server.opts.LastAnswer, c.endedBy != nil)
+	c.server.opts.OnClose(closing)
 	return false, 0
 }
 
-// closeWithRefusal refuses the request that may be on its way to the connection, which is
-// never read, and closes the connection once the caller has done so, or after a while: a
-// close with unread bytes would take the refusal from the caller. It returns false if the
-// connection is to be closed at once. The caller holds the server's lock.
-func (c *trackedConn) closeWithRefusal() bool {
-	text := c.server.opts.LastAnswer
-	if text == "" {
-		return false
-	}
-	// The socket's buffer is empty, as any answer before was sent.
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalWriteTime))
-	if _, err := io.WriteString(c.Conn, text); err != nil || c.CloseWrite() != nil {
-		return false
+// closeWith closes the connection with an answer to the request that may be on its way, or
+// without one if it is empty, or if many others of a crowd have got one just now. The caller
+// holds the server's lock.
+func (c *trackedConn) closeWith(answer string, isCrowd bool) {
+	if answer == "" || isCrowd && c.server.refused >= maxRefused {
+		_ = c.Conn.Close()
+		return
 	}
 	c.isRefused.Store(true)
-	_ = c.Conn.SetReadDeadline(time.Now().Add(refusalReadTime))
-	c.server.refused++
-	go func() {
-		_, _ = io.Copy(io.Discard, c.Conn)
-		_ = c.Conn.Close()
-		c.server.mu.Lock()
-		defer c.server.mu.Unlock()
-		c.server.refused--
-	}()
-	return true
+	c.server.closeRefused(c.Conn, answer)
 }
 
 // extendIdle applies the limit in force and returns whether the connection may stay
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -2,12 +2,15 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"os"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"trefoildale.example/trefoildale/internal/budget"
 )
 
 // listener wraps the connections that it accepts. After stop it still returns those
@@ -33,8 +36,22 @@
 	}
 }
 
-// Accept implements net.Listener.
+// Accept implements net.Listener. It refuses connections while all that may be open are
+// needed.
 func (l *listener) Accept() (net.Conn, error) {
+	for {
+		c, err := l.accept()
+		if err != nil {
+			return nil, err
+		}
+		if t := l.server.track(c); t != nil {
+			return t, nil
+		}
+		l.server.refuse(c)
+	}
+}
+
+func (l *listener) accept() (net.Conn, error) {
 	c, err := l.Listener.Accept()
 	if err != nil {
 		if !l.isStopped() {
@@ -51,7 +68,7 @@
 			return nil, net.ErrClosed
 		}
 	}
-	return l.server.track(c), nil
+	return c, nil
 }
 
 func (l *listener) isStopped() bool {
@@ -60,14 +77,20 @@
 	return l.stopped
 }
 
+// track returns an accepted connection for use, or nil if the budget allows no further one.
 func (s *Server) track(c net.Conn) net.Conn {
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	t := &trackedConn{
 		Conn:      c,
 		server:    s,
 		idleSince: time.Now(),
 	}
+	t.holder = s.opts.Budget.Join(t.giveWay)
+	if t.holder == nil {
+		return nil
+	}
+	limitBuffers(c)
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.conns[t] = struct{}{}
 	t.closeIfDue()
 	return t
@@ -99,3 +122,64 @@
 	defer f.Close()
 	return net.FileConn(f)
 }
+
+// bufferBytes bounds what the socket of a caller holds in each direction. budget.ConnCost
+// contains it.
+const bufferBytes = 64 << 10
+
+// limitBuffers keeps the system from growing the buffers of a connection's socket to
+// megabytes. Where that is not possible, the connection works as well.
+func limitBuffers(c net.Conn) {
+	b, ok := c.(interface {
+		SetReadBuffer(int) error
+		SetWriteBuffer(int) error
+	})
+	if !ok {
+		return
+	}
+	// The system doubles the value, for its own use.
+	_ = b.SetReadBuffer(bufferBytes / 2)
+	_ = b.SetWriteBuffer(bufferBytes / 2)
+}
+
+// refuse closes a connection for which the budget has no room. Nothing was read from it.
+func (s *Server) refuse(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refused >= maxRefused {
+		_ = c.Close()
+	} else {
+		s.closeRefused(c, Overloaded)
+	}
+	s.opts.OnClose(Closing{
+		Reason: Limited,
+		Limit: Limit{
+			Name: budget.Conns.String(),
+			Size: s.opts.Budget.Limit(budget.Conns),
+			Used: s.opts.Budget.Used(budget.Conns),
+		},
+	})
+}
+
+// closeRefused sends an answer to the request that may be on its way on a connection, which
+// is not read, and closes the connection once its client has done so, or after a while: a
+// close with unread bytes would take the answer from the client. The caller holds the
+// server's lock.
+func (s *Server) closeRefused(c net.Conn, answer string) {
+	// The socket's buffer is empty, as any answer before was sent.
+	_ = c.SetWriteDeadline(time.Now().Add(refusalWriteTime))
+	_, err := io.WriteString(c, answer)
+	if w, ok := c.(interface{ CloseWrite() error }); err != nil || !ok || w.CloseWrite() != nil {
+		_ = c.Close()
+		return
+	}
+	_ = c.SetReadDeadline(time.Now().Add(refusalReadTime))
+	s.refused++
+	go func() {
+		_, _ = io.Copy(io.Discard, c)
+		_ = c.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		s.refused--
+	}()
+}
--- a/internal/caller/refuse_test.go
+++ b/internal/caller/refuse_test.go
@@ -187,7 +187,7 @@
 			t.Parallel()
 			s, l := newTestServer(t, tc.idleLimit, nil)
 			closings := make(chan Closing, 2)
-			s.opts.LastAnswer, s.opts.HeaderTimeout = RequestTimeout, limit
+			s.opts.LastAnswer, s.opts.HeaderTimeout = RequestTimeout, func() time.Duration { return limit }
 			s.http.ReadHeaderTimeout = limit
 			s.opts.OnClose = func(c Closing) { closings <- c }
 			go func() { _ = s.Serve(l) }()
--- a/internal/cmds/trefoild_fleet.go
+++ b/internal/cmds/trefoild_fleet.go
@@ -28,12 +28,17 @@
 				Sources:  cli.EnvVars(platform.SettingsVariable),
 				Required: true,
 			},
+			&cli.IntFlag{
+				Name:  "max-fds",
+				Usage: "number of descriptors that this process may open, in place of that in the settings",
+			},
 		},
 		Action: runFleet,
 	}
 }
 
-func loadFleetSettings(file string) (*conf.Fleet, error) {
+// loadFleetSettings reads the settings of a process. A maxFDs above 0 replaces the setting.
+func loadFleetSettings(file string, maxFDs int) (*conf.Fleet, error) {
 	set, err := conf.LoadFleet(file)
 	var findings conf.Findings
 	if errors.As(err, &findings) {
@@ -42,6 +47,9 @@
 	if err != nil {
 		return nil, Usagef("--settings: %w", err)
 	}
+	if maxFDs > 0 {
+		set.Node.MaxFDs = maxFDs
+	}
 	return set, nil
 }
 
@@ -53,8 +61,11 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	file := cmd.String("settings")
-	set, err := loadFleetSettings(file)
+	file, maxFDs := cmd.String("settings"), cmd.Int("max-fds")
+	if maxFDs < 0 {
+		return Usagef("--max-fds: %d is below zero", maxFDs)
+	}
+	set, err := loadFleetSettings(file, maxFDs)
 	if err != nil {
 		return err
 	}
@@ -63,6 +74,6 @@
 		return err
 	}
 	defer release()
-	p.Run(ctx, signals, func() (*conf.Fleet, error) { return loadFleetSettings(file) })
+	p.Run(ctx, signals, func() (*conf.Fleet, error) { return loadFleetSettings(file, maxFDs) })
 	return nil
 }
--- a/internal/conf/node.go
+++ b/internal/conf/node.go
@@ -11,6 +11,9 @@
 	// MemoryMB is the memory that this process may use, in MB; 0 means that it is not
 	// known.
 	MemoryMB float64 `yaml:"memory-mb"`
+	// MaxFDs is how many descriptors this process may open; 0 means that only the system's
+	// limit counts.
+	MaxFDs int `yaml:"max-fds"`
 }
 
 // DefaultCapacity is one CPU core.
@@ -26,6 +29,9 @@
 	if n.MemoryMB < 0 {
 		c.add("memory-mb", "is below zero")
 	}
+	if n.MaxFDs < 0 {
+		c.add("max-fds", "is below zero")
+	}
 	for _, f := range []struct{ field, value string }{{field: "name", value: n.Name}, {field: "domain", value: n.Domain}} {
 		switch {
 		case f.value == "":
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -112,27 +112,56 @@
 // meanwhile, before the request fails as not sent.
 const maxAttempts = 3
 
+// Body is the body of a request, in pieces.
+type Body [][]byte
+
+// Bytes returns the body in one piece.
+func (b Body) Bytes() []byte {
+	if len(b) == 1 {
+		return b[0]
+	}
+	return bytes.Join(b, nil)
+}
+
+// Len returns the number of bytes.
+func (b Body) Len() int {
+	n := 0
+	for _, piece := range b {
+		n += len(piece)
+	}
+	return n
+}
+
+// reader returns a reader of the body.
+func (b Body) reader() io.Reader {
+	readers := make([]io.Reader, len(b))
+	for i, piece := range b {
+		readers[i] = bytes.NewReader(piece)
+	}
+	return io.MultiReader(readers...)
+}
+
 // Send sends req with the given body and returns the response. The error is a
 // *NotSentError if no byte was written.
 func (t *Transport) Send(req *http.Request, body []byte) (*http.Response, error) {
-	return t.SendChecked(req, body, nil)
+	return t.SendChecked(req, Body{body}, nil)
 }
 
 // SendChecked is like Send, but runs check once a connection is available,
 // immediately before the first byte is written. An error from check is returned
 // in a *NotSentError.
-func (t *Transport) SendChecked(req *http.Request, body []byte, check func() error) (*http.Response, error) {
+func (t *Transport) SendChecked(req *http.Request, body Body, check func() error) (*http.Response, error) {
 	return send(t.base, req, body, check)
 }
 
 // SendAgain is like SendChecked, but uses a new connection. It is for a request that
 // the server was sent before with the same id: on a connection that was used before, a
 // second copy of the earlier response could not be told from the response to this one.
-func (t *Transport) SendAgain(req *http.Request, body []byte, check func() error) (*http.Response, error) {
+func (t *Transport) SendAgain(req *http.Request, body Body, check func() error) (*http.Response, error) {
 	return send(t.single, req, body, check)
 }
 
-func send(base *http.Transport, req *http.Request, body []byte, check func() error) (*http.Response, error) {
+func send(base *http.Transport, req *http.Request, body Body, check func() error) (*http.Response, error) {
 	for attempt := 1; ; attempt++ {
 		w := &writeTracker{
 			check: check,
@@ -148,16 +177,16 @@
 	}
 }
 
-func sendOnce(base *http.Transport, req *http.Request, body []byte, w *writeTracker) (*http.Response, error) {
+func sendOnce(base *http.Transport, req *http.Request, body Body, w *writeTracker) (*http.Response, error) {
 	trace := &httptrace.ClientTrace{
 		GotConn: w.gotConn,
 	}
 	out := req.WithContext(httptrace.WithClientTrace(req.Context(), trace))
 	// http.Transport cannot resend a request that has a body but no GetBody.
-	out.Body = &onceBody{Reader: bytes.NewReader(body)}
+	out.Body = &onceBody{Reader: body.reader()}
 	out.GetBody = nil
-	out.ContentLength = int64(len(body))
-	if len(body) == 0 {
+	out.ContentLength = int64(body.Len())
+	if out.ContentLength == 0 {
 		// Zero with a body means that the length is unknown; an explicit
 		// encoding is then chosen by http.Transport.
 		out.ContentLength = -1
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -181,7 +181,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		res, err := tr.SendChecked(req, []byte("x"), func() error { return want })
+		res, err := tr.SendChecked(req, Body{[]byte("x")}, func() error { return want })
 		if err == nil {
 			res.Body.Close()
 		}
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -486,7 +486,7 @@
 	if call.Again {
 		send = c.transport.SendAgain
 	}
-	res, err := send(req, call.Body, call.Check)
+	res, err := send(req, conn.Body{call.Body}, call.Check)
 	if err != nil {
 		var notSent *NotSentError
 		if errors.As(err, &notSent) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -248,13 +248,14 @@
 // serveCallers serves callers' requests until the node is closed.
 func (n *Node) serveCallers(l net.Listener) *caller.Server {
 	srv := caller.NewServer(caller.Options{
-		Handler:        n.entry.Handler(),
-		IdleLimit:      func() time.Duration { return callerIdleLimit },
-		HeaderTimeout:  headerTimeout,
-		MaxHeaderBytes: n.settings.Limits.MaxHeaderBytes,
-		LastAnswer:     caller.RequestTimeout,
-		RequestID:      n.entry.NewRequestID,
-		Fail:           n.entry.Fail,
+		Handler:          n.entry.Handler(),
+		IdleLimit:        func() time.Duration { return callerIdleLimit },
+		FirstByteTimeout: headerTimeout,
+		HeaderTimeout:    func() time.Duration { return headerTimeout },
+		MaxHeaderBytes:   func() int { return n.settings.Limits.MaxHeaderBytes },
+		LastAnswer:       caller.RequestTimeout,
+		RequestID:        n.entry.NewRequestID,
+		Fail:             n.entry.Fail,
 		OnPanic: func(p caller.Panic) {
 			n.stats.Inc(stats.RequestsPanicked)
 			n.logUnanswered("Request failed by a fault of this program", p.Request, "answered", p.Answered,
--- a/internal/proc/observe.go
+++ b/internal/proc/observe.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"trefoildale.example/trefoildale/internal/budget"
 	"trefoildale.example/trefoildale/internal/serve"
 )
 
@@ -21,6 +22,7 @@
 	requestsEnded    *prometheus.CounterVec
 	requestsRepeated *prometheus.CounterVec
 	connsClosed      *prometheus.CounterVec
+	limited          *prometheus.CounterVec
 	panics           prometheus.Counter
 	firstByte        *prometheus.HistogramVec
 	total            *prometheus.HistogramVec
@@ -45,6 +47,10 @@
 			Name: "trefoildale_caller_connections_closed_total",
 			Help: "Connections of callers that the process closed without or before an answer, by reason.",
 		}, []string{"reason"}),
+		limited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "trefoildale_caller_limited_total",
+			Help: "Connections and requests of callers that a limit has ended or refused, by limit.",
+		}, []string{"limit"}),
 		panics: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "trefoildale_request_panics_total",
 			Help: "Requests that failed by a fault of this program.",
@@ -60,7 +66,7 @@
 			Buckets: latencyBuckets,
 		}, []string{"service"}),
 	}
-	m.registry.MustRegister(m.requestsEnded, m.requestsRepeated, m.connsClosed, m.panics, m.firstByte, m.total, collectors.NewGoCollector())
+	m.registry.MustRegister(m.requestsEnded, m.requestsRepeated, m.connsClosed, m.limited, m.panics, m.firstByte, m.total, collectors.NewGoCollector())
 	return m
 }
 
@@ -72,6 +78,15 @@
 	}, value))
 }
 
+// addPartGauge is addGauge for one part of the process's budget.
+func (m *metrics) addPartGauge(name, help string, part budget.Part, value func() float64) {
+	m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name:        name,
+		Help:        help,
+		ConstLabels: prometheus.Labels{"part": part.String()},
+	}, value))
+}
+
 func (m *metrics) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
--- a/internal/proc/proc.go
+++ b/internal/proc/proc.go
@@ -3,11 +3,9 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
 	"slices"
@@ -17,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/budget"
 	"trefoildale.example/trefoildale/internal/caller"
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/conf"
@@ -51,8 +50,9 @@
 	// unresponsivePeerTimeout is how long a peer may leave sent TCP data or keepalive
 	// probes unacknowledged before the connection is closed.
 	unresponsivePeerTimeout = 6 * time.Second
-	// headerReadTimeout is how long a caller may take to send the request header.
-	headerReadTimeout = 5 * time.Second
+	// firstByteTimeout is how long a connection may be open before the first byte of its
+	// first request.
+	firstByteTimeout = 5 * time.Second
 	// leaseTerm is the duration of the coordinator's lease. It leaves time for three
 	// renewals even if the store is sixty times slower than usual.
 	leaseTerm = 1500 * time.Millisecond
@@ -102,9 +102,12 @@
 	server         *serve.Server
 	node           *coord.Node
 	callerServer   *caller.Server
-	readyServer    *http.Server
-	metricsServer  *http.Server
+	readyServer    *caller.Server
+	metricsServer  *caller.Server
 	requestMetrics *metrics
+	// budget is what callers may use of the process's memory and descriptors.
+	budget *budget.Pool
+	limits limitLog
 	// pulse belongs to the goroutine of Run.
 	pulse    *drain.Pulse
 	stopping atomic.Bool
@@ -130,6 +133,7 @@
 		store:          store,
 		table:          picker.NewTable(settings.Node.Domain),
 		requestMetrics: newMetrics(),
+		budget:         newBudget(settings),
 		pulse:          drain.NewPulse(clk.Now()),
 	}
 	p.table.SetLog(log.Logger)
@@ -149,6 +153,7 @@
 		Prober:    endpoints,
 		MayTest:   func() bool { return p.node.IsCoordinator() },
 		Places:    pacer,
+		Budget:    p.budget,
 	})
 	p.node = coord.New(coord.Options{
 		Node:              settings.Node.Name,
@@ -180,6 +185,7 @@
 	})
 	endpoints.SetListener(p.node)
 	p.addGauges(parts)
+	p.addBudgetGauges()
 	release := func() {
 		closePeers()
 		closeEndpoints()
@@ -249,25 +255,25 @@
 	if err != nil {
 		return err
 	}
-	p.stopRPC = wire.ServeFleet(peers, p.node, new(wire.Meter))
+	p.stopRPC = wire.ServeFleet(caller.Bound(peers, p.newPeersBudget(), p.recordClosingAt("peers")), p.node, new(wire.Meter))
 	front := platform.NewFront(p.server, p.clock)
 	p.callerServer = caller.NewServer(caller.Options{
-		Handler:       front,
-		IdleLimit:     func() time.Duration { return platform.IdleLimit(p.server.Config()) },
-		IdleMargin:    time.Duration(p.settings.Bounds.ConfigApply),
-		HeaderTimeout: headerReadTimeout,
-		LastAnswer:    caller.RequestTimeout,
-		RequestID:     platform.RequestID,
-		Fail:          front.Fail,
-		OnPanic:       p.recordPanic,
-		OnClose:       p.recordClosing,
+		Handler:          front,
+		IdleLimit:        func() time.Duration { return platform.IdleLimit(p.server.Config()) },
+		IdleMargin:       time.Duration(p.settings.Bounds.ConfigApply),
+		FirstByteTimeout: firstByteTimeout,
+		HeaderTimeout:    func() time.Duration { return platform.HeaderTimeout(p.server.Config()) },
+		MaxHeaderBytes:   func() int { return platform.MaxHeaderBytes(p.server.Config()) },
+		LastAnswer:       caller.RequestTimeout,
+		RequestID:        platform.RequestID,
+		Fail:             front.Fail,
+		OnPanic:          p.recordPanic,
+		OnClose:          p.recordClosingAt("callers"),
+		Budget:           p.budget,
+		Pacer:            budget.NewPacer(p.settings.Node.Capacity),
 	})
-	p.readyServer = &http.Server{
-		Handler: platform.NewReadyHandler(func() bool { return !p.stopping.Load() && p.node.Ready() }),
-	}
-	p.metricsServer = &http.Server{
-		Handler: p.requestMetrics.handler(),
-	}
+	p.readyServer = p.newSideServer("ready", platform.NewReadyHandler(func() bool { return !p.stopping.Load() && p.node.Ready() }))
+	p.metricsServer = p.newSideServer("metrics", p.requestMetrics.handler())
 	for _, s := range []struct {
 		server interface {
 			Serve(net.Listener) error
@@ -283,7 +289,7 @@
 			return err
 		}
 		go func() {
-			if err := s.server.Serve(l); err != nil && !errors.Is(err, http.ErrServerClosed) {
+			if err := s.server.Serve(l); err != nil {
 				p.log.Error("listener failed", "address", s.address, "error", err.Error())
 			}
 		}()
@@ -460,9 +466,11 @@
 
 // recordClosing counts connections that the process closes, and logs those of which a
 // request or a part of one was read.
-func (p *Process) recordClosing(c caller.Closing) {
+func (p *Process) recordClosing(listener string, c caller.Closing) {
 	p.requestMetrics.connsClosed.WithLabelValues(string(c.Reason)).Inc()
 	switch {
+	case c.Reason == caller.Limited:
+		p.recordLimited(listener, c)
 	case c.Reason == caller.Unanswered:
 		p.logUnanswered("request ended without an answer", c.Request)
 	case c.Partial:
--- a/internal/serve/crash_test.go
+++ b/internal/serve/crash_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"trefoildale.example/trefoildale/internal/clock"
+	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/fleet"
 )
 
@@ -292,7 +293,7 @@
 			send := func(id, body string, outcomes ...fakeOutcome) *fakeCaller {
 				h.sender.outcomes = outcomes
 				req := h.request(tc.route)
-				req.ID, req.Body, req.Parts = id, []byte(body), tc.parts
+				req.ID, req.Body, req.Parts = id, conn.Body{[]byte(body)}, tc.parts
 				c := &fakeCaller{}
 				h.server.Serve(t.Context(), req, c)
 				return c
--- a/internal/serve/terms.go
+++ b/internal/serve/terms.go
@@ -173,6 +173,22 @@
 	return c.req.Arrived.Add(timeout)
 }
 
+// LatestDeadline returns by when the final answer of a request that has not arrived in full
+// is due, by the configuration in force.
+func (s *Server) LatestDeadline(req *Request) time.Time {
+	c := &call{
+		Server: s,
+		req:    req,
+	}
+	r := new(fleet.Route)
+	if config := s.Config(); config != nil {
+		if match := config.Match(req.Host, req.Path); match != nil {
+			r = match
+		}
+	}
+	return c.deadlineUnder(r)
+}
+
 // shortens reports whether a route moves the deadline of the request forward. It does not
 // if the request has run: its endpoint works until the deadline that it was given.
 func (c *call) shortens(r *fleet.Route) bool {
--- a/internal/serve/types.go
+++ b/internal/serve/types.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/fleet"
 	"trefoildale.example/trefoildale/internal/health"
 )
@@ -28,7 +29,7 @@
 	Path   string
 	URI    string
 	Header http.Header
-	Body   []byte
+	Body   conn.Body
 	// Wait is how long the caller waits for an answer; 0 means no limit of its own.
 	Wait    time.Duration
 	Arrived time.Time
@@ -54,12 +55,14 @@
 // its body. It has no part of an id that changes.
 func (r *Request) Fingerprint() string {
 	h := sha256.New()
-	for _, field := range [][]byte{[]byte(r.URI), []byte(r.Key), r.Body} {
+	for _, field := range []conn.Body{{[]byte(r.URI)}, {[]byte(r.Key)}, r.Body} {
 		// The lengths keep fields apart.
 		var size [8]byte
-		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+		binary.BigEndian.PutUint64(size[:], uint64(field.Len()))
 		h.Write(size[:])
-		h.Write(field)
+		for _, piece := range field {
+			h.Write(piece)
+		}
 	}
 	return hex.EncodeToString(h.Sum(nil)[:fingerprintBytes])
 }
