--- a/internal/budget/pacer.go
+++ b/internal/budget/pacer.go
@@ -5,11 +5,14 @@
 	"time"
 )
 
+// The bytes of chunk marks that a body may have without being paced: FreeFraming, and
+// FramingRatio for each of its own bytes.
 const (
-	// FreeFraming is how many bytes of chunk marks a body may have without being paced, and
-	// FramingRatio how many more for each of its own bytes.
 	FreeFraming  = 64 << 10
 	FramingRatio = 0.25
+)
+
+const (
 	// framingRate is how many bytes of further chunk marks a core reads per second, and
 	// framingBurst how many it reads at once after a time without any.
 	framingRate  = 10 << 20
