--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -51,6 +51,10 @@
 	ResetOnClose bool
 }
 
+// maxResponseHeaderBytes bounds the head of an answer. With http.Transport's default of
+// 10 MiB, a single endpoint could exhaust the memory of a small VM.
+const maxResponseHeaderBytes = 64 << 10
+
 // Transport sends HTTP/1.1 requests. Unlike http.Transport, it never resends a
 // request of which a byte may have been written. http.Transport does so for GET
 // requests and for all requests with an Idempotency-Key header.
@@ -91,13 +95,11 @@
 					return nil, errors.Join(err, c.Close())
 				}
 			}
-			return &trackedConn{Conn: c}, nil
+			return newTrackedConn(c), nil
 		},
-		DisableCompression:  true,
-		MaxIdleConnsPerHost: idle,
-		// With the default of 10 MiB, a single endpoint could exhaust the memory of
-		// a small VM.
-		MaxResponseHeaderBytes: 64 << 10,
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    idle,
+		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 		IdleConnTimeout:        idleTimeout,
 	}
 	single := base.Clone()
@@ -293,48 +295,3 @@
 	}
 	return true
 }
-
-// trackedConn is a connection that counts the writes that may have sent a byte.
-type trackedConn struct {
-	net.Conn
-	mu     sync.Mutex
-	writes int64
-	sealed bool
-}
-
-func (c *trackedConn) writeCount() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.writes
-}
-
-// sealIfUnused blocks later writes and returns true, unless the number of writes
-// differs from initialWrites.
-func (c *trackedConn) sealIfUnused(initialWrites int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.writes != initialWrites {
-		return false
-	}
-	c.sealed = true
-	return true
-}
-
-// Write implements net.Conn. A write is counted before it starts, so that a
-// write in progress already counts, and is subtracted again if it sent nothing.
-func (c *trackedConn) Write(b []byte) (int, error) {
-	c.mu.Lock()
-	if c.sealed {
-		c.mu.Unlock()
-		return 0, ErrSealed
-	}
-	c.writes++
-	c.mu.Unlock()
-	n, err := c.Conn.Write(b)
-	if n == 0 && err != nil {
-		c.mu.Lock()
-		c.writes--
-		c.mu.Unlock()
-	}
-	return n, err
-}
--- a/internal/conn/conn_test.go
+++ b/internal/conn/conn_test.go
@@ -144,7 +144,7 @@
 	a, b := net.Pipe()
 	defer a.Close()
 	defer b.Close()
-	c := &trackedConn{Conn: a}
+	c := newTrackedConn(a)
 	var w writeTracker
 	w.conns, w.initialWrites = []*trackedConn{c}, []int64{c.writeCount()}
 	if !w.seal() {
--- a/internal/fake/model/model.go
+++ b/internal/fake/model/model.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/engine"
 	"trefoildale.example/trefoildale/internal/fake/fault"
 	"trefoildale.example/trefoildale/internal/fake/reply"
@@ -204,7 +205,9 @@
 	opts.setDefaults()
 	faults, releaseFaults := fault.NewSet()
 	ctx, cancel := context.WithCancel(context.Background())
-	transport := &http.Transport{}
+	transport := &http.Transport{
+		DialContext: conn.Judged(nil),
+	}
 	e := &Engine{
 		opts:    opts,
 		faults:  faults,
--- a/internal/load/call.go
+++ b/internal/load/call.go
@@ -13,6 +13,7 @@
 	"strings"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/fake/model"
 	"trefoildale.example/trefoildale/internal/fake/plain"
 	"trefoildale.example/trefoildale/pkg/spec"
@@ -85,6 +86,7 @@
 
 func newCaller(pickAddress func(*Arrival, int) string, keys map[string]string) (*caller, func()) {
 	t := &http.Transport{
+		DialContext:         conn.Judged(nil),
 		MaxIdleConnsPerHost: 1024,
 		IdleConnTimeout:     time.Minute,
 	}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -14,6 +14,7 @@
 	"sync"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/conn"
 	"trefoildale.example/trefoildale/internal/fake/site"
 )
 
@@ -108,7 +109,9 @@
 		}
 	}
 	c.client = &http.Client{
-		Transport: &http.Transport{},
+		Transport: &http.Transport{
+			DialContext: conn.Judged(nil),
+		},
 	}
 }
 
