--- a/internal/conn/track.go
+++ b/internal/conn/track.go
@@ -19,8 +19,8 @@
 // the server's side of the connection.
 const maxRequestWait = time.Second
 
-// Judged returns a Dial whose connections fail at the end of a connection that does not end an
-// answer, for clients that use an http.Transport of their
+// Judged returns a Dial whose connections fail at bytes that are no answer, and at the end of
+// a connection that does not end an answer, for clients that use an http.Transport of their
 // own.
 func Judged(dial Dial) Dial {
 	if dial == nil {
@@ -36,7 +36,7 @@
 }
 
 // trackedConn is a connection that counts the writes that may have sent a byte, and judges
-// the ends of answers.
+// the heads and the ends of answers.
 type trackedConn struct {
 	net.Conn
 
@@ -49,6 +49,10 @@
 	isWriting bool
 	isLost    bool
 	changed   chan struct{}
+	// head judges the answer to it. headErr is what it has found wrong; all later reads fail
+	// too, since net/http reads on after an error at the first field.
+	head    headJudge
+	headErr error
 }
 
 func newTrackedConn(c net.Conn) *trackedConn {
@@ -90,6 +94,9 @@
 		// The connection is in use again.
 		c.sent = sentRequest{}
 	}
+	if !c.sent.isBegun() {
+		c.head = headJudge{}
+	}
 	c.mu.Unlock()
 	n, err := c.Conn.Write(b)
 	c.mu.Lock()
@@ -113,12 +120,26 @@
 // Read implements net.Conn.
 func (c *trackedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if n > 0 {
+		if err := c.judge(b[:n]); err != nil {
+			return 0, err
+		}
+	}
 	if errors.Is(err, io.EOF) && !c.awaitRequest() {
 		err = ErrCutOff
 	}
 	return n, err
 }
 
+func (c *trackedConn) judge(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.headErr == nil {
+		c.headErr = c.head.add(p)
+	}
+	return c.headErr
+}
+
 // awaitRequest waits until the request that is being written has been written, and reports
 // whether it was. A server may answer before it has read a long request.
 func (c *trackedConn) awaitRequest() bool {
