--- a/internal/audit/reason.go
+++ b/internal/audit/reason.go
@@ -134,6 +134,8 @@
 	ShutdownCut
 	InternalError
 	ConfigBehind
+	BodiesFull
+	BodyLate
 	numReasons
 )
 
@@ -165,6 +167,8 @@
 	ModelUnknown:    {"model-unknown", KindRefusal, CauseCaller, requestSubject + "was refused because there is no model[ named {model}]." + notRunNote},
 	MethodUnknown:   {"method-unknown", KindRefusal, CauseCaller, requestSubject + "was refused because the service does not offer this kind of call." + notRunNote},
 	BodyTooLarge:    {"body-too-large", KindRefusal, CauseCaller, requestSubject + "was refused because it is too big[: {wanted} bytes, and the most allowed is {limit}]." + notRunNote},
+	BodiesFull:      {"bodies-full", KindRefusal, CauseSystem, requestSubject + "was refused because too many large requests were arriving at the same time." + notRunNote + retryHint},
+	BodyLate:        {"body-late", KindRefusal, CauseCaller, requestSubject + "was refused because it stopped arriving before its end." + notRunNote},
 	ContextTooLong:  {"context-too-long", KindRefusal, CauseCaller, requestSubject + "was refused because its text is too long for the model[ {model}][: {wanted} tokens, and the most it can take is {limit}]." + notRunNote},
 	BadRequest:      {"bad-request", KindRefusal, CauseCaller, requestSubject + "was refused because it could not be understood." + notRunNote},
 	NoEndpoint:      {"no-endpoint", KindRefusal, CauseSystem, requestSubject + "was refused because no server that could answer it[ with the model {model}] was working[ among {count}]." + notRunNote + retryHint},
--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -4,6 +4,11 @@
 // small one, which needs no share.
 package budget
 
+import (
+	"math"
+	"syscall"
+)
+
 // Part is a part of what a process may use for its callers.
 type Part int
 
@@ -93,3 +98,17 @@
 func ConnsByDescriptors(descriptors int) int64 {
 	return max(minConns, int64(descriptors-fileDescriptors)/descriptorsPerConn)
 }
+
+// Descriptors returns how many descriptors the process may open: the lower one of the
+// setting, 0 for none, and of what the system allows.
+func Descriptors(setting int) int {
+	out := math.MaxInt32
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < math.MaxInt32 {
+		out = int(limit.Cur)
+	}
+	if setting > 0 {
+		out = min(out, setting)
+	}
+	return out
+}
--- a/internal/entry/auth.go
+++ b/internal/entry/auth.go
@@ -4,13 +4,13 @@
 	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"net/url"
 	"strings"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/caller"
 	"trefoildale.example/trefoildale/internal/keys"
 	"trefoildale.example/trefoildale/internal/stats"
 )
@@ -169,16 +169,12 @@
 			_ = http.NewResponseController(q.w).SetReadDeadline(time.Now())
 		}
 	})
-	body, err := io.ReadAll(http.MaxBytesReader(q.w, q.r.Body, q.opts.Limits.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		q.refuse(problem{
-			Status:  http.StatusRequestEntityTooLarge,
-			Reason:  audit.BodyTooLarge,
-			Message: "the body is larger than this service accepts",
-			NotRun:  true,
-		}, audit.Event{
-			Limit: tooLarge.Limit,
+	pieces, err := caller.ReadBody(q.w, q.r, caller.Upload{
+		Limit: func() int64 { return q.opts.Limits.MaxBodyBytes },
+	})
+	if p := bodyProblem(err); p != nil {
+		q.refuse(*p, audit.Event{
+			Limit: q.opts.Limits.MaxBodyBytes,
 		})
 		return nil, false
 	}
@@ -194,6 +190,7 @@
 		q.badRequest("the body could not be read: " + err.Error())
 		return nil, false
 	}
+	body := pieces.Bytes()
 	if q.leaksKey(body) {
 		q.badRequest(keyElsewhere)
 		return nil, false
@@ -201,6 +198,38 @@
 	return body, true
 }
 
+// bodyRetryAfter is the Retry-After of a request whose body found no memory.
+const bodyRetryAfter = time.Second
+
+// bodyProblem returns the refusal of a request whose body a limit has ended, or nil.
+func bodyProblem(err error) *problem {
+	switch {
+	case errors.Is(err, caller.ErrBodyTooLarge):
+		return &problem{
+			Status:  http.StatusRequestEntityTooLarge,
+			Reason:  audit.BodyTooLarge,
+			Message: "the body is larger than this service accepts",
+			NotRun:  true,
+		}
+	case errors.Is(err, caller.ErrBodiesFull):
+		return &problem{
+			Status:     http.StatusServiceUnavailable,
+			Reason:     audit.BodiesFull,
+			Message:    "this node receives as many large bodies as it can hold",
+			NotRun:     true,
+			RetryAfter: bodyRetryAfter,
+		}
+	case errors.Is(err, caller.ErrBodyStalled):
+		return &problem{
+			Status:  http.StatusRequestTimeout,
+			Reason:  audit.BodyLate,
+			Message: "the body has stopped arriving",
+			NotRun:  true,
+		}
+	}
+	return nil
+}
+
 // leaksKey reports whether the key occurs outside the Authorization header.
 func (q *request) leaksKey(body []byte) bool {
 	if q.secret == "" {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,7 @@
 	"k8s.io/klog/v2"
 
 	"trefoildale.example/trefoildale/internal/audit"
+	"trefoildale.example/trefoildale/internal/budget"
 	"trefoildale.example/trefoildale/internal/caller"
 	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/conf"
@@ -255,6 +256,8 @@
 		MaxHeaderBytes:   func() int { return n.settings.Limits.MaxHeaderBytes },
 		LastAnswer:       caller.RequestTimeout,
 		RequestID:        n.entry.NewRequestID,
+		Budget:           budget.NewPool(budget.Divide(n.settings.Node.MemoryMB*1e6, budget.Descriptors(n.settings.Node.MaxFDs))),
+		Pacer:            budget.NewPacer(n.settings.Node.Capacity),
 		Fail:             n.entry.Fail,
 		OnPanic: func(p caller.Panic) {
 			n.stats.Inc(stats.RequestsPanicked)
@@ -266,7 +269,10 @@
 				n.logUnanswered("Request ended without an answer", c.Request)
 				return
 			}
-			klog.V(2).InfoS("Connection closed", "reason", c.Reason, "partial", c.Partial, "idle", c.Idle)
+			if c.Reason == caller.Limited {
+				n.stats.Inc(stats.CallersLimited)
+			}
+			klog.V(2).InfoS("Connection closed", "limit", c.Limit.Name, "size", c.Limit.Size, "used", c.Limit.Used, "reason", c.Reason, "partial", c.Partial, "idle", c.Idle)
 		},
 	})
 	done := make(chan struct{})
--- a/internal/proc/limit.go
+++ b/internal/proc/limit.go
@@ -1,10 +1,8 @@
 package proc
 
 import (
-	"math"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"trefoildale.example/trefoildale/internal/budget"
@@ -48,27 +46,13 @@
 // callers.
 func (p *Process) newPeersBudget() *budget.Pool {
 	return budget.NewPool(budget.Limits{
-		budget.Conns: budget.ConnsByDescriptors(descriptors(p.settings.Node.MaxFDs)),
+		budget.Conns: budget.ConnsByDescriptors(budget.Descriptors(p.settings.Node.MaxFDs)),
 	})
 }
 
 // newBudget returns what callers may use of the memory and the descriptors of the process.
 func newBudget(settings *conf.Fleet) *budget.Pool {
-	return budget.NewPool(budget.Divide(settings.Node.MemoryMB*1e6, descriptors(settings.Node.MaxFDs)))
-}
-
-// descriptors returns how many descriptors the process may open: the lower one of the
-// setting, 0 for none, and of what the system allows.
-func descriptors(setting int) int {
-	out := math.MaxInt32
-	var limit syscall.Rlimit
-	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) == nil && limit.Cur < math.MaxInt32 {
-		out = int(limit.Cur)
-	}
-	if setting > 0 {
-		out = min(out, setting)
-	}
-	return out
+	return budget.NewPool(budget.Divide(settings.Node.MemoryMB*1e6, budget.Descriptors(settings.Node.MaxFDs)))
 }
 
 const (
--- a/internal/stats/counter.go
+++ b/internal/stats/counter.go
@@ -19,6 +19,7 @@
 	RequestsCancelled
 	RequestsInterrupted
 	RequestsPanicked
+	CallersLimited
 	TokensCharged
 	TokensRefunded
 	TokensGenerated
@@ -74,6 +75,7 @@
 	RequestsCancelled:    {"requests", "cancelled"},
 	RequestsInterrupted:  {"requests", "interrupted"},
 	RequestsPanicked:     {"requests", "panicked"},
+	CallersLimited:       {"callers", "limited"},
 	TokensCharged:        {"tokens", "charged"},
 	TokensRefunded:       {"tokens", "refunded"},
 	TokensGenerated:      {"tokens", "generated"},
