--- a/internal/fake/site/engine.go
+++ b/internal/fake/site/engine.go
@@ -656,6 +656,10 @@
 		defer e.readBody(r, id, bodyPause)
 	case Repeated, ForeignAfter:
 		defer e.writeSecond(r, id, form)
+	case ResetPart, OddHead:
+		arrival.Broken = "answer that is none"
+		e.writeOdd(w, id, form)
+		return
 	case EndlessHead, EndlessBody:
 		arrival.Broken = "answer without end"
 		e.writeEndless(w, id, form)
--- a/internal/fake/site/form.go
+++ b/internal/fake/site/form.go
@@ -27,6 +27,11 @@
 	// both late on the connection.
 	Repeated
 	ForeignAfter
+	// ResetPart is a part of an answer without a length, before the body of the request is
+	// read, whose connection is reset then.
+	ResetPart
+	// OddHead is an answer whose head is none in the protocol.
+	OddHead
 	// EndlessHead and EndlessBody are bytes that are no answer, until the client closes.
 	EndlessHead
 	EndlessBody
@@ -139,6 +144,40 @@
 	return c != nil && c.second.After(arrived.Add(-secondLead))
 }
 
+// oddHeads are heads that are none in the protocol, each with what is wrong.
+var oddHeads = []string{
+	"HTTP/1.1 000 OK\r\nContent-Length: %d\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length : %d\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX Y: 1\r\n",
+	"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nX\x02Y: 1\r\n",
+	"HTTP/9.9 200 OK\r\nContent-Length: %d\r\n",
+}
+
+// maxResetDelay is how long after a part of an answer its connection is reset at most.
+const maxResetDelay = 30 * time.Millisecond
+
+// writeOdd sends an answer that is none, or a part of one and a reset.
+func (e *Endpoint) writeOdd(w http.ResponseWriter, id string, form Form) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	body := PlainAnswer(id)
+	head := "HTTP/1.1 200 OK\r\n"
+	if form == OddHead {
+		head = fmt.Sprintf(oddHeads[rand.IntN(len(oddHeads))], len(body))
+	} else {
+		body = body[:len(body)/2]
+		if tcp, ok := conn.(*net.TCPConn); ok {
+			defer func() { _ = tcp.SetLinger(0) }()
+		}
+	}
+	// An error means that the client has disconnected.
+	_, _ = fmt.Fprintf(conn, "%s%s: %s\r\n%s: %s.%s\r\n\r\n%s", head, headerRequestID, id, headerStamp, e.opts.ID, id, body)
+	time.Sleep(rand.N(maxResetDelay))
+}
+
 // writeEndless sends bytes that are no answer until the client closes the connection.
 func (e *Endpoint) writeEndless(w http.ResponseWriter, id string, form Form) {
 	conn, _, err := http.NewResponseController(w).Hijack()
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -97,12 +97,16 @@
 	for _, other := range r.nodes {
 		seeds += fmt.Sprintf("%q, ", other.peers.Addr())
 	}
-	settings := fmt.Sprintf(`node: {name: %s, domain: %s, capacity: 1}
+	memoryMB := 0
+	if r.opts.Crowds {
+		memoryMB = crowdMemoryMB
+	}
+	settings := fmt.Sprintf(`node: {name: %s, domain: %s, capacity: 1, memory-mb: %d}
 listen: {callers: %q, ready: %q, peers: %q, peers-advertised: %q, metrics: %q}
 store: {address: %q}
 bounds: {lease: %v, grace: %v, retry-ratio: 0.2, retry-slack: 50, quota-slack: %d}
 seeds: [%s]
-`, n.name, n.domain, n.callersAddr, n.readyAddr, address(peersPort), n.peers.Addr(), address(metricsPort), n.store.Addr(), leaseBound, graceBound, quotaSlack, seeds)
+`, n.name, n.domain, memoryMB, n.callersAddr, n.readyAddr, address(peersPort), n.peers.Addr(), address(metricsPort), n.store.Addr(), leaseBound, graceBound, quotaSlack, seeds)
 	return n, os.WriteFile(r.file(n.name+".yaml"), []byte(settings), 0o600)
 }
 
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -78,6 +78,9 @@
 	Statements bool
 	// Limits adds endpoints that name how many requests per second they take.
 	Limits bool
+	// Crowds adds, to planned work, clients outside the limits, and endpoints whose answers
+	// are none or are reset.
+	Crowds bool
 	// Restores adds restores of the store from a copy.
 	Restores bool
 	// Planned replaces the faults by planned work (stops, reloads, configurations) and
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -112,6 +112,20 @@
 	})
 }
 
+// TestSoakCrowds guards against processes that end, or lose requests of ordinary callers,
+// beside clients outside the limits, and against answers that are none or are reset and
+// reach callers as whole ones.
+func TestSoakCrowds(t *testing.T) {
+	runSeed(t, "fixed seed", soak.Options{
+		Seed:    46001,
+		Planned: true,
+		Crowds:  true,
+		Nodes:   8,
+		Callers: 48,
+		Faults:  10 * time.Second,
+	})
+}
+
 // TestSoakPlannedTrouble guards against requests that are lost, or accepted and cut, beside
 // planned work while endpoints and the store are in trouble too. It runs the seeds that once
 // failed.
--- a/internal/soak/trouble.go
+++ b/internal/soak/trouble.go
@@ -54,6 +54,9 @@
 	if r.opts.Statements {
 		out = append(out, planKind{share: 3, draw: (*run).drawForms}, planKind{share: 1, draw: (*run).drawStatement})
 	}
+	if r.opts.Crowds {
+		out = append(out, planKind{share: 3, draw: (*run).drawCrowd}, planKind{share: 2, draw: (*run).drawOddAnswers})
+	}
 	if r.opts.Restores {
 		out = append(out, planKind{share: 1, draw: (*run).drawRestore})
 	}
