--- a/internal/caller/answer.go
+++ b/internal/caller/answer.go
@@ -13,6 +13,8 @@
 
 	server *Server
 	conn   *trackedConn
+	// request is nil where there is no conn.
+	request *exchange
 	// isPlain is set if an answer without a length ends with its connection.
 	isPlain bool
 	// isLast is set if the connection ends after the answer.
@@ -61,6 +63,9 @@
 		return
 	}
 	a.isBegun = true
+	if a.conn != nil && a.request != nil && !a.request.bodyRead.Load() {
+		a.conn.limitUnread()
+	}
 	// http.MaxBytesReader asks for the end of the connection only from the ResponseWriter
 	// of http.Server itself.
 	isUnread := a.conn != nil && a.conn.bodyUnread.Load()
--- a/internal/caller/caller.go
+++ b/internal/caller/caller.go
@@ -175,6 +175,7 @@
 		isPlain:        !r.ProtoAtLeast(1, 1),
 	}
 	a.conn, _ = r.Context().Value(connKey{}).(*trackedConn)
+	a.request = q
 	defer func() {
 		if value := recover(); value != nil {
 			s.onPanic(a, q, value)
@@ -183,7 +184,7 @@
 	s.opts.Handler.ServeHTTP(a, r)
 	a.begin(http.StatusOK)
 	if a.conn != nil && a.conn.bodyUnread.Load() && a.FlushError() == nil {
-		a.conn.discardBody(r)
+		a.conn.discardUnread()
 	}
 }
 
--- a/internal/caller/crowd_test.go
+++ b/internal/caller/crowd_test.go
@@ -290,6 +290,26 @@
 	}
 }
 
+// TestRefusalOfStalledBody guards against a refusal that waits for the rest of a body which its
+// handler does not read, and which has stopped.
+func TestRefusalOfStalledBody(t *testing.T) {
+	t.Parallel()
+	s, l := newTestServer(t, noLimit, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadRequest) })
+	go func() { _ = s.Serve(l) }()
+	stalled, whole := dial(t, l), dial(t, l)
+	startUpload(t, stalled, 1000, 999)
+	if got := stalled.statusOf(t); got != http.StatusBadRequest {
+		t.Errorf("status %d", got)
+	}
+	for range 2 {
+		// A body that arrives leaves the connection in use.
+		startUpload(t, whole, 1000, 1000)
+		if got := whole.statusOf(t); got != http.StatusBadRequest {
+			t.Errorf("status %d after a whole body", got)
+		}
+	}
+}
+
 // TestUnreadAnswerEnds guards against callers that send requests, read no answers and hold a
 // connection for good.
 func TestUnreadAnswerEnds(t *testing.T) {
--- a/internal/caller/listen.go
+++ b/internal/caller/listen.go
@@ -123,10 +123,6 @@
 	return net.FileConn(f)
 }
 
-// bufferBytes bounds what the socket of a caller holds in each direction. budget.ConnCost
-// contains it.
-const bufferBytes = 64 << 10
-
 // limitBuffers keeps the system from growing the buffers of a connection's socket to
 // megabytes. Where that is not possible, the connection works as well.
 func limitBuffers(c net.Conn) {
@@ -138,8 +134,8 @@
 		return
 	}
 	// The system doubles the value, for its own use.
-	_ = b.SetReadBuffer(bufferBytes / 2)
-	_ = b.SetWriteBuffer(bufferBytes / 2)
+	_ = b.SetReadBuffer(budget.CallerSocket / 2)
+	_ = b.SetWriteBuffer(budget.CallerSocket / 2)
 }
 
 // refuse closes a connection for which the budget has no room. Nothing was read from it.
--- a/internal/caller/upload.go
+++ b/internal/caller/upload.go
@@ -147,15 +147,21 @@
 	return min(pieceSize, max(minPieceSize, size))
 }
 
-// unreadBodyTime is how long the rest of a body is read after the refusal of its request: a
-// close with unread bytes might take the refusal from the caller.
+// unreadBodyTime is how long the rest of a body is read which the handler has not read: a
+// close with unread bytes might take the answer from the caller.
 const unreadBodyTime = 500 * time.Millisecond
 
-// discardBody reads the rest of a body whose request has got its answer.
-func (c *trackedConn) discardBody(r *http.Request) {
+// limitUnread bounds the time for which http.Server reads on after the handler.
+func (c *trackedConn) limitUnread() {
 	c.server.opts.Budget.Enter(c.holder, budget.ReadingBody)
 	_ = c.SetReadDeadline(time.Now().Add(unreadBodyTime))
-	_, _ = io.Copy(io.Discard, r.Body)
+}
+
+// discardUnread reads what the caller still sends after the answer, as bytes: the marks of
+// small chunks cost too much.
+func (c *trackedConn) discardUnread() {
+	c.limitUnread()
+	_, _ = io.Copy(io.Discard, c.Conn)
 }
 
 // pause waits before more of a body is read, until the connection has to give way.
@@ -175,18 +181,22 @@
 	switch {
 	case errors.Is(err, ErrBodyTooLarge):
 		l.Name, l.Size = "body-bytes", u.Limit()
-	case errors.Is(err, ErrBodiesFull):
+	case errors.Is(err, ErrBodiesFull), errors.Is(err, ErrBodyStalled):
 		l.Name, l.Size = budget.Bodies.String(), c.server.opts.Budget.Limit(budget.Bodies)
 	case errors.Is(err, ErrBodyLate):
 		l.Name = "body-time"
-	case errors.Is(err, ErrBodyStalled):
 	default:
 		return
 	}
+	q := c.request.Load()
+	if errors.Is(err, ErrBodyLate) && q != nil {
+		// In milliseconds, as there is no limit on bytes.
+		l.Size, l.Used = u.Until.Sub(q.headerReadAt).Milliseconds(), time.Since(q.headerReadAt).Milliseconds()
+	}
 	c.server.mu.Lock()
 	defer c.server.mu.Unlock()
 	if errors.Is(err, ErrBodyStalled) && c.endedBy != nil {
 		l = limitOf(*c.endedBy)
 	}
-	c.server.reportLimited(l, c.request.Load())
+	c.server.reportLimited(l, q)
 }
