--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -42,10 +42,14 @@
 	FreeHead   = 16 << 10
 	FreeBody   = 16 << 10
 	FreeAnswer = 16 << 10
+	// CallerSocket and AnswerSocket are what the sockets of a caller and of its endpoint have
+	// received at most and nobody has read.
+	CallerSocket = 64 << 10
+	AnswerSocket = 32 << 10
 	// ConnCost is the most that a connection takes besides its shares: its stacks and
-	// buffers and those of the endpoint's connection (56 KiB), what is free, and what both
-	// sockets have received and nobody has read (96 KiB).
-	ConnCost = 56<<10 + FreeHead + FreeBody + FreeAnswer + 96<<10
+	// buffers and those of the endpoint's connection (56 KiB), what is free, and what is in
+	// both sockets.
+	ConnCost = 56<<10 + FreeHead + FreeBody + FreeAnswer + CallerSocket + AnswerSocket
 )
 
 // How the memory of a process is divided. What is not named here is for memory that the
--- a/internal/conn/conn.go
+++ b/internal/conn/conn.go
@@ -45,6 +45,9 @@
 	// MaxIdlePerHost bounds the idle connections kept per server; the default is
 	// 64.
 	MaxIdlePerHost int
+	// ReadBuffer, if set, is what the system may hold of an answer that is not read, in
+	// bytes. By default it lets that grow to megabytes.
+	ReadBuffer int
 	// ResetOnClose makes the close of a connection drop what has not reached the server.
 	// After a usual close, the system goes on sending it, so that a request which was
 	// given up during a network partition arrives after the partition.
@@ -95,6 +98,11 @@
 					return nil, errors.Join(err, c.Close())
 				}
 			}
+			if b, ok := c.(interface{ SetReadBuffer(int) error }); ok && opts.ReadBuffer > 0 {
+				// Where that is not possible, the connection works as well. The system
+				// doubles the value, for its own use.
+				_ = b.SetReadBuffer(opts.ReadBuffer / 2)
+			}
 			return newTrackedConn(c), nil
 		},
 		DisableCompression:     true,
