--- a/internal/coord/pacer_test.go
+++ b/internal/coord/pacer_test.go
@@ -8,7 +8,9 @@
 	"testing"
 	"time"
 
+	"trefoildale.example/trefoildale/internal/clock"
 	"trefoildale.example/trefoildale/internal/fleet"
+	"trefoildale.example/trefoildale/internal/grant"
 	"trefoildale.example/trefoildale/internal/health"
 )
 
@@ -185,3 +187,41 @@
 		t.Errorf("places in the order %q, want %q", order, want)
 	}
 }
+
+// TestLoweredLimitDropsHeldTokens guards against places that a node still has from a higher
+// limit and uses after it heard a lower one (LIMIT).
+func TestLoweredLimitDropsHeldTokens(t *testing.T) {
+	clk := clock.NewFake()
+	table := health.New()
+	hear := func(text string) {
+		table.HearLimit(clk.Now(), clk.Now(), limitedEngine, health.ParseLimit([]string{text}), health.Answer)
+	}
+	p := NewPacer(clk, table)
+	hear("20")
+	if p.Has(limitedEngine, 0) {
+		t.Fatal("a place without a token")
+	}
+	const held = 4
+	p.applyReply(clk.Now(), []grant.Grant{{
+		Workspace: placeName(limitedEngine),
+		Tokens:    held,
+	}}, nil, 0)
+	if _, ok := p.Take(limitedEngine, 0); !ok {
+		t.Fatal("no place with a token")
+	}
+	clk.Advance(100 * time.Millisecond)
+	hear("1")
+	for i := range held {
+		if _, ok := p.Take(limitedEngine, 0); ok {
+			t.Fatalf("place %d of the higher limit is used under the lower one", i+1)
+		}
+	}
+	// Those of the lower limit are used.
+	p.applyReply(clk.Now(), []grant.Grant{{
+		Workspace: placeName(limitedEngine),
+		Tokens:    1,
+	}}, nil, 0)
+	if _, ok := p.Take(limitedEngine, 0); !ok {
+		t.Error("no place with a token of the lower limit")
+	}
+}
