--- a/internal/caller/crowd_test.go
+++ b/internal/caller/crowd_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,15 +43,20 @@
 	r.names = append(r.names, c.Limit.Name)
 }
 
-func (r *limitRecord) has(name string) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	for _, n := range r.names {
-		if n == name {
-			return true
+// mustHave waits until it is recorded that a limit has ended a connection. The answer comes
+// first, since nothing may delay it.
+func (r *limitRecord) mustHave(t *testing.T, name string) {
+	t.Helper()
+	var names []string
+	for until := time.Now().Add(5 * time.Second); time.Now().Before(until); time.Sleep(time.Millisecond) {
+		r.mu.Lock()
+		names = slices.Clone(r.names)
+		r.mu.Unlock()
+		if slices.Contains(names, name) {
+			return
 		}
 	}
-	return false
+	t.Errorf("the limits that ended connections are %q, without %q", names, name)
 }
 
 // uploadHandler answers 200 to a whole body, and otherwise with a status for the error.
@@ -121,9 +127,7 @@
 	if got := stalled.statusOf(t); got != http.StatusRequestTimeout {
 		t.Errorf("the body that has stopped got %d", got)
 	}
-	if !record.has("bodies") {
-		t.Errorf("the record has %q", record.names)
-	}
+	record.mustHave(t, "bodies")
 }
 
 // TestBodiesThatArriveKeepTheirMemory guards against bodies that are refused shortly before
@@ -220,9 +224,7 @@
 		if got := c.statusOf(t); got != tc.status {
 			t.Errorf("%s: status %d beyond the limit, want %d", tc.name, got, tc.status)
 		}
-		if !record.has(tc.limit) {
-			t.Errorf("%s: the record has %q", tc.name, record.names)
-		}
+		record.mustHave(t, tc.limit)
 	}
 }
 
@@ -285,9 +287,7 @@
 			t.Errorf("a request in work got %d", got)
 		}
 	}
-	if !record.has("connections") {
-		t.Errorf("the record has %q", record.names)
-	}
+	record.mustHave(t, "connections")
 }
 
 // TestRefusalOfStalledBody guards against a refusal that waits for the rest of a body which its
@@ -332,7 +332,5 @@
 	case <-time.After(4 * writeTime):
 		t.Error("the write goes on")
 	}
-	if !record.has("answer-unread") {
-		t.Errorf("the record has %q", record.names)
-	}
+	record.mustHave(t, "answer-unread")
 }
