--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -45,7 +45,7 @@
 	// CallerSocket and AnswerSocket are what the sockets of a caller and of its endpoint have
 	// received at most and nobody has read.
 	CallerSocket = 64 << 10
-	AnswerSocket = 32 << 10
+	AnswerSocket = 64 << 10
 	// ConnCost is the most that a connection takes besides its shares: its stacks and
 	// buffers and those of the endpoint's connection (56 KiB), what is free, and what is in
 	// both sockets.
--- a/internal/conn/head.go
+++ b/internal/conn/head.go
@@ -1,7 +1,6 @@
 package conn
 
 import (
-	"bytes"
 	"fmt"
 	"strings"
 )
@@ -16,51 +15,98 @@
 // Error implements error.
 func (e *HeadError) Error() string { return fmt.Sprintf("conn: no answer: %s: %q", e.Why, e.Line) }
 
-// maxHeadLine bounds a line of a head, in bytes. http.Transport bounds the whole head.
-const maxHeadLine = maxResponseHeaderBytes
+// keptBytes is how much of a line is kept: enough for the status, and for the names of the
+// fields that count here.
+const keptBytes = 64
 
 // headJudge follows the head of an answer as it arrives and decides whether it is one, by
 // the grammar of RFC 9112. It is stricter than net/http where that reads a field under
-// another name, or the end of the body at another place, than the next reader may.
+// another name, or the end of the body at another place, than the next reader may. It holds
+// no lines, since they may come without end; http.Transport bounds the whole head.
 type headJudge struct {
 	isDone bool
-	line   []byte
-	// lines is how many lines of the head were read, the status line included.
+	// lines is how many lines of the head have ended, the status line included.
 	lines     int
 	isInterim bool
 	isOld     bool
 	hasLength bool
 	hasCoding bool
+	// kept is the begin of the line, which has size bytes so far.
+	kept []byte
+	size int
+	// isEnding is set after a CR, and inValue after the colon of a field or within a line
+	// that continues a value.
+	isEnding bool
+	inValue  bool
 }
 
 // add judges a part of what was read.
 func (h *headJudge) add(p []byte) error {
-	for !h.isDone && len(p) > 0 {
-		end := bytes.IndexByte(p, '\n')
-		if end < 0 {
-			h.line = append(h.line, p...)
-			if len(h.line) > maxHeadLine {
-				return h.fail("a line is too long")
-			}
+	for _, b := range p {
+		if h.isDone {
 			return nil
 		}
-		h.line = append(h.line, p[:end]...)
-		p = p[end+1:]
-		h.line = bytes.TrimSuffix(h.line, []byte("\r"))
-		if err := h.endLine(); err != nil {
+		var err error
+		switch {
+		case b == '\n':
+			err = h.endLine()
+		case h.isEnding:
+			err = h.fail("CR within a line")
+		case b == '\r':
+			h.isEnding = true
+		default:
+			err = h.addByte(b)
+		}
+		if err != nil {
 			return err
 		}
-		h.line = h.line[:0]
 	}
 	return nil
 }
 
 func (h *headJudge) fail(why string) error {
-	const shown = 60
 	return &HeadError{
 		Why:  why,
-		Line: string(h.line[:min(len(h.line), shown)]),
+		Line: string(h.kept),
+	}
+}
+
+// addByte judges a byte within a line.
+func (h *headJudge) addByte(b byte) error {
+	if len(h.kept) < keptBytes {
+		h.kept = append(h.kept, b)
+	}
+	h.size++
+	isFolded := h.size == 1 && (b == ' ' || b == '\t')
+	switch {
+	case h.lines == 0, h.inValue:
+		if b < ' ' && b != '\t' || b == 0x7f {
+			return h.fail("control byte")
+		}
+	case isFolded && h.lines == 1:
+		return h.fail("blank before the name of a field")
+	case isFolded:
+		h.inValue = true
+	case b == ':':
+		return h.endName()
+	case !isTokenByte(b):
+		return h.fail("the name of a field has a byte that none may have")
 	}
+	return nil
+}
+
+// endName judges the name of a field at its colon.
+func (h *headJudge) endName() error {
+	if h.size == 1 {
+		return h.fail("a field has no name")
+	}
+	h.inValue = true
+	if h.size <= keptBytes {
+		name := string(h.kept[:h.size-1])
+		h.hasLength = h.hasLength || strings.EqualFold(name, "Content-Length")
+		h.hasCoding = h.hasCoding || strings.EqualFold(name, "Transfer-Encoding")
+	}
+	return nil
 }
 
 // endLine judges a whole line.
@@ -68,17 +114,28 @@
 	h.lines++
 	switch {
 	case h.lines == 1:
-		return h.judgeStatus()
-	case len(h.line) > 0:
-		return h.judgeField()
+		if err := h.judgeStatus(); err != nil {
+			return err
+		}
+	case h.size == 0:
+		return h.endHead()
+	case !h.inValue:
+		return h.fail("a field has no value")
+	}
+	h.kept, h.size, h.isEnding, h.inValue = h.kept[:0], 0, false, false
+	return nil
+}
+
+// endHead judges the head at its end.
+func (h *headJudge) endHead() error {
+	switch {
 	case h.hasCoding && h.hasLength:
 		return h.fail("the body has a length and a coding")
 	case h.hasCoding && h.isOld:
 		return h.fail("HTTP/1.0 has no codings")
 	}
-	isInterim := h.isInterim
 	*h = headJudge{
-		isDone: !isInterim,
+		isDone: !h.isInterim,
 	}
 	return nil
 }
@@ -86,7 +143,7 @@
 // judgeStatus judges the first line, "HTTP/1.x SP 3DIGIT [SP reason]".
 func (h *headJudge) judgeStatus() error {
 	const version, length = "HTTP/1.", len("HTTP/1.1 200")
-	text := string(h.line)
+	text := string(h.kept)
 	if len(text) < length || !strings.HasPrefix(text, version) || !isDigit(text[len(version)]) || text[len(version)+1] != ' ' {
 		return h.fail("the first line is not that of an answer")
 	}
@@ -99,58 +156,16 @@
 		return h.fail("the status is not from 100 to 599")
 	case status == "101":
 		return h.fail("nobody asked for another protocol")
-	case !isText(h.line):
-		return h.fail("control byte")
 	}
 	h.isInterim = status[0] == '1'
 	h.isOld = text[len(version)] == '0'
 	return nil
 }
 
-// judgeField judges the line of a field, or one that continues the value before it.
-func (h *headJudge) judgeField() error {
-	if h.line[0] == ' ' || h.line[0] == '\t' {
-		switch {
-		case h.lines == 2:
-			return h.fail("blank before the name of a field")
-		case !isText(h.line):
-			return h.fail("control byte in the value of a field")
-		}
-		return nil
-	}
-	name, value, ok := bytes.Cut(h.line, []byte(":"))
-	switch {
-	case !ok:
-		return h.fail("a field has no value")
-	case !isToken(name):
-		return h.fail("the name of a field has a byte that none may have")
-	case !isText(value):
-		return h.fail("control byte in the value of a field")
-	}
-	h.hasLength = h.hasLength || strings.EqualFold(string(name), "Content-Length")
-	h.hasCoding = h.hasCoding || strings.EqualFold(string(name), "Transfer-Encoding")
-	return nil
-}
-
 func isDigit(b byte) bool { return '0' <= b && b <= '9' }
 
-// isText reports whether bytes may stand in the value of a field.
-func isText(p []byte) bool {
-	for _, b := range p {
-		if b < ' ' && b != '\t' || b == 0x7f {
-			return false
-		}
-	}
-	return true
-}
-
-// isToken reports whether bytes may be the name of a field.
-func isToken(p []byte) bool {
-	for _, b := range p {
-		isLetter := 'a' <= b|0x20 && b|0x20 <= 'z'
-		if !isLetter && !isDigit(b) && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(b)) {
-			return false
-		}
-	}
-	return len(p) > 0
+// isTokenByte reports whether a byte may be in the name of a field.
+func isTokenByte(b byte) bool {
+	isLetter := 'a' <= b|0x20 && b|0x20 <= 'z'
+	return isLetter || isDigit(b) || strings.IndexByte("!#$%&'*+-.^_`|~", b) >= 0
 }
