--- a/internal/cmds/trefoild_test.go
+++ b/internal/cmds/trefoild_test.go
@@ -24,10 +24,18 @@
 			clk := clock.NewFake()
 			ticks, stops := make(chan time.Time), make(chan os.Signal)
 			arrived := make(chan time.Time, 1)
-			go func() { arrived <- awaitStop(t.Context(), clk, func() <-chan time.Time { return ticks }, stops) }()
+			// waits gets an element whenever all ticks before were handled.
+			waits := make(chan struct{}, 1)
+			next := func() <-chan time.Time {
+				waits <- struct{}{}
+				return ticks
+			}
+			go func() { arrived <- awaitStop(t.Context(), clk, next, stops) }()
+			<-waits
 			for range 5 {
 				clk.Advance(aliveInterval)
 				ticks <- time.Time{}
+				<-waits
 			}
 			suspended := clk.Now()
 			clk.Advance(5 * time.Second)
